--- /dev/null
+++ b/src/foxtailcourse/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demonstration."""
