Distribute the configuration over gRPC

Cause: with one watch for each process the platform's calls grow with the fleet, and a platform outage would leave a starting process without a configuration. Ruled out: resuming a follower by change number, since it differs between watchers; a digest of 256 buckets resumes at any peer. Following a process that does not watch the platform, since two processes with different VM lists would follow each other. Change: package control (service foxtailcourse.Peer), two watchers for each failure domain, failover, fallback with a call budget, pull on a higher revision, write-back to a restored platform, start from peers confirmed by a watcher or the platform. Conclusion: entry and agent start it unchanged with follower.run.

--- a/src/foxtailcourse/config/_follower.py
+++ b/src/foxtailcourse/config/_follower.py
@@ -1,111 +1,44 @@
 """Keeps a process's configuration copy up to date."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import asynccontextmanager
+from typing import Any
 
 import trio
-
-from foxtailcourse.config import _records
-from foxtailcourse.config._records import Record, RecordError, decode_record
-from foxtailcourse.config._store import ConfigStore
+import trio_asyncio
+
+from foxtailcourse.config._backoff import Backoff
+from foxtailcourse.config._model import ConfigView, Vm
+from foxtailcourse.config._peers import PeerExchange, TopicHandler, to_message
+from foxtailcourse.config._platform_source import PlatformSource
+from foxtailcourse.config._platform_watch import PlatformWatch
+from foxtailcourse.config._pulls import PullQueue
+from foxtailcourse.config._records import Record
+from foxtailcourse.config._settings import PlatformSettings
+from foxtailcourse.config._store import ConfigStore, operators_digest
+from foxtailcourse.config._watchers import (
+    choose_watchers,
+    fallback_interval_s,
+    follow_order,
+)
+from foxtailcourse.control import PeerClient, PeerError, PeerServer
 from foxtailcourse.http import ConnectionPool
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import (
-    KeyEvent,
-    KeyValue,
     KeyValueClient,
-    KeyValueStore,
     PlatformError,
-    RevisionGoneError,
-    VmList,
     VmListClient,
-    VmListing,
 )
-from foxtailcourse.settings import Address, section, setting
-
-WATCHED = tuple(each for each in _records.PREFIXES if each != _records.VMS)
-VM_LIST_WRITE_ID = "vm-list"
-
-
-@section("platform")
-class PlatformSettings:
-    """Where the configuration comes from."""
-
-    key_value: Address = setting(
-        Address, description="Address of the platform's key-value service."
-    )
-    vm_list: Address = setting(
-        Address, description="Address of the platform's VM list."
-    )
-    control_listen: Address = setting(
-        Address,
-        Address("127.0.0.1", 0),
-        description="Address for configuration messages between processes.",
-    )
-    peers: tuple[Address, ...] = setting(
-        tuple[Address, ...],
-        (),
-        description="Control addresses asked first at the start.",
-    )
-    call_timeout_s: float = setting(
-        float,
-        2.0,
-        description="Longest wait for an answer of the platform or a peer.",
-        unit="seconds",
-        minimum=0.01,
-    )
-    watch_wait_s: float = setting(
-        float,
-        20.0,
-        description="Longest wait of one watch call.",
-        unit="seconds",
-        minimum=0.01,
-    )
-    vm_list_poll_s: float = setting(
-        float,
-        1.0,
-        description="Time between two readings of the VM list.",
-        unit="seconds",
-        minimum=0.01,
-    )
-    backoff_min_s: float = setting(
-        float,
-        0.1,
-        description="First pause after a failed call; it doubles with each failure.",
-        unit="seconds",
-        minimum=0.001,
-    )
-    backoff_max_s: float = setting(
-        float,
-        2.0,
-        description="Longest pause after a failed call.",
-        unit="seconds",
-        minimum=0.001,
-    )
-
-
-class Backoff:
-    """Exponential pauses with full jitter, so that many processes spread out."""
-
-    def __init__(self, minimum_s: float, maximum_s: float, rng: random.Random) -> None:
-        self._minimum_s = minimum_s
-        self._maximum_s = maximum_s
-        self._rng = rng
-        self._failures = 0
-
-    def reset(self) -> None:
-        """Forget the failures after a success."""
-        self._failures = 0
-
-    def next_s(self) -> float:
-        """Return the next pause in seconds."""
-        bound_s = self._minimum_s * 2.0 ** min(self._failures, 30)
-        self._failures += 1
-        return self._rng.uniform(0.5, 1.0) * min(bound_s, self._maximum_s)
+from foxtailcourse.protocol import ExchangeMessage, FollowEvent, Sender
+from foxtailcourse.settings import Address
+
+START_PEERS = 4
+OUTDATED_FOLLOW_S = 10.0
 
 
 class ConfigFollower:
-    """Fills a ConfigStore and keeps it up to date.
+    """Fills a ConfigStore, keeps it up to date and serves it to peers.
 
     Parameters
     ----------
@@ -139,102 +72,257 @@
         self.vm = vm
         self.failure_domain = failure_domain
         self.pool = ConnectionPool()
-        self.key_value: KeyValueStore = KeyValueClient(
-            self.pool, cfg.key_value, cfg.call_timeout_s
-        )
-        self.vm_list: VmList = VmListClient(self.pool, cfg.vm_list, cfg.call_timeout_s)
+        self.key_value = KeyValueClient(self.pool, cfg.key_value, cfg.call_timeout_s)
         self._events = events
         self._metrics = metrics
         self._rng = rng or random.Random()
+        self._platform = PlatformSource(
+            self.key_value,
+            VmListClient(self.pool, cfg.vm_list, cfg.call_timeout_s),
+            store,
+            self.merge,
+            events,
+            self._rng,
+            cfg.write_back_jitter_s,
+        )
+        self._peers = PeerExchange(store, self._sender, self._merge_from_peer, events)
+        self._peers.on_sender = self._note_sender
+        self._pulls = PullQueue(store, self._pull_from)
+        self._peers.on_difference = self._pulls.want
+        self._server = PeerServer(self._peers, cfg.heartbeat_s)
         self._ready = trio.Event()
-        self._vm_list_revision = 0
-        self._latest: KeyValue | KeyEvent | None = None
+        self._next_fallback: float | None = None
+        self._peers_asked = trio.Event()
+        self._role_view: ConfigView | None = None
+        self._watching = False
+        self._watch = PlatformWatch(cfg, self._platform, events, metrics, self._rng)
+        self._watch.on_success = lambda: self._set_ready("platform")
+        self._watch.on_failures = self._pull_from_watchers
+        self.source = "none"
+        store.subscribe(self._publish)
 
     @property
     def ready(self) -> bool:
         """Whether a configuration is held."""
         return self._ready.is_set()
 
+    @property
+    def control_port(self) -> int:
+        """Port of the control listener, once ``run`` has started."""
+        return self._server.port
+
+    @property
+    def watching(self) -> bool:
+        """Whether this process watches the platform for its failure domain."""
+        if self._role_view is not self.store.view:
+            self._role_view = self.store.view
+            watchers = choose_watchers(self._role_view.vms, self.failure_domain)
+            self._watching = self.vm in {each.vm for each in watchers}
+        return self._watching
+
     async def wait_ready(self) -> None:
         """Wait until a configuration is held."""
         await self._ready.wait()
 
+    def status(self) -> dict[str, Any]:
+        """Return the value for ``config`` in the process's ``/status``."""
+        return {
+            "ready": self.ready,
+            "revision": self.store.revision,
+            "digest": operators_digest(self.store.records()),
+            "watching": self.watching,
+            "current": self._watch.current,
+            "source": self.source,
+            "followers": self._server.followers,
+            "rejected": dict(self.store.rejected),
+        }
+
+    def add_topic(self, topic: str, handler: TopicHandler) -> None:
+        """Answer the summaries of one topic of ``Exchange``.
+
+        The handler gets the sender's VM and the payload, and returns this
+        process's payload. It must not block; a ValueError drops the message.
+        """
+        self._peers.topics[topic] = handler
+
+    async def exchange(self, vm: str, topics: dict[str, bytes]) -> dict[str, bytes]:
+        """Send summaries to the process on a VM and return its own.
+
+        Raises PeerError if the VM is not listed or does not answer.
+        """
+        listed = self.store.view.vms.get(vm)
+        if listed is None:
+            raise PeerError(f"VM {vm} is not listed")
+        message = ExchangeMessage(sender=self._sender(), topics=topics)
+        reply = await self._client(listed.control).exchange(message)
+        self._note_sender(reply.sender)
+        return reply.topics
+
     def saw_revision(self, revision: int, vm: str) -> None:
-        """Take note of the revision in a message of another process."""
+        """Take note of the revision in a message of another process.
+
+        A revision above this process's own makes it pull from that process.
+        """
+        if vm != self.vm:
+            self._pulls.saw_revision(revision, vm)
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Follow the configuration until cancelled.
+        """Follow the configuration and serve it to peers until cancelled.
 
         ``started`` does not wait for a configuration; see :meth:`wait_ready`.
         """
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow_platform)
-            nursery.start_soon(self._poll_vm_list)
+        async with _asyncio_loop(), trio.open_nursery() as nursery:
+            await nursery.start(self._server.serve, self.cfg.control_listen)
+            nursery.start_soon(self._start_from_peers)
+            nursery.start_soon(self._keep_up)
+            nursery.start_soon(self._pulls.run)
             task_status.started()
 
-    async def _follow_platform(self) -> None:
+    # Start
+
+    async def _start_from_peers(self) -> None:
+        """Ask peers for a configuration until one is held."""
+        backoff = self._backoff()
+        while not self.ready:
+            answered: list[Sender] = []
+            async with trio.open_nursery() as nursery:
+                for address in self._start_addresses():
+                    nursery.start_soon(self._ask, address, answered)
+            self._peers_asked.set()
+            if any(sender.ready for sender in answered):
+                # A peer may be behind; a watcher or the platform is better.
+                with trio.move_on_after(self.cfg.start_grace_s):
+                    await self._ready.wait()
+                self._set_ready("peer")
+            await trio.sleep(backoff.next_s())
+
+    async def _pull_from(self, vm: str) -> None:
+        listed = self.store.view.vms.get(vm)
+        if listed is not None and vm != self.vm:
+            await self._ask(listed.control, [])
+
+    def _start_addresses(self) -> list[Address]:
+        listed = [v.control for v in self.store.view.vms.values() if v.vm != self.vm]
+        sample = self._rng.sample(listed, min(START_PEERS, len(listed)))
+        return list(dict.fromkeys([*self.cfg.peers, *sample]))
+
+    async def _ask(self, address: Address, answered: list[Sender]) -> None:
+        try:
+            answered.append(await self._peers.pull(self._client(address)))
+        except PeerError as exc:
+            self._events.emit("peer_failed", peer=address, error=exc)
+
+    # Following
+
+    async def _keep_up(self) -> None:
+        await self._peers_asked.wait()
+        while True:
+            if self.watching:
+                await self._while_watching_is(True, self._watch.run)
+            else:
+                await self._while_watching_is(False, self._follow_watchers)
+
+    async def _while_watching_is(
+        self, role: bool, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run until this process becomes or ceases to be a watcher."""
+        self._events.emit("config_role", watching=role)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            while self.watching is role:
+                await self.store.wait_change()
+            nursery.cancel_scope.cancel()
+
+    async def _pull_from_watchers(self) -> None:
+        """Get changes from another failure domain that may still see the platform."""
+        order = follow_order(self.store.view.vms, self.vm, self.failure_domain)
+        if order:
+            await self._pull_from(self._rng.choice(order).vm)
+
+    async def _follow_watchers(self) -> None:
         backoff = self._backoff()
         while True:
-            try:
-                revision = await self._scan()
+            if await self._follow_any(current=True):
                 backoff.reset()
-                while True:
-                    revision = await self._watch(revision)
-            except RevisionGoneError:
-                continue
-            except PlatformError as exc:
-                await self._pause("platform_failed", exc, backoff)
-
-    async def _scan(self) -> int:
-        result = await self.key_value.range(*WATCHED)
-        self._merge_values(result.items)
-        self._latest = max(result.items, key=lambda e: e.mod_revision, default=None)
-        self.store.revision = max(self.store.revision, result.revision)
-        self._set_ready("platform")
-        return result.revision
-
-    async def _watch(self, after: int) -> int:
-        wait_s = self.cfg.watch_wait_s
-        result = await self.key_value.watch(WATCHED, after, wait_s)
-        if result.revision < after or not await self._is_continuous():
-            self._events.emit(
-                "platform_went_back", revision=result.revision, expected=after
+                self._next_fallback = None
+            else:
+                await self._fall_back()
+                # During an outage no watcher is current; one of them may still
+                # have changes from processes that saw the platform later.
+                with trio.move_on_after(OUTDATED_FOLLOW_S):
+                    await self._follow_any(current=False)
+            await trio.sleep(backoff.next_s())
+
+    async def _follow_any(self, *, current: bool) -> bool:
+        """Follow the first watcher that can be followed, until it fails."""
+        order = follow_order(self.store.view.vms, self.vm, self.failure_domain)
+        for watcher in order:
+            if await self._follow(watcher, current):
+                return True
+        return False
+
+    async def _follow(self, watcher: Vm, current: bool) -> bool:
+        """Follow one watcher until it fails; return whether it brought up to date."""
+        synced = False
+
+        def take(event: FollowEvent) -> None:
+            nonlocal synced
+            if not event.sender.watching:
+                # Two processes that follow each other would both miss all changes.
+                raise PeerError(f"{watcher.vm} does not watch the platform")
+            if current and not event.sender.current:
+                raise PeerError(f"{watcher.vm} cannot reach the platform")
+            if event.synced and event.sender.ready:
+                synced = True
+            if synced and event.sender.current:
+                self._set_ready("watcher")
+
+        try:
+            await self._peers.follow_peer(
+                watcher.control,
+                self.cfg.call_timeout_s,
+                self.cfg.follow_idle_s,
+                take,
             )
-            raise RevisionGoneError("revision went back", may_have_applied=False)
-        self._merge_values(result.events)
-        if result.events:
-            self._latest = result.events[-1]
-        return result.revision
+        except PeerError as exc:
+            self._events.emit("follow_failed", peer=watcher.vm, error=exc)
+            self._metrics.count("foxtail_config_failures_total", kind="follow")
+        return synced
+
+    async def _fall_back(self) -> None:
+        """Read the platform directly, at most as often as the call budget allows."""
+        now = trio.current_time()
+        if self._next_fallback is None and self.store.view.vms:
+            # All followers of a lost watcher come here at the same moment.
+            self._next_fallback = now + self._fallback_s() * self._rng.random()
+        if self._next_fallback is not None and now < self._next_fallback:
+            return
+        try:
+            await self._platform.read_vm_list()
+            if not self.watching:
+                await self._platform.scan(write_back=False)
+                self._set_ready("platform")
+        except PlatformError as exc:
+            self._events.emit("platform_failed", error=exc)
+            self._metrics.count("foxtail_config_failures_total", kind="platform_failed")
+        wait_s = self._fallback_s() * self._rng.uniform(0.5, 1.5)
+        self._next_fallback = trio.current_time() + wait_s
+
+    def _fallback_s(self) -> float:
+        return fallback_interval_s(
+            len(self.store.view.vms),
+            self.cfg.fallback_calls_per_s,
+            self.cfg.backoff_max_s,
+        )
 
-    async def _is_continuous(self) -> bool:
-        """Whether the store still holds the latest change that was seen.
+    # Common
 
-        A restored store may reach the watched revision again before the next watch
-        call; its changes up to that revision are then other ones.
-        """
-        if self._latest is None:
-            return True
-        after = self._latest.mod_revision - 1
-        result = await self.key_value.watch(WATCHED, after, 0.0)
-        seen = (self._latest.key, self._latest.value, self._latest.mod_revision)
-        return seen in [(e.key, e.value, e.mod_revision) for e in result.events]
-
-    def _merge_values(self, values: Iterable[KeyValue | KeyEvent]) -> None:
-        records = []
-        for each in values:
-            if each.value is None:
-                continue
-            try:
-                records.append(decode_record(each.key, each.value, each.mod_revision))
-            except RecordError as exc:
-                self._events.emit("record_malformed", key=each.key, error=exc)
-        self.merge(records)
-
-    def merge(self, records: list[Record]) -> None:
+    def merge(self, records: Iterable[Record]) -> list[Record]:
         """Merge records and log those taken."""
-        for record in self.store.merge(records):
+        taken = self.store.merge(records)
+        for record in taken:
             self._metrics.count("foxtail_config_changes_total")
             self._events.emit(
                 "config_changed",
@@ -242,37 +330,33 @@
                 generation=record.generation,
                 revision=record.mod_revision,
             )
+        return taken
+
+    def _merge_from_peer(self, records: Iterable[Record]) -> None:
+        self._platform.expect(self.merge(records))
+
+    def _publish(self, records: list[Record]) -> None:
+        messages = tuple(to_message(each) for each in records)
+        self._server.publish(FollowEvent(sender=self._sender(), records=messages))
+
+    def _note_sender(self, sender: Sender) -> None:
+        self.saw_revision(sender.revision, sender.vm)
+
+    def _sender(self) -> Sender:
+        return Sender(
+            vm=self.vm,
+            revision=self.store.revision,
+            ready=self.ready,
+            watching=self.watching,
+            current=self._watch.current,
+            clock=str(self._events.clock.tick()),
+        )
 
-    async def _poll_vm_list(self) -> None:
-        backoff = self._backoff()
-        while True:
-            try:
-                listing = await self.vm_list.list_vms()
-            except PlatformError as exc:
-                await self._pause("vm_list_failed", exc, backoff)
-                continue
-            backoff.reset()
-            self._take_listing(listing)
-            await trio.sleep(self.cfg.vm_list_poll_s * self._rng.uniform(0.9, 1.1))
-
-    def _take_listing(self, listing: VmListing) -> None:
-        """Turn a VM list into records; an older list than a former one is ignored."""
-        if listing.revision <= self._vm_list_revision:
-            return
-        self._vm_list_revision = listing.revision
-        bodies = {_records.VMS + str(each.get("vm")): each for each in listing.vms}
-        changes = []
-        for key, body in bodies.items():
-            held = self.store.get(key)
-            if held is None or held.deleted or held.body != body:
-                changes.append(_vm_record(key, listing.revision, body))
-        for held in self.store.records():
-            listed = held.key in bodies or not held.key.startswith(_records.VMS)
-            if not listed and not held.deleted:
-                changes.append(_vm_record(held.key, listing.revision, None))
-        self.merge(changes)
+    def _client(self, address: Address) -> PeerClient:
+        return PeerClient(address, self.cfg.call_timeout_s)
 
     def _set_ready(self, source: str) -> None:
+        self.source = source
         if not self.ready:
             self._ready.set()
             self._events.emit(
@@ -282,18 +366,12 @@
     def _backoff(self) -> Backoff:
         return Backoff(self.cfg.backoff_min_s, self.cfg.backoff_max_s, self._rng)
 
-    async def _pause(self, name: str, exc: Exception, backoff: Backoff) -> None:
-        pause_s = backoff.next_s()
-        self._metrics.count("foxtail_config_failures_total", kind=name)
-        self._events.emit(name, error=exc, pause_ms=int(pause_s * 1000))
-        await trio.sleep(pause_s)
-
-
-def _vm_record(key: str, revision: int, body: dict | None) -> Record:
-    return Record(
-        key=key,
-        generation=revision,
-        write_id=VM_LIST_WRITE_ID,
-        deleted=body is None,
-        body=body or {},
-    )
+
+@asynccontextmanager
+async def _asyncio_loop() -> AsyncIterator[None]:
+    """Open an asyncio loop for gRPC unless the caller runs in one."""
+    if trio_asyncio.current_loop.get() is not None:
+        yield
+        return
+    async with trio_asyncio.open_loop():
+        yield
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,172 @@
+"""A platform stand-in and followers on loopback, all in one trio run."""
+
+import random
+import time
+from contextlib import asynccontextmanager
+
+import attrs
+import trio
+import trio_asyncio
+
+from foxtailcourse.config import (
+    ConfigFollower,
+    ConfigStore,
+    PlatformSettings,
+    Record,
+    Vm,
+    VmRole,
+)
+from foxtailcourse.http import HttpLimits, HttpServer
+from foxtailcourse.observe import EventLog, HybridClock, Metrics
+from foxtailcourse.settings import Address
+from foxtailcourse.standin._platform import PlatformStandin
+
+FAST = {
+    "backoff_min_s": 0.01,
+    "backoff_max_s": 0.05,
+    "vm_list_poll_s": 0.02,
+    "watch_wait_s": 0.2,
+    "write_back_jitter_s": 0.02,
+    "heartbeat_s": 0.1,
+    "follow_idle_s": 1.0,
+    "start_grace_s": 0.3,
+}
+UNUSED = Address("127.0.0.1", 1)
+
+
+def contract(generation, share=1.0, write_id="w", account="teatro"):
+    """Return a contract record."""
+    body = {"client_account": account, "share": share}
+    key = f"contracts/{account}"
+    return Record(key=key, generation=generation, write_id=write_id, body=body)
+
+
+def make_vm(name, failure_domain="palermo", control=UNUSED, admin=UNUSED):
+    """Return an entry of the VM list."""
+    return Vm(
+        vm=name,
+        failure_domain=failure_domain,
+        role=VmRole.AGENT,
+        listen=UNUSED,
+        control=control,
+        admin=admin,
+        serves="guide",
+    )
+
+
+async def wait_until(condition):
+    """Poll until a condition holds."""
+    while not condition():
+        await trio.sleep(0.002)
+
+
+@asynccontextmanager
+async def serve(handler):
+    """Serve a handler on a free port and yield its address."""
+    server = HttpServer(handler, HttpLimits(), lambda e, exc: None)
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve, listeners)
+        yield Address("127.0.0.1", listeners[0].socket.getsockname()[1])
+        nursery.cancel_scope.cancel()
+
+
+@attrs.define
+class Process:
+    """One follower and the scope that ends it."""
+
+    follower: ConfigFollower
+    scope: trio.CancelScope
+    vm: Vm
+    stopped: trio.Event
+
+    @property
+    def store(self):
+        return self.follower.store
+
+    def share(self, account="teatro"):
+        """Return the share in force, or None."""
+        held = self.store.view.contracts.get(account)
+        return held and held.share
+
+
+class Cluster:
+    """Followers of one platform."""
+
+    def __init__(self, platform, address, nursery):
+        self.platform = platform
+        self.address = address
+        self.processes = {}
+        self._nursery = nursery
+
+    async def start(self, name, failure_domain="palermo", *, listed=True, **changes):
+        """Start a follower and add it to the VM list."""
+        options = FAST | {"key_value": self.address, "vm_list": self.address} | changes
+        follower = ConfigFollower(
+            PlatformSettings(control_listen=Address("127.0.0.1", 0), **options),
+            ConfigStore(),
+            vm=name,
+            failure_domain=failure_domain,
+            events=EventLog(name, HybridClock(time.time)),
+            metrics=Metrics(),
+            rng=random.Random(name),
+        )
+        process = await self._nursery.start(self._run, follower)
+        self.processes[name] = process
+        if listed:
+            self.list_vms()
+        return process
+
+    async def _run(self, follower, *, task_status):
+        stopped = trio.Event()
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(follower.run)
+                control = Address("127.0.0.1", follower.control_port)
+                vm = make_vm(follower.vm, follower.failure_domain, control)
+                task_status.started(Process(follower, scope, vm, stopped))
+        stopped.set()
+
+    def list_vms(self):
+        """Show all running followers in the VM list."""
+        self.platform.set_vms([each.vm for each in self.processes.values()])
+
+    async def stop(self, name, *, listed=False):
+        """End a follower; ``listed`` keeps it in the VM list."""
+        process = self.processes.pop(name)
+        process.scope.cancel()
+        await process.stopped.wait()
+        if not listed:
+            self.list_vms()
+
+    def watching(self):
+        """Return the names of the followers that watch the platform."""
+        return {k for k, v in self.processes.items() if v.follower.watching}
+
+    async def settled(self, size):
+        """Wait until all are ready and know the whole VM list."""
+        held = self.processes.values()
+        await wait_until(
+            lambda: all(
+                each.follower.ready and len(each.store.view.vms) == size
+                for each in held
+            )
+        )
+
+    async def all_have(self, share):
+        """Wait until every follower has a share in force."""
+        held = self.processes.values()
+        await wait_until(lambda: all(each.share() == share for each in held))
+
+
+@asynccontextmanager
+async def cluster(platform=None):
+    """Yield a Cluster around a platform stand-in."""
+    platform = platform or PlatformStandin()
+    async with (
+        serve(platform.handler) as address,
+        trio_asyncio.open_loop(),
+        trio.open_nursery() as nursery,
+    ):
+        yield Cluster(platform, address, nursery)
+        nursery.cancel_scope.cancel()
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -1,124 +1,273 @@
-import time
-from contextlib import asynccontextmanager
+from contextlib import ExitStack
+from unittest import mock
 
+import attrs
 import trio
-from testtools.matchers import Equals
-
-from foxtailcourse.config import (
-    ConfigFollower,
-    ConfigStore,
-    PlatformSettings,
-    Record,
-    Vm,
-    VmRole,
-)
-from foxtailcourse.http import HttpLimits, HttpServer
-from foxtailcourse.observe import EventLog, HybridClock, Metrics
-from foxtailcourse.settings import Address
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
+
+from cluster import cluster, contract, make_vm, wait_until
+from foxtailcourse.config import decode_record
+from foxtailcourse.config._platform_source import PlatformSource
+from foxtailcourse.config._watchers import fallback_interval_s, follow_order
+from foxtailcourse.platform import PlatformError
 from foxtailcourse.standin._platform import PlatformStandin
 from support import AsyncTestCase
 
 
-def contract(generation, share=1.0):
-    body = {"client_account": "teatro", "share": share}
-    key = "contracts/teatro"
-    return Record(key=key, generation=generation, write_id="w", body=body)
-
-
-def make_vm(name):
-    address = Address("127.0.0.1", 1)
-    return Vm(
-        vm=name,
-        failure_domain="palermo",
-        role=VmRole.AGENT,
-        listen=address,
-        control=address,
-        admin=address,
-        serves="guide",
-    )
-
-
-@asynccontextmanager
-async def serve_platform(standin):
-    """Serve a stand-in on a free port and yield its address."""
-    server = HttpServer(standin.handler, HttpLimits(), lambda e, exc: None)
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    async with trio.open_nursery() as nursery:
-        await nursery.start(server.serve, listeners)
-        yield Address("127.0.0.1", listeners[0].socket.getsockname()[1])
-        nursery.cancel_scope.cancel()
-
-
-def make_follower(address, **changes):
-    options = {"backoff_min_s": 0.01, "backoff_max_s": 0.02}
-    options |= {"vm_list_poll_s": 0.01, "watch_wait_s": 0.2}
-    cfg = PlatformSettings(key_value=address, vm_list=address, **(options | changes))
-    clock = HybridClock(time.time)
-    return ConfigFollower(
-        cfg,
-        ConfigStore(),
-        vm="a",
-        failure_domain="palermo",
-        events=EventLog("test", clock),
-        metrics=Metrics(),
-    )
-
-
-async def wait_until(condition):
-    while not condition():
-        await trio.sleep(0.002)
-
-
-class TestConfigFollower(AsyncTestCase):
-    """Guards against a copy that misses a change or goes back."""
-
-    def follow(self, check, standin=None):
+class FollowerTestCase(AsyncTestCase):
+    """Runs a check with a cluster."""
+
+    def with_cluster(self, check, platform=None):
         async def main():
-            platform = standin or PlatformStandin()
-            async with serve_platform(platform) as address:
-                follower = make_follower(address)
-                async with trio.open_nursery() as nursery:
-                    await nursery.start(follower.run)
-                    await check(platform, follower)
-                    nursery.cancel_scope.cancel()
+            async with cluster(platform) as running:
+                await check(running)
 
         self.run_async(main)
 
+
+class TestPlatformReading(FollowerTestCase):
+    """Guards against a copy that misses a change of the platform or goes back."""
+
     def test_change_and_vm_list_arrive(self):
-        async def check(platform, follower):
-            platform.set_vms([make_vm("b")])
-            await follower.wait_ready()
-            platform.seed([contract(1, 3.0)])
-            await wait_until(lambda: "teatro" in follower.store.view.contracts)
-            await wait_until(lambda: "b" in follower.store.view.vms)
-            platform.set_vms([])
-            await wait_until(lambda: not follower.store.view.vms)
-
-        self.follow(check)
-
-    def test_restored_platform_does_not_break_the_watch(self):
-        async def check(platform, follower):
-            await follower.wait_ready()
-            old = platform.seed([contract(1, 1.0)])
-            platform.seed([contract(2, 2.0)])
-            await wait_until(lambda: follower.store.revision == platform.revision)
-            platform.restore(old)
-            platform.seed([contract(3, 5.0)])
+        async def check(running):
+            process = await running.start("a", listed=False)
+            running.platform.set_vms([make_vm("b")])
+            await process.follower.wait_ready()
+            running.platform.seed([contract(1, 3.0)])
+            await wait_until(lambda: process.share() == 3.0)
+            await wait_until(lambda: "b" in process.store.view.vms)
+            running.platform.set_vms([])
+            await wait_until(lambda: not process.store.view.vms)
+
+        self.with_cluster(check)
+
+    async def restore_and_overtake(self, running):
+        process = await running.start("a")
+        old = running.platform.seed([contract(1, 1.0)])
+        running.platform.seed([contract(2, 2.0)])
+        await running.all_have(2.0)
+        await wait_until(lambda: process.follower.watching)
+        running.platform.restore(old)
+        running.platform.seed([contract(3, 5.0)])
+        return process
+
+    def test_restored_platform_does_not_hide_a_change(self):
+        async def check(running):
+            await self.restore_and_overtake(running)
+            await running.all_have(5.0)
+
+        self.with_cluster(check)
+
+    def test_start_during_an_outage_becomes_ready_afterwards(self):
+        async def check(running):
+            process = await running.start("a")
+            await wait_until(lambda: running.platform.calls["GET /kv/range"] > 2)
+            self.assertFalse(process.follower.ready)
+            running.platform.faults.outage = "off"
+            await process.follower.wait_ready()
+
+        platform = PlatformStandin()
+        platform.faults.outage = "refuse"
+        self.with_cluster(check, platform)
+
+
+class TestRestoredPlatform(FollowerTestCase):
+    """Guards against an accepted change that a restored platform takes back."""
+
+    async def restore(self, running):
+        for name in "abcd":
+            await running.start(name)
+        old = running.platform.seed([contract(1, 1.0)])
+        running.platform.seed([contract(2, 2.0)])
+        await running.settled(4)
+        await running.all_have(2.0)
+        running.platform.restore(old)
+
+    def platform_generation(self, running):
+        held = running.platform.get("contracts/teatro")
+        return decode_record(held.key, held.value, held.mod_revision).generation
+
+    def test_watcher_writes_the_newer_record_back(self):
+        async def check(running):
+            await self.restore(running)
+            await wait_until(lambda: self.platform_generation(running) == 2)
+            shares = [each.share() for each in running.processes.values()]
+            self.assertThat(shares, Equals([2.0] * 4))
+
+        self.with_cluster(check)
+
+    def test_without_write_back_the_platform_stays_behind(self):
+        """Shows that the test above depends on the write-back."""
+
+        async def skip(source, key, mod_revision):
+            pass
+
+        async def check(running):
+            await self.restore(running)
+            scans = running.platform.calls["GET /kv/range"]
             await wait_until(
-                lambda: follower.store.get("contracts/teatro").order[0] > 2
+                lambda: running.platform.calls["GET /kv/range"] > scans + 3
             )
-            share = follower.store.view.contracts["teatro"].share
-            self.assertThat(share, Equals(5.0))
+            self.assertThat(self.platform_generation(running), Equals(1))
 
-        self.follow(check)
+        with mock.patch.object(PlatformSource, "_write_back", skip):
+            self.with_cluster(check)
 
-    def test_start_during_an_outage_becomes_ready_afterwards(self):
-        async def check(platform, follower):
-            await wait_until(lambda: platform.calls["GET /kv/range"] > 2)
-            self.assertFalse(follower.ready)
-            platform.faults.outage = "off"
-            await follower.wait_ready()
-
-        standin = PlatformStandin()
-        standin.faults.outage = "refuse"
-        self.follow(check, standin)
+    def test_follower_hands_a_record_to_restarted_watchers(self):
+        async def check(running):
+            await self.restore(running)
+            running.platform.faults.outage = "refuse"
+            for name in running.watching():
+                await running.stop(name, listed=True)
+                await running.start(name)
+            running.platform.faults.outage = "off"
+            await running.all_have(2.0)
+            await wait_until(lambda: self.platform_generation(running) == 2)
+
+        self.with_cluster(check)
+
+
+class TestDistribution(FollowerTestCase):
+    """Guards against processes that are cut off from changes."""
+
+    def test_only_watchers_call_the_platform(self):
+        async def check(running):
+            for number in range(8):
+                await running.start(f"vm{number}", f"domain{number % 2}")
+            await running.settled(8)
+            await wait_until(lambda: len(running.watching()) == 4)
+            followers = [
+                each.follower
+                for each in running.processes.values()
+                if not each.follower.watching
+            ]
+            await wait_until(lambda: all(f.source == "watcher" for f in followers))
+            with ExitStack() as stack:
+                for each in followers:
+                    error = AssertionError("a follower called the platform")
+                    stack.enter_context(
+                        mock.patch.object(each.key_value, "range", side_effect=error)
+                    )
+                running.platform.seed([contract(1, 7.0)])
+                await running.all_have(7.0)
+
+        self.with_cluster(check)
+
+    def test_followers_leave_a_dead_watcher(self):
+        async def check(running):
+            for number in range(5):
+                await running.start(f"vm{number}")
+            await running.settled(5)
+            await wait_until(lambda: len(running.watching()) == 2)
+            for name in sorted(running.watching()):
+                # The VM list lags: it still shows the dead watcher.
+                await running.stop(name, listed=True)
+                running.platform.seed([contract(ord(name[-1]), ord(name[-1]))])
+                await running.all_have(ord(name[-1]))
+
+        self.with_cluster(check)
+
+    def test_two_processes_do_not_follow_each_other(self):
+        """Each takes the other for the watcher; both must reach the platform."""
+
+        async def check(running):
+            for name in "ab":
+                await running.start(name)
+            await running.settled(2)
+            with mock.patch.object(
+                type(running.processes["a"].follower), "watching", False
+            ):
+                running.platform.seed([contract(1, 4.0)])
+                await running.all_have(4.0)
+
+        self.with_cluster(check)
+
+    def test_higher_revision_in_a_message_causes_a_pull(self):
+        async def check(running):
+            newer = await running.start("newer")
+            older = await running.start("older", "catania")
+            await running.settled(2)
+            running.platform.faults.outage = "refuse"
+            await wait_until(lambda: running.platform.faults.outage == "refuse")
+            revision = older.store.revision + 10
+            newer.follower.merge(
+                [attrs.evolve(contract(5, 5.0), mod_revision=revision)]
+            )
+            older.follower.saw_revision(newer.store.revision, "newer")
+            await wait_until(lambda: older.share() == 5.0)
+
+        self.with_cluster(check)
+
+
+class TestStart(FollowerTestCase):
+    """Guards against a cold start, and against a start from an older copy."""
+
+    def control(self, process):
+        return (process.vm.control,)
+
+    def test_start_from_peers_while_the_platform_is_down(self):
+        async def check(running):
+            running.platform.seed([contract(1, 2.0)])
+            first = await running.start("a")
+            await running.settled(1)
+            await running.all_have(2.0)
+            running.platform.faults.outage = "refuse"
+            running.platform.faults.vm_list_outage = True
+            second = await running.start("b", peers=self.control(first), listed=False)
+            await second.follower.wait_ready()
+            self.assertThat(second.share(), Equals(2.0))
+            await running.stop("a", listed=True)
+            third = await running.start("c", peers=self.control(first), listed=False)
+            with trio.move_on_after(0.5):
+                await third.follower.wait_ready()
+            self.assertFalse(third.follower.ready)
+
+        self.with_cluster(check)
+
+    async def start_from_older_peer(self, running, **changes):
+        running.platform.seed([contract(1, 1.0)])
+        old = await running.start("old")
+        await running.settled(1)
+        await running.all_have(1.0)
+        failure = PlatformError("no route", may_have_applied=False)
+        with (
+            mock.patch.object(old.follower.key_value, "watch", side_effect=failure),
+            mock.patch.object(old.follower.key_value, "range", side_effect=failure),
+        ):
+            await wait_until(lambda: not old.follower.status()["current"])
+            running.platform.seed([contract(2, 2.0)])
+            new = await running.start("new", peers=self.control(old), **changes)
+            await new.follower.wait_ready()
+            return new.share()
+
+    def test_older_peer_does_not_decide(self):
+        async def check(running):
+            share = await self.start_from_older_peer(running, start_grace_s=30.0)
+            self.assertThat(share, Equals(2.0))
+
+        self.with_cluster(check)
+
+    def test_without_the_grace_time_an_older_peer_decides(self):
+        """Shows that the test above depends on the wait for confirmation."""
+
+        async def check(running):
+            share = await self.start_from_older_peer(running, start_grace_s=0.0)
+            self.assertThat(share, Equals(1.0))
+
+        self.with_cluster(check)
+
+
+class TestCallBudget(AsyncTestCase):
+    """Guards the platform against all processes at once."""
+
+    def test_budget_does_not_grow_with_the_fleet(self):
+        for processes in (10, 2_700, 12_700):
+            interval = fallback_interval_s(processes, 100.0, 0.05)
+            self.assertThat(processes / interval, LessThan(200.1))
+        self.assertThat(fallback_interval_s(12_700, 100.0, 0.05), GreaterThan(100))
+
+    def test_both_watchers_carry_followers(self):
+        vms = {f"vm{i}": make_vm(f"vm{i}") for i in range(40)}
+        first = [follow_order(vms, name, "palermo")[0].vm for name in vms]
+        self.assertThat(set(first), HasLength(2))
+        self.assertThat(min(first.count(each) for each in set(first)), GreaterThan(5))
