Add foxtailctl

Cause: operators need to change contracts, services, weights, leaving servers and planned stops, and to know when a change is in force. Ruled out: deciding a lost answer by one reading, since a delayed copy of the write may still arrive; the same compare-and-swap is repeated and the write_id compared. Calling a change in force by revision alone, which is wrong after a restore; the records are compared by digest. Change: package ctl; repair of a restored platform runs beside the watch, which it held up by its random wait before (found by a test with a long wait). Each switch that removes the compare-and-swap, the write_id or the question to the processes makes its test show the lost change.

--- a/src/foxtailcourse/config/_follower.py
+++ b/src/foxtailcourse/config/_follower.py
@@ -1,12 +1,10 @@
 """Keeps a process's configuration copy up to date."""
 
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import trio
-import trio_asyncio
 
 from foxtailcourse.config._backoff import Backoff
 from foxtailcourse.config._model import ConfigView, Vm
@@ -22,7 +20,7 @@
     fallback_interval_s,
     follow_order,
 )
-from foxtailcourse.control import PeerClient, PeerError, PeerServer
+from foxtailcourse.control import PeerClient, PeerError, PeerServer, asyncio_loop
 from foxtailcourse.http import ConnectionPool
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import (
@@ -173,7 +171,7 @@
 
         ``started`` does not wait for a configuration; see :meth:`wait_ready`.
         """
-        async with _asyncio_loop(), trio.open_nursery() as nursery:
+        async with asyncio_loop(), trio.open_nursery() as nursery:
             await nursery.start(self._server.serve, self.cfg.control_listen)
             nursery.start_soon(self._start_from_peers)
             nursery.start_soon(self._keep_up)
@@ -302,7 +300,7 @@
         try:
             await self._platform.read_vm_list()
             if not self.watching:
-                await self._platform.scan(write_back=False)
+                await self._platform.scan()
                 self._set_ready("platform")
         except PlatformError as exc:
             self._events.emit("platform_failed", error=exc)
@@ -365,13 +363,3 @@
 
     def _backoff(self) -> Backoff:
         return Backoff(self.cfg.backoff_min_s, self.cfg.backoff_max_s, self._rng)
-
-
-@asynccontextmanager
-async def _asyncio_loop() -> AsyncIterator[None]:
-    """Open an asyncio loop for gRPC unless the caller runs in one."""
-    if trio_asyncio.current_loop.get() is not None:
-        yield
-        return
-    async with trio_asyncio.open_loop():
-        yield
--- a/src/foxtailcourse/config/_peers.py
+++ b/src/foxtailcourse/config/_peers.py
@@ -63,6 +63,10 @@
     def snapshot(self, request: SnapshotRequest) -> SnapshotReply:
         """Return one page of the held records."""
         self._note(request.sender)
+        if request.keys:
+            held = [self._store.get(key) for key in request.keys]
+            chosen = tuple(to_message(each) for each in held if each is not None)
+            return SnapshotReply(sender=self._sender(), records=chosen)
         differing = self._store.differing(request.digests)
         wanted = [each for each in differing if each >= request.first_bucket]
         records, following = self._page(wanted)
--- a/src/foxtailcourse/config/_platform_source.py
+++ b/src/foxtailcourse/config/_platform_source.py
@@ -68,6 +68,7 @@
         self._latest: KeyValue | KeyEvent | None = None
         self._listing_revision = 0
         self._expected: dict[str, float] = {}
+        self.repair_wanted = trio.Event()
 
     def expect(self, records: Iterable[Record]) -> None:
         """Note records that came from a peer and that the platform should hold."""
@@ -81,21 +82,21 @@
         latest = trio.current_time() - CONFIRMATION_S
         return any(noted < latest for noted in self._expected.values())
 
-    async def scan(self, *, write_back: bool = True) -> int:
-        """Read all records; return the store revision to watch from.
-
-        With ``write_back``, keys for which the platform holds an older record than
-        this process get the newer one by compare-and-swap.
-        """
+    async def scan(self) -> int:
+        """Read all records; return the store revision to watch from."""
         revision, outdated = await self._read_all()
-        if outdated and write_back:
-            await trio.sleep(self._rng.uniform(0, self._write_back_jitter_s))
-            # Another watcher may have corrected the platform in the meantime.
-            revision, outdated = await self._read_all()
-            for key, mod_revision in outdated.items():
-                await self._write_back(key, mod_revision)
+        if outdated:
+            self.repair_wanted.set()
         return revision
 
+    async def repair(self) -> None:
+        """Write newer records back to a platform that holds older ones."""
+        self.repair_wanted = trio.Event()
+        await trio.sleep(self._rng.uniform(0, self._write_back_jitter_s))
+        _, outdated = await self._read_all()
+        for key, mod_revision in outdated.items():
+            await self._write_back(key, mod_revision)
+
     async def watch(self, after: int, wait_s: float) -> int:
         """Wait for changes; return the revision to watch from next.
 
@@ -112,7 +113,7 @@
         outdated = self._take(result.events)
         deleted = any(each.value is None for each in result.events)
         if outdated or deleted or self._is_missing():
-            raise RevisionGoneError("older records appeared", may_have_applied=False)
+            self.repair_wanted.set()
         return result.revision
 
     async def _read_all(self) -> tuple[int, dict[str, int]]:
--- /dev/null
+++ b/src/foxtailcourse/ctl/_app.py
@@ -0,0 +1,280 @@
+"""Command line of foxtailctl."""
+
+import hashlib
+import sys
+from pathlib import Path
+
+import typer
+
+from foxtailcourse.ctl import _records, _show
+from foxtailcourse.ctl._errors import CtlError, ExitCode
+from foxtailcourse.ctl._ini import InputErrors, parse_contracts, parse_services
+from foxtailcourse.ctl._operator import Operator
+from foxtailcourse.ctl._output import (
+    Connection,
+    Result,
+    bad_input,
+    read_text,
+    run_command,
+    run_plain,
+)
+from foxtailcourse.ctl._wait import wait_in_force
+
+MAIN_HELP = """Operate a foxtailcourse installation.
+
+Contracts say what a client account may use. A change is accepted by the platform's
+key-value service and reaches all processes within seconds; --wait and 'wait' tell
+when it has. Changes are compare-and-swap: if another operator was faster, nothing is
+written and the difference is shown.
+
+Begin with 'status'. To add a client account: 'key hash' makes the hash of its bearer
+key, 'contract apply FILE' creates its contract.
+
+Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another operator's change;
+4 platform or processes unreachable, nothing was written; 5 unknown outcome: a write
+may have taken effect.
+"""
+JSON = typer.Option(False, "--json", help="Print the result as one JSON object.")
+WAIT = typer.Option(
+    0.0, "--wait", help="Wait up to this many seconds until all processes follow."
+)
+DRY_RUN = typer.Option(False, "--dry-run", help="Show the difference, write nothing.")
+
+
+def _group(text: str) -> typer.Typer:
+    return typer.Typer(help=text, no_args_is_help=True, rich_markup_mode=None)
+
+
+app = typer.Typer(
+    help=MAIN_HELP,
+    no_args_is_help=True,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+    add_completion=False,
+)
+contract = _group("Contracts: limits, priority and share of each client account.")
+backend = _group("Backend servers: take one out of service, or back in.")
+stop = _group("Planned stops of VMs.")
+service = _group("Plain services that the system routes to.")
+weights = _group("Weights version of each model.")
+key = _group("Bearer keys of client accounts.")
+app.add_typer(contract, name="contract")
+app.add_typer(backend, name="backend")
+app.add_typer(stop, name="stop")
+app.add_typer(service, name="service")
+app.add_typer(weights, name="weights")
+app.add_typer(key, name="key")
+
+
+@app.callback()
+def _connect(
+    ctx: typer.Context,
+    config: Path = typer.Option(
+        None,
+        envvar="FOXTAILCTL_CONFIG",
+        help="INI file with a section [operator]: key_value and vm_list.",
+    ),
+    key_value: str = typer.Option(
+        "", help="IP:PORT of the key-value service, in place of the file's."
+    ),
+    vm_list: str = typer.Option(
+        "", help="IP:PORT of the VM list, in place of the file's."
+    ),
+) -> None:
+    ctx.obj = Connection(config, key_value, vm_list)
+
+
+@contract.command("apply")
+def contract_apply(
+    ctx: typer.Context,
+    file: Path = typer.Argument(help="INI file with [contract ACCOUNT] sections; -"),
+    dry_run: bool = DRY_RUN,
+    wait_s: float = WAIT,
+    as_json: bool = JSON,
+) -> None:
+    """Create or change the contracts in FILE, all or none.
+
+    The file holds the whole contract: a key that it leaves out gets its default. If
+    it carries the 'generation' that 'contract get' wrote, applying fails with a
+    conflict once somebody else has changed the contract. '-' reads standard input.
+    """
+
+    async def work(operator: Operator) -> Result:
+        try:
+            parsed = parse_contracts(read_text(file), str(file))
+        except InputErrors as problems:
+            raise bad_input(f"{file} is not valid", problems) from None
+        return await _records.apply_parsed(
+            operator, parsed, dry_run=dry_run, wait_s=wait_s
+        )
+
+    run_command(ctx, as_json, work)
+
+
+@contract.command("diff")
+def contract_diff(
+    ctx: typer.Context,
+    file: Path = typer.Argument(help="INI file with [contract ACCOUNT] sections; -"),
+    as_json: bool = JSON,
+) -> None:
+    """Show what 'contract apply FILE' would change; write nothing."""
+    contract_apply(ctx, file, True, 0.0, as_json)
+
+
+@contract.command("get")
+def contract_get(ctx: typer.Context, account: str, as_json: bool = JSON) -> None:
+    """Print a contract as a file for 'contract apply'."""
+    run_command(ctx, as_json, lambda each: _records.get_contract(each, account))
+
+
+@contract.command("list")
+def contract_list(ctx: typer.Context, as_json: bool = JSON) -> None:
+    """List all contracts."""
+    run_command(ctx, as_json, _show.list_contracts)
+
+
+@contract.command("delete")
+def contract_delete(
+    ctx: typer.Context, account: str, wait_s: float = WAIT, as_json: bool = JSON
+) -> None:
+    """Delete a contract; the account's requests are refused from then on."""
+    run_command(
+        ctx, as_json, lambda each: _records.delete_contract(each, account, wait_s)
+    )
+
+
+@backend.command("leave")
+def backend_leave(
+    ctx: typer.Context, vm: str, wait_s: float = WAIT, as_json: bool = JSON
+) -> None:
+    """Give the backend server on VM no new work; running requests finish."""
+    _mark(ctx, as_json, _records.BACKENDS, vm, {"leaving": True}, wait_s)
+
+
+@backend.command("return")
+def backend_return(
+    ctx: typer.Context, vm: str, wait_s: float = WAIT, as_json: bool = JSON
+) -> None:
+    """Give the backend server on VM new work again."""
+    _mark(ctx, as_json, _records.BACKENDS, vm, None, wait_s)
+
+
+@stop.command("announce")
+def stop_announce(
+    ctx: typer.Context, vm: str, wait_s: float = WAIT, as_json: bool = JSON
+) -> None:
+    """Announce that VM will be stopped; its processes finish their requests."""
+    _mark(ctx, as_json, _records.STOPS, vm, {"announced": True}, wait_s)
+
+
+@stop.command("cancel")
+def stop_cancel(
+    ctx: typer.Context, vm: str, wait_s: float = WAIT, as_json: bool = JSON
+) -> None:
+    """Take back the announced stop of VM."""
+    _mark(ctx, as_json, _records.STOPS, vm, None, wait_s)
+
+
+def _mark(
+    ctx: typer.Context,
+    as_json: bool,
+    prefix: str,
+    vm: str,
+    body: dict[str, bool] | None,
+    wait_s: float,
+) -> None:
+    run_command(
+        ctx,
+        as_json,
+        lambda each: _records.set_vm_mark(each, prefix, vm, body, wait_s),
+    )
+
+
+@service.command("apply")
+def service_apply(
+    ctx: typer.Context,
+    file: Path = typer.Argument(help="INI file with [service ROUTE] sections; -"),
+    dry_run: bool = DRY_RUN,
+    wait_s: float = WAIT,
+    as_json: bool = JSON,
+) -> None:
+    """Create or change the services in FILE, all or none."""
+
+    async def work(operator: Operator) -> Result:
+        try:
+            parsed = parse_services(read_text(file), str(file))
+        except InputErrors as problems:
+            raise bad_input(f"{file} is not valid", problems) from None
+        return await _records.apply_parsed(
+            operator, parsed, dry_run=dry_run, wait_s=wait_s
+        )
+
+    run_command(ctx, as_json, work)
+
+
+@service.command("list")
+def service_list(ctx: typer.Context, as_json: bool = JSON) -> None:
+    """List the services."""
+    run_command(ctx, as_json, _show.list_services)
+
+
+@weights.command("set")
+def weights_set(
+    ctx: typer.Context,
+    model: str,
+    version: str,
+    min_in_service: int = typer.Option(
+        None, min=0, help="Backend servers that stay in service while others load."
+    ),
+    wait_s: float = WAIT,
+    as_json: bool = JSON,
+) -> None:
+    """Set the weights VERSION that all backend servers of MODEL should serve."""
+    run_command(
+        ctx,
+        as_json,
+        lambda each: _records.set_weights(each, model, version, min_in_service, wait_s),
+    )
+
+
+@weights.command("show")
+def weights_show(ctx: typer.Context, as_json: bool = JSON) -> None:
+    """Show each model's desired version and what its backend servers serve."""
+    run_command(ctx, as_json, _show.show_weights)
+
+
+@app.command()
+def status(ctx: typer.Context, as_json: bool = JSON) -> None:
+    """Show all listed VMs and the configuration that their processes hold."""
+    run_command(ctx, as_json, _show.show_status)
+
+
+@app.command()
+def wait(
+    ctx: typer.Context,
+    revision: int = typer.Option(
+        None, min=1, help="Revision to wait for; the newest one if left out."
+    ),
+    timeout_s: float = typer.Option(30.0, "--timeout", help="Longest wait, seconds."),
+    as_json: bool = JSON,
+) -> None:
+    """Wait until a revision is in force in the processes of all live VMs."""
+    run_command(ctx, as_json, lambda each: wait_in_force(each, revision, timeout_s))
+
+
+@key.command("hash")
+def key_hash(as_json: bool = JSON) -> None:
+    """Print the SHA-256 of a bearer key read from standard input.
+
+    One line is read, so that the key appears in no command line or history. The
+    result goes into 'key_sha256' of a contract.
+    """
+
+    def work() -> Result:
+        bearer = sys.stdin.buffer.readline(65536).strip()
+        if not bearer:
+            raise CtlError(ExitCode.BAD_INPUT, "standard input holds no key")
+        digest = hashlib.sha256(bearer).hexdigest()
+        return Result({"key_sha256": digest}, [digest])
+
+    run_plain(as_json, work)
--- /dev/null
+++ b/src/foxtailcourse/ctl/_ini.py
@@ -0,0 +1,322 @@
+"""Contract and service files: INI text with every problem reported at once."""
+
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from foxtailcourse.config import Contract, ServiceRoute
+from foxtailcourse.settings import declarations, setting
+
+NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}", re.ASCII)
+SHA256 = re.compile(r"[0-9a-f]{64}", re.ASCII)
+MAX_FILE_CHARS = 1_000_000
+MAX_RATE = 1e9
+MAX_MS = 3_600_000
+GENERATION = "generation"
+
+
+class InputError(ValueError):
+    """One problem of a file, with its line; line 0 stands for the whole file."""
+
+    def __init__(self, file: str, line: int, reason: str) -> None:
+        super().__init__(f"{file}:{line}: {reason}")
+        self.file = file
+        self.line = line
+        self.reason = reason
+
+
+class InputErrors(ExceptionGroup):
+    """All problems of one file."""
+
+
+@attrs.frozen
+class ContractKeys:
+    """Keys of a ``[contract ACCOUNT]`` section; the rest are as in Contract."""
+
+    key_sha256: tuple[str, ...] = setting(
+        tuple[str, ...],
+        (),
+        description="Hex SHA-256 of each accepted bearer key; see 'key hash'.",
+    )
+    models: tuple[str, ...] = setting(
+        tuple[str, ...], (), description="Models the account may call."
+    )
+    services: tuple[str, ...] = setting(
+        tuple[str, ...], (), description="Service routes the account may call."
+    )
+    share: float = setting(
+        float,
+        1.0,
+        description="Weight of the account when capacity is contended.",
+        minimum=0.001,
+        maximum=MAX_RATE,
+    )
+    requests_per_s: float = setting(
+        float,
+        50.0,
+        description="Requests over all entries.",
+        unit="per second",
+        minimum=0,
+        maximum=MAX_RATE,
+    )
+    tokens_per_s: float = setting(
+        float,
+        200_000.0,
+        description="Prompt tokens plus most tokens to generate, over all entries.",
+        unit="per second",
+        minimum=0,
+        maximum=MAX_RATE,
+    )
+    max_concurrent: int = setting(
+        int,
+        64,
+        description="Requests at once on one entry.",
+        minimum=1,
+        maximum=1_000_000,
+    )
+    max_body_bytes: int = setting(
+        int,
+        1024 * 1024,
+        description="Largest request body.",
+        unit="bytes",
+        minimum=1,
+        maximum=64 * 1024 * 1024,
+    )
+    short_max_tokens: int = setting(
+        int,
+        128,
+        description="A request that may generate at most this many tokens is short.",
+        unit="tokens",
+        minimum=0,
+        maximum=10_000_000,
+    )
+    short_deadline_ms: int = setting(
+        int,
+        5_000,
+        description="Longest time to first token of short requests.",
+        unit="milliseconds",
+        minimum=1,
+        maximum=MAX_MS,
+    )
+    long_deadline_ms: int = setting(
+        int,
+        120_000,
+        description="Longest time to first token of long requests.",
+        unit="milliseconds",
+        minimum=1,
+        maximum=MAX_MS,
+    )
+    generation: int = setting(
+        int,
+        0,
+        description="Generation this file was made from, as 'get' writes it; applying "
+        "then fails if the record has changed since. 0 leaves the check out.",
+        minimum=0,
+    )
+
+
+@attrs.frozen
+class ServiceKeys:
+    """Keys of a ``[service ROUTE]`` section."""
+
+    repeatable: bool = setting(
+        bool, False, description="Whether a call may run more than once."
+    )
+    timeout_ms: int = setting(
+        int,
+        10_000,
+        description="Longest time for an answer of the backend server.",
+        unit="milliseconds",
+        minimum=1,
+        maximum=MAX_MS,
+    )
+    generation: int = setting(
+        int, 0, description="Generation this file was made from.", minimum=0
+    )
+
+
+@attrs.frozen
+class Parsed:
+    """One section of a file.
+
+    Parameters
+    ----------
+    value : Contract or ServiceRoute
+        What the section describes.
+    generation : int
+        Generation it was made from; 0 if the file does not say.
+    """
+
+    value: Any
+    generation: int
+
+
+@attrs.define
+class _Section:
+    line: int
+    kind: str
+    name: str
+    values: dict[str, tuple[int, str]] = attrs.field(factory=dict)
+
+
+def _read_sections(
+    text: str, file: str, problems: list[InputError]
+) -> Iterator[_Section]:
+    """Yield the sections; a key's value may continue on indented lines."""
+    section: _Section | None = None
+    key = ""
+    for number, raw in enumerate(text.splitlines(), 1):
+        line = raw.strip()
+        if not line or line.startswith(("#", ";")):
+            continue
+        if line.startswith("["):
+            if section is not None:
+                yield section
+            words = line.strip("[]").split()
+            section = _Section(number, "", "")
+            key = ""
+            if not line.endswith("]") or len(words) != 2:
+                reason = f"expected [contract NAME] or [service NAME], got {line[:60]}"
+                problems.append(InputError(file, number, reason))
+            else:
+                section.kind, section.name = words
+        elif section is None:
+            problems.append(InputError(file, number, "text before the first section"))
+        elif raw[0].isspace() and key:
+            first, value = section.values[key]
+            section.values[key] = (first, f"{value}\n{line}")
+        else:
+            key = _read_pair(section, line, number, file, problems)
+    if section is not None:
+        yield section
+
+
+def _read_pair(
+    section: _Section, line: str, number: int, file: str, problems: list[InputError]
+) -> str:
+    key, equals, value = (part.strip() for part in line.partition("="))
+    if not equals or not key:
+        reason = f"expected KEY = VALUE, got {line[:60]!r}"
+        problems.append(InputError(file, number, reason))
+        return ""
+    if key in section.values:
+        reason = f"{key} is already set in line {section.values[key][0]}"
+        problems.append(InputError(file, number, reason))
+        return ""
+    section.values[key] = (number, value)
+    return key
+
+
+def _convert(
+    section: _Section, keys: type, file: str, problems: list[InputError]
+) -> dict[str, Any]:
+    declared = declarations(keys)
+    values = {}
+    for key, (line, text) in section.values.items():
+        if key not in declared:
+            known = ", ".join(declared)
+            reason = f"unknown key {key}; known keys are {known}"
+            problems.append(InputError(file, line, reason))
+            continue
+        try:
+            values[key] = declared[key].parse(text)
+        except ValueError as exc:
+            problems.append(InputError(file, line, f"{key}: {exc}"))
+    for value in values.get("key_sha256", ()):
+        if not SHA256.fullmatch(value):
+            line = section.values["key_sha256"][0]
+            reason = f"key_sha256: {value[:20]!r} is not 64 lower-case hex digits"
+            problems.append(InputError(file, line, reason))
+    return values
+
+
+def _parse(text: str, file: str, kind: str, keys: type, field: str) -> dict[str, Any]:
+    """Return the converted values of each section by name, or raise InputErrors."""
+    problems: list[InputError] = []
+    found: dict[str, tuple[int, dict[str, Any]]] = {}
+    if len(text) > MAX_FILE_CHARS:
+        problems.append(InputError(file, 0, "file is too large"))
+        text = ""
+    for section in _read_sections(text, file, problems):
+        if section.kind and section.kind != kind:
+            reason = f"expected [{kind} NAME], got [{section.kind} {section.name}]"
+            problems.append(InputError(file, section.line, reason))
+            continue
+        values = _convert(section, keys, file, problems)
+        if section.kind and not NAME.fullmatch(section.name):
+            reason = f"{section.name[:80]!r} is not a name: use a-z, 0-9, '.', '_', '-'"
+            problems.append(InputError(file, section.line, reason))
+        elif section.name in found:
+            reason = f"{section.name} is already in line {found[section.name][0]}"
+            problems.append(InputError(file, section.line, reason))
+        elif section.kind:
+            found[section.name] = (section.line, values | {field: section.name})
+    if not found and not problems:
+        problems.append(InputError(file, 0, f"no [{kind} NAME] section"))
+    problems += _shared_keys(found, file)
+    if problems:
+        problems.sort(key=lambda each: each.line)
+        raise InputErrors(f"{len(problems)} problems in {file}", problems)
+    return {name: values for name, (_, values) in found.items()}
+
+
+def _shared_keys(
+    found: dict[str, tuple[int, dict[str, Any]]], file: str
+) -> Iterator[InputError]:
+    owners: dict[str, str] = {}
+    for name, (line, values) in found.items():
+        for value in values.get("key_sha256", ()):
+            owner = owners.setdefault(value, name)
+            if owner != name:
+                reason = f"{name}: key {value[:12]}... also belongs to {owner}"
+                yield InputError(file, line, reason)
+
+
+def parse_contracts(text: str, file: str) -> list[Parsed]:
+    """Parse a file of ``[contract ACCOUNT]`` sections.
+
+    Raises
+    ------
+    InputErrors
+        With one InputError for each problem of the file.
+    """
+    found = _parse(text, file, "contract", ContractKeys, "client_account")
+    return [
+        Parsed(Contract(**values), generation)
+        for values in found.values()
+        for generation in [values.pop(GENERATION, 0)]
+    ]
+
+
+def parse_services(text: str, file: str) -> list[Parsed]:
+    """Parse a file of ``[service ROUTE]`` sections; raises InputErrors."""
+    found = _parse(text, file, "service", ServiceKeys, "route")
+    return [
+        Parsed(ServiceRoute(**values), generation)
+        for values in found.values()
+        for generation in [values.pop(GENERATION, 0)]
+    ]
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, tuple):
+        return ", ".join(value)
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
+
+
+def render(value: Contract | ServiceRoute, generation: int) -> str:
+    """Return a section that parses to the same value."""
+    is_contract = isinstance(value, Contract)
+    keys = ContractKeys if is_contract else ServiceKeys
+    kind = "contract" if is_contract else "service"
+    name = value.client_account if isinstance(value, Contract) else value.route
+    lines = [f"[{kind} {name}]"]
+    for key, declaration in declarations(keys).items():
+        unit = f" ({declaration.unit})" if declaration.unit else ""
+        current = generation if key == GENERATION else getattr(value, key)
+        lines += [f"# {declaration.description}{unit}", f"{key} = {_text(current)}"]
+    return "\n".join(lines) + "\n"
--- a/src/foxtailcourse/protocol/_peer.py
+++ b/src/foxtailcourse/protocol/_peer.py
@@ -65,11 +65,14 @@
         The asker's digest of each bucket of keys; empty for all records.
     first_bucket : int
         Where the page begins.
+    keys : tuple of str
+        Only these keys, whatever the digests; empty for all.
     """
 
     sender: Sender
     digests: tuple[int, ...] = ()
     first_bucket: int = 0
+    keys: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/settings/__init__.py
+++ b/src/foxtailcourse/settings/__init__.py
@@ -8,12 +8,13 @@
     section,
     setting,
 )
-from foxtailcourse.settings._load import load_settings, render_sample
+from foxtailcourse.settings._load import declarations, load_settings, render_sample
 
 __all__ = [
     "Address",
     "SettingError",
     "SettingsErrors",
+    "declarations",
     "load_settings",
     "parse_address",
     "render_sample",
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -3,6 +3,7 @@
 import random
 import time
 from contextlib import asynccontextmanager
+from functools import partial
 
 import attrs
 import trio
@@ -71,6 +72,11 @@
         nursery.cancel_scope.cancel()
 
 
+async def answer_status(follower, exchange):
+    """Answer as the administration listener of a daemon does."""
+    await exchange.respond_json(200, {"config": follower.status()})
+
+
 @attrs.define
 class Process:
     """One follower and the scope that ends it."""
@@ -120,10 +126,13 @@
     async def _run(self, follower, *, task_status):
         stopped = trio.Event()
         with trio.CancelScope() as scope:
-            async with trio.open_nursery() as nursery:
+            async with (
+                serve(partial(answer_status, follower)) as admin,
+                trio.open_nursery() as nursery,
+            ):
                 await nursery.start(follower.run)
                 control = Address("127.0.0.1", follower.control_port)
-                vm = make_vm(follower.vm, follower.failure_domain, control)
+                vm = make_vm(follower.vm, follower.failure_domain, control, admin)
                 task_status.started(Process(follower, scope, vm, stopped))
         stopped.set()
 
