Add a first fair queue, account limiter and retry budget

Cause: the agent and the entry need the names and signatures early. Ruled out: one virtual time over both classes; an account's own ledger reviews would then push its counter questions behind those of others. Change: start-time fair queueing for each class with reserved short slots and a floor for long requests, token buckets with an even slice, a retry budget. The slices don't follow demand yet; no test of its own yet.

--- a/src/foxtailcourse/sharing/__init__.py
+++ b/src/foxtailcourse/sharing/__init__.py
@@ -1,5 +1,14 @@
 """Sharing of capacity by contract: fair queue, limits, retry budget."""
 
+from foxtailcourse.sharing._fair import FairQueue, QueueLimits
+from foxtailcourse.sharing._limits import (
+    AccountDemand,
+    AccountLimiter,
+    DemandSummary,
+    Grant,
+)
+from foxtailcourse.sharing._rates import ServiceRates
+from foxtailcourse.sharing._retry import RetryBudget
 from foxtailcourse.sharing._types import (
     Admission,
     QueuedRequest,
@@ -7,4 +16,17 @@
     RequestQueue,
 )
 
-__all__ = ["Admission", "QueuedRequest", "Refusal", "RequestQueue"]
+__all__ = [
+    "AccountDemand",
+    "AccountLimiter",
+    "Admission",
+    "DemandSummary",
+    "FairQueue",
+    "Grant",
+    "QueueLimits",
+    "QueuedRequest",
+    "Refusal",
+    "RequestQueue",
+    "RetryBudget",
+    "ServiceRates",
+]
