Add the emulator: engine models, agents, entries, seeded workloads

Cause: a placement policy must be judged before it meets real engines. Ruled out: first come first served with callers that give up; it starves the short requests and makes naive's long throughput look better than it is. Change: package emulator in virtual time; the queue and the placement in the loop are the product's.

--- /dev/null
+++ b/src/foxtailcourse/emulator/_agent.py
@@ -0,0 +1,224 @@
+"""The agent beside each engine model: queue, block index, late reports."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+
+from foxtailcourse.emulator._engine import (
+    EngineCallbacks,
+    EngineModel,
+    Job,
+    leading,
+)
+from foxtailcourse.emulator._timeline import Timeline
+from foxtailcourse.emulator._workload import Request
+from foxtailcourse.protocol import RequestClass
+from foxtailcourse.routing import ServerReply
+from foxtailcourse.sharing import QueuedRequest, Refusal, RequestQueue
+
+NETWORK_S = 0.0015
+TICK_S = 0.25
+EVENT_GAP_PROBABILITY = 0.01
+PRIORITY = {RequestClass.SHORT: 0, RequestClass.LONG: 1}
+
+
+@attrs.define(eq=False, kw_only=True)
+class AttemptState:
+    """One attempt and the calls that its entry waits for."""
+
+    attempt_id: str
+    request: Request
+    server: str
+    on_refused: Callable[["AttemptState", ServerReply, float], None]
+    on_first: Callable[["AttemptState", ServerReply, float], None]
+    on_done: Callable[["AttemptState", float], None]
+    on_broken: Callable[["AttemptState", float], None]
+
+
+class LateIndex:
+    """The agent's belief about the cache, from cache events that arrive late.
+
+    A lost batch of events empties the belief, as the agent does on a gap.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._held: set[bytes] = set()
+        self._pending: list[tuple[list[bytes], list[bytes]]] = []
+
+    def matched(self, keys: tuple[bytes, ...]) -> int:
+        """Return the number of leading keys believed held."""
+        return leading(keys, self._held)
+
+    def event(self, stored: list[bytes], evicted: list[bytes], now: float) -> None:
+        """Take an event that :meth:`deliver` makes visible."""
+        self._pending.append((stored, evicted))
+
+    def deliver(self) -> None:
+        """Apply the events since the last call, or lose them."""
+        pending, self._pending = self._pending, []
+        if pending and self._rng.random() < EVENT_GAP_PROBABILITY:
+            self._held.clear()
+            return
+        for stored, evicted in pending:
+            self._held.update(stored)
+            self._held.difference_update(evicted)
+
+    def clear(self) -> None:
+        """Forget everything after a restart of the engine."""
+        self._held.clear()
+        self._pending.clear()
+
+
+class AgentModel:
+    """One agent.
+
+    Parameters
+    ----------
+    engine : EngineModel
+        The engine beside it.
+    queue : RequestQueue
+        The queue discipline.
+    timeline : Timeline
+        Virtual time.
+    rng : random.Random
+        Source of event gaps.
+    """
+
+    def __init__(
+        self,
+        engine: EngineModel,
+        queue: RequestQueue,
+        timeline: Timeline,
+        rng: random.Random,
+    ) -> None:
+        self.engine, self.queue = engine, queue
+        self.index = LateIndex(rng)
+        self.down = False
+        self.pending: Counter[bytes] = Counter()
+        self.on_service: Callable[[Job, float], None] = lambda job, now: None
+        self._timeline = timeline
+        self._attempts: dict[str, AttemptState] = {}
+        self._reported_running = 0
+        engine.callbacks = EngineCallbacks(
+            first_token=self._first_token, done=self._done, changed=self.index.event
+        )
+
+    @property
+    def waiting_accounts(self) -> set[str]:
+        """Client accounts that have a request in the queue."""
+        running = self.engine.jobs
+        return {
+            each.request.client_account
+            for attempt_id, each in self._attempts.items()
+            if attempt_id not in running
+        }
+
+    def offer(self, attempt: AttemptState, now: float) -> None:
+        """Take an attempt or refuse it."""
+        if self.down:
+            self._refuse(attempt, now)
+            return
+        req = attempt.request
+        matched = self.index.matched(req.prompt.keys)
+        uncached = req.prompt.tokens - matched * self.engine.cfg.block_tokens
+        queued = QueuedRequest(
+            attempt_id=attempt.attempt_id,
+            client_account=req.client_account,
+            share=req.share,
+            request_class=req.request_class,
+            uncached_tokens=max(1, uncached),
+            expected_tokens=req.prompt.max_tokens,
+            deadline=req.at + req.deadline_s,
+        )
+        answer = self.queue.offer(queued, now)
+        if isinstance(answer, Refusal):
+            self._refuse(attempt, now)
+            return
+        self._attempts[attempt.attempt_id] = attempt
+        self.pending.update(req.prompt.keys[: req.prefix_blocks])
+        self._pump(now)
+
+    def tick(self, now: float) -> None:
+        """Take late reports of the engine and expire requests."""
+        self.index.deliver()
+        self._reported_running = len(self.engine.jobs)
+        self._pump(now)
+
+    def crash(self, down_s: float, now: float) -> None:
+        """Crash the engine: running requests break, waiting ones are refused."""
+        lost = self.engine.crash(now)
+        self.down = True
+        self.index.clear()
+        for job in lost:
+            self.queue.finish(job.attempt_id, 0, now)
+            attempt = self._forget(job.attempt_id)
+            self._timeline.at(now + NETWORK_S, attempt.on_broken, attempt)
+        for attempt_id in list(self._attempts):
+            self.queue.withdraw(attempt_id, now)
+            self._refuse(self._forget(attempt_id), now)
+        self._timeline.at(now + down_s, self._restart)
+
+    def reply(self, matched: int, refused: bool, now: float) -> ServerReply:
+        """Return the state of this agent as a reply carries it."""
+        return ServerReply(
+            backend_server=self.engine.name,
+            engine_incarnation=self.engine.incarnation,
+            matched_blocks=matched,
+            queued_s=self.queue.predicted_wait_s(RequestClass.SHORT, now),
+            running=self._reported_running,
+            waiting=self.queue.waiting,
+            refused=refused,
+        )
+
+    def _restart(self, now: float) -> None:
+        self.down = False
+
+    def _pump(self, now: float) -> None:
+        if self.down:
+            return
+        for expired in self.queue.expire(now):
+            self._refuse(self._forget(expired.attempt_id), now)
+        while (queued := self.queue.take(now)) is not None:
+            req = self._attempts[queued.attempt_id].request
+            job = Job(
+                attempt_id=queued.attempt_id,
+                client_account=req.client_account,
+                keys=req.prompt.keys,
+                prefix_blocks=req.prefix_blocks,
+                tokens=req.prompt.tokens,
+                output_tokens=req.output_tokens,
+                priority=PRIORITY[req.request_class],
+            )
+            self.engine.start(job, now)
+
+    def _first_token(self, job: Job, now: float) -> None:
+        attempt = self._attempts[job.attempt_id]
+        note = getattr(self.queue, "first_token", None)
+        if note is not None:
+            note(job.attempt_id, now)
+        reply = self.reply(job.matched, False, now)
+        self._timeline.at(now + NETWORK_S, attempt.on_first, attempt, reply)
+
+    def _done(self, job: Job, now: float) -> None:
+        self.on_service(job, now)
+        self.queue.finish(job.attempt_id, job.output_tokens, now)
+        attempt = self._forget(job.attempt_id)
+        self._timeline.at(now + NETWORK_S, attempt.on_done, attempt)
+        self._pump(now)
+
+    def _forget(self, attempt_id: str) -> AttemptState:
+        attempt = self._attempts.pop(attempt_id)
+        req = attempt.request
+        for key in req.prompt.keys[: req.prefix_blocks]:
+            self.pending[key] -= 1
+            if not self.pending[key]:
+                del self.pending[key]
+        return attempt
+
+    def _refuse(self, attempt: AttemptState, now: float) -> None:
+        matched = self.index.matched(attempt.request.prompt.keys)
+        reply = self.reply(matched, True, now)
+        self._timeline.at(now + NETWORK_S, attempt.on_refused, attempt, reply)
