Add a first foxtail-entry

Routes that are not repeatable are refused until issued keys exist.

HttpServer can announce the end of a connection, which a planned stop needs, and the HTTP client has a separate bound for the head of a response, since a queued request waits for its head longer than for its next piece.

Tests: 4 new ones pass (a stream and a whole answer, 14 refusals).

--- /dev/null
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -0,0 +1,300 @@
+"""The callers' API of the entry."""
+
+import secrets
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from foxtailcourse.config import ConfigStore, Contract, ServiceRoute
+from foxtailcourse.entry._auth import Authenticator
+from foxtailcourse.entry._call import Call, forwarded_fields
+from foxtailcourse.entry._parse import (
+    ChatRequest,
+    parse_chat,
+    parse_key_order,
+    service_route,
+)
+from foxtailcourse.entry._relay import Relay
+from foxtailcourse.entry._settings import EntrySettings
+from foxtailcourse.http import Exchange, HttpError
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.protocol import RequestClass, headers
+from foxtailcourse.routing import Prompt, prompt_from_messages
+from foxtailcourse.sharing import AccountLimiter, Grant, Refusal
+
+NOT_READY_RETRY_MS = 1000
+SERVICES = "/services/"
+Answerer = Callable[[Exchange, Contract, str], Awaitable[None]]
+
+
+class Gateway:
+    """Authenticates, admits and answers callers' requests.
+
+    Parameters
+    ----------
+    cfg : EntrySettings
+        Bounds and defaults.
+    block_tokens : int
+        Tokens in each block of the engines' prefix cache.
+    store : ConfigStore
+        The configuration.
+    relay : Relay
+        Answers repeatable requests.
+    limiter : AccountLimiter
+        Limits of the contracts.
+    events : EventLog
+        Told of each request's outcome.
+    metrics : Metrics
+        Counts requests.
+    """
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        block_tokens: int,
+        store: ConfigStore,
+        relay: Relay,
+        limiter: AccountLimiter,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._cfg = cfg
+        self._block_tokens = block_tokens
+        self._store = store
+        self._relay = relay
+        self._limiter = limiter
+        self._events = events
+        self._metrics = metrics
+        self._authenticator = Authenticator()
+        self._started = trio.current_time()
+        self._accounts: set[str] = set()
+        self.draining = False
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        request_id = secrets.token_hex(12)
+        if self.draining:
+            # The caller's next request then goes to another entry.
+            exchange.close_after()
+        account = ""
+        try:
+            contract = self._authenticate(exchange)
+            account = contract.client_account
+            await self._answer(exchange, contract, request_id)
+        except HttpError as exc:
+            exc.fields[headers.REQUEST_ID] = request_id
+            self._note_refusal(request_id, account, exc)
+            raise
+        self._metrics.count("foxtail_entry_requests_total", code="ok")
+
+    def _note_refusal(self, request_id: str, account: str, exc: HttpError) -> None:
+        self._metrics.count("foxtail_entry_requests_total", code=exc.code)
+        self._events.emit(
+            "request_refused",
+            request_id=request_id,
+            account=account or None,
+            status=exc.status,
+            code=exc.code,
+            verdict=exc.verdict.value,
+        )
+
+    def _authenticate(self, exchange: Exchange) -> Contract:
+        view = self._store.view
+        if not view.contracts:
+            raise HttpError(
+                503,
+                "no_configuration",
+                "this entry holds no configuration yet",
+                retry_after_ms=NOT_READY_RETRY_MS,
+            )
+        authorization = exchange.headers.get(headers.AUTHORIZATION, "")
+        return self._authenticator.contract(view, authorization)
+
+    async def _answer(
+        self, exchange: Exchange, contract: Contract, request_id: str
+    ) -> None:
+        if len(exchange.body) > contract.max_body_bytes:
+            limit = contract.max_body_bytes
+            raise HttpError(413, "body_too_large", f"body exceeds {limit} bytes")
+        path = exchange.path
+        if path == "/v1/chat/completions":
+            _require(exchange, "POST")
+            await self._chat(exchange, contract, request_id)
+        elif path == "/v1/models":
+            _require(exchange, "GET")
+            await self._models(exchange, contract, request_id)
+        elif path == "/v1/idempotency-keys":
+            _require(exchange, "POST")
+            await self._issue_key(exchange, contract, request_id)
+        elif path.startswith(SERVICES):
+            await self._service(exchange, contract, request_id)
+        else:
+            raise HttpError(404, "unknown_path", f"no such path {path}")
+
+    async def _models(
+        self, exchange: Exchange, contract: Contract, request_id: str
+    ) -> None:
+        known = self._store.view.models
+        data = [
+            {"id": each, "object": "model", "created": 0, "owned_by": "foxtailcourse"}
+            for each in contract.models
+            if each in known
+        ]
+        fields = {headers.REQUEST_ID: request_id, headers.VERDICT: "ran"}
+        await exchange.respond_json(200, {"object": "list", "data": data}, fields)
+
+    async def _chat(
+        self, exchange: Exchange, contract: Contract, request_id: str
+    ) -> None:
+        request = parse_chat(exchange, self._cfg.default_max_tokens)
+        if request.model not in contract.models:
+            _forbid("model", request.model, request.model in self._store.view.models)
+        spec = self._store.view.models.get(request.model)
+        if spec is None:
+            raise HttpError(404, "unknown_model", f"no such model {request.model!r}")
+        call = self._chat_call(exchange, contract, request_id, request)
+        call.desired_version = spec.weights_version
+        tokens = call.prompt(call.desired_version).tokens + request.max_tokens
+        answer = self._relay.stream if request.stream else self._relay.whole
+        await self._admitted(contract, tokens, answer, exchange, call)
+
+    def _chat_call(
+        self,
+        exchange: Exchange,
+        contract: Contract,
+        request_id: str,
+        request: ChatRequest,
+    ) -> Call:
+        def prompt_for(version: str) -> Prompt:
+            return prompt_from_messages(
+                request.messages,
+                request.max_tokens,
+                client_account=contract.client_account,
+                model=request.model,
+                weights_version=version,
+                block_tokens=self._block_tokens,
+                tools=request.tools,
+            )
+
+        request_class = contract.request_class(request.max_tokens)
+        now = trio.current_time()
+        return Call(
+            request_id=request_id,
+            contract=contract,
+            request_class=request_class,
+            serves=request.model,
+            method="POST",
+            target="/v1/chat/completions",
+            fields={"content-type": "application/json"},
+            body=msgspec.json.encode(request.body),
+            max_tokens=request.max_tokens,
+            started=now,
+            deadline=now + contract.deadline_ms(request_class) / 1000,
+            prompt_for=prompt_for,
+        )
+
+    def _route(self, contract: Contract, name: str) -> ServiceRoute:
+        if name not in contract.services:
+            _forbid("route", name, name in self._store.view.services)
+        route = self._store.view.services.get(name)
+        if route is None:
+            raise HttpError(404, "unknown_route", f"no such route {name!r}")
+        return route
+
+    async def _issue_key(
+        self, exchange: Exchange, contract: Contract, request_id: str
+    ) -> None:
+        route = self._route(contract, parse_key_order(exchange))
+        call = self._service_call(exchange, contract, request_id, route)
+        await self._admitted(contract, 0, self._relay.whole, exchange, call)
+
+    async def _service(
+        self, exchange: Exchange, contract: Contract, request_id: str
+    ) -> None:
+        route = self._route(contract, service_route(exchange.path))
+        call = self._service_call(exchange, contract, request_id, route)
+        if not route.repeatable:
+            raise HttpError(501, "not_supported", "route is not repeatable")
+        await self._admitted(contract, 0, self._relay.whole, exchange, call)
+
+    def _service_call(
+        self,
+        exchange: Exchange,
+        contract: Contract,
+        request_id: str,
+        route: ServiceRoute,
+    ) -> Call:
+        prompt = Prompt(
+            model=route.route,
+            salt=request_id,
+            keys=(),
+            levels=(),
+            tokens=0,
+            max_tokens=0,
+        )
+        now = trio.current_time()
+        return Call(
+            request_id=request_id,
+            contract=contract,
+            request_class=RequestClass.SHORT,
+            serves=route.route,
+            method=exchange.method,
+            target=exchange.target,
+            fields=forwarded_fields(exchange.headers),
+            body=exchange.body,
+            started=now,
+            deadline=now + contract.short_deadline_ms / 1000,
+            prompt_for=lambda version: prompt,
+        )
+
+    async def _admitted(
+        self,
+        contract: Contract,
+        tokens: int,
+        answer: Callable[[Exchange, Call], Awaitable[None]],
+        exchange: Exchange,
+        call: Call,
+    ) -> None:
+        """Answer if the contract's limits allow it."""
+        grant = self._admit(contract, tokens)
+        if isinstance(grant, Refusal):
+            raise HttpError(
+                429,
+                grant.code,
+                "the contract's limit is reached",
+                retry_after_ms=grant.retry_after_ms,
+            )
+        ran = True
+        try:
+            await answer(exchange, call)
+        except HttpError as exc:
+            ran = not exc.verdict.may_repeat
+            raise
+        finally:
+            self._limiter.finish(grant, trio.current_time(), ran=ran)
+
+    def _admit(self, contract: Contract, tokens: int) -> Grant | Refusal:
+        account = contract.client_account
+        if account not in self._accounts:
+            self._accounts.add(account)
+            # Buckets start empty when first used. Counting from the start of the
+            # process keeps the first request of an account from being refused.
+            first = self._limiter.admit(contract, 0, self._started)
+            if isinstance(first, Grant):
+                self._limiter.finish(first, self._started, ran=False)
+        return self._limiter.admit(contract, tokens, trio.current_time())
+
+
+def _require(exchange: Exchange, method: str) -> None:
+    if exchange.method != method:
+        raise HttpError(
+            405, "method_not_allowed", f"use {method}", fields={"allow": method}
+        )
+
+
+def _forbid(kind: str, name: str, exists: bool) -> None:
+    if exists:
+        message = f"the contract does not include {kind} {name!r}"
+        raise HttpError(403, f"forbidden_{kind}", message)
+    raise HttpError(404, f"unknown_{kind}", f"no such {kind} {name!r}")
--- /dev/null
+++ b/src/foxtailcourse/entry/run.py
@@ -0,0 +1,15 @@
+"""Entry point of ``foxtail-entry``."""
+
+from foxtailcourse.entry._app import serve
+from foxtailcourse.entry._settings import EntrySettings
+from foxtailcourse.process import start_daemon
+from foxtailcourse.routing import PlacementSettings
+
+
+def main() -> None:
+    """Run the program."""
+    start_daemon("foxtail-entry", (EntrySettings, PlacementSettings), serve)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client with kept connections and explicit verdicts on failure."""
 
 from collections import deque
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -45,6 +45,8 @@
         Longest time to connect.
     idle_timeout_s : float
         Longest wait for the next bytes, either way.
+    head_timeout_s : float
+        Longest wait for the head of the response; 0 applies ``idle_timeout_s``.
     reuse : bool
         Whether a kept connection may serve the request. A request that must not be
         repeated takes a fresh one, since a kept one may already be closed.
@@ -54,6 +56,7 @@
 
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
+    head_timeout_s: float = 0.0
     reuse: bool = True
     max_body_bytes: int = 32 * 1024 * 1024
 
@@ -88,7 +91,7 @@
             for name, value in head.headers
         }
 
-    async def iter_chunks(self) -> AsyncIterator[bytes]:
+    async def iter_chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in pieces; raises ClientError if it is cut."""
         try:
             while True:
@@ -214,8 +217,9 @@
         try:
             with trio.fail_after(options.idle_timeout_s):
                 await conn.stream.send_all(data)
+            timeout_s = options.head_timeout_s or options.idle_timeout_s
             while True:
-                event = await conn.next_event(options.idle_timeout_s)
+                event = await conn.next_event(timeout_s)
                 if isinstance(event, h11.Response):
                     return event
                 if not isinstance(event, h11.InformationalResponse):
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -44,6 +44,7 @@
                 raise HttpError(400, "duplicate_header", f"header {key} is repeated")
             self.headers[key] = value.decode("latin-1")
         self.started = False
+        self._closing = False
         self.body = b""
 
     def json(self) -> object:
@@ -67,7 +68,7 @@
         head["content-type"] = content_type
         head["content-length"] = str(len(body))
         self.started = True
-        await self._conn.send(_response(status, head), h11.Data(data=body))
+        await self._conn.send(self._response(status, head), h11.Data(data=body))
         await self._conn.send(h11.EndOfMessage())
 
     async def respond_json(
@@ -83,7 +84,7 @@
     async def start_stream(self, status: int, fields: Mapping[str, str]) -> None:
         """Send the head of a response whose body follows in pieces."""
         self.started = True
-        await self._conn.send(_response(status, fields))
+        await self._conn.send(self._response(status, fields))
 
     async def send(self, piece: bytes) -> None:
         """Send one piece of a streamed body."""
@@ -93,6 +94,14 @@
         """End a streamed body."""
         await self._conn.send(h11.EndOfMessage())
 
+    def close_after(self) -> None:
+        """Tell the peer that the connection ends with this response."""
+        self._closing = True
+
+    def _response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
+        closing = {"connection": "close"} if self._closing else {}
+        return _response(status, {**fields, **closing})
+
     def abort(self) -> None:
         """Close the connection after the handler returns, without a clean end."""
         self._conn.broken = True
--- /dev/null
+++ b/tests/entry/test_gateway.py
@@ -0,0 +1,80 @@
+import msgspec
+from testtools.matchers import Contains, Equals
+
+from entry_support import FakeAgent, record, running_entry
+from support import AsyncTestCase
+
+CHAT = "/v1/chat/completions"
+HELLO = [{"role": "user", "content": "ciao"}]
+
+
+class TestGateway(AsyncTestCase):
+    """Guards callers against unclear errors and requests that run after a refusal."""
+
+    def test_stream_and_whole_answer_reach_the_caller(self):
+        async def main():
+            async with running_entry([FakeAgent("w1"), FakeAgent("w2")]) as entry:
+                status, fields, body = await entry.chat(max_tokens=3)
+                self.assertThat(status, Equals(200))
+                self.assertThat(fields["foxtail-server"][:1], Equals("w"))
+                self.assertThat(body.count(b"id: "), Equals(3))
+                self.assertThat(body[-14:], Equals(b"data: [DONE]\n\n"))
+                status, _, body = await entry.chat(stream=False)
+                self.assertThat((status, b"ciao" in body), Equals((200, True)))
+
+        self.run_async(main)
+
+    def test_each_bad_request_is_refused_without_running(self):
+        good = {"model": "guide", "messages": HELLO}
+        cases = [
+            (401, "invalid_api_key", CHAT, good, {"key": "wrong"}),
+            (401, "invalid_api_key", CHAT, good, {"key": ""}),
+            (404, "unknown_model", CHAT, good | {"model": "x"}, {}),
+            (404, "unknown_model", CHAT, good | {"model": "absent"}, {}),
+            (403, "forbidden_model", CHAT, good | {"model": "other"}, {}),
+            (400, "invalid_request", CHAT, good | {"messages": []}, {}),
+            (400, "invalid_request", CHAT, good | {"max_tokens": 0}, {}),
+            (400, "invalid_request", CHAT, good | {"stream": "yes"}, {}),
+            (400, "invalid_request", CHAT, [], {}),
+            (400, "malformed_json", CHAT, None, {"body": b"{"}),
+            (413, "body_too_large", CHAT, None, {"body": b" " * 30_000}),
+            (404, "unknown_route", "/services/x/y", {}, {}),
+            (400, "malformed_target", "/services/seats/%2e%2e/coats", {}, {}),
+            (404, "unknown_path", "/v1/other", {}, {}),
+        ]
+
+        async def main():
+            agent = FakeAgent("w1")
+            async with running_entry([agent]) as entry:
+                other = {"model": "other", "weights_version": "v1"}
+                entry.store.merge([record("models/other", other)])
+                for status, code, target, value, options in cases:
+                    got = await entry.call("POST", target, value, **options)
+                    error = msgspec.json.decode(got[2])["error"]
+                    self.assertThat((got[0], error["code"]), Equals((status, code)))
+                    self.assertThat(got[1]["foxtail-verdict"], Equals("not-run"))
+                    self.assertThat(got[1], Contains("foxtail-request-id"))
+            self.assertThat(agent.attempts, Equals([]))
+
+        self.run_async(main)
+
+    def test_models_are_those_of_the_contract(self):
+        async def main():
+            async with running_entry([]) as entry:
+                _, _, body = await entry.call("GET", "/v1/models")
+                models = [each["id"] for each in msgspec.json.decode(body)["data"]]
+                self.assertThat(models, Equals(["guide"]))
+
+        self.run_async(main)
+
+    def test_credentials_are_not_sent_to_backend_servers(self):
+        async def main():
+            agent = FakeAgent("c1", serves="seats")
+            async with running_entry([agent]) as entry:
+                await entry.call("GET", "/services/seats/9", cookie="c", x_date="5")
+            sent = agent.headers[0]
+            self.assertThat(sent.get("authorization"), Equals(None))
+            self.assertThat(sent.get("cookie"), Equals(None))
+            self.assertThat(sent["x-date"], Equals("5"))
+
+        self.run_async(main)
--- /dev/null
+++ b/tests/entry_support.py
@@ -0,0 +1,197 @@
+"""An entry in the test's own process, and agents that follow a script."""
+
+import hashlib
+import time
+from contextlib import asynccontextmanager
+
+import attrs
+import msgspec
+import trio
+
+from foxtailcourse.config import ConfigStore, Record
+from foxtailcourse.entry import EntryApp, EntrySettings
+from foxtailcourse.http import ConnectionPool, HttpLimits, HttpServer, SseEvent
+from foxtailcourse.http import format_sse as format_event
+from foxtailcourse.observe import EventLog, HybridClock, Metrics
+from foxtailcourse.process import Daemon, ProcessSettings
+from foxtailcourse.protocol import Attempt, LoadReport, Reply, Verdict
+from foxtailcourse.routing import PlacementSettings
+from foxtailcourse.settings import Address
+
+KEY = "secret-teatro"
+CONTRACT = {
+    "client_account": "teatro",
+    "key_sha256": [hashlib.sha256(KEY.encode()).hexdigest()],
+    "models": ["guide", "absent"],
+    "services": ["coats", "seats"],
+    "max_body_bytes": 20_000,
+    "requests_per_s": 1e6,
+    "tokens_per_s": 1e9,
+}
+
+
+def record(key, body, generation=1):
+    return Record(key=key, generation=generation, write_id="w", body=body)
+
+
+def chunk(position):
+    delta = {"content": f"t{position} "}
+    return msgspec.json.encode({"choices": [{"index": 0, "delta": delta}]}).decode()
+
+
+class FakeAgent:
+    """Answers as the script says; the default script serves whole answers."""
+
+    def __init__(self, vm, serves="guide", script=None, version="v1"):
+        self.vm, self.serves, self.version = vm, serves, version
+        self.script = script or serve_whole
+        self.attempts = []
+        self.bodies = []
+        self.headers = []
+        self.address = None
+
+    async def handle(self, exchange):
+        attempt = Attempt.from_headers(exchange.headers)
+        self.attempts.append(attempt)
+        self.bodies.append(exchange.body)
+        self.headers.append(exchange.headers)
+        await self.script(self, exchange, attempt)
+
+    def reply(self, attempt, verdict=Verdict.RAN, leaving=False, **changes):
+        values = {
+            "verdict": verdict,
+            "attempt_id": attempt.attempt_id,
+            "backend_server": self.vm,
+            "weights_version": self.version,
+            "load": LoadReport(leaving=leaving),
+        }
+        return Reply(**(values | changes)).to_headers()
+
+    async def refuse(self, exchange, attempt, code="busy", status=429, **changes):
+        fields = self.reply(attempt, Verdict.NOT_RUN, retry_after_ms=700, **changes)
+        error = {"error": {"message": "refused", "code": code}}
+        await exchange.respond_json(status, error, fields)
+
+    async def start(self, exchange, attempt, **changes):
+        fields = self.reply(attempt, **changes)
+        await exchange.start_stream(200, fields | {"content-type": "text/event-stream"})
+
+    async def tokens(self, exchange, ids):
+        for each in ids:
+            event = SseEvent(chunk(each), id=str(each))
+            await exchange.send(format_event(event))
+
+    async def end(self, exchange, attempt, count, attempt_id=None):
+        end = {"count": count, "attempt_id": attempt_id or attempt.attempt_id}
+        data = msgspec.json.encode(end).decode()
+        await exchange.send(format_event(SseEvent(data, event="end")))
+        await exchange.end_stream()
+
+
+async def serve_whole(agent, exchange, attempt):
+    """Answer any call completely; a stream has max_tokens events."""
+    body = msgspec.json.decode(exchange.body) if exchange.body else {}
+    if isinstance(body, dict) and body.get("stream"):
+        await agent.start(exchange, attempt)
+        last = attempt.max_tokens
+        await agent.tokens(exchange, range(attempt.resume_from, last))
+        await agent.end(exchange, attempt, last)
+        return
+    value = {"vm": agent.vm, "body": body}
+    await exchange.respond_json(200, value, agent.reply(attempt))
+
+
+@attrs.define
+class RunningEntry:
+    """An entry that serves, and the means to call it."""
+
+    app: EntryApp
+    daemon: Daemon
+    store: ConfigStore
+    address: Address
+    pool: ConnectionPool
+
+    @asynccontextmanager
+    async def open(self, method, target, value=None, *, key=KEY, body=None, **fields):
+        data = body if body is not None else b""
+        if value is not None:
+            data = msgspec.json.encode(value)
+        sent = {name.replace("_", "-"): text for name, text in fields.items()}
+        if key:
+            sent["authorization"] = f"Bearer {key}"
+        async with self.pool.request(
+            self.address, method, target, headers=sent, body=data
+        ) as response:
+            yield response
+
+    async def call(self, method, target, value=None, **options):
+        async with self.open(method, target, value, **options) as response:
+            return response.status, response.headers, await response.read()
+
+    async def chat(self, *, stream=True, max_tokens=5, **options):
+        value = {
+            "model": "guide",
+            "messages": [{"role": "user", "content": "ciao"}],
+            "stream": stream,
+            "max_tokens": max_tokens,
+        }
+        return await self.call("POST", "/v1/chat/completions", value, **options)
+
+
+@asynccontextmanager
+async def running_agents(agents):
+    """Serve each agent on a free port."""
+    async with trio.open_nursery() as nursery:
+        for agent in agents:
+            server = HttpServer(agent.handle, HttpLimits(), lambda e, exc: None)
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            await nursery.start(server.serve, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            agent.address = Address("127.0.0.1", port)
+        yield
+        nursery.cancel_scope.cancel()
+
+
+def agent_record(agent, state="live", generation=1):
+    here = {"host": agent.address.host, "port": agent.address.port}
+    body = {
+        "vm": agent.vm,
+        "failure_domain": "palermo",
+        "role": "agent",
+        "serves": agent.serves,
+        "listen": here,
+        "control": here,
+        "admin": here,
+        "state": state,
+    }
+    return record(f"vms/{agent.vm}", body, generation)
+
+
+@asynccontextmanager
+async def running_entry(agents, contract=None, store=None, **settings):
+    """Run agents and an entry whose configuration lists them."""
+    async with running_agents(agents):
+        store = store or ConfigStore()
+        store.merge([agent_record(each) for each in agents])
+        store.merge(
+            [
+                record("contracts/teatro", CONTRACT | (contract or {})),
+                record("models/guide", {"model": "guide", "weights_version": "v1"}),
+                record("services/coats", {"route": "coats"}),
+                record("services/seats", {"route": "seats", "repeatable": True}),
+            ]
+        )
+        local = Address("127.0.0.1", 0)
+        process_cfg = ProcessSettings(
+            vm="e1", failure_domain="palermo", admin_listen=local, drain_grace_s=0.05
+        )
+        events = EventLog("test", HybridClock(time.time))
+        daemon = Daemon(process_cfg, events, Metrics(), trio.Event())
+        cfg = EntrySettings(listen=local, **settings)
+        app = EntryApp(daemon, cfg, PlacementSettings(), store)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(app.run)
+            pool = ConnectionPool()
+            yield RunningEntry(app, daemon, store, app.address, pool)
+            await pool.aclose()
+            nursery.cancel_scope.cancel()
