Add the agent, the engine adapters and the stand-ins

Cause: the entry and the demo need a backend server to talk to. Ruled out: a stand-in with random tokens, since a test could not tell a whole answer from one that mixes weights versions; relaying the engine's own chunk stream without numbers, since an entry could not see a gap. Change: packages standin, engine, agent and cache; a first-come queue stands behind the RequestQueue interface for now. Event numbers of a stream start at 0 in each attempt, resumed ones included. Conclusion: the plain service path does not yet check idempotency keys.

--- /dev/null
+++ b/src/foxtailcourse/agent/_agent.py
@@ -0,0 +1,135 @@
+"""The agent: the only path to one backend server."""
+
+from typing import Any
+
+import trio
+
+from foxtailcourse.agent._chat import ChatHandler
+from foxtailcourse.agent._context import AgentContext
+from foxtailcourse.agent._feed import EngineFeed
+from foxtailcourse.agent._scheduler import Scheduler
+from foxtailcourse.agent._service import ServiceHandler
+from foxtailcourse.agent._settings import AgentSettings
+from foxtailcourse.agent._simple_queue import SimpleQueue
+from foxtailcourse.cache import BlockIndex
+from foxtailcourse.config import ConfigStore
+from foxtailcourse.engine import HttpEngineClient, HttpServiceClient
+from foxtailcourse.http import Exchange, HttpError, HttpLimits, HttpServer
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.process import Readiness
+from foxtailcourse.protocol import Verdict
+
+MAX_SERVICE_BODY_BYTES = 8 * 1024 * 1024
+# 256 prefix keys alone take 5.5 KB of one request's header fields.
+MAX_HEADER_BYTES = 64 * 1024
+
+
+class Agent:
+    """One agent and its listener for requests.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    cfg : AgentSettings
+        Settings.
+    events, metrics : EventLog, Metrics
+        Where the agent reports.
+    store : ConfigStore
+        The configuration copy; a follower keeps it up to date.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        cfg: AgentSettings,
+        events: EventLog,
+        metrics: Metrics,
+        store: ConfigStore,
+    ) -> None:
+        queue = SimpleQueue(cfg.slots, cfg.queue_limit)
+        self.context = AgentContext(
+            vm=vm,
+            cfg=cfg,
+            events=events,
+            metrics=metrics,
+            store=store,
+            index=BlockIndex(cfg.index_blocks, cfg.index_stale_s),
+            scheduler=Scheduler(queue, trio.current_time),
+        )
+        self.feed: EngineFeed | None = None
+        if cfg.kind == "engine":
+            engine = HttpEngineClient(cfg.backend, cfg.token_timeout_s)
+            self.feed = EngineFeed(self.context, engine)
+            self._chat = ChatHandler(self.context, engine)
+        else:
+            service = HttpServiceClient(cfg.backend, MAX_SERVICE_BODY_BYTES)
+            self._service = ServiceHandler(self.context, service)
+        limits = HttpLimits(
+            max_connections=cfg.max_connections, max_header_bytes=MAX_HEADER_BYTES
+        )
+        self.server = HttpServer(self._handle, limits, self._on_error)
+        self.port = 0
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; the task status is the bound port."""
+        listen = self.context.cfg.listen
+        listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
+        self.port = listeners[0].socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            if self.feed is not None:
+                await self.feed.refresh()
+                nursery.start_soon(self.feed.run)
+            await nursery.start(self.server.serve, listeners)
+            task_status.started(self.port)
+
+    def stop(self) -> None:
+        """Begin a planned stop: take no new work."""
+        self.context.stopping = True
+
+    def active(self) -> int:
+        """Return the number of requests in progress."""
+        return self.server.active + self.context.active
+
+    def readiness(self) -> Readiness:
+        """Return whether the agent should get traffic."""
+        if self.context.leaving:
+            return Readiness(False, "leaving")
+        if self.feed is not None and not self.feed.reachable:
+            return Readiness(False, "engine is unreachable")
+        return Readiness(True)
+
+    def status(self) -> dict[str, Any]:
+        """Return what ``/status`` shows."""
+        context = self.context
+        queue = context.scheduler.queue
+        return {
+            "vm": context.vm,
+            "serves": context.cfg.serves,
+            "port": self.port,
+            "leaving": context.leaving,
+            "engine_incarnation": context.index.incarnation,
+            "weights_version": context.weights_version,
+            "indexed_blocks": len(context.index),
+            "running": queue.running,
+            "waiting": queue.waiting,
+            "active": self.active(),
+            "config_revision": context.store.revision,
+        }
+
+    def _on_error(self, exchange: Exchange, exc: Exception) -> None:
+        self.context.events.emit("handler_error", path=exchange.path, error=repr(exc))
+
+    async def _handle(self, exchange: Exchange) -> None:
+        kind = self.context.cfg.kind
+        if exchange.path == "/v1/chat/completions" and kind == "engine":
+            if exchange.method != "POST":
+                raise HttpError(405, "method_not_allowed", "use POST")
+            await self._chat.handle(exchange)
+        elif exchange.path.startswith("/services/") and kind == "service":
+            await self._service.handle(exchange)
+        else:
+            message = f"no such path {exchange.path}"
+            raise HttpError(404, "unknown_path", message, verdict=Verdict.NOT_RUN)
--- /dev/null
+++ b/src/foxtailcourse/agent/_chat.py
@@ -0,0 +1,273 @@
+"""Chat completions on the engine beside the agent."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import msgspec
+import trio
+
+from foxtailcourse.agent._context import AgentContext
+from foxtailcourse.agent._scheduler import RefusedError, Slot
+from foxtailcourse.engine import (
+    EngineClient,
+    EngineError,
+    EngineRequest,
+    EngineStream,
+    EngineToken,
+)
+from foxtailcourse.http import (
+    ClientError,
+    Exchange,
+    HttpError,
+    SseEvent,
+    error_body,
+    format_sse,
+)
+from foxtailcourse.protocol import Attempt, RequestClass, Verdict
+from foxtailcourse.sharing import QueuedRequest
+
+CANCEL_TIMEOUT_S = 2.0
+PRIORITIES = {RequestClass.SHORT: 0, RequestClass.LONG: 1}
+
+
+class WeightsChangedError(EngineError):
+    """The engine's weights changed within a stream."""
+
+
+@attrs.frozen
+class _Started:
+    """A request that waits for or holds a slot."""
+
+    attempt: Attempt
+    body: Mapping[str, Any]
+    matched_blocks: int
+
+
+class ChatHandler:
+    """Runs chat requests on the engine, streamed or whole.
+
+    Parameters
+    ----------
+    context : AgentContext
+        The agent's state.
+    engine : EngineClient
+        The engine.
+    """
+
+    def __init__(self, context: AgentContext, engine: EngineClient) -> None:
+        self._context = context
+        self._engine = engine
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer ``POST /v1/chat/completions``."""
+        context = self._context
+        attempt = context.read_attempt(exchange)
+        if context.leaving:
+            raise context.refuse_leaving(attempt.attempt_id)
+        self._check_version(attempt)
+        body = exchange.json()
+        if not isinstance(body, dict):
+            message = "body is not an object"
+            raise context.refusal(attempt.attempt_id, 400, "malformed_body", message)
+        matched = context.index.match(attempt.prefix_keys, context.now())
+        request = _Started(attempt, body, matched)
+        try:
+            async with context.scheduler.start(self._queued(request)) as slot:
+                await self._run(exchange, request, slot)
+        except RefusedError as exc:
+            status = 503 if exc.refusal.code == "deadline" else 429
+            raise context.refusal(
+                attempt.attempt_id,
+                status,
+                exc.refusal.code,
+                "the backend server cannot start the request in time",
+                matched_blocks=matched,
+                retry_after_ms=exc.refusal.retry_after_ms,
+            ) from exc
+
+    def _check_version(self, attempt: Attempt) -> None:
+        """Refuse an attempt whose prefix keys belong to other weights."""
+        serves, expected = self._context.weights_version, attempt.weights_version
+        if expected and expected != serves:
+            message = f"engine serves weights {serves or 'unknown'}, not {expected}"
+            raise self._context.refusal(
+                attempt.attempt_id, 503, "weights_version", message
+            )
+
+    def _queued(self, request: _Started) -> QueuedRequest:
+        context, attempt = self._context, request.attempt
+        cached = request.matched_blocks * context.cfg.block_tokens
+        contract = context.store.view.contracts.get(attempt.client_account)
+        return QueuedRequest(
+            attempt_id=attempt.attempt_id,
+            client_account=attempt.client_account,
+            share=contract.share if contract is not None else 1.0,
+            request_class=attempt.request_class,
+            uncached_tokens=max(0, attempt.prompt_tokens - cached),
+            expected_tokens=max(0, attempt.max_tokens - attempt.resume_from),
+            deadline=context.now() + attempt.deadline_ms / 1000,
+        )
+
+    async def _run(self, exchange: Exchange, request: _Started, slot: Slot) -> None:
+        attempt = request.attempt
+        self._check_version(attempt)
+        engine_request = EngineRequest(
+            request_id=attempt.attempt_id,
+            body=request.body,
+            cache_salt=attempt.cache_salt,
+            block_keys=attempt.prefix_keys,
+            priority=PRIORITIES[attempt.request_class],
+            resume_from=attempt.resume_from,
+        )
+        ended = False
+        try:
+            async with self._engine.chat(engine_request) as stream:
+                await self._answer(exchange, request, stream, slot)
+            ended = True
+        except (EngineError, ClientError) as exc:
+            await self._fail(exchange, request, exc)
+        finally:
+            if not ended:
+                await self._cancel(attempt.attempt_id)
+
+    async def _answer(
+        self, exchange: Exchange, request: _Started, stream: EngineStream, slot: Slot
+    ) -> None:
+        context, attempt = self._context, request.attempt
+        cached_blocks = stream.cached_tokens // context.cfg.block_tokens
+        context.index.replied(
+            stream.incarnation, attempt.prefix_keys, cached_blocks, context.now()
+        )
+        context.weights_version = stream.weights_version
+        if attempt.weights_version not in ("", stream.weights_version):
+            raise WeightsChangedError("the engine's weights changed before the start")
+        context.events.emit(
+            "request_started",
+            request_id=attempt.request_id,
+            attempt_id=attempt.attempt_id,
+            cached_tokens=stream.cached_tokens,
+        )
+        relay = _Relay(stream, slot)
+        if request.body.get("stream"):
+            await self._stream(exchange, request, relay)
+        else:
+            await self._whole(exchange, request, relay)
+        context.events.emit(
+            "request_ended", attempt_id=attempt.attempt_id, tokens=relay.count
+        )
+
+    def _head(
+        self, request: _Started, relay: "_Relay", verdict: Verdict
+    ) -> dict[str, str]:
+        return self._context.reply(
+            request.attempt.attempt_id,
+            verdict,
+            matched_blocks=request.matched_blocks,
+            cached_tokens=relay.stream.cached_tokens,
+        ).to_headers()
+
+    async def _stream(
+        self, exchange: Exchange, request: _Started, relay: "_Relay"
+    ) -> None:
+        fields = self._head(request, relay, Verdict.MAY_HAVE_RUN)
+        fields["content-type"] = "text/event-stream"
+        await exchange.start_stream(200, fields)
+        async for token in relay.tokens():
+            event = SseEvent(token.data, id=str(relay.count - 1))
+            await exchange.send(format_sse(event))
+        end = {"count": relay.count, "attempt_id": request.attempt.attempt_id}
+        data = msgspec.json.encode(end).decode()
+        await exchange.send(format_sse(SseEvent(data, event="end")))
+        await exchange.end_stream()
+
+    async def _whole(
+        self, exchange: Exchange, request: _Started, relay: "_Relay"
+    ) -> None:
+        texts, reason = [], ""
+        async for token in relay.tokens():
+            texts.append(token.text)
+            reason = token.finish_reason
+        message = {"role": "assistant", "content": "".join(texts)}
+        usage = {
+            "prompt_tokens": request.attempt.prompt_tokens,
+            "completion_tokens": relay.count,
+            "total_tokens": request.attempt.prompt_tokens + relay.count,
+            "prompt_tokens_details": {"cached_tokens": relay.stream.cached_tokens},
+        }
+        value = {
+            "id": f"chatcmpl-{request.attempt.request_id}",
+            "object": "chat.completion",
+            "model": self._context.cfg.serves,
+            "system_fingerprint": relay.stream.weights_version,
+            "choices": [{"index": 0, "message": message, "finish_reason": reason}],
+            "usage": usage,
+        }
+        fields = self._head(request, relay, Verdict.RAN)
+        await exchange.respond_json(200, value, fields)
+
+    async def _fail(
+        self, exchange: Exchange, request: _Started, exc: EngineError | ClientError
+    ) -> None:
+        """Answer an error, or end a started stream with an explicit one."""
+        context, attempt_id = self._context, request.attempt.attempt_id
+        if exchange.started:
+            context.events.emit(
+                "stream_broken", attempt_id=attempt_id, error=str(exc)[:200]
+            )
+            body = error_body(str(exc)[:200], "server_error", _code(exc))
+            await exchange.send(format_sse(SseEvent(body.decode(), event="error")))
+            exchange.abort()
+            return
+        raise self._error(attempt_id, exc) from exc
+
+    def _error(self, attempt_id: str, exc: EngineError | ClientError) -> HttpError:
+        status = exc.status if isinstance(exc, EngineError) else 0
+        if 400 <= status < 500:
+            return self._context.refusal(
+                attempt_id, status, "engine_refused", str(exc)[:200]
+            )
+        verdict = Verdict.MAY_HAVE_RUN
+        if isinstance(exc, ClientError):
+            verdict = exc.verdict
+        return self._context.refusal(
+            attempt_id, 503, _code(exc), str(exc)[:200], verdict=verdict
+        )
+
+    async def _cancel(self, attempt_id: str) -> None:
+        """Tell the engine that nobody reads a completion any more."""
+        with trio.CancelScope(shield=True), trio.move_on_after(CANCEL_TIMEOUT_S):
+            try:
+                await self._engine.cancel(attempt_id)
+            except (EngineError, ClientError) as exc:
+                self._context.events.emit(
+                    "cancel_failed", attempt_id=attempt_id, error=str(exc)[:200]
+                )
+
+
+def _code(exc: Exception) -> str:
+    if isinstance(exc, WeightsChangedError):
+        return "weights_changed"
+    return "engine_stream_broken" if isinstance(exc, EngineError) else "engine_failed"
+
+
+class _Relay:
+    """Counts the chunks of a stream and checks that its weights stay the same."""
+
+    def __init__(self, stream: EngineStream, slot: Slot) -> None:
+        self.stream = stream
+        self.count = 0
+        self._slot = slot
+
+    async def tokens(self) -> Any:
+        """Yield the chunks; raises EngineError on a broken or mixed stream."""
+        last: EngineToken | None = None
+        async for token in self.stream.tokens():
+            if token.weights_version not in ("", self.stream.weights_version):
+                raise WeightsChangedError("the engine's weights changed in the stream")
+            self.count += 1
+            self._slot.generated_tokens = self.count
+            last = token
+            yield token
+        if last is not None and not last.finish_reason:
+            raise EngineError("engine stream ended without a finish reason")
--- /dev/null
+++ b/src/foxtailcourse/agent/_feed.py
@@ -0,0 +1,85 @@
+"""Tasks that follow the engine's cache events and state."""
+
+import trio
+
+from foxtailcourse.agent._context import AgentContext
+from foxtailcourse.cache import EventOutcome
+from foxtailcourse.engine import EngineClient, EngineError, EventBatch
+from foxtailcourse.http import ClientError
+
+RETRY_S = 0.2
+
+
+class EngineFeed:
+    """Keeps the block index and the weights version up to date.
+
+    Parameters
+    ----------
+    context : AgentContext
+        The agent's state.
+    engine : EngineClient
+        The engine.
+    """
+
+    def __init__(self, context: AgentContext, engine: EngineClient) -> None:
+        self._context = context
+        self._engine = engine
+        self.reachable = False
+
+    async def run(self) -> None:
+        """Follow the engine until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_events)
+            nursery.start_soon(self._follow_state)
+
+    async def _follow_events(self) -> None:
+        index = self._context.index
+        while True:
+            try:
+                batch = await self._engine.events(index.next_seq - 1, index.incarnation)
+            except (EngineError, ClientError):
+                await trio.sleep(RETRY_S)
+                continue
+            self.apply(batch)
+
+    def apply(self, batch: EventBatch) -> None:
+        """Apply one answer to a poll for cache events."""
+        context, index = self._context, self._context.index
+        now = context.now()
+        if index.heard(batch.incarnation, now):
+            context.events.emit("engine_incarnation", incarnation=batch.incarnation)
+        for event in batch.events:
+            outcome = index.apply(
+                event.incarnation, event.seq, event.stored, event.keys, now
+            )
+            if outcome is not EventOutcome.APPLIED:
+                context.events.emit(
+                    "cache_event_skipped", outcome=outcome.value, seq=event.seq
+                )
+            context.metrics.count(
+                "foxtail_agent_cache_events_total", outcome=outcome.value
+            )
+
+    async def _follow_state(self) -> None:
+        while True:
+            await self.refresh()
+            await trio.sleep(self._context.cfg.load_poll_s)
+
+    async def refresh(self) -> None:
+        """Ask the engine once for its state."""
+        context = self._context
+        try:
+            state = await self._engine.state()
+        except (EngineError, ClientError) as exc:
+            if self.reachable:
+                context.events.emit("engine_unreachable", error=str(exc)[:200])
+            self.reachable = False
+            return
+        if not self.reachable:
+            context.events.emit("engine_reachable", incarnation=state.incarnation)
+        self.reachable = True
+        if context.index.heard(state.incarnation, context.now()):
+            context.events.emit("engine_incarnation", incarnation=state.incarnation)
+        if context.weights_version != state.weights_version:
+            context.weights_version = state.weights_version
+            context.events.emit("weights_version", version=state.weights_version)
--- /dev/null
+++ b/src/foxtailcourse/standin/_engine.py
@@ -0,0 +1,297 @@
+"""Stand-in of a model engine with a prefix cache."""
+
+import secrets
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager
+from typing import Any
+
+import attrs
+import msgspec
+import trio
+
+from foxtailcourse.http import ConnectionPool, Exchange, HttpError, SseEvent, format_sse
+from foxtailcourse.settings import Address
+from foxtailcourse.standin._cache import BlockCache, EventFeed
+from foxtailcourse.standin._orders import OrderBook
+from foxtailcourse.standin._slots import PrioritySlots
+from foxtailcourse.standin._text import (
+    count_tokens,
+    max_tokens,
+    prompt_text,
+    token_text,
+)
+
+EVENT_POLL_S = 10.0
+BLOCK_KEY_BYTES = 16
+
+
+@attrs.define(kw_only=True)
+class EngineOptions:
+    """Behaviour of one engine stand-in.
+
+    Parameters
+    ----------
+    model, version : str
+        Name and weights version of the loaded model.
+    slots : int
+        Requests in the batch at once.
+    cache_blocks : int
+        Capacity of the block cache.
+    block_tokens : int
+        Tokens in one block.
+    prefill_s_per_token, decode_s_per_token : float
+        Time for each uncached prompt token and each generated token.
+    event_delay_s, load_lag_s : float
+        Age of cache events and load reports when a reader sees them.
+    late_events : bool
+        Whether a crash leaves unread events that arrive afterwards.
+    checks_fencing : bool
+        Whether orders with an old fencing number are rejected.
+    kv_store, weight_store : Address or None
+        Where blocks and weights come from.
+    """
+
+    model: str
+    version: str = "v1"
+    slots: int = 8
+    cache_blocks: int = 1000
+    block_tokens: int = 16
+    prefill_s_per_token: float = 20e-6
+    decode_s_per_token: float = 0.002
+    event_delay_s: float = 0.0
+    load_lag_s: float = 0.0
+    late_events: bool = False
+    checks_fencing: bool = True
+    kv_store: Address | None = None
+    weight_store: Address | None = None
+
+
+@attrs.define
+class _Load:
+    at: float
+    running: int
+    waiting: int
+
+
+class EngineStandin:
+    """An engine whose answers are a function of prompt, position and version."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.version = options.version
+        self.role = "mixed"
+        self.adapters: set[str] = set()
+        self.incarnation = secrets.token_hex(6)
+        self.down = False
+        self.completed = 0
+        self.cancelled = 0
+        self.prefilled_tokens = 0
+        self.cached_tokens = 0
+        self.cache = BlockCache(options.cache_blocks)
+        self.feed = EventFeed(options.event_delay_s)
+        self.pool = ConnectionPool()
+        self.orders = OrderBook(self)
+        self._slots = PrioritySlots(options.slots)
+        self._prefill = trio.Lock()
+        self._scopes: dict[str, set[trio.CancelScope]] = {}
+        self._load = _Load(0.0, 0, 0)
+
+    def crash(self, *, down: bool = False) -> None:
+        """End all streams without a clean end and come back empty.
+
+        Parameters
+        ----------
+        down : bool
+            Whether to refuse all requests until ``recover``.
+        """
+        self.down = down
+        self.incarnation = secrets.token_hex(6)
+        self.cache.clear()
+        self.feed.restart(self.options.late_events)
+        self.orders.forget()
+        for scopes in list(self._scopes.values()):
+            for scope in list(scopes):
+                scope.cancel()
+
+    def recover(self) -> None:
+        """Accept requests again."""
+        self.down = False
+
+    def replace_weights(self, version: str) -> None:
+        """Serve another version from the next token on, with an empty cache."""
+        self.version = version
+        self.cache.clear()
+        self.incarnation = secrets.token_hex(6)
+        self.feed.restart(False)
+
+    def store_blocks(self, salt: str, keys: Sequence[bytes]) -> None:
+        """Put blocks into the cache and publish what changed."""
+        new, evicted = self.cache.store(salt, keys)
+        if new:
+            self.feed.publish(self.incarnation, "stored", new)
+        if evicted:
+            self.feed.publish(self.incarnation, "evicted", evicted)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request of the engine's HTTP API."""
+        if self.down:
+            exchange.abort()
+            return
+        handlers = {
+            ("POST", "/v1/chat/completions"): self._chat,
+            ("POST", "/cancel"): self._cancel,
+            ("GET", "/events"): self._events,
+            ("GET", "/load"): self._report_load,
+            ("POST", "/orders"): self._order,
+            ("POST", "/standin"): self._switch,
+        }
+        handler = handlers.get((exchange.method, exchange.path))
+        if handler is None:
+            raise HttpError(404, "unknown_path", f"no such path {exchange.path}")
+        await handler(exchange)
+
+    async def _chat(self, exchange: Exchange) -> None:
+        body = _object(exchange)
+        keys = decode_keys(exchange.headers.get("x-block-keys", ""))
+        salt = exchange.headers.get("x-cache-salt", "")
+        priority = int(exchange.headers.get("x-priority", "0"))
+        async with self._cancellable(exchange), self._slots.hold(priority):
+            prompt = prompt_text(body.get("messages"))
+            cached = await self._compute_prompt(salt, keys, prompt)
+            head = {
+                "x-engine-incarnation": self.incarnation,
+                "x-weights-version": self.version,
+                "x-cached-tokens": str(cached),
+            }
+            await self._generate(exchange, body, prompt, head)
+            self.completed += 1
+
+    @asynccontextmanager
+    async def _cancellable(self, exchange: Exchange) -> AsyncIterator[None]:
+        request_id = exchange.headers.get("x-request-id", "")
+        scope = trio.CancelScope()
+        self._scopes.setdefault(request_id, set()).add(scope)
+        try:
+            with scope:
+                yield
+        finally:
+            self._scopes[request_id].discard(scope)
+            if not self._scopes[request_id]:
+                del self._scopes[request_id]
+        if scope.cancelled_caught:
+            self.cancelled += 1
+            exchange.abort()
+
+    async def _compute_prompt(
+        self, salt: str, keys: Sequence[bytes], prompt: str
+    ) -> int:
+        """Prefill the uncached part; return the cached tokens."""
+        async with self._prefill:
+            tokens = count_tokens(prompt)
+            cached = self.cache.match(salt, keys) * self.options.block_tokens
+            cached = min(cached, tokens)
+            self.cached_tokens += cached
+            self.prefilled_tokens += tokens - cached
+            await trio.sleep((tokens - cached) * self.options.prefill_s_per_token)
+            self.store_blocks(salt, keys)
+        return cached
+
+    async def _generate(
+        self,
+        exchange: Exchange,
+        body: Mapping[str, Any],
+        prompt: str,
+        head: Mapping[str, str],
+    ) -> None:
+        start = int(exchange.headers.get("x-resume-from", "0"))
+        end = max_tokens(body)
+        if not body.get("stream"):
+            await trio.sleep(max(0, end - start) * self.options.decode_s_per_token)
+            texts = [token_text(prompt, i, self.version) for i in range(start, end)]
+            message = {"role": "assistant", "content": "".join(texts)}
+            choice = {"index": 0, "message": message, "finish_reason": "length"}
+            await exchange.respond_json(200, self._completion("", choice), head)
+            return
+        fields = dict(head) | {"content-type": "text/event-stream"}
+        await exchange.start_stream(200, fields)
+        for position in range(start, end):
+            await trio.sleep(self.options.decode_s_per_token)
+            delta = {"content": token_text(prompt, position, self.version)}
+            reason = "length" if position == end - 1 else None
+            choice = {"index": 0, "delta": delta, "finish_reason": reason}
+            data = msgspec.json.encode(self._completion(".chunk", choice)).decode()
+            await exchange.send(format_sse(SseEvent(data)))
+        await exchange.send(format_sse(SseEvent("[DONE]")))
+        await exchange.end_stream()
+
+    def _completion(self, suffix: str, choice: Mapping[str, Any]) -> dict[str, Any]:
+        return {
+            "object": f"chat.completion{suffix}",
+            "model": self.options.model,
+            "system_fingerprint": self.version,
+            "choices": [choice],
+        }
+
+    async def _cancel(self, exchange: Exchange) -> None:
+        request_id = str(_object(exchange).get("request_id", ""))
+        scopes = list(self._scopes.get(request_id, ()))
+        for scope in scopes:
+            scope.cancel()
+        await exchange.respond_json(200, {"cancelled": len(scopes)})
+
+    async def _events(self, exchange: Exchange) -> None:
+        after = int(exchange.query.get("after", "0"))
+        if exchange.query.get("incarnation", self.incarnation) != self.incarnation:
+            after = 0
+        events = await self.feed.read(after, EVENT_POLL_S)
+        value = {
+            "incarnation": self.incarnation,
+            "weights_version": self.version,
+            "events": [each.as_json() for each in events],
+        }
+        await exchange.respond_json(200, value)
+
+    async def _report_load(self, exchange: Exchange) -> None:
+        now = trio.current_time()
+        if now - self._load.at >= self.options.load_lag_s:
+            self._load = _Load(now, self._slots.running, self._slots.waiting)
+        value = {
+            "incarnation": self.incarnation,
+            "weights_version": self.version,
+            "model": self.options.model,
+            "role": self.role,
+            "adapters": sorted(self.adapters),
+            "running": self._load.running,
+            "waiting": self._load.waiting,
+            "cached_blocks": len(self.cache),
+        }
+        await exchange.respond_json(200, value)
+
+    async def _order(self, exchange: Exchange) -> None:
+        result = await self.orders.execute(_object(exchange))
+        await exchange.respond_json(200, result)
+
+    async def _switch(self, exchange: Exchange) -> None:
+        """Cause a failure: crash, event gap or an unannounced weights change."""
+        body = _object(exchange)
+        if "lose_events" in body:
+            self.feed.lose = int(body["lose_events"])
+        if "replace_weights" in body:
+            self.replace_weights(str(body["replace_weights"]))
+        await exchange.respond_json(200, {"incarnation": self.incarnation})
+        if body.get("crash"):
+            self.crash()
+
+
+def _object(exchange: Exchange) -> Mapping[str, Any]:
+    value = exchange.json()
+    if not isinstance(value, dict):
+        raise HttpError(400, "malformed_body", "body is not an object")
+    return value
+
+
+def decode_keys(text: str) -> list[bytes]:
+    """Return block keys from concatenated hex texts."""
+    raw = bytes.fromhex(text)
+    starts = range(0, len(raw), BLOCK_KEY_BYTES)
+    return [raw[start : start + BLOCK_KEY_BYTES] for start in starts]
--- /dev/null
+++ b/src/foxtailcourse/standin/run.py
@@ -0,0 +1,93 @@
+"""``foxtail-standin``: all stand-ins in one process."""
+
+from functools import partial
+
+import trio
+
+from foxtailcourse.http import Handler
+from foxtailcourse.process import AdminServer, Daemon, Readiness, start_daemon
+from foxtailcourse.settings import Address, section, setting
+from foxtailcourse.standin._engine import EngineOptions, EngineStandin
+from foxtailcourse.standin._kv_store import KvStoreStandin
+from foxtailcourse.standin._lines import fill_options, parse_line
+from foxtailcourse.standin._serve import serve_handler
+from foxtailcourse.standin._service import ServiceOptions, ServiceStandin
+from foxtailcourse.standin._weights import WeightStoreStandin
+
+
+@section("standin")
+class StandinSettings:
+    """Which stand-ins run, and where."""
+
+    engines: tuple[str, ...] = setting(
+        tuple[str, ...],
+        (),
+        description="Engines, one a line: IP:PORT model=NAME and further options "
+        "of EngineOptions.",
+    )
+    services: tuple[str, ...] = setting(
+        tuple[str, ...],
+        (),
+        description="Plain services, one a line: IP:PORT route=NAME and further "
+        "options of ServiceOptions.",
+    )
+    kv_store: tuple[Address, ...] = setting(
+        tuple[Address, ...], (), description="Address of the KV-cache store."
+    )
+    weight_store: tuple[Address, ...] = setting(
+        tuple[Address, ...], (), description="Address of the weight store."
+    )
+    weight_load_s: float = setting(
+        float,
+        2.0,
+        description="Time of one weights load at full speed.",
+        unit="seconds",
+        minimum=0,
+    )
+
+
+def build_handlers(cfg: StandinSettings) -> list[tuple[Address, Handler]]:
+    """Return each stand-in's address and handler."""
+    handlers: list[tuple[Address, Handler]] = []
+    kv_store = cfg.kv_store[0] if cfg.kv_store else None
+    weight_store = cfg.weight_store[0] if cfg.weight_store else None
+    for text in cfg.engines:
+        line = parse_line(text)
+        options = fill_options(EngineOptions, line.options)
+        options.kv_store = options.kv_store or kv_store
+        options.weight_store = options.weight_store or weight_store
+        handlers.append((line.address, EngineStandin(options).handle))
+    for text in cfg.services:
+        line = parse_line(text)
+        service = ServiceStandin(fill_options(ServiceOptions, line.options))
+        handlers.append((line.address, service.handle))
+    if kv_store is not None:
+        handlers.append((kv_store, KvStoreStandin().handle))
+    if weight_store is not None:
+        handlers.append((weight_store, WeightStoreStandin(cfg.weight_load_s).handle))
+    return handlers
+
+
+async def serve(daemon: Daemon, cfg: StandinSettings) -> None:
+    """Serve all stand-ins until stopped."""
+    admin = AdminServer(
+        daemon.events, daemon.metrics, lambda: Readiness(True), lambda: {}
+    )
+    async with trio.open_nursery() as nursery:
+        for address, handler in build_handlers(cfg):
+            start = partial(serve_handler, handler, address)
+            bound = await nursery.start(start)
+            daemon.events.emit("standin_listening", address=bound)
+        await nursery.start(admin.serve, daemon.cfg.admin_listen)
+        daemon.events.emit("process_ready")
+        await daemon.stopping.wait()
+        nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Run ``foxtail-standin``."""
+    start_daemon("foxtail-standin", [StandinSettings], serve)
+
+
+if __name__ == "__main__":
+    main()
