Run issued keys at most once and use the fair queue

Cause: a coat return or payment must not run twice, whatever is lost or repeated. Ruled out: releasing a key after a not-run refusal, since a delayed duplicate of the refused call would run after its caller was told otherwise; bounding the outcome table by eviction, since an evicted key could run again (the issuer stops issuing instead). Change: package idempotency, keyed calls of the agent that go on without their caller, FairQueue in place of the first-come queue, tests of the block index. Numbers of a resumed stream start at the resume position, as the entry checks them.

--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -10,14 +10,15 @@
 from foxtailcourse.agent._scheduler import Scheduler
 from foxtailcourse.agent._service import ServiceHandler
 from foxtailcourse.agent._settings import AgentSettings
-from foxtailcourse.agent._simple_queue import SimpleQueue
 from foxtailcourse.cache import BlockIndex
 from foxtailcourse.config import ConfigStore
 from foxtailcourse.engine import HttpEngineClient, HttpServiceClient
-from foxtailcourse.http import Exchange, HttpError, HttpLimits, HttpServer
+from foxtailcourse.http import Exchange, HttpLimits, HttpServer
+from foxtailcourse.idempotency import KeyIssuer, OutcomeLimits, OutcomeTable
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.process import Readiness
-from foxtailcourse.protocol import Verdict
+from foxtailcourse.protocol import headers
+from foxtailcourse.sharing import FairQueue, QueueLimits, ServiceRates
 
 MAX_SERVICE_BODY_BYTES = 8 * 1024 * 1024
 # 256 prefix keys alone take 5.5 KB of one request's header fields.
@@ -47,7 +48,7 @@
         metrics: Metrics,
         store: ConfigStore,
     ) -> None:
-        queue = SimpleQueue(cfg.slots, cfg.queue_limit)
+        queue = _make_queue(cfg)
         self.context = AgentContext(
             vm=vm,
             cfg=cfg,
@@ -55,7 +56,7 @@
             metrics=metrics,
             store=store,
             index=BlockIndex(cfg.index_blocks, cfg.index_stale_s),
-            scheduler=Scheduler(queue, trio.current_time),
+            scheduler=Scheduler(queue, trio.current_time, queue.first_token),
         )
         self.feed: EngineFeed | None = None
         if cfg.kind == "engine":
@@ -64,7 +65,9 @@
             self._chat = ChatHandler(self.context, engine)
         else:
             service = HttpServiceClient(cfg.backend, MAX_SERVICE_BODY_BYTES)
-            self._service = ServiceHandler(self.context, service)
+            issuer = KeyIssuer(vm, cfg.key_lifetime_s, cfg.max_keys)
+            table = OutcomeTable(OutcomeLimits())
+            self._service = ServiceHandler(self.context, service, issuer, table)
         limits = HttpLimits(
             max_connections=cfg.max_connections, max_header_bytes=MAX_HEADER_BYTES
         )
@@ -79,6 +82,7 @@
         listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
         self.port = listeners[0].socket.getsockname()[1]
         async with trio.open_nursery() as nursery:
+            self.context.nursery = nursery
             if self.feed is not None:
                 await self.feed.refresh()
                 nursery.start_soon(self.feed.run)
@@ -124,12 +128,21 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         kind = self.context.cfg.kind
-        if exchange.path == "/v1/chat/completions" and kind == "engine":
-            if exchange.method != "POST":
-                raise HttpError(405, "method_not_allowed", "use POST")
+        call = f"{exchange.method} {exchange.path}"
+        if call == "POST /v1/chat/completions" and kind == "engine":
             await self._chat.handle(exchange)
+        elif call == "POST /v1/idempotency-keys" and kind == "service":
+            await self._service.issue_key(exchange)
         elif exchange.path.startswith("/services/") and kind == "service":
             await self._service.handle(exchange)
         else:
-            message = f"no such path {exchange.path}"
-            raise HttpError(404, "unknown_path", message, verdict=Verdict.NOT_RUN)
+            attempt_id = exchange.headers.get(headers.ATTEMPT_ID, "")
+            message = f"no such call {call}"
+            raise self.context.refusal(attempt_id, 404, "unknown_path", message)
+
+
+def _make_queue(cfg: AgentSettings) -> FairQueue:
+    limits = QueueLimits(slots=cfg.slots, max_waiting=cfg.queue_limit)
+    decode_s = cfg.decode_s_per_token if cfg.kind == "engine" else cfg.service_call_s
+    rates = ServiceRates(1.0 / cfg.prefill_s_per_token, 1.0 / decode_s)
+    return FairQueue(limits, rates)
--- a/src/foxtailcourse/agent/_chat.py
+++ b/src/foxtailcourse/agent/_chat.py
@@ -66,10 +66,7 @@
         if context.leaving:
             raise context.refuse_leaving(attempt.attempt_id)
         self._check_version(attempt)
-        body = exchange.json()
-        if not isinstance(body, dict):
-            message = "body is not an object"
-            raise context.refusal(attempt.attempt_id, 400, "malformed_body", message)
+        body = self._read_body(exchange, attempt)
         matched = context.index.match(attempt.prefix_keys, context.now())
         request = _Started(attempt, body, matched)
         try:
@@ -86,6 +83,18 @@
                 retry_after_ms=exc.refusal.retry_after_ms,
             ) from exc
 
+    def _read_body(self, exchange: Exchange, attempt: Attempt) -> dict[str, Any]:
+        try:
+            body = exchange.json()
+            message = "body is not an object"
+        except HttpError as exc:
+            body, message = None, exc.message
+        if not isinstance(body, dict):
+            raise self._context.refusal(
+                attempt.attempt_id, 400, "malformed_body", message
+            )
+        return body
+
     def _check_version(self, attempt: Attempt) -> None:
         """Refuse an attempt whose prefix keys belong to other weights."""
         serves, expected = self._context.weights_version, attempt.weights_version
@@ -98,11 +107,10 @@
     def _queued(self, request: _Started) -> QueuedRequest:
         context, attempt = self._context, request.attempt
         cached = request.matched_blocks * context.cfg.block_tokens
-        contract = context.store.view.contracts.get(attempt.client_account)
         return QueuedRequest(
             attempt_id=attempt.attempt_id,
             client_account=attempt.client_account,
-            share=contract.share if contract is not None else 1.0,
+            share=context.share(attempt.client_account),
             request_class=attempt.request_class,
             uncached_tokens=max(0, attempt.prompt_tokens - cached),
             expected_tokens=max(0, attempt.max_tokens - attempt.resume_from),
@@ -148,7 +156,7 @@
             attempt_id=attempt.attempt_id,
             cached_tokens=stream.cached_tokens,
         )
-        relay = _Relay(stream, slot)
+        relay = _Relay(stream, slot, attempt.resume_from)
         if request.body.get("stream"):
             await self._stream(exchange, request, relay)
         else:
@@ -252,11 +260,22 @@
 
 
 class _Relay:
-    """Counts the chunks of a stream and checks that its weights stay the same."""
+    """Counts the chunks of a stream and checks that its weights stay the same.
+
+    Parameters
+    ----------
+    stream : EngineStream
+        The running completion.
+    slot : Slot
+        Told of the generated tokens.
+    first : int
+        Number of the first chunk: those that an earlier attempt delivered.
+    """
 
-    def __init__(self, stream: EngineStream, slot: Slot) -> None:
+    def __init__(self, stream: EngineStream, slot: Slot, first: int) -> None:
         self.stream = stream
-        self.count = 0
+        self.count = first
+        self._first = first
         self._slot = slot
 
     async def tokens(self) -> Any:
@@ -266,7 +285,7 @@
             if token.weights_version not in ("", self.stream.weights_version):
                 raise WeightsChangedError("the engine's weights changed in the stream")
             self.count += 1
-            self._slot.generated_tokens = self.count
+            self._slot.generated(self.count - self._first)
             last = token
             yield token
         if last is not None and not last.finish_reason:
--- a/src/foxtailcourse/agent/_context.py
+++ b/src/foxtailcourse/agent/_context.py
@@ -1,6 +1,7 @@
 """What the parts of an agent share."""
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
 
 import attrs
 import trio
@@ -46,7 +47,10 @@
     stopping : bool
         Whether a planned stop has begun.
     active : int
-        Requests in progress that must end before the process stops.
+        Runs in progress that must end before the process stops, whether or not a
+        caller waits for them.
+    nursery : trio.Nursery or None
+        Owns the runs that go on when their caller is gone.
     """
 
     vm: str
@@ -59,6 +63,7 @@
     weights_version: str = ""
     stopping: bool = False
     active: int = 0
+    nursery: trio.Nursery | None = None
 
     @property
     def leaving(self) -> bool:
@@ -69,6 +74,26 @@
         """Return the time that decisions use, monotonic."""
         return trio.current_time()
 
+    def spawn(self, function: Callable[..., Awaitable[None]], *args: Any) -> None:
+        """Start a run that goes on when its caller is gone."""
+        if self.nursery is None:
+            raise RuntimeError("the agent is not running")
+        self.active += 1
+        self.nursery.start_soon(self._counted, function, args)
+
+    async def _counted(
+        self, function: Callable[..., Awaitable[None]], args: tuple[Any, ...]
+    ) -> None:
+        try:
+            await function(*args)
+        finally:
+            self.active -= 1
+
+    def share(self, client_account: str) -> float:
+        """Return the weight of a client account by its contract."""
+        contract = self.store.view.contracts.get(client_account)
+        return contract.share if contract is not None else 1.0
+
     def load(self) -> LoadReport:
         """Return the current load."""
         queue = self.scheduler.queue
--- a/src/foxtailcourse/agent/_scheduler.py
+++ b/src/foxtailcourse/agent/_scheduler.py
@@ -27,9 +27,18 @@
     ----------
     generated_tokens : int
         Tokens generated so far, for the queue's accounts.
+    on_first_token : callable or None
+        Called with the first token.
     """
 
     generated_tokens: int = 0
+    on_first_token: Callable[[], None] | None = None
+
+    def generated(self, tokens: int) -> None:
+        """Note the tokens generated so far."""
+        if not self.generated_tokens and self.on_first_token is not None:
+            self.on_first_token()
+        self.generated_tokens = tokens
 
 
 @attrs.define
@@ -47,10 +56,18 @@
         The queue discipline.
     clock : callable
         Returns the time on the clock of the requests' deadlines.
+    first_token : callable or None
+        Told the attempt and time of a first token, if the queue uses it.
     """
 
-    def __init__(self, queue: RequestQueue, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        queue: RequestQueue,
+        clock: Callable[[], float],
+        first_token: Callable[[str, float], None] | None = None,
+    ) -> None:
         self.queue = queue
+        self._first_token = first_token
         self._clock = clock
         self._waiters: dict[str, _Waiter] = {}
         self._paused = 0
@@ -69,7 +86,7 @@
         if isinstance(decision, Refusal):
             raise RefusedError(decision)
         waiter = self._waiters[request.attempt_id] = _Waiter()
-        slot = Slot()
+        slot = Slot(on_first_token=lambda: self._note_first_token(request.attempt_id))
         try:
             self._pump()
             await self._wait(waiter, request.deadline)
@@ -78,6 +95,10 @@
             del self._waiters[request.attempt_id]
             self._end(request, waiter, slot)
 
+    def _note_first_token(self, attempt_id: str) -> None:
+        if self._first_token is not None:
+            self._first_token(attempt_id, self._clock())
+
     async def _wait(self, waiter: _Waiter, deadline: float) -> None:
         while not waiter.woken.is_set():
             with trio.move_on_after(max(0.0, deadline - self._clock())):
--- a/src/foxtailcourse/agent/_settings.py
+++ b/src/foxtailcourse/agent/_settings.py
@@ -43,14 +43,14 @@
         20e-6,
         description="Predicted time to compute one prompt token.",
         unit="seconds",
-        minimum=0,
+        minimum=1e-9,
     )
     decode_s_per_token: float = setting(
         float,
         0.002,
         description="Predicted time to generate one token.",
         unit="seconds",
-        minimum=0,
+        minimum=1e-9,
     )
     load_poll_s: float = setting(
         float,
@@ -59,6 +59,21 @@
         unit="seconds",
         minimum=0.01,
     )
+    service_call_s: float = setting(
+        float,
+        0.05,
+        description="Predicted time of one call of a plain service.",
+        unit="seconds",
+        minimum=1e-6,
+    )
+    key_lifetime_s: float = setting(
+        float,
+        600.0,
+        description="Time that an issued idempotency key and its outcome are kept.",
+        unit="seconds",
+        minimum=0.001,
+    )
+    max_keys: int = setting(int, 20_000, description="Most unexpired keys.", minimum=1)
     token_timeout_s: float = setting(
         float,
         30.0,
--- /dev/null
+++ b/tests/cache/test_index.py
@@ -0,0 +1,79 @@
+import random
+
+import testtools
+from testtools.matchers import Equals
+
+from foxtailcourse.cache import BlockIndex, EventOutcome
+
+STALE_S = 10.0
+
+
+def make_keys(start, stop):
+    return [i.to_bytes(16, "big") for i in range(start, stop)]
+
+
+def make_index(capacity=100):
+    index = BlockIndex(capacity, STALE_S)
+    index.heard("e1", 0.0)
+    return index
+
+
+class TestBlockIndex(testtools.TestCase):
+    """Guards against matches on blocks that the engine no longer holds."""
+
+    def test_new_incarnation_empties_the_index(self):
+        index = make_index()
+        index.replied("e1", make_keys(0, 4), 0, 0.0)
+        self.assertThat(index.match(make_keys(0, 4), 0.0), Equals(4))
+        index.replied("e2", make_keys(8, 9), 0, 1.0)
+        self.assertThat(index.match(make_keys(0, 4), 1.0), Equals(0))
+        self.assertThat(index.match(make_keys(8, 9), 1.0), Equals(1))
+
+    def test_late_messages_of_a_former_incarnation_are_ignored(self):
+        index = make_index()
+        index.heard("e2", 1.0)
+        outcome = index.apply("e1", 1, True, make_keys(0, 4), 1.0)
+        index.replied("e1", make_keys(0, 4), 4, 1.0)
+        index.heard("e1", 1.0)
+        self.assertThat(outcome, Equals(EventOutcome.FORMER))
+        self.assertThat(index.incarnation, Equals("e2"))
+        self.assertThat(len(index), Equals(0))
+
+    def test_gap_drops_what_may_have_been_evicted(self):
+        index = make_index()
+        index.apply("e1", 1, True, make_keys(0, 4), 0.0)
+        # Event 2, an eviction, is lost.
+        outcome = index.apply("e1", 3, True, make_keys(4, 5), 0.0)
+        self.assertThat(outcome, Equals(EventOutcome.GAP))
+        self.assertThat(index.match(make_keys(0, 4), 0.0), Equals(0))
+        self.assertThat(index.match(make_keys(4, 5), 0.0), Equals(1))
+
+    def test_reply_removes_blocks_that_were_evicted_without_an_event(self):
+        index = make_index(capacity=4)
+        index.replied("e1", make_keys(0, 4), 0, 0.0)
+        index.replied("e1", make_keys(0, 6), 2, 0.0)
+        self.assertThat(len(index), Equals(4))
+
+    def test_silent_event_stream_matches_nothing(self):
+        index = make_index()
+        index.replied("e1", make_keys(0, 4), 0, 0.0)
+        self.assertThat(index.match(make_keys(0, 4), STALE_S + 1), Equals(0))
+
+    def test_never_matches_what_the_engine_lacks_once_events_have_arrived(self):
+        for seed in range(30):
+            rng = random.Random(seed)
+            index, held, seq = make_index(capacity=40), {}, 0
+            for _ in range(300):
+                key = make_keys(0, 60)[rng.randrange(60)]
+                seq += 1
+                stored = key not in held
+                if stored:
+                    held[key] = None
+                else:
+                    del held[key]
+                if rng.random() < 0.1:
+                    continue  # the event is lost
+                index.apply("e1", seq, stored, [key], 0.0)
+                matched = [k for k in make_keys(0, 60) if index.match([k], 0.0)]
+                self.assertThat(set(matched) - held.keys(), Equals(set()))
+                self.assertTrue(len(index) <= 40)
