Check relayed streams and send non-repeatable calls to one agent only

Cause: a stream cut, crossed or reordered between agent and entry must not reach a caller as a whole one, and a coat return must not run on two backend servers. Ruled out: numbering each attempt from 0 (an agent that ignored the resume position would not be noticed); answering not-run when the key's agent can't be reached (an earlier submission with the same key may have run). Change: StreamChecker, continuation with the delivered text on a server of the same version, OnceCaller for issued keys, Claims for callers' own keys, the platform's follower in the process. Conclusion: keyed calls have no test yet; it follows.

--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -1,16 +1,20 @@
 """The entry process: listeners, configuration and planned stop."""
 
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Any
 
 import trio
 
-from foxtailcourse.config import ConfigStore
+from foxtailcourse.config import ConfigFollower, ConfigStore, PlatformSettings
 from foxtailcourse.entry._attempts import Dispatcher
+from foxtailcourse.entry._claims import Claims
 from foxtailcourse.entry._gateway import Gateway
+from foxtailcourse.entry._once import OnceCaller
 from foxtailcourse.entry._relay import Relay
 from foxtailcourse.entry._settings import EntrySettings
 from foxtailcourse.http import ConnectionPool, Exchange, HttpServer
+from foxtailcourse.platform import KeyValueStore
 from foxtailcourse.process import AdminServer, Daemon, Readiness
 from foxtailcourse.routing import PlacementSettings, PrefixPlacement
 from foxtailcourse.settings import Address
@@ -30,6 +34,10 @@
         Settings of the placement policy.
     store : ConfigStore
         The configuration, filled by a follower.
+    key_value : KeyValueStore
+        Holds the claims of callers' own idempotency keys.
+    saw_revision : callable
+        Told of a configuration revision above ours and the VM that has it.
     """
 
     def __init__(
@@ -38,6 +46,8 @@
         cfg: EntrySettings,
         placement_cfg: PlacementSettings,
         store: ConfigStore,
+        key_value: KeyValueStore,
+        saw_revision: Callable[[int, str], None],
     ) -> None:
         self._daemon = daemon
         self._cfg = cfg
@@ -52,13 +62,15 @@
             self._pool,
             daemon.events,
             daemon.metrics,
-            self._saw_revision,
+            saw_revision,
         )
+        relay = Relay(dispatcher)
         self._gateway = Gateway(
             cfg,
             placement_cfg.block_tokens,
             store,
-            Relay(dispatcher),
+            relay,
+            OnceCaller(dispatcher, relay, Claims(key_value)),
             self._limiter,
             daemon.events,
             daemon.metrics,
@@ -118,16 +130,31 @@
             self._server.drain()
             nursery.cancel_scope.cancel()
 
-    def _saw_revision(self, revision: int, vm: str) -> None:
-        pass
-
     def _on_error(self, exchange: Exchange, exc: Exception) -> None:
         self._daemon.metrics.count("foxtail_entry_requests_total", code="internal")
         self._daemon.events.emit("request_failed", path=exchange.path, error=repr(exc))
 
 
 async def serve(
-    daemon: Daemon, cfg: EntrySettings, placement_cfg: PlacementSettings
+    daemon: Daemon,
+    cfg: EntrySettings,
+    placement_cfg: PlacementSettings,
+    platform_cfg: PlatformSettings,
 ) -> None:
     """Run the entry; the main function of the daemon."""
-    await EntryApp(daemon, cfg, placement_cfg, ConfigStore()).run()
+    store = ConfigStore()
+    follower = ConfigFollower(
+        platform_cfg,
+        store,
+        vm=daemon.cfg.vm,
+        failure_domain=daemon.cfg.failure_domain,
+        events=daemon.events,
+        metrics=daemon.metrics,
+    )
+    app = EntryApp(
+        daemon, cfg, placement_cfg, store, follower.key_value, follower.saw_revision
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(follower.run)
+        await app.run()
+        nursery.cancel_scope.cancel()
--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -163,13 +163,20 @@
         if target is None:
             return None
         if not tries.made:
-            self.retries.first_attempt(call.contract.client_account, now)
-        elif not self._may_retry(call, now, continued=version is not None):
+            self.first_attempt(call)
+        elif not self.may_retry(call, continued=version is not None):
             return None
         tries.made += 1
         return target
 
-    def _may_retry(self, call: Call, now: float, *, continued: bool) -> bool:
+    def first_attempt(self, call: Call) -> None:
+        """Note a first attempt for the retry budget."""
+        account = call.contract.client_account
+        self.retries.first_attempt(account, trio.current_time())
+
+    def may_retry(self, call: Call, *, continued: bool = False) -> bool:
+        """Spend one retry if the budget and the deadline allow it."""
+        now = trio.current_time()
         # A stream that has begun met its deadline with the first token.
         deadline = now + 1.0 if continued else call.deadline
         account = call.contract.client_account
--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -9,6 +9,7 @@
 from foxtailcourse.config import ConfigStore, Contract, ServiceRoute
 from foxtailcourse.entry._auth import Authenticator
 from foxtailcourse.entry._call import Call, forwarded_fields
+from foxtailcourse.entry._once import OnceCaller, check_key
 from foxtailcourse.entry._parse import (
     ChatRequest,
     parse_chat,
@@ -41,6 +42,8 @@
         The configuration.
     relay : Relay
         Answers repeatable requests.
+    once : OnceCaller
+        Answers calls that must not run twice.
     limiter : AccountLimiter
         Limits of the contracts.
     events : EventLog
@@ -55,6 +58,7 @@
         block_tokens: int,
         store: ConfigStore,
         relay: Relay,
+        once: OnceCaller,
         limiter: AccountLimiter,
         events: EventLog,
         metrics: Metrics,
@@ -63,6 +67,7 @@
         self._block_tokens = block_tokens
         self._store = store
         self._relay = relay
+        self._once = once
         self._limiter = limiter
         self._events = events
         self._metrics = metrics
@@ -191,6 +196,7 @@
             max_tokens=request.max_tokens,
             started=now,
             deadline=now + contract.deadline_ms(request_class) / 1000,
+            answer_timeout_s=self._cfg.answer_timeout_s,
             prompt_for=prompt_for,
         )
 
@@ -214,9 +220,13 @@
     ) -> None:
         route = self._route(contract, service_route(exchange.path))
         call = self._service_call(exchange, contract, request_id, route)
-        if not route.repeatable:
-            raise HttpError(501, "not_supported", "route is not repeatable")
-        await self._admitted(contract, 0, self._relay.whole, exchange, call)
+        if route.repeatable:
+            await self._admitted(contract, 0, self._relay.whole, exchange, call)
+            return
+        key = exchange.headers.get(headers.IDEMPOTENCY_KEY, "")
+        check_key(key)
+        call.idempotency_key = key
+        await self._admitted(contract, 0, self._once.answer, exchange, call)
 
     def _service_call(
         self,
@@ -245,6 +255,7 @@
             body=exchange.body,
             started=now,
             deadline=now + contract.short_deadline_ms / 1000,
+            answer_timeout_s=(contract.short_deadline_ms + route.timeout_ms) / 1000,
             prompt_for=lambda version: prompt,
         )
 
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -66,12 +66,17 @@
         HttpError
             If no attempt delivered a whole answer.
         """
+        answer, body = await self.fetch(call)
+        await respond_whole(exchange, call, answer, body)
+
+    async def fetch(self, call: Call) -> tuple[Answer, bytes]:
+        """Return a whole answer to a repeatable request; raises HttpError."""
         tries = Tries()
         outgoing = _outgoing(call, call.body)
         options = RequestOptions(
             connect_timeout_s=self._cfg.connect_timeout_s,
             idle_timeout_s=self._cfg.stream_idle_timeout_s,
-            head_timeout_s=self._cfg.answer_timeout_s,
+            head_timeout_s=call.answer_timeout_s,
         )
         while (target := self._dispatcher.next_target(call, tries)) is not None:
             try:
@@ -83,8 +88,7 @@
                 if not self._dispatcher.note_failure(tries, target, exc):
                     break
                 continue
-            await respond_whole(exchange, call, answer, body)
-            return
+            return answer, body
         raise tries.error()
 
     async def stream(self, exchange: Exchange, call: Call) -> None:
--- a/src/foxtailcourse/entry/_stream.py
+++ b/src/foxtailcourse/entry/_stream.py
@@ -91,7 +91,7 @@
         Number of the first event; above 0 when the attempt continues a stream.
     """
 
-    def __init__(self, attempt_id: str, first_id: int) -> None:
+    def __init__(self, attempt_id: str, first_id: int = 0) -> None:
         self._attempt_id = attempt_id
         self._next_id = first_id
         self.ended = False
--- a/src/foxtailcourse/entry/_upstream.py
+++ b/src/foxtailcourse/entry/_upstream.py
@@ -15,7 +15,8 @@
 )
 from foxtailcourse.protocol import Attempt, FieldError, Reply, Verdict
 
-REFUSAL_STATUSES = frozenset({429, 503})
+# 502: the agent could not connect to the service beside it.
+REFUSAL_STATUSES = frozenset({429, 502, 503})
 
 
 class AttemptError(Exception):
--- /dev/null
+++ b/tests/entry/test_streams.py
@@ -0,0 +1,360 @@
+import contextlib
+import random
+
+import msgspec
+import testtools
+import trio
+from testtools.matchers import Contains, Equals
+
+from entry_support import FakeAgent, chunk, running_entry, serve_whole
+from foxtailcourse.entry import _relay
+from foxtailcourse.entry._stream import StreamChecker, StreamError
+from foxtailcourse.http import SseEvent, SseParser, format_sse
+from support import AsyncTestCase
+
+
+def events_of(body):
+    return list(SseParser().feed(body))
+
+
+def is_complete(body, count):
+    """Whether a caller's stream holds each event once, in order, and a clean end."""
+    events = events_of(body)
+    expected = [SseEvent(chunk(i), id=str(i)) for i in range(count)]
+    return events == [*expected, SseEvent("[DONE]")]
+
+
+def is_marked_broken(body):
+    """Whether a caller's stream ends with an error event and no clean end."""
+    events = events_of(body)
+    return bool(events) and events[-1].event == "error" and b"[DONE]" not in body
+
+
+def first_then(fault, *, times=1):
+    """Return a script whose first attempts fail, whichever agent gets them."""
+    made = []
+
+    async def script(agent, exchange, attempt):
+        made.append(agent.vm)
+        if len(made) <= times:
+            await fault(agent, exchange, attempt)
+        else:
+            await serve_whole(agent, exchange, attempt)
+
+    return script
+
+
+async def cut(agent, exchange, attempt):
+    await agent.start(exchange, attempt)
+    await agent.tokens(exchange, range(3))
+    exchange.abort()
+
+
+async def gap(agent, exchange, attempt):
+    await agent.start(exchange, attempt)
+    await agent.tokens(exchange, [0, 1, 3])
+    await agent.end(exchange, attempt, 3)
+
+
+async def duplicate(agent, exchange, attempt):
+    await agent.start(exchange, attempt)
+    await agent.tokens(exchange, [0, 1, 1])
+    await agent.end(exchange, attempt, 3)
+
+
+async def reordered(agent, exchange, attempt):
+    await agent.start(exchange, attempt)
+    await agent.tokens(exchange, [0, 2, 1])
+    await agent.end(exchange, attempt, 3)
+
+
+async def crossed_end(agent, exchange, attempt):
+    await agent.start(exchange, attempt)
+    await agent.tokens(exchange, range(5))
+    await agent.end(exchange, attempt, 5, attempt_id="other")
+
+
+async def no_end(agent, exchange, attempt):
+    await agent.start(exchange, attempt)
+    await agent.tokens(exchange, range(5))
+    await exchange.end_stream()
+
+
+async def error_event(agent, exchange, attempt):
+    await agent.start(exchange, attempt)
+    await agent.tokens(exchange, range(2))
+    await exchange.send(format_sse(SseEvent("{}", event="error")))
+    exchange.abort()
+
+
+async def crossed_reply(agent, exchange, attempt):
+    await agent.start(exchange, attempt, attempt_id="other")
+    await agent.tokens(exchange, range(5))
+    await agent.end(exchange, attempt, 5)
+
+
+FAULTS = [cut, gap, duplicate, reordered, crossed_end, no_end, error_event]
+
+
+class TestStreams(AsyncTestCase):
+    """Guards invariants 2 and 4: whole streams in order, or an explicit error."""
+
+    def stream(self, script, check, n_agents=3, **settings):
+        async def main():
+            agents = [FakeAgent(f"w{i}", script=script) for i in range(n_agents)]
+            async with running_entry(agents, **settings) as entry:
+                await check(entry, agents)
+
+        self.run_async(main)
+
+    def test_each_fault_is_hidden_by_a_continuation(self):
+        for fault in [*FAULTS, crossed_reply]:
+
+            async def check(entry, agents, fault=fault):
+                status, _, body = await entry.chat(max_tokens=5)
+                self.assertThat(status, Equals(200))
+                self.assertTrue(is_complete(body, 5), (fault.__name__, body))
+
+            self.stream(first_then(fault), check)
+
+    def test_stream_that_no_server_completes_is_marked_broken(self):
+        for fault in FAULTS:
+
+            async def check(entry, agents, fault=fault):
+                body = await read_cut(entry)
+                self.assertTrue(is_marked_broken(body), (fault.__name__, body))
+
+            self.stream(fault, check, n_agents=1)
+
+    def test_removing_the_check_breaks_the_stream(self):
+        """The switch: without the checker, faults reach the caller as clean ends."""
+
+        class Trusting(StreamChecker):
+            def check(self, event):
+                self.ended = True
+                return not event.event
+
+        async def check(entry, agents):
+            _, _, body = await entry.chat(max_tokens=5)
+            self.assertThat(body, Contains(b"[DONE]"))
+            self.assertFalse(is_complete(body, 5))
+
+        self.patch(_relay, "StreamChecker", Trusting)
+        for fault in (gap, duplicate, reordered):
+            self.stream(first_then(fault), check)
+
+    def test_continuation_carries_the_delivered_text_and_version(self):
+        async def check(entry, agents):
+            await entry.chat(max_tokens=5)
+            tried = [each for each in agents if each.attempts]
+            self.assertThat(len(tried), Equals(2))
+            resumed = next(each for each in tried if each.attempts[0].resume_from == 3)
+            body = msgspec.json.decode(resumed.bodies[0])
+            self.assertThat(body["foxtail_resume_text"], Equals("t0 t1 t2 "))
+
+        self.stream(first_then(cut), check)
+
+    def test_other_weights_version_does_not_continue_a_stream(self):
+        async def main():
+            agents = [FakeAgent("w1"), FakeAgent("w2")]
+
+            async def cut_and_update_the_other(agent, exchange, attempt):
+                other = agents[1 - agents.index(agent)]
+                other.version = "v2"
+                await cut(agent, exchange, attempt)
+
+            for each in agents:
+                each.script = first_then(cut_and_update_the_other)
+            agents[1].script = agents[0].script
+            async with running_entry(agents) as entry:
+                body = await read_cut(entry)
+                self.assertTrue(is_marked_broken(body), body)
+                self.assertThat(len(agents[0].attempts), Equals(1))
+                self.assertThat(len(agents[1].attempts), Equals(1))
+
+        self.run_async(main)
+
+    def test_cut_at_each_byte(self):
+        """A stream cut after any number of bytes is continued or marked broken."""
+
+        async def check_at(limit):
+            async with trio.open_nursery() as nursery:
+                whole = [FakeAgent("w1"), FakeAgent("w2")]
+                async with running_entry(whole) as entry:
+                    cutter = Cutter(limit)
+                    for each in whole:
+                        await cutter.put_before(nursery, entry, each)
+                    status, _, body = await entry.chat(max_tokens=2)
+                    self.assertThat(status, Equals(200))
+                    self.assertTrue(is_complete(body, 2), (limit, body))
+                nursery.cancel_scope.cancel()
+
+        async def main():
+            for limit in range(0, 1000, 7):
+                await check_at(limit)
+
+        self.run_async(main)
+
+    def test_caller_gone_cancels_the_attempt(self):
+        gone = trio.Event()
+
+        async def endless(agent, exchange, attempt):
+            await agent.start(exchange, attempt)
+            try:
+                for each in range(10**9):
+                    await agent.tokens(exchange, [each])
+                    await trio.sleep(0.001)
+            finally:
+                gone.set()
+
+        async def check(entry, agents):
+            value = {"model": "guide", "messages": [{"role": "user"}], "stream": True}
+            async with entry.open("POST", "/v1/chat/completions", value) as response:
+                await anext(response.iter_chunks())
+                raise trio.BrokenResourceError
+
+        async def checked(entry, agents):
+            try:
+                await check(entry, agents)
+            except trio.BrokenResourceError:
+                await gone.wait()
+
+        self.stream(endless, checked, n_agents=1)
+
+    def test_slow_caller_gets_no_clean_end(self):
+        async def flood(agent, exchange, attempt):
+            await agent.start(exchange, attempt)
+            for each in range(20_000):
+                event = SseEvent(chunk(each) + " " * 1000, id=str(each))
+                await exchange.send(format_sse(event))
+            await agent.end(exchange, attempt, 20_000)
+
+        async def check(entry, agents):
+            value = {"model": "guide", "messages": [{"role": "user"}], "stream": True}
+            async with entry.open("POST", "/v1/chat/completions", value) as response:
+                while entry.app.status()["active"]:
+                    await trio.sleep(0.01)
+                body = b""
+                try:
+                    async for piece in response.iter_chunks():
+                        body += piece
+                except Exception:
+                    body += b" cut"
+                self.assertThat(body[-4:], Equals(b" cut"))
+                self.assertThat(b"[DONE]" in body, Equals(False))
+                raise trio.BrokenResourceError
+
+        async def checked(entry, agents):
+            with contextlib.suppress(trio.BrokenResourceError):
+                await check(entry, agents)
+
+        self.stream(flood, checked, n_agents=1, send_timeout_s=0.1)
+
+
+async def read_cut(entry):
+    """Return the body of a stream, whole or cut."""
+    value = {
+        "model": "guide",
+        "messages": [{"role": "user", "content": "ciao"}],
+        "stream": True,
+        "max_tokens": 5,
+    }
+    body = b""
+    try:
+        async with entry.open("POST", "/v1/chat/completions", value) as response:
+            async for piece in response.iter_chunks():
+                body += piece
+    except Exception:
+        return body
+    return body
+
+
+class Cutter:
+    """A proxy before all agents that cuts the first connection after some bytes."""
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.cut = False
+
+    async def put_before(self, nursery, entry, agent):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        target = agent.address
+        nursery.start_soon(trio.serve_listeners, self._serve(target), listeners)
+        port = listeners[0].socket.getsockname()[1]
+        vm = entry.store.view.vms[agent.vm]
+        record = entry.store.get(f"vms/{agent.vm}")
+        body = record.body | {"listen": {"host": "127.0.0.1", "port": port}}
+        changed = type(record)(key=record.key, generation=2, write_id="w", body=body)
+        entry.store.merge([changed])
+        assert vm.listen == target
+
+    def _serve(self, target):
+        async def serve(stream):
+            async with (
+                stream,
+                await trio.open_tcp_stream(target.host, target.port) as agent,
+            ):
+                limit = None if self.cut else self.limit
+                self.cut = True
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._copy, stream, agent, None, nursery)
+                    await self._copy(agent, stream, limit, nursery)
+
+        return serve
+
+    async def _copy(self, source, sink, limit, nursery):
+        left = limit
+        try:
+            async for piece in source:
+                if left is not None:
+                    piece = piece[:left]
+                    left -= len(piece)
+                if piece:
+                    await sink.send_all(piece)
+                if left == 0:
+                    break
+        except trio.BrokenResourceError:
+            pass
+        nursery.cancel_scope.cancel()
+
+
+class TestStreamChecker(testtools.TestCase):
+    """Guards against a stream that is taken for whole though events are missing."""
+
+    def test_any_change_of_a_whole_stream_is_detected(self):
+        for seed in range(500):
+            rng = random.Random(seed)
+            count = rng.randint(1, 12)
+            end = msgspec.json.encode({"count": count, "attempt_id": "a"}).decode()
+            whole = [SseEvent(chunk(i), id=str(i)) for i in range(count)]
+            whole.append(SseEvent(end, event="end"))
+            changed = list(whole)
+            for _ in range(rng.randint(1, 3)):
+                action = rng.choice(("drop", "repeat", "swap"))
+                at = rng.randrange(len(changed)) if changed else 0
+                if not changed:
+                    break
+                if action == "drop":
+                    del changed[at]
+                elif action == "repeat":
+                    changed.insert(at, changed[at])
+                else:
+                    other = rng.randrange(len(changed))
+                    changed[at], changed[other] = changed[other], changed[at]
+            taken = []
+            checker = StreamChecker("a")
+            # Pieces of random size also check the reassembly of events.
+            data = b"".join(format_sse(each) for each in changed)
+            parser = SseParser()
+            try:
+                while data:
+                    size = rng.randint(1, 40)
+                    for event in parser.feed(data[:size]):
+                        if checker.check(event):
+                            taken.append(event)
+                    data = data[size:]
+            except StreamError:
+                pass
+            self.assertThat(taken, Equals(whole[: len(taken)]), f"seed {seed}")
+            if checker.ended:
+                self.assertThat(taken, Equals(whole[:-1]), f"seed {seed}")
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -13,6 +13,7 @@
 from foxtailcourse.http import ConnectionPool, HttpLimits, HttpServer, SseEvent
 from foxtailcourse.http import format_sse as format_event
 from foxtailcourse.observe import EventLog, HybridClock, Metrics
+from foxtailcourse.platform import KeyValue, PlatformError, RangeResult, TxnResult
 from foxtailcourse.process import Daemon, ProcessSettings
 from foxtailcourse.protocol import Attempt, LoadReport, Reply, Verdict
 from foxtailcourse.routing import PlacementSettings
@@ -39,6 +40,57 @@
     return msgspec.json.encode({"choices": [{"index": 0, "delta": delta}]}).decode()
 
 
+class FakeKeyValue:
+    """Transactions and reads in memory, with faults that a test switches on.
+
+    ``faults`` holds one entry for each coming call: ``"down"`` fails without effect,
+    ``"lost"`` loses the answer of a write that took effect, ``"late"`` delays the
+    effect of a write until after the next call, None does nothing.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.faults = []
+        self.calls = 0
+        self._late = []
+
+    def _next_fault(self):
+        self.calls += 1
+        late, self._late = self._late, []
+        for put in late:
+            self.items.setdefault(put.key, put.value)
+        return self.faults.pop(0) if self.faults else None
+
+    async def txn(self, compare, put=(), delete=()):
+        fault = self._next_fault()
+        if fault == "down":
+            raise PlatformError("down", may_have_applied=False)
+        if fault == "late":
+            self._late = list(put)
+            raise PlatformError("late", may_have_applied=True)
+        held = [each for each in compare if each in self.items]
+        if not held:
+            self.items.update({each.key: each.value for each in put})
+        if fault == "lost":
+            raise PlatformError("lost", may_have_applied=True)
+        current = [
+            KeyValue(key=each, value=self.items[each], mod_revision=1) for each in held
+        ]
+        return TxnResult(succeeded=not held, revision=1, current=tuple(current))
+
+    async def range(self, *prefixes):
+        late, self._late = self._late, []
+        if self._next_fault() == "down":
+            raise PlatformError("down", may_have_applied=False)
+        self._late = late
+        found = [
+            KeyValue(key=key, value=value, mod_revision=1)
+            for key, value in self.items.items()
+            if key.startswith(prefixes)
+        ]
+        return RangeResult(revision=1, items=tuple(found))
+
+
 class FakeAgent:
     """Answers as the script says; the default script serves whole answers."""
 
@@ -110,6 +162,7 @@
     store: ConfigStore
     address: Address
     pool: ConnectionPool
+    revisions: list
 
     @asynccontextmanager
     async def open(self, method, target, value=None, *, key=KEY, body=None, **fields):
@@ -168,10 +221,10 @@
 
 
 @asynccontextmanager
-async def running_entry(agents, contract=None, store=None, **settings):
+async def running_entry(agents, contract=None, claims=None, **settings):
     """Run agents and an entry whose configuration lists them."""
     async with running_agents(agents):
-        store = store or ConfigStore()
+        store = ConfigStore()
         store.merge([agent_record(each) for each in agents])
         store.merge(
             [
@@ -188,10 +241,18 @@
         events = EventLog("test", HybridClock(time.time))
         daemon = Daemon(process_cfg, events, Metrics(), trio.Event())
         cfg = EntrySettings(listen=local, **settings)
-        app = EntryApp(daemon, cfg, PlacementSettings(), store)
+        seen = []
+        app = EntryApp(
+            daemon,
+            cfg,
+            PlacementSettings(),
+            store,
+            claims or FakeKeyValue(),
+            lambda revision, vm: seen.append((revision, vm)),
+        )
         async with trio.open_nursery() as nursery:
             await nursery.start(app.run)
             pool = ConnectionPool()
-            yield RunningEntry(app, daemon, store, app.address, pool)
+            yield RunningEntry(app, daemon, store, app.address, pool, seen)
             await pool.aclose()
             nursery.cancel_scope.cancel()
