Refuse a key that expires between its check and its run

Cause: the issuer checks a key at one time and the outcome table decides at a later one; a process frozen in between, or a key at its last microsecond, found its outcome forgotten and ran a second time. Ruled out: passing one time through; a freeze would still make it stale. Change: begin() answers UNKNOWN at or past the expiry. Figures: the new test runs the key twice before the change, once after. Conclusion: at most once holds across the expiry.

--- a/src/foxtailcourse/idempotency/_outcomes.py
+++ b/src/foxtailcourse/idempotency/_outcomes.py
@@ -125,6 +125,10 @@
         decision = self.look(ident, fingerprint, now)
         if decision is not Decision.RUN:
             return decision
+        if now >= expires_at:
+            # The key may have expired since the issuer checked it, and its outcome
+            # was then forgotten.
+            return Decision.UNKNOWN
         self._remember(ident, _Outcome(_State.RUNNING, fingerprint, expires_at))
         return Decision.RUN
 
--- a/tests/idempotency/test_outcomes.py
+++ b/tests/idempotency/test_outcomes.py
@@ -127,3 +127,17 @@
         self.assertThat(table.kept_bytes, Equals(0))
         table.finish(b"b", make_response(), 12.0)
         self.assertThat(len(table), Equals(0))
+
+
+class TestExpiryDuringCall(testtools.TestCase):
+    """Guards against a second run of a key that expires after it was checked."""
+
+    def test_key_that_expired_after_its_check_does_not_run_again(self):
+        issuer, table = KeyIssuer("a1", 60, 10), OutcomeTable(OutcomeLimits())
+        key = issuer.issue("teatro", 0.0)
+        checked = issuer.check(key, "teatro", 59.999)
+        first = table.begin(checked.ident, FINGERPRINT, checked.expires_at, 1.0)
+        self.assertThat(first, Equals(Decision.RUN))
+        table.finish(checked.ident, make_response(), 2.0)
+        second = table.begin(checked.ident, FINGERPRINT, checked.expires_at, 60.0)
+        self.assertThat(second, Equals(Decision.UNKNOWN))
