Render settings as reference tables

Cause: the settings page must come from the declarations, not be written twice. Change: render_reference beside render_sample.

--- a/src/foxtailcourse/settings/__init__.py
+++ b/src/foxtailcourse/settings/__init__.py
@@ -8,7 +8,7 @@
     section,
     setting,
 )
-from foxtailcourse.settings._load import load_settings, render_sample
+from foxtailcourse.settings._load import load_settings, render_reference, render_sample
 
 __all__ = [
     "Address",
@@ -16,6 +16,7 @@
     "SettingsErrors",
     "load_settings",
     "parse_address",
+    "render_reference",
     "render_sample",
     "section",
     "setting",
