Slice the limits by claims that the other entries acknowledged

Cause: an even slice leaves most of a limit unused when the demand is at one entry. Ruled out: slices computed from the latest reports alone; two entries with views of different age then use more than the whole. Change: an entry uses at most the lowest claim that a peer may still hold and what the peers' claims leave. The queue meters short work against the account's share. Service rates, floor and limits have no test of their own yet.

--- a/src/foxtailcourse/sharing/__init__.py
+++ b/src/foxtailcourse/sharing/__init__.py
@@ -1,14 +1,10 @@
 """Sharing of capacity by contract: fair queue, limits, retry budget."""
 
 from foxtailcourse.sharing._fair import FairQueue, QueueLimits
-from foxtailcourse.sharing._limits import (
-    AccountDemand,
-    AccountLimiter,
-    DemandSummary,
-    Grant,
-)
+from foxtailcourse.sharing._limits import AccountLimiter, Grant
 from foxtailcourse.sharing._rates import ServiceRates
 from foxtailcourse.sharing._retry import RetryBudget
+from foxtailcourse.sharing._slices import AccountDemand, DemandSummary
 from foxtailcourse.sharing._types import (
     Admission,
     QueuedRequest,
--- a/src/foxtailcourse/sharing/_fair.py
+++ b/src/foxtailcourse/sharing/_fair.py
@@ -7,9 +7,12 @@
 from foxtailcourse.protocol import RequestClass
 from foxtailcourse.sharing._flows import FlowQueue, Item
 from foxtailcourse.sharing._rates import ServiceRates
+from foxtailcourse.sharing._running import RunningSet
 from foxtailcourse.sharing._types import Admission, QueuedRequest, Refusal
+from foxtailcourse.sharing._usage import ShareMeter
 
-MIN_RETRY_AFTER_MS = 50
+MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS = 50, 60_000
+COMPACT_SLACK = 16
 
 
 @attrs.frozen(kw_only=True)
@@ -21,9 +24,15 @@
     slots : int
         Requests on the backend server at once.
     reserved_short_slots : int
-        Slots that long requests never use; 0 if there is only one slot.
+        Slots that long requests never use; must leave room for the floor.
     long_floor : float
-        Part of the capacity that long requests get while any is waiting.
+        Part of the capacity that long requests get while any is waiting, below 1.
+    short_burst_s : float
+        Seconds of its full share that an account's short requests may use in
+        advance before waiting long requests of other accounts go first.
+    max_debt_s : float
+        Most seconds of one slot that an account's long requests wait for what its
+        short requests used.
     max_waiting, max_waiting_per_account : int
         Most waiting requests.
     max_long_prefill_tokens : int
@@ -34,27 +43,37 @@
     slots: int = 8
     reserved_short_slots: int = 2
     long_floor: float = 0.2
+    short_burst_s: float = 5.0
+    max_debt_s: float = 30.0
     max_waiting: int = 1_000
     max_waiting_per_account: int = 500
     max_long_prefill_tokens: int = 16_000
 
-
-@attrs.define(eq=False)
-class _Running:
-    item: Item
-    started: float
-    prefill_end: float
+    def __attrs_post_init__(self) -> None:
+        long_slots = self.slots - self.reserved_short_slots
+        if self.slots < 1 or self.reserved_short_slots < 0 or long_slots < 1:
+            raise ValueError("at least one slot must be open to long requests")
+        if not 0.0 <= self.long_floor < 1.0:
+            raise ValueError("long_floor must be at least 0 and below 1")
+        if long_slots < self.long_floor * self.slots:
+            raise ValueError("reserved_short_slots leaves no room for long_floor")
 
 
 class FairQueue:
     """Implements ``RequestQueue`` by start-time fair queueing over accounts.
 
+    A request is charged the seconds of one slot that it is predicted to take, and
+    the charge is corrected when it finishes. Short requests go before long ones,
+    except that a long one goes first when the long class is owed its floor, or when
+    the next short request's account used more than its share and another account
+    waits with long work.
+
     Parameters
     ----------
     limits : QueueLimits
         Bounds.
     rates : ServiceRates
-        Start values of the service times.
+        Estimates of the service times.
     """
 
     def __init__(
@@ -63,16 +82,16 @@
         self.limits = limits or QueueLimits()
         self.rates = rates or ServiceRates()
         self._short, self._long = FlowQueue(), FlowQueue()
+        self._meter = ShareMeter(self.limits.slots, self.limits.short_burst_s)
+        self._running = RunningSet()
         self._waiting: dict[str, Item] = {}
-        self._running: dict[str, _Running] = {}
-        self._running_long = 0
         self._long_credit_s = 0.0
         self._expired: dict[str, QueuedRequest] = {}
         self._deadlines: list[tuple[float, str]] = []
 
     @property
     def waiting(self) -> int:
-        """Number of waiting requests."""
+        """Number of waiting requests, those that ``expire`` will return included."""
         return len(self._waiting) + len(self._expired)
 
     @property
@@ -81,29 +100,27 @@
         return len(self._running)
 
     def offer(self, request: QueuedRequest, now: float) -> Admission | Refusal:
-        """Take a request into the queue or refuse it."""
-        if request.attempt_id in self._waiting or request.attempt_id in self._running:
-            return Refusal(code="duplicate", retry_after_ms=MIN_RETRY_AFTER_MS)
-        flows = self._flows(request.request_class)
-        wait_s = self._wait_s(
-            request.request_class, request.client_account, request.share
-        )
+        """Take a request into the queue or refuse it.
+
+        Refusal codes are ``duplicate``, ``queue_full``, ``account_queue_full`` and
+        ``deadline``.
+        """
+        if self._knows(request.attempt_id):
+            return _refuse("duplicate", 0.0)
+        account = request.client_account
+        wait_s = self._wait_s(request.request_class, account, request.share, now)
         if len(self._waiting) >= self.limits.max_waiting:
-            return self._refusal("queue_full", wait_s)
-        flow = flows.flow(request.client_account)
-        if flow and len(flow.items) >= self.limits.max_waiting_per_account:
-            return self._refusal("account_queue_full", wait_s)
+            return _refuse("queue_full", wait_s)
+        if self._meter.waiting(account) >= self.limits.max_waiting_per_account:
+            return _refuse("account_queue_full", wait_s)
         prefill_s = self.rates.cost_s(request.uncached_tokens, 0)
-        idle = not self._waiting and not self._running
         left_s = request.deadline - now
-        if left_s <= 0 or (not idle and wait_s + prefill_s > left_s):
-            return self._refusal("deadline", wait_s + prefill_s - left_s)
+        if not self._can_make_it(wait_s + prefill_s, left_s):
+            return _refuse("deadline", wait_s + prefill_s - left_s)
+        # Estimates may be wrong by any factor; half of the time left stays usable.
         latest = max(request.deadline - prefill_s, now + left_s / 2)
         cost_s = self.rates.cost_s(request.uncached_tokens, request.expected_tokens)
-        item = Item(request, cost_s, latest)
-        self._waiting[request.attempt_id] = item
-        flows.add(item)
-        heapq.heappush(self._deadlines, (latest, request.attempt_id))
+        self._enqueue(Item(request, cost_s, latest), now)
         return Admission(predicted_start_s=wait_s)
 
     def take(self, now: float) -> QueuedRequest | None:
@@ -112,52 +129,48 @@
         if len(self._running) >= self.limits.slots:
             return None
         short, long = self._short.head(), self._startable_long(now)
-        if long is not None and (short is None or self._long_credit_s >= long.cost_s):
+        if long is not None and (
+            short is None or self._long_goes_first(short, long, now)
+        ):
             item = self._long.pop()
-            self._running_long += 1
-            self._long_credit_s -= item.cost_s
+            self._long_credit_s = max(0.0, self._long_credit_s - item.cost_s)
         elif short is not None:
             item = self._short.pop()
-            if self._long.size:
-                floor = self.limits.long_floor
-                self._long_credit_s += item.cost_s * floor / (1.0 - floor)
+            self._charge_short(item, now)
         else:
             return None
-        if not self._long.size:
-            self._long_credit_s = 0.0
-        req = item.request
-        del self._waiting[req.attempt_id]
-        prefill_s = self.rates.cost_s(req.uncached_tokens, 0)
-        self._running[req.attempt_id] = _Running(item, now, now + 2 * prefill_s)
-        return req
+        self._started(item, now)
+        return item.request
 
     def first_token(self, attempt_id: str, now: float) -> None:
-        """Note that the prompt of a started request is computed (optional)."""
-        running = self._running.get(attempt_id)
-        if running is not None:
-            running.prefill_end = min(running.prefill_end, now)
+        """Note that the prompt of a started request is computed.
+
+        Optional; it lets the next long prompt start earlier.
+        """
+        self._running.first_token(attempt_id)
 
     def finish(self, attempt_id: str, generated_tokens: int, now: float) -> None:
-        """Note that a started request ended."""
-        running = self._running.pop(attempt_id, None)
-        if running is None:
+        """Note that a started request ended; an unknown one is ignored."""
+        started = self._running.finish(attempt_id)
+        if started is None:
             return
-        req = running.item.request
-        if req.request_class is RequestClass.LONG:
-            self._running_long -= 1
-        self.rates.observe(req.uncached_tokens, generated_tokens, now - running.started)
+        req = started.item.request
         real_s = self.rates.cost_s(req.uncached_tokens, generated_tokens)
-        flows = self._flows(req.request_class)
-        flows.correct(req.client_account, real_s - running.item.cost_s)
+        difference_s = real_s - started.item.cost_s
+        self.rates.observe(req.uncached_tokens, generated_tokens, now - started.started)
+        self._correct(req, difference_s, now)
+        if not self._running and not self._waiting:
+            self._short.reset()
+            self._long.reset()
 
     def withdraw(self, attempt_id: str, now: float) -> bool:
         """Remove a waiting request, for example when its caller is gone."""
         if self._expired.pop(attempt_id, None) is not None:
             return True
-        item = self._waiting.pop(attempt_id, None)
+        item = self._waiting.get(attempt_id)
         if item is None:
             return False
-        self._flows(item.request.request_class).remove(item)
+        self._remove(item, now)
         return True
 
     def expire(self, now: float) -> list[QueuedRequest]:
@@ -168,46 +181,145 @@
         return expired
 
     def predicted_wait_s(self, request_class: RequestClass, now: float) -> float:
-        """Return the predicted wait of a new request, in seconds."""
-        return self._wait_s(request_class, "", 1.0)
+        """Return the predicted wait of a new request, in seconds.
+
+        The request counts as last of its class, whatever its account.
+        """
+        return self._wait_s(request_class, None, 0.0, now)
+
+    def next_event(self, now: float) -> float | None:
+        """Return when ``take`` or ``expire`` may next give something by time alone.
+
+        None if only another call can change that.
+        """
+        times = [time for time, _ in self._deadlines[:1]]
+        prefill_end = self._running.next_prefill_end() if self._long.size else None
+        if prefill_end is not None:
+            times.append(prefill_end)
+        return max(now, min(times)) if times else None
+
+    def _knows(self, attempt_id: str) -> bool:
+        known = (self._waiting, self._running, self._expired)
+        return any(attempt_id in each for each in known)
 
     def _flows(self, request_class: RequestClass) -> FlowQueue:
         return self._short if request_class is RequestClass.SHORT else self._long
 
+    def _can_make_it(self, first_token_s: float, left_s: float) -> bool:
+        # An idle server takes any request, so that wrong estimates get corrected.
+        idle = not self._waiting and not self._running
+        return left_s > 0.0 and (idle or first_token_s <= left_s)
+
+    def _enqueue(self, item: Item, now: float) -> None:
+        req = item.request
+        self._waiting[req.attempt_id] = item
+        self._flows(req.request_class).add(item)
+        self._meter.enter(req.client_account, req.share, now)
+        heapq.heappush(self._deadlines, (item.latest_start, req.attempt_id))
+        if len(self._deadlines) > 2 * len(self._waiting) + COMPACT_SLACK:
+            self._deadlines = [
+                (each.latest_start, each.request.attempt_id)
+                for each in self._waiting.values()
+            ]
+            heapq.heapify(self._deadlines)
+
+    def _remove(self, item: Item, now: float) -> None:
+        req = item.request
+        del self._waiting[req.attempt_id]
+        self._flows(req.request_class).remove(item)
+        self._meter.leave(req.client_account, now)
+        self._limit_credit()
+
     def _startable_long(self, now: float) -> Item | None:
         limits = self.limits
-        if self._running_long >= max(1, limits.slots - limits.reserved_short_slots):
+        if self._running.long >= self._long_slots:
             return None
         item = self._long.head()
         if item is None:
             return None
-        computing = sum(
-            each.item.request.uncached_tokens
-            for each in self._running.values()
-            if each.item.request.request_class is RequestClass.LONG
-            and each.prefill_end > now
-        )
+        computing = self._running.long_prefill_tokens(now)
         total = computing + item.request.uncached_tokens
-        if computing and total > limits.max_long_prefill_tokens:
-            return None
-        return item
+        blocked = computing > 0 and total > limits.max_long_prefill_tokens
+        return None if blocked else item
+
+    def _long_goes_first(self, short: Item, long: Item, now: float) -> bool:
+        owed = self._long_credit_s >= long.cost_s and self.limits.long_floor > 0.0
+        account = short.request.client_account
+        other = account != long.request.client_account
+        return owed or (other and self._meter.over_share(account, now))
+
+    def _charge_short(self, item: Item, now: float) -> None:
+        req = item.request
+        self._meter.charge(req.client_account, req.share, item.cost_s, now)
+        if not self._long.size:
+            return
+        limits = self.limits
+        self._long.charge(req.client_account, req.share, item.cost_s, limits.max_debt_s)
+        if self._running.long < self._long_slots:
+            floor = limits.long_floor
+            self._long_credit_s += item.cost_s * floor / (1.0 - floor)
+            self._limit_credit()
+
+    def _limit_credit(self) -> None:
+        # At most one long request is owed, whichever is next.
+        head = self._long.head()
+        self._long_credit_s = min(self._long_credit_s, head.cost_s) if head else 0.0
 
-    def _wait_s(self, request_class: RequestClass, account: str, share: float) -> float:
+    def _started(self, item: Item, now: float) -> None:
+        req = item.request
+        del self._waiting[req.attempt_id]
+        self._meter.leave(req.client_account, now)
+        self._running.start(item, self.rates.cost_s(req.uncached_tokens, 0), now)
+        self._limit_credit()
+
+    def _correct(self, req: QueuedRequest, difference_s: float, now: float) -> None:
+        charge = (req.client_account, req.share, difference_s)
+        short = req.request_class is RequestClass.SHORT
+        if short:
+            self._meter.charge(*charge, now)
+            self._short.charge(*charge, self.limits.max_debt_s)
+        if not short or self._long.size:
+            self._long.charge(*charge, self.limits.max_debt_s)
+
+    def _wait_s(
+        self,
+        request_class: RequestClass,
+        account: str | None,
+        share: float,
+        now: float,
+    ) -> float:
         flows = self._flows(request_class)
-        if len(self._running) < self.limits.slots and not flows.size:
-            return 0.0
-        work_s = flows.work_before(account, share) if account else flows.work_s
-        return work_s / self.limits.slots
+        ahead_s = flows.work_before(account, share) if account else flows.work_s
+        full = len(self._running) >= self.limits.slots
+        if request_class is RequestClass.SHORT:
+            free_s = self._running.next_end_s(now, long=False) if full else 0.0
+            return free_s + self._short_wait_s(ahead_s)
+        at_cap = self._running.long >= self._long_slots
+        free_s = self._running.next_end_s(now, long=at_cap) if full or at_cap else 0.0
+        return free_s + self._long_wait_s(ahead_s)
 
-    def _refusal(self, code: str, wait_s: float) -> Refusal:
-        retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_s * 1000))
-        return Refusal(code=code, retry_after_ms=retry_after_ms)
+    @property
+    def _long_slots(self) -> int:
+        return self.limits.slots - self.limits.reserved_short_slots
+
+    def _short_wait_s(self, ahead_s: float) -> float:
+        wait_s = ahead_s / max(1, self.limits.slots - self._running.long)
+        return wait_s / (1.0 - self.limits.long_floor) if self._long.size else wait_s
+
+    def _long_wait_s(self, ahead_s: float) -> float:
+        wait_s = (ahead_s + self._short.work_s) / self._long_slots
+        floor = self.limits.long_floor * self.limits.slots
+        return min(wait_s, ahead_s / floor) if floor and ahead_s else wait_s
 
     def _collect_expired(self, now: float) -> None:
         while self._deadlines and self._deadlines[0][0] < now:
             _, attempt_id = heapq.heappop(self._deadlines)
             item = self._waiting.get(attempt_id)
             if item is not None and item.latest_start < now:
-                del self._waiting[attempt_id]
-                self._flows(item.request.request_class).remove(item)
+                self._remove(item, now)
                 self._expired[attempt_id] = item.request
+
+
+def _refuse(code: str, wait_s: float) -> Refusal:
+    wait_ms = min(MAX_RETRY_AFTER_MS, wait_s * 1000.0)
+    return Refusal(code=code, retry_after_ms=max(MIN_RETRY_AFTER_MS, int(wait_ms)))
--- a/src/foxtailcourse/sharing/_flows.py
+++ b/src/foxtailcourse/sharing/_flows.py
@@ -1,6 +1,8 @@
 """Start-time fair queueing over client accounts, for one request class.
 
-Method: P. Goyal, H. M. Vin, H. Cheng, "Start-time Fair Queuing" (SIGCOMM 1996).
+Methods: P. Goyal, H. M. Vin, H. Cheng, "Start-time Fair Queuing" (SIGCOMM 1996);
+for several slots, W. Jin, J. Chase, J. Kaur, "Interposed Proportional Sharing for a
+Storage Service Utility" (SIGMETRICS 2004).
 """
 
 import heapq
@@ -11,6 +13,12 @@
 from foxtailcourse.sharing._types import QueuedRequest
 
 COMPACT_SLACK = 16
+MIN_WEIGHT, MAX_WEIGHT = 1e-3, 1e6
+
+
+def weight_of(share: float) -> float:
+    """Return a usable weight for the share of a contract, which may be 0."""
+    return min(MAX_WEIGHT, share) if share > MIN_WEIGHT else MIN_WEIGHT
 
 
 @attrs.define(eq=False)
@@ -50,6 +58,7 @@
     weight: float
     tag: float
     items: "OrderedDict[str, Item]" = attrs.field(factory=OrderedDict)
+    work_s: float = 0.0
     ticket: int = 0
 
 
@@ -75,17 +84,15 @@
     def add(self, item: Item) -> None:
         """Append a request to its account's flow."""
         req = item.request
-        flow = self._flows.get(req.client_account)
-        if flow is None:
-            flow = Flow(req.client_account, req.share, self.virtual_time)
-            self._flows[req.client_account] = flow
+        flow = self._ensure(req.client_account, req.share)
         if not flow.items:
-            flow.weight = req.share
+            flow.weight = weight_of(req.share)
             flow.tag = max(flow.tag, self.virtual_time)
             self._active += 1
             self.active_weight += flow.weight
             self._push(flow)
         flow.items[req.attempt_id] = item
+        flow.work_s += item.cost_s
         self.size += 1
         self.work_s += item.cost_s
 
@@ -108,31 +115,35 @@
         heapq.heappop(self._heap)
         self.virtual_time = max(self.virtual_time, flow.tag)
         flow.tag += item.cost_s / flow.weight
-        del flow.items[item.request.attempt_id]
+        self._drop(flow, item)
         if flow.items:
             self._push(flow)
-        self._removed(flow, item)
         self._forget_idle()
         return item
 
     def remove(self, item: Item) -> None:
         """Remove a waiting request that will not run; it is not charged."""
-        flow = self._flows[item.request.client_account]
-        del flow.items[item.request.attempt_id]
-        self._removed(flow, item)
+        self._drop(self._flows[item.request.client_account], item)
 
-    def correct(self, account: str, cost_s: float) -> None:
-        """Add a difference to what an account was charged."""
-        flow = self._flows.get(account)
-        if flow is None:
-            return
+    def charge(
+        self, account: str, share: float, cost_s: float, max_debt_s: float
+    ) -> None:
+        """Charge work that was done outside of this queue, or correct a charge.
+
+        The account's next start is at most ``max_debt_s`` of its own service behind
+        the virtual time for it.
+        """
+        flow = self._ensure(account, share)
         tag = max(self.virtual_time, flow.tag + cost_s / flow.weight)
+        limit = self.virtual_time + max_debt_s / flow.weight
+        tag = min(tag, max(flow.tag, limit))
         if tag != flow.tag:
             flow.tag = tag
             if flow.items:
                 self._push(flow)
-            else:
-                heapq.heappush(self._idle, (flow.tag, account))
+        if not flow.items:
+            heapq.heappush(self._idle, (flow.tag, account))
+            self._forget_idle()
 
     def work_before(self, account: str, share: float) -> float:
         """Return an upper bound of the work that starts before a new request.
@@ -143,10 +154,22 @@
         flow = self._flows.get(account)
         if flow is None:
             return 0.0
-        own = sum(item.cost_s for item in flow.items.values()) / flow.weight
-        lead = max(0.0, flow.tag - self.virtual_time) + own
-        others = self.active_weight if flow.items else self.active_weight + share
-        return min(self.work_s, lead * others)
+        lead = max(0.0, flow.tag - self.virtual_time) + flow.work_s / flow.weight
+        extra = 0.0 if flow.items else flow.weight
+        return min(self.work_s, lead * (self.active_weight + extra))
+
+    def reset(self) -> None:
+        """Forget all debts; only allowed while nothing waits."""
+        self._flows.clear()
+        self._heap.clear()
+        self._idle.clear()
+
+    def _ensure(self, account: str, share: float) -> Flow:
+        flow = self._flows.get(account)
+        if flow is None:
+            flow = Flow(account, weight_of(share), self.virtual_time)
+            self._flows[account] = flow
+        return flow
 
     def _push(self, flow: Flow) -> None:
         self._ticket += 1
@@ -157,10 +180,13 @@
             self._heap = [(each.tag, each.ticket, each.account) for each in flows]
             heapq.heapify(self._heap)
 
-    def _removed(self, flow: Flow, item: Item) -> None:
+    def _drop(self, flow: Flow, item: Item) -> None:
+        del flow.items[item.request.attempt_id]
+        flow.work_s -= item.cost_s
         self.size -= 1
         self.work_s -= item.cost_s
         if not flow.items:
+            flow.work_s = 0.0
             self._active -= 1
             self.active_weight -= flow.weight
             heapq.heappush(self._idle, (flow.tag, flow.account))
@@ -173,3 +199,7 @@
             flow = self._flows.get(account)
             if flow and not flow.items and flow.tag <= self.virtual_time:
                 del self._flows[account]
+        if len(self._idle) > 2 * len(self._flows) + COMPACT_SLACK:
+            idle = (each for each in self._flows.values() if not each.items)
+            self._idle = [(each.tag, each.account) for each in idle]
+            heapq.heapify(self._idle)
--- a/src/foxtailcourse/sharing/_limits.py
+++ b/src/foxtailcourse/sharing/_limits.py
@@ -1,13 +1,19 @@
 """Limits of client accounts, sliced over the entries by demand."""
 
+import math
 from collections.abc import Collection, Iterable
 
 import attrs
 
 from foxtailcourse.config import Contract
+from foxtailcourse.sharing._slices import DemandSummary, SliceTable
 from foxtailcourse.sharing._types import Refusal
 
-MIN_RETRY_AFTER_MS = 50
+MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS = 50, 60_000
+CONCURRENCY_RETRY_AFTER_S = 0.2
+DEMAND_DECAY_S = 3.0
+NO_DEMAND = 0.001
+MIN_MEASURE_S = 0.2
 
 
 @attrs.frozen(kw_only=True)
@@ -26,71 +32,87 @@
     tokens: int
 
 
-@attrs.frozen(kw_only=True)
-class AccountDemand:
-    """What one account asks for at one entry, refused requests included.
-
-    Parameters
-    ----------
-    requests_per_s, tokens_per_s : float
-        Smoothed rates.
-    """
-
-    requests_per_s: float
-    tokens_per_s: float
-
-
-@attrs.frozen(kw_only=True)
-class DemandSummary:
-    """What one entry reports to the others in ``Exchange``.
-
-    Parameters
-    ----------
-    entry : str
-        VM of the entry.
-    sequence : int
-        Increases with each summary of the entry's present process.
-    accounts : dict of str to AccountDemand
-        Accounts with demand.
-    """
-
-    entry: str
-    sequence: int = 0
-    accounts: dict[str, AccountDemand] = attrs.field(factory=dict)
-
-
 @attrs.define(eq=False)
 class _Account:
+    part: float
+    updated: float
+    contract: Contract | None = None
     requests: float = 0.0
     tokens: float = 0.0
-    updated: float = 0.0
     running: int = 0
+    asked_requests: int = 0
+    asked_tokens: int = 0
+    demand: float = 0.0
+
+    def refill(self, now: float, burst_s: float) -> None:
+        """Add what the buckets gained, up to their size."""
+        passed = max(0.0, now - self.updated)
+        self.updated = max(now, self.updated)
+        if self.contract is None:
+            return
+        rate = self.contract.requests_per_s * self.part
+        token_rate = self.contract.tokens_per_s * self.part
+        requests = self.requests + rate * passed
+        self.requests = min(requests, max(1.0, rate * burst_s))
+        self.tokens = min(self.tokens + token_rate * passed, token_rate * burst_s)
+
+    def measure(self, passed: float) -> None:
+        """Update the demand: it rises at once and decays slowly."""
+        contract = self.contract
+        if contract is None:
+            return
+        requests = self.asked_requests / passed / max(contract.requests_per_s, 1e-9)
+        tokens = self.asked_tokens / passed / max(contract.tokens_per_s, 1e-9)
+        decayed = self.demand * math.exp(-passed / DEMAND_DECAY_S)
+        self.demand = min(1.0, max(requests, tokens, decayed))
+        if self.demand < NO_DEMAND:
+            self.demand = 0.0
+        self.asked_requests = self.asked_tokens = 0
 
 
 class AccountLimiter:
     """Decides at one entry whether a contract allows a request now.
 
+    Call ``demand`` about once per second and send the result to the other entries;
+    pass what they send to ``set_shares``.
+
     Parameters
     ----------
     entry : str
         VM of this entry.
+    now : float
+        Start of the process; the buckets are empty then.
     burst_s : float
         Size of a bucket, in seconds of its rate.
+    first_sequence : int
+        Higher than any sequence of an earlier process of this entry, for example the
+        wall clock in milliseconds.
     """
 
-    def __init__(self, entry: str, *, burst_s: float = 1.0) -> None:
-        self.entry = entry
+    def __init__(
+        self,
+        entry: str,
+        now: float = 0.0,
+        *,
+        burst_s: float = 1.0,
+        first_sequence: int = 0,
+    ) -> None:
         self.burst_s = burst_s
-        self._entries: frozenset[str] = frozenset((entry,))
+        self._table = SliceTable(entry, first_sequence)
+        self._started = self._measured = now
         self._accounts: dict[str, _Account] = {}
 
     def set_entries(self, entries: Collection[str], now: float) -> None:
-        """Set the live entries by the VM list; this entry is always one of them."""
-        self._entries = frozenset(entries) | {self.entry}
+        """Set the live entries by the VM list; this entry always counts as one."""
+        self._table.set_entries(entries, now)
+        self._refresh(self._accounts, now)
 
     def admit(self, contract: Contract, tokens: int, now: float) -> Grant | Refusal:
         """Charge a request to its contract or refuse it.
 
+        A request that is larger than a full bucket is admitted when the bucket is
+        full and leaves it in debt.
+
         Parameters
         ----------
         contract : Contract
@@ -105,25 +127,21 @@
         Grant or Refusal
             The codes are ``concurrency``, ``requests_rate`` and ``tokens_rate``.
         """
-        account = self._accounts.setdefault(
-            contract.client_account, _Account(updated=now)
-        )
-        rate, token_rate = self._rates(contract)
-        passed = max(0.0, now - account.updated)
-        account.updated = max(now, account.updated)
-        account.requests = min(
-            max(1.0, rate * self.burst_s), account.requests + rate * passed
-        )
-        account.tokens = min(
-            token_rate * self.burst_s, account.tokens + token_rate * passed
-        )
+        account = self._account(contract.client_account, now)
+        account.contract = contract
+        account.refill(now, self.burst_s)
+        account.asked_requests += 1
+        account.asked_tokens += tokens
         if account.running >= contract.max_concurrent:
-            return Refusal(code="concurrency", retry_after_ms=MIN_RETRY_AFTER_MS)
+            return _refuse("concurrency", CONCURRENCY_RETRY_AFTER_S)
         if account.requests < 1.0:
-            return _refuse("requests_rate", (1.0 - account.requests) / rate)
-        if account.tokens < min(tokens, token_rate * self.burst_s):
-            missing = min(tokens, token_rate * self.burst_s) - account.tokens
-            return _refuse("tokens_rate", missing / token_rate)
+            rate = contract.requests_per_s * account.part
+            return _refuse("requests_rate", _time(1.0 - account.requests, rate))
+        token_rate = contract.tokens_per_s * account.part
+        needed = min(tokens, token_rate * self.burst_s)
+        if account.tokens < needed:
+            missing = needed - account.tokens
+            return _refuse("tokens_rate", _time(missing, token_rate))
         account.requests -= 1.0
         account.tokens -= tokens
         account.running += 1
@@ -138,20 +156,59 @@
         if not ran:
             account.requests += 1.0
             account.tokens += grant.tokens
+            account.refill(now, self.burst_s)
 
     def demand(self, now: float) -> DemandSummary:
         """Return the summary to send to the other entries."""
-        return DemandSummary(entry=self.entry)
+        passed = now - self._measured
+        if passed >= MIN_MEASURE_S:
+            self._measured = now
+            for account in self._accounts.values():
+                account.measure(passed)
+        demands = {k: v.demand for k, v in self._accounts.items() if v.demand > 0.0}
+        summary = self._table.summary(demands, now)
+        self._refresh(self._accounts, now)
+        self._forget(now)
+        return summary
 
     def set_shares(self, summaries: Iterable[DemandSummary], now: float) -> None:
-        """Take in summaries received from other entries."""
+        """Take in summaries received from other entries, in any order."""
+        taken = [each for each in summaries if self._table.receive(each, now)]
+        if taken:
+            self._refresh(self._accounts, now)
+
+    def part(self, client_account: str, now: float) -> float:
+        """Return the part of an account's limits that this entry may use now."""
+        return self._table.part(client_account, now)
+
+    def _account(self, name: str, now: float) -> _Account:
+        account = self._accounts.get(name)
+        if account is None:
+            part = self._table.part(name, now)
+            account = self._accounts[name] = _Account(part, self._started)
+        return account
+
+    def _refresh(self, accounts: Iterable[str], now: float) -> None:
+        for name in accounts:
+            account = self._accounts[name]
+            account.refill(now, self.burst_s)
+            account.part = self._table.part(name, now)
+            account.refill(now, self.burst_s)
+
+    def _forget(self, now: float) -> None:
+        for name, account in list(self._accounts.items()):
+            contract = account.contract
+            if contract is None or account.running or account.demand > 0.0:
+                continue
+            full = contract.tokens_per_s * account.part * self.burst_s
+            if account.tokens >= full and account.requests >= 1.0:
+                del self._accounts[name]
+
 
-    def _rates(self, contract: Contract) -> tuple[float, float]:
-        part = 1.0 / len(self._entries)
-        return contract.requests_per_s * part, contract.tokens_per_s * part
+def _time(missing: float, rate: float) -> float:
+    return missing / rate if rate > 0.0 else math.inf
 
 
 def _refuse(code: str, wait_s: float) -> Refusal:
-    return Refusal(
-        code=code, retry_after_ms=max(MIN_RETRY_AFTER_MS, int(wait_s * 1000))
-    )
+    wait_ms = min(MAX_RETRY_AFTER_MS, wait_s * 1000.0)
+    return Refusal(code=code, retry_after_ms=max(MIN_RETRY_AFTER_MS, int(wait_ms)))
