Test queue, limits and retry budget against naive versions

Ruled out: an exact prediction of the naive order, since ties may go either way; the naive model checks that each start has the lowest tag instead. A first come, first served queue and a small simulation serve as baselines.

--- a/src/foxtailcourse/sharing/__init__.py
+++ b/src/foxtailcourse/sharing/__init__.py
@@ -1,6 +1,7 @@
 """Sharing of capacity by contract: fair queue, limits, retry budget."""
 
 from foxtailcourse.sharing._fair import FairQueue, QueueLimits
+from foxtailcourse.sharing._fifo import FifoQueue
 from foxtailcourse.sharing._limits import AccountLimiter, Grant
 from foxtailcourse.sharing._rates import ServiceRates
 from foxtailcourse.sharing._retry import RetryBudget
@@ -18,6 +19,7 @@
     "Admission",
     "DemandSummary",
     "FairQueue",
+    "FifoQueue",
     "Grant",
     "QueueLimits",
     "QueuedRequest",
--- a/src/foxtailcourse/sharing/_fair.py
+++ b/src/foxtailcourse/sharing/_fair.py
@@ -6,7 +6,7 @@
 
 from foxtailcourse.protocol import RequestClass
 from foxtailcourse.sharing._flows import FlowQueue, Item
-from foxtailcourse.sharing._rates import ServiceRates
+from foxtailcourse.sharing._rates import ServiceRates, WaitScale
 from foxtailcourse.sharing._running import RunningSet
 from foxtailcourse.sharing._types import Admission, QueuedRequest, Refusal
 from foxtailcourse.sharing._usage import ShareMeter
@@ -84,6 +84,7 @@
         self._short, self._long = FlowQueue(), FlowQueue()
         self._meter = ShareMeter(self.limits.slots, self.limits.short_burst_s)
         self._running = RunningSet()
+        self._scales = {each: WaitScale() for each in RequestClass}
         self._waiting: dict[str, Item] = {}
         self._long_credit_s = 0.0
         self._expired: dict[str, QueuedRequest] = {}
@@ -108,19 +109,22 @@
         if self._knows(request.attempt_id):
             return _refuse("duplicate", 0.0)
         account = request.client_account
-        wait_s = self._wait_s(request.request_class, account, request.share, now)
+        unscaled_s = self._wait_s(request.request_class, account, request.share, now)
+        scale = self._scales[request.request_class]
+        wait_s = unscaled_s * scale.factor
         if len(self._waiting) >= self.limits.max_waiting:
             return _refuse("queue_full", wait_s)
         if self._meter.waiting(account) >= self.limits.max_waiting_per_account:
             return _refuse("account_queue_full", wait_s)
         prefill_s = self.rates.cost_s(request.uncached_tokens, 0)
         left_s = request.deadline - now
-        if not self._can_make_it(wait_s + prefill_s, left_s):
-            return _refuse("deadline", wait_s + prefill_s - left_s)
+        first_token_s = scale.safe_s(unscaled_s) + prefill_s
+        if not self._can_make_it(first_token_s, left_s):
+            return _refuse("deadline", first_token_s - left_s)
         # Estimates may be wrong by any factor; half of the time left stays usable.
         latest = max(request.deadline - prefill_s, now + left_s / 2)
         cost_s = self.rates.cost_s(request.uncached_tokens, request.expected_tokens)
-        self._enqueue(Item(request, cost_s, latest), now)
+        self._enqueue(Item(request, cost_s, latest, now, unscaled_s), now)
         return Admission(predicted_start_s=wait_s)
 
     def take(self, now: float) -> QueuedRequest | None:
@@ -145,9 +149,10 @@
     def first_token(self, attempt_id: str, now: float) -> None:
         """Note that the prompt of a started request is computed.
 
-        Optional; it lets the next long prompt start earlier.
+        Optional; it lets the next long prompt start earlier, and times of prefill
+        and decode are learned apart from each other.
         """
-        self._running.first_token(attempt_id)
+        self._running.first_token(attempt_id, now)
 
     def finish(self, attempt_id: str, generated_tokens: int, now: float) -> None:
         """Note that a started request ended; an unknown one is ignored."""
@@ -155,9 +160,16 @@
         if started is None:
             return
         req = started.item.request
-        real_s = self.rates.cost_s(req.uncached_tokens, generated_tokens)
-        difference_s = real_s - started.item.cost_s
-        self.rates.observe(req.uncached_tokens, generated_tokens, now - started.started)
+        # Both at the same rates, so that learning is not charged to the account.
+        difference_s = self.rates.cost_s(req.uncached_tokens, generated_tokens)
+        difference_s -= self.rates.cost_s(req.uncached_tokens, req.expected_tokens)
+        first = started.first_token
+        self.rates.observe(
+            req.uncached_tokens,
+            generated_tokens,
+            now - started.started,
+            None if first is None else first - started.started,
+        )
         self._correct(req, difference_s, now)
         if not self._running and not self._waiting:
             self._short.reset()
@@ -185,7 +197,8 @@
 
         The request counts as last of its class, whatever its account.
         """
-        return self._wait_s(request_class, None, 0.0, now)
+        wait_s = self._wait_s(request_class, None, 0.0, now)
+        return wait_s * self._scales[request_class].factor
 
     def next_event(self, now: float) -> float | None:
         """Return when ``take`` or ``expire`` may next give something by time alone.
@@ -212,9 +225,12 @@
 
     def _enqueue(self, item: Item, now: float) -> None:
         req = item.request
+        account = req.client_account
+        short = req.request_class is RequestClass.SHORT
+        first_short = short and self._short.flow(account) is None
+        self._meter.enter(account, req.share, now, first_short=first_short)
         self._waiting[req.attempt_id] = item
         self._flows(req.request_class).add(item)
-        self._meter.enter(req.client_account, req.share, now)
         heapq.heappush(self._deadlines, (item.latest_start, req.attempt_id))
         if len(self._deadlines) > 2 * len(self._waiting) + COMPACT_SLACK:
             self._deadlines = [
@@ -268,10 +284,15 @@
     def _started(self, item: Item, now: float) -> None:
         req = item.request
         del self._waiting[req.attempt_id]
+        self._observe_wait(item, now)
         self._meter.leave(req.client_account, now)
         self._running.start(item, self.rates.cost_s(req.uncached_tokens, 0), now)
         self._limit_credit()
 
+    def _observe_wait(self, item: Item, now: float) -> None:
+        scale = self._scales[item.request.request_class]
+        scale.observe(item.unscaled_wait_s, now - item.offered)
+
     def _correct(self, req: QueuedRequest, difference_s: float, now: float) -> None:
         charge = (req.client_account, req.share, difference_s)
         short = req.request_class is RequestClass.SHORT
@@ -317,6 +338,7 @@
             item = self._waiting.get(attempt_id)
             if item is not None and item.latest_start < now:
                 self._remove(item, now)
+                self._observe_wait(item, now)
                 self._expired[attempt_id] = item.request
 
 
--- a/src/foxtailcourse/sharing/_flows.py
+++ b/src/foxtailcourse/sharing/_flows.py
@@ -33,11 +33,17 @@
         Charge in seconds of one slot.
     latest_start : float
         Latest useful start, on the clock of ``now``.
+    offered : float
+        Time of the offer.
+    unscaled_wait_s : float
+        Predicted wait before the learned factor.
     """
 
     request: QueuedRequest
     cost_s: float
     latest_start: float
+    offered: float = 0.0
+    unscaled_wait_s: float = 0.0
 
 
 @attrs.define(eq=False)
--- a/src/foxtailcourse/sharing/_rates.py
+++ b/src/foxtailcourse/sharing/_rates.py
@@ -6,6 +6,9 @@
 GAIN = 0.1
 MAX_RATIO = 2.0
 BOUND = 1_000.0
+WAIT_GAIN = 0.05
+WAIT_FACTOR_RANGE = (0.5, 4.0)
+MIN_WAIT_S = 0.1
 
 
 class ServiceRates:
@@ -50,23 +53,76 @@
         )
 
     def observe(
-        self, uncached_tokens: int, generated_tokens: int, duration_s: float
+        self,
+        uncached_tokens: int,
+        generated_tokens: int,
+        duration_s: float,
+        first_token_s: float | None = None,
     ) -> None:
-        """Learn from the whole duration of one request."""
-        predicted = self.cost_s(uncached_tokens, generated_tokens)
-        if not self._learn or not 0.0 < duration_s < float("inf"):
+        """Learn from one request.
+
+        Parameters
+        ----------
+        uncached_tokens, generated_tokens : int
+            Its tokens.
+        duration_s : float
+            Time from start to end.
+        first_token_s : float or None
+            Time from start to first token, if known; the estimates of prefill and
+            decode are then learned apart from each other.
+        """
+        if first_token_s is None:
+            self._learn_from(uncached_tokens, generated_tokens, duration_s)
             return
-        ratio = min(MAX_RATIO, max(1.0 / MAX_RATIO, duration_s / predicted))
+        self._learn_from(uncached_tokens, 0, first_token_s)
+        self._learn_from(None, generated_tokens, duration_s - first_token_s)
+
+    def _learn_from(
+        self, uncached_tokens: int | None, generated_tokens: int, duration_s: float
+    ) -> None:
         terms = (
-            self.request_s,
-            uncached_tokens * self.prefill_s,
+            self.request_s if uncached_tokens is not None else 0.0,
+            (uncached_tokens or 0) * self.prefill_s,
             generated_tokens * self.decode_s,
         )
+        predicted = sum(terms)
+        usable = 0.0 < duration_s < float("inf") and predicted > 0.0
+        if not self._learn or not usable:
+            return
+        ratio = min(MAX_RATIO, max(1.0 / MAX_RATIO, duration_s / predicted))
         factors = [ratio ** (GAIN * term / predicted) for term in terms]
         self.request_s = _clip(self.request_s * factors[0], self._start[0])
         self.prefill_s = _clip(self.prefill_s * factors[1], self._start[1])
         self.decode_s = _clip(self.decode_s * factors[2], self._start[2])
 
 
+class WaitScale:
+    """Factor between real and predicted waits, and the usual relative error.
+
+    The prediction counts the work that waits now; requests of other accounts that
+    arrive later and start earlier make the real wait longer. Waits below MIN_WAIT_S
+    teach nothing. One observation changes the factor by at most 4% and the error by
+    at most 0.05.
+    """
+
+    def __init__(self) -> None:
+        self.factor = 1.0
+        self.error = 0.0
+
+    def safe_s(self, predicted_s: float) -> float:
+        """Return a wait that most requests don't exceed."""
+        return predicted_s * self.factor * (1.0 + self.error)
+
+    def observe(self, predicted_s: float, real_s: float) -> None:
+        """Learn from one start; ``predicted_s`` is without the factor."""
+        if predicted_s < MIN_WAIT_S or real_s <= 0.0:
+            return
+        ratio = real_s / (predicted_s * self.factor)
+        ratio = min(MAX_RATIO, max(1.0 / MAX_RATIO, ratio))
+        low, high = WAIT_FACTOR_RANGE
+        self.error += WAIT_GAIN * (abs(ratio - 1.0) - self.error)
+        self.factor = min(high, max(low, self.factor * ratio**WAIT_GAIN))
+
+
 def _clip(value: float, start: float) -> float:
     return min(start * BOUND, max(start / BOUND, value))
--- a/src/foxtailcourse/sharing/_usage.py
+++ b/src/foxtailcourse/sharing/_usage.py
@@ -33,9 +33,17 @@
         """Return the number of waiting requests of an account."""
         return self._active.get(account, (0, 0.0))[0]
 
-    def enter(self, account: str, share: float, now: float) -> None:
-        """Note one more waiting request."""
+    def enter(
+        self, account: str, share: float, now: float, *, first_short: bool
+    ) -> None:
+        """Note one more waiting request.
+
+        With ``first_short``, the account had no short request waiting; what it left
+        unused before is forgotten.
+        """
         self._advance(now)
+        if first_short and self._used.get(account, 0.0) < self._entitled:
+            self._used[account] = self._entitled
         count, weight = self._active.get(account, (0, weight_of(share)))
         if not count:
             self.active_weight += weight
@@ -59,11 +67,14 @@
         if not self._active:
             return
         self._advance(now)
-        used = max(self._entitled, self._used.get(account, 0.0))
+        used = self._used.get(account, self._entitled)
         self._used[account] = used + cost_s / weight_of(share)
         if len(self._used) > 2 * len(self._active) + SWEEP_SLACK:
-            ahead = {k: v for k, v in self._used.items() if v > self._entitled}
-            self._used = ahead
+            self._used = {
+                account: used
+                for account, used in self._used.items()
+                if used > self._entitled or account in self._active
+            }
 
     def over_share(self, account: str, now: float) -> bool:
         """Whether an account used more than its share and the burst."""
--- /dev/null
+++ b/tests/sharing/test_fair.py
@@ -0,0 +1,334 @@
+"""Guards against lost or doubled requests and against shares that are not kept."""
+
+import random
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from sharing_support import (
+    LONG,
+    SHORT,
+    NaiveFair,
+    backlog,
+    cost_s,
+    fixed_queue,
+    request,
+    run,
+    same_again,
+    service_s,
+)
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from foxtailcourse.sharing import FifoQueue, Refusal
+from foxtailcourse.sharing._flows import FlowQueue
+
+SHARES = {"a": 1.0, "b": 2.0, "c": 5.0}
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "offer", "take", "take", "finish", "withdraw"]),
+        st.sampled_from("abc"),
+        st.sampled_from([SHORT, LONG]),
+        st.integers(0, 2_000),
+    ),
+    max_size=120,
+)
+checked = settings(derandomize=True, deadline=None, max_examples=150)
+
+
+class TestAgainstNaiveModel(testtools.TestCase):
+    """Guards against an order that differs from fair queueing by linear scans."""
+
+    @checked
+    @given(steps, st.integers(1, 4))
+    def test_every_start_is_one_the_naive_model_allows(self, ops, slots):
+        queue = fixed_queue(
+            slots=slots,
+            reserved_short_slots=0,
+            long_floor=0.0,
+            short_burst_s=1e9,
+            max_debt_s=1e9,
+            max_long_prefill_tokens=10**9,
+        )
+        naive = NaiveFair()
+        for op, account, kind, size in ops:
+            if op == "offer":
+                req = request(account, kind, size, size // 10, SHARES[account])
+                queue.offer(req, 0.0)
+                naive.offer(req)
+            elif op == "take":
+                self.check_take(queue.take(0.0), naive, slots)
+            elif op == "finish" and naive.running:
+                attempt_id = sorted(naive.running)[size % len(naive.running)]
+                queue.finish(attempt_id, size // 5, 0.0)
+                naive.finish(attempt_id, size // 5)
+            elif op == "withdraw" and naive.waiting:
+                req = naive.waiting.pop(size % len(naive.waiting))
+                self.assertTrue(queue.withdraw(req.attempt_id, 0.0))
+            self.assertThat(queue.waiting, Equals(len(naive.waiting)))
+            self.assertThat(queue.running, Equals(len(naive.running)))
+
+    def check_take(self, taken, naive, slots):
+        if not naive.waiting or len(naive.running) >= slots:
+            self.assertIsNone(taken)
+            return
+        kind = SHORT if naive.of(SHORT) else LONG
+        self.assertThat(taken.request_class, Equals(kind))
+        tags = naive.tags[kind]
+        lowest = tags[naive.best(kind).client_account]
+        self.assertThat(tags[taken.client_account], LessThan(lowest + 1e-6))
+        self.assertThat(naive.of(kind, taken.client_account)[0], Equals(taken))
+        naive.start(taken)
+
+
+class TestEndings(testtools.TestCase):
+    """Guards against a request that is lost, ends twice or leaves a slot idle."""
+
+    @checked
+    @given(steps, st.integers(0, 2))
+    def test_every_request_ends_once_and_no_slot_idles(self, ops, reserved):
+        queue = fixed_queue(slots=4, reserved_short_slots=reserved, max_waiting=20)
+        ended, waiting, running, now = [], {}, {}, 0.0
+        for op, account, kind, size in ops:
+            now += size % 7 / 10
+            for late in queue.expire(now):
+                ended.append(waiting.pop(late.attempt_id))
+            if op == "offer":
+                deadline = now + size / 500
+                req = request(account, kind, size, 10, deadline=deadline)
+                answer = queue.offer(req, now)
+                refused = isinstance(answer, Refusal)
+                (
+                    ended.append(req)
+                    if refused
+                    else waiting.update({req.attempt_id: req})
+                )
+                self.assertIsInstance(queue.offer(req, now), Refusal)
+            elif op == "take":
+                taken = queue.take(now)
+                if taken is not None:
+                    running[taken.attempt_id] = waiting.pop(taken.attempt_id)
+                    self.assertThat(taken.deadline, GreaterThan(now - 1e-9))
+            elif op == "finish" and running:
+                attempt_id, req = running.popitem()
+                queue.finish(attempt_id, size, now)
+                queue.finish(attempt_id, size, now)
+                ended.append(req)
+            elif op == "withdraw" and waiting:
+                attempt_id, req = waiting.popitem()
+                self.assertTrue(queue.withdraw(attempt_id, now))
+                self.assertFalse(queue.withdraw(attempt_id, now))
+                ended.append(req)
+            self.assertThat(queue.waiting, Equals(len(waiting)))
+            self.assertThat(queue.running, Equals(len(running)))
+            self.assertThat(queue.waiting, LessThan(21))
+        while queue.waiting or queue.running:
+            now += 1.0
+            while (taken := queue.take(now)) is not None:
+                running[taken.attempt_id] = waiting.pop(taken.attempt_id)
+            for late in queue.expire(now):
+                ended.append(waiting.pop(late.attempt_id))
+            self.assertTrue(running or not waiting, "waiting work, but nothing runs")
+            for attempt_id in list(running):
+                queue.finish(attempt_id, 1, now)
+                ended.append(running.pop(attempt_id))
+        names = [each.attempt_id for each in ended]
+        self.assertThat(len(set(names)), Equals(len(names)))
+
+    def test_one_account_cannot_fill_the_queue(self):
+        queue = fixed_queue(max_waiting=10, max_waiting_per_account=4)
+        answers = [queue.offer(request("a"), 0.0) for _ in range(5)]
+        self.assertThat(answers[-1].code, Equals("account_queue_full"))
+        for _ in range(6):
+            self.assertNotIsInstance(queue.offer(request("b" + str(_)), 0.0), Refusal)
+        self.assertThat(queue.offer(request("c"), 0.0).code, Equals("queue_full"))
+
+
+def lag_over_bound(queue, costs, kind=SHORT):
+    """Return how far two busy accounts ever differ, in units of the proved bound."""
+    arrivals = []
+    for account, share in SHARES.items():
+        sizes = costs[account]
+        arrivals += [(0.0, request(account, kind, s, 5, share)) for s in sizes]
+    work = dict.fromkeys(SHARES, 0.0)
+    largest = {a: max(map(cost_s_of, costs[a])) / SHARES[a] for a in SHARES}
+    worst = 0.0
+    for _, req in arrivals:
+        queue.offer(req, 0.0)
+    left = {account: len(sizes) for account, sizes in costs.items()}
+    while all(left.values()):
+        taken = queue.take(0.0)
+        queue.finish(taken.attempt_id, taken.expected_tokens, 0.0)
+        left[taken.client_account] -= 1
+        work[taken.client_account] += cost_s(taken) / taken.share
+        for one in SHARES:
+            for other in SHARES:
+                if one != other:
+                    lag = abs(work[one] - work[other])
+                    worst = max(worst, lag / (largest[one] + largest[other]))
+    return worst
+
+
+def cost_s_of(uncached):
+    return cost_s(request("x", SHORT, uncached, 5))
+
+
+class TestShares(testtools.TestCase):
+    """Guards against an account that gets less than its share of the capacity."""
+
+    @checked
+    @given(
+        st.fixed_dictionaries(
+            {a: st.lists(st.integers(0, 9_000), min_size=5, max_size=60) for a in "abc"}
+        )
+    )
+    def test_busy_accounts_differ_by_one_request_each(self, costs):
+        queue = fixed_queue(slots=1, reserved_short_slots=0)
+        self.assertThat(lag_over_bound(queue, costs), LessThan(1.0 + 1e-6))
+
+    def test_first_come_first_served_breaks_the_bound(self):
+        costs = {"a": [9_000] * 20, "b": [100] * 20, "c": [100] * 20}
+        self.assertThat(lag_over_bound(FifoQueue(1), costs), GreaterThan(5.0))
+
+    def long_part(self, queue, long_share, short_share):
+        arrivals = backlog("office", LONG, 10, long_share)
+        arrivals += backlog("counter", SHORT, 40, short_share)
+        outcomes = run(queue, arrivals, 320.0)
+        return service_s(outcomes, 20.0, 320.0, "office") / (8 * 300)
+
+    def test_account_with_only_long_work_gets_its_share(self):
+        for long_share, short_share in ((1, 1), (1, 3), (2, 1)):
+            expected = long_share / (long_share + short_share)
+            part = self.long_part(fixed_queue(), long_share, short_share)
+            self.assertThat(part, GreaterThan(expected - 0.03))
+            self.assertThat(part, LessThan(expected + 0.03))
+
+    def test_without_the_meter_it_gets_only_the_floor(self):
+        queue = fixed_queue(short_burst_s=1e9)
+        self.assertThat(self.long_part(queue, 1, 1), LessThan(0.25))
+
+    def test_floor_holds_when_all_accounts_stay_within_their_shares(self):
+        def part(floor):
+            arrivals = []
+            for account in "abcd":
+                arrivals += backlog(account, SHORT, 12) + backlog(account, LONG, 4)
+            outcomes = run(fixed_queue(long_floor=floor), arrivals, 320.0)
+            return service_s(outcomes, 20.0, 320.0, kind=LONG) / (8 * 300)
+
+        self.assertThat(part(0.2), GreaterThan(0.19))
+        self.assertThat(part(0.2), LessThan(0.23))
+        self.assertThat(part(0.0), LessThan(0.05))
+
+    def test_generated_tokens_correct_the_charge(self):
+        def part(report):
+            queue = fixed_queue(slots=1, reserved_short_slots=0)
+            served = {"a": 0, "b": 0}
+            for account in "ab" * 50:
+                queue.offer(request(account, SHORT, 0, 10), 0.0)
+            for _ in range(40):
+                taken = queue.take(0.0)
+                long_answers = taken.client_account == "a" and report
+                queue.finish(taken.attempt_id, 40 if long_answers else 10, 0.0)
+                served[taken.client_account] += 1
+            return served["a"] / 40
+
+        self.assertThat(part(report=True), LessThan(0.25))
+        self.assertThat(part(report=False), Equals(0.5))
+
+
+class KeepsCredit(FlowQueue):
+    """Lets an account start from virtual time 0 after an idle time."""
+
+    def add(self, item):
+        saved, self.virtual_time = self.virtual_time, 0.0
+        super().add(item)
+        self.virtual_time = saved
+
+    def charge(self, account, share, cost_s, max_debt_s):
+        pass
+
+
+class TestLending(testtools.TestCase):
+    """Guards against a lent share that comes back late or as a burst of credit."""
+
+    def night(self, queue):
+        ledger = backlog("ledger", SHORT, 60)
+        counter = backlog("counter", SHORT, 60, at=3_600.0)
+        return run(queue, ledger + counter, 3_640.0)
+
+    def test_share_is_lent_at_night_and_back_within_seconds(self):
+        outcomes = self.night(fixed_queue())
+        lent = service_s(outcomes, 100.0, 3_600.0, "ledger") / (8 * 3_500)
+        self.assertThat(lent, GreaterThan(0.999))
+        first = next(o for o in outcomes if o.request.client_account == "counter")
+        self.assertThat(first.wait_s, LessThan(0.6))
+        back = service_s(outcomes, 3_602.0, 3_605.0, "counter") / (8 * 3)
+        self.assertThat(back, GreaterThan(0.45))
+        self.assertThat(back, LessThan(0.55))
+
+    def test_first_come_first_served_returns_it_late(self):
+        outcomes = self.night(FifoQueue(8))
+        first = next(o for o in outcomes if o.request.client_account == "counter")
+        self.assertThat(first.wait_s, GreaterThan(3.0))
+
+    def borrower_part(self, queue):
+        starts = []
+        for account in ["ledger"] * 400 + ["ledger", "counter"] * 60:
+            queue.offer(request(account), 0.0)
+            if account == "ledger" and len(starts) < 400:
+                starts.append(queue.take(0.0))
+                queue.finish(starts[-1].attempt_id, 20, 0.0)
+                queue.offer(request("ledger"), 0.0)
+        for _ in range(60):
+            starts.append(queue.take(0.0))
+            queue.finish(starts[-1].attempt_id, 20, 0.0)
+        return sum(each.client_account == "ledger" for each in starts[-60:]) / 60
+
+    def test_quiet_account_saved_no_credit(self):
+        self.assertThat(self.borrower_part(fixed_queue()), Equals(0.5))
+
+    def test_a_queue_that_saves_credit_locks_the_borrower_out(self):
+        queue = fixed_queue()
+        queue._short = KeepsCredit()
+        self.assertThat(self.borrower_part(queue), Equals(0.0))
+
+
+class TestShortBeforeLong(testtools.TestCase):
+    """Guards against short requests that wait behind long work."""
+
+    def short_waits(self, queue):
+        rng, now, arrivals = random.Random(7), 0.0, []
+        while now < 200.0:
+            now += rng.expovariate(4.0)
+            size = rng.randint(50, 600), rng.randint(5, 30)
+            account = rng.choice("abcdefgh")
+            arrivals.append((now, request(account, SHORT, *size, deadline=now + 30)))
+        for account in "abcdefgh":
+            arrivals += [(0.0, request(account, LONG, 8_000, 400)) for _ in range(2)]
+
+        def again(req, now):
+            return same_again(req, now) if req.request_class is LONG else None
+
+        outcomes = run(queue, arrivals, 200.0, again)
+        waits = [o.wait_s for o in outcomes if o.request.request_class is SHORT]
+        return sorted(waits)[int(len(waits) * 0.95)]
+
+    def test_short_requests_find_a_slot_beside_long_backlogs(self):
+        self.assertThat(self.short_waits(fixed_queue()), LessThan(0.5))
+
+    def test_without_reserved_slots_and_prefill_limit_they_wait(self):
+        queue = fixed_queue(reserved_short_slots=0, max_long_prefill_tokens=10**9)
+        self.assertThat(self.short_waits(queue), GreaterThan(2.0))
+
+    @checked
+    @given(steps)
+    def test_no_long_starts_while_a_short_of_the_account_waits(self, ops):
+        queue = fixed_queue(long_floor=0.0)
+        shorts = 0
+        for op, _, kind, size in ops:
+            if op == "offer":
+                queue.offer(request("a", kind, size), 0.0)
+                shorts += kind is SHORT
+            elif (taken := queue.take(0.0)) is not None:
+                self.assertTrue(taken.request_class is SHORT or not shorts)
+                shorts -= taken.request_class is SHORT
+                queue.finish(taken.attempt_id, 20, 0.0)
--- /dev/null
+++ b/tests/sharing/test_limits.py
@@ -0,0 +1,267 @@
+"""Guards against limits that several entries together exceed or leave unused."""
+
+import heapq
+import random
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from foxtailcourse.config import Contract
+from foxtailcourse.sharing import AccountLimiter, Grant, Refusal, RetryBudget
+from foxtailcourse.sharing._slices import SliceTable
+
+checked = settings(derandomize=True, deadline=None, max_examples=25)
+RATE, BURST_S, PERIOD_S, MAX_DELAY_S = 40.0, 1.0, 1.0, 0.5
+
+
+def contract(rate=RATE, **fields):
+    fields = {"max_concurrent": 10**6, "tokens_per_s": rate * 1_000} | fields
+    return Contract(client_account="a", requests_per_s=rate, **fields)
+
+
+class Fleet:
+    """Entries that exchange summaries over a network with delays, loss and cuts."""
+
+    def __init__(self, entries, seed, *, loss=0.0, cut=lambda now, a, b: False):
+        self.rng, self.now, self.count = random.Random(seed), 0.0, 0
+        self.loss, self.cut = loss, cut
+        self.names = [f"e{i}" for i in range(entries)]
+        self.limiters, self.rate = {}, dict.fromkeys(self.names, 0.0)
+        self.events, self.admitted, self.highest, self.excess_s = [], [], 0.0, 0.0
+        for name in self.names:
+            self.start(name)
+            self.push(self.rng.random() * PERIOD_S, self.exchange, name)
+            self.push(0.0, self.arrive, name)
+
+    def start(self, name):
+        self.count += 1
+        limiter = AccountLimiter(name, self.now, first_sequence=self.count * 10**6)
+        limiter.set_entries(self.names, self.now)
+        self.limiters[name] = limiter
+
+    def push(self, delay, call, *args):
+        self.count += 1
+        heapq.heappush(self.events, (self.now + delay, self.count, call, args))
+
+    def parts(self):
+        return {k: v.part("a", self.now) for k, v in self.limiters.items()}
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            total = sum(self.parts().values())
+            self.highest = max(self.highest, total)
+            self.excess_s += max(0.0, total - 1.0) * (self.events[0][0] - self.now)
+            self.now, _, call, args = heapq.heappop(self.events)
+            call(*args)
+        self.now = until
+
+    def exchange(self, name):
+        summary = self.limiters[name].demand(self.now)
+        for other in self.names:
+            if other != name and self.rng.random() >= self.loss:
+                delay = self.rng.random() * MAX_DELAY_S
+                self.push(delay, self.deliver, other, summary)
+        self.push(PERIOD_S * self.rng.uniform(0.9, 1.1), self.exchange, name)
+
+    def deliver(self, name, summary):
+        if not self.cut(self.now, summary.entry, name):
+            self.limiters[name].set_shares([summary], self.now)
+
+    def arrive(self, name):
+        rate = self.rate[name]
+        if rate > 0.0:
+            grant = self.limiters[name].admit(contract(), 100, self.now)
+            if isinstance(grant, Grant):
+                self.admitted.append(self.now)
+                self.limiters[name].finish(grant, self.now)
+        self.push(self.rng.expovariate(rate) if rate else 0.05, self.arrive, name)
+
+    def excess(self):
+        """Return the most admitted in any interval above the rate."""
+        lowest, worst = float("inf"), 0.0
+        for count, at in enumerate(self.admitted):
+            lowest = min(lowest, count - RATE * at)
+            worst = max(worst, count + 1 - RATE * at - lowest)
+        return worst
+
+
+demands = st.lists(
+    st.lists(st.sampled_from([0.0, 0.3, 1.0, 2.0]), min_size=4, max_size=4),
+    min_size=2,
+    max_size=4,
+)
+
+
+def busy(fleet, plan, phase_s=5.0):
+    for phase, parts in enumerate(plan):
+        fleet.rate = {n: RATE * p for n, p in zip(fleet.names, parts, strict=True)}
+        fleet.run((phase + 1) * phase_s)
+
+
+class TestOvershoot(testtools.TestCase):
+    """Guards against more work than the contract allows over all entries."""
+
+    @checked
+    @given(demands, st.integers(0, 99), st.sampled_from([0.0, 0.3]))
+    def test_slices_never_exceed_the_whole(self, plan, seed, loss):
+        fleet = Fleet(4, seed, loss=loss)
+        busy(fleet, plan)
+        self.assertThat(fleet.highest, LessThan(1.0 + 1e-9))
+        self.assertThat(fleet.excess(), LessThan(RATE * BURST_S + 4 + 1e-6))
+
+    @checked
+    @given(demands, st.integers(0, 99), st.integers(1, 3))
+    def test_nor_when_entries_are_cut_off_and_return(self, plan, seed, side):
+        def cut(now, a, b):
+            return 4.0 < now < 11.0 and (int(a[1]) < side) != (int(b[1]) < side)
+
+        fleet = Fleet(4, seed, cut=cut)
+        busy(fleet, [*plan, *plan])
+        self.assertThat(fleet.highest, LessThan(1.0 + 1e-9))
+
+    def test_without_acknowledgments_they_exceed_it(self):
+        usable = SliceTable._usable
+        SliceTable._usable = lambda self, account: 1.0
+        held, SliceTable._held = SliceTable._held, latest_target
+        self.addCleanup(setattr, SliceTable, "_usable", usable)
+        self.addCleanup(setattr, SliceTable, "_held", held)
+        fleet = Fleet(4, 1)
+        busy(fleet, [[1.0, 0, 0, 0], [0, 1.0, 0, 0], [1.0, 0, 2.0, 0]])
+        self.assertThat(fleet.highest, GreaterThan(1.5))
+
+    @checked
+    @given(st.integers(0, 99), st.integers(0, 3))
+    def test_restart_costs_at_most_an_even_slice_until_it_is_heard(self, seed, which):
+        fleet = Fleet(4, seed)
+        fleet.rate["e0"] = RATE * 2
+        fleet.run(15.0)
+        name = f"e{which}"
+        fleet.start(name)
+        self.assertThat(fleet.parts()[name], Equals(0.25))
+        refusal = fleet.limiters[name].admit(contract(), 100, fleet.now)
+        self.assertThat(refusal.code, Equals("requests_rate"))
+        fleet.run(30.0)
+        self.assertThat(fleet.highest, LessThan(1.25 + 1e-9))
+        bound = 0.25 * (1.1 * PERIOD_S + MAX_DELAY_S)
+        self.assertThat(fleet.excess_s, LessThan(bound + 1e-9))
+
+    @checked
+    @given(demands, st.integers(0, 99))
+    def test_two_entries_that_share_neighbours_only(self, plan, seed):
+        fleet = Fleet(4, seed, cut=lambda now, a, b: {a, b} == {"e0", "e1"})
+        busy(fleet, plan)
+        self.assertThat(fleet.highest, LessThan(1.5 + 1e-9))
+
+    def test_unlisted_entry_costs_an_even_slice_until_it_is_heard(self):
+        old, new = AccountLimiter("old"), AccountLimiter("new")
+        new.set_entries(["old", "new"], 0.0)
+        self.assertThat(old.part("a", 0.0) + new.part("a", 0.0), Equals(1.5))
+        old.set_shares([new.demand(0.1)], 0.2)
+        self.assertThat(old.part("a", 0.2) + new.part("a", 0.2), Equals(1.0))
+
+
+def latest_target(self, peer, account, now):
+    """Leave what the latest reports say, as slices without claims would."""
+    demand = {k: v.accounts.get(account) for k, v in self.peers.items()}
+    others = sum(each.demand for each in demand.values() if each is not None)
+    claims = self._claims.get(account)
+    own = claims[-1][1] if claims else self._even
+    return (1.0 - own) / len(self.peers) if others or claims else self._even
+
+
+class TestMovement(testtools.TestCase):
+    """Guards against limits that stay unused while another entry needs them."""
+
+    def test_unused_parts_move_within_seconds_and_come_back(self):
+        fleet = Fleet(4, 5)
+        fleet.rate["e0"] = RATE
+        fleet.run(5.0)
+        self.assertThat(fleet.parts()["e0"], GreaterThan(0.9))
+        fleet.rate["e1"] = RATE
+        fleet.run(9.0)
+        self.assertThat(fleet.parts()["e1"], GreaterThan(0.4))
+        fleet.rate["e0"] = 0.0
+        fleet.run(20.0)
+        self.assertThat(fleet.parts()["e1"], GreaterThan(0.85))
+        fleet.rate["e1"] = 0.0
+        fleet.run(60.0)
+        self.assertThat(set(fleet.parts().values()), Equals({0.25}))
+        self.assertThat(fleet.limiters["e2"].demand(60.0).accounts, Equals({}))
+
+
+class TestOneEntry(testtools.TestCase):
+    """Guards against a bucket that differs from counting, and against leaks."""
+
+    @checked
+    @given(st.lists(st.tuples(st.floats(0, 0.3), st.integers(1, 400)), max_size=100))
+    def test_equals_an_exact_count_of_what_the_rate_left(self, steps):
+        limiter, now = AccountLimiter("e", 0.0), 0.0
+        limits = contract(10.0, tokens_per_s=500.0)
+        requests = tokens = 0.0
+        for passed, size in steps:
+            now += passed
+            requests = min(10.0, requests + 10.0 * passed)
+            tokens = min(500.0, tokens + 500.0 * passed)
+            allowed = requests >= 1.0 and tokens >= min(size, 500.0)
+            near = min(abs(requests - 1.0), abs(tokens - size)) < 1e-6
+            answer = limiter.admit(limits, size, now)
+            self.assertTrue(near or isinstance(answer, Grant) == allowed)
+            if isinstance(answer, Grant):
+                requests, tokens = requests - 1.0, tokens - size
+
+    def test_told_time_is_enough_and_a_refund_is_complete(self):
+        limiter = AccountLimiter("e", 0.0)
+        limits = contract(2.0, tokens_per_s=100.0, max_concurrent=2)
+        grant = limiter.admit(limits, 5_000, 1.0)
+        refusal = limiter.admit(limits, 50, 1.0)
+        self.assertThat(refusal.code, Equals("tokens_rate"))
+        limiter.finish(grant, 1.0, ran=False)
+        grants = [limiter.admit(limits, 50, 1.0) for _ in range(2)]
+        self.assertThat(limiter.admit(limits, 1, 1.5).code, Equals("concurrency"))
+        for each in grants:
+            limiter.finish(each, 1.5)
+        limiter.admit(limits, 50, 1.5)
+        refusal = limiter.admit(limits, 50, 1.5)
+        later = 1.5 + refusal.retry_after_ms / 1000 + 0.001
+        self.assertIsInstance(limiter.admit(limits, 50, later), Grant)
+
+    def test_zero_limits_refuse_and_a_clock_that_goes_back_gives_nothing(self):
+        limiter = AccountLimiter("e", 0.0)
+        expected = Refusal(code="requests_rate", retry_after_ms=60_000)
+        refusal = limiter.admit(contract(0.0), 1, 100.0)
+        self.assertThat(refusal, Equals(expected))
+        for now in (200.0, 100.0, 200.0):
+            for _ in range(100):
+                limiter.admit(contract(2.0), 1, now)
+        admitted = isinstance(limiter.admit(contract(2.0), 1, 200.0), Grant)
+        self.assertFalse(admitted)
+
+
+class TestRetryBudget(testtools.TestCase):
+    """Guards against retries that multiply the load of a failing fleet."""
+
+    @checked
+    @given(st.lists(st.sampled_from("abcd"), max_size=300), st.integers(1, 5))
+    def test_attempts_of_a_failing_fleet_are_bounded(self, calls, wanted):
+        budget, retries = RetryBudget(), dict.fromkeys("abcd", 0)
+        for account in calls:
+            budget.first_attempt(account, 0.0)
+            for _ in range(wanted):
+                retries[account] += budget.allow_retry(account, 0.0, 9.0)
+        total = sum(retries.values())
+        self.assertThat(total, LessThan(10 + 0.1 * len(calls) + 1e-6))
+        for account, count in retries.items():
+            self.assertThat(count, LessThan(3 + 0.1 * calls.count(account) + 1e-6))
+
+    def test_without_a_budget_every_failure_is_retried(self):
+        budget = RetryBudget(fraction=0.0, burst=1e9, account_burst=1e9)
+        allowed = [budget.allow_retry("a", 0.0, 9.0) for _ in range(300)]
+        self.assertTrue(all(allowed))
+
+    def test_no_retry_past_the_deadline_and_none_is_spent_on_it(self):
+        budget = RetryBudget(burst=1.0)
+        self.assertFalse(budget.allow_retry("a", 5.0, 6.0, expected_s=1.5))
+        self.assertFalse(budget.allow_retry("a", 6.0, 6.0))
+        self.assertTrue(budget.allow_retry("a", 5.0, 6.0, expected_s=0.5))
