Learn waits from open attempts and cache lifetimes from replies

Cause: the first policy reset its own outstanding work at each reply and believed prefixes held for ever; expected matches were far above the real ones. Ruled out: one weight for both classes. Change: long waits per account from the age and number of unanswered attempts (Little's law), lifetimes learned from short replies, class weights.

--- a/src/foxtailcourse/routing/_ring.py
+++ b/src/foxtailcourse/routing/_ring.py
@@ -50,6 +50,7 @@
 
     def __init__(self, servers: Sequence[str]) -> None:
         self.servers = tuple(sorted(set(servers)))
+        self._known = frozenset(self.servers)
         size = len(self.servers)
         wanted = max(_MIN_POINTS_PER_SERVER, _MIN_POINTS // max(1, size))
         # A power of two keeps most points in place while the fleet grows or shrinks.
@@ -63,6 +64,9 @@
         self._points = array("Q", (point for point, _ in pairs))
         self._owners = array("I", (index for _, index in pairs))
 
+    def __contains__(self, server: str) -> bool:
+        return server in self._known
+
     def draw(self, key: bytes, count: int) -> Iterator[str]:
         """Yield up to ``count`` distinct servers of a key, in a fixed order.
 
--- a/src/foxtailcourse/routing/_settings.py
+++ b/src/foxtailcourse/routing/_settings.py
@@ -11,7 +11,13 @@
         float,
         2.0,
         minimum=0.0,
-        description="Weight of predicted recomputation against predicted wait.",
+        description="Weight of predicted recomputation against wait, short requests.",
+    )
+    long_recompute_weight: float = setting(
+        float,
+        32.0,
+        minimum=0.0,
+        description="Weight of predicted recomputation against wait, long requests.",
     )
     prefill_tokens_per_s: float = setting(
         float,
@@ -33,3 +39,9 @@
         minimum=16,
         description="Prefixes whose holders and heat are remembered.",
     )
+    tracked_attempts: int = setting(
+        int,
+        10_000,
+        minimum=16,
+        description="Open attempts that are remembered.",
+    )
--- a/src/foxtailcourse/routing/_views.py
+++ b/src/foxtailcourse/routing/_views.py
@@ -1,15 +1,17 @@
-"""What an entry knows about each backend server."""
+"""What an entry knows about the load of each backend server."""
 
 import attrs
 
 from foxtailcourse.routing._types import ServerReply
 
-LOST_PENALTY_S = 5.0
+LOST_S = 2.0
+LOST_WAIT_S = 5.0
+REFUSED_S = 1.0
 
 
-@attrs.define
+@attrs.define(eq=False)
 class ServerView:
-    """Load of one backend server as replies and own requests show it.
+    """Load of one backend server as replies show it.
 
     Parameters
     ----------
@@ -17,27 +19,34 @@
         Engine incarnation of the last reply; empty before the first one.
     queued_s, at : float
         Predicted wait of a new short request in seconds, and when it was reported.
-    own_s : float
-        Predicted service of own requests that no reply has accounted for, in seconds.
-    lost_until : float
-        Until when the server counts as unreachable.
+    avoid_until, avoid_s : float
+        Until when the server counts as unreachable or full, and the wait assumed
+        for it, in seconds.
     """
 
     incarnation: str = ""
     queued_s: float = 0.0
     at: float = 0.0
-    own_s: float = 0.0
-    lost_until: float = 0.0
+    avoid_until: float = 0.0
+    avoid_s: float = 0.0
 
-    def wait_s(self, now: float) -> float:
-        """Return the predicted wait of a new request, in seconds."""
-        reported = max(0.0, self.queued_s - (now - self.at))
-        penalty = LOST_PENALTY_S if now < self.lost_until else 0.0
-        return reported + self.own_s + penalty
+    def short_wait_s(self, now: float) -> float:
+        """Return the predicted wait of a new short request, in seconds."""
+        return max(0.0, self.queued_s - (now - self.at))
+
+    def penalty_s(self, now: float) -> float:
+        """Return the wait to add while the server is to be avoided, in seconds."""
+        return self.avoid_s if now < self.avoid_until else 0.0
+
+    def avoid(self, until: float) -> None:
+        """Avoid the server for a while."""
+        self.avoid_until, self.avoid_s = until, LOST_WAIT_S
 
     def take_reply(self, reply: ServerReply, now: float) -> bool:
-        """Note a reply; return whether the engine was restarted."""
+        """Note a reply; return whether the engine lost its cache since the last."""
         restarted = self.incarnation not in ("", reply.engine_incarnation)
         self.incarnation = reply.engine_incarnation
-        self.queued_s, self.at, self.lost_until = reply.queued_s, now, 0.0
+        self.queued_s, self.at = reply.queued_s, now
+        if not reply.refused:
+            self.avoid_until = 0.0
         return restarted
