Give each prefix a home level, believed before any reply

Change: one home level, the one with the most blocks of its own, believed at 0.95; pending long requests count as holders for long ones; ardennes takes weight 4.

--- a/src/foxtailcourse/emulator/_workload.py
+++ b/src/foxtailcourse/emulator/_workload.py
@@ -108,6 +108,7 @@
     long_blocks=(16, 40),
     long_levels=3,
     long_tokens=(250, 600),
+    recompute_weight=4.0,
 )
 DEPLOYMENTS = {each.name: each for each in (GUARDAROBA, ARDENNES)}
 
--- a/src/foxtailcourse/routing/_holders.py
+++ b/src/foxtailcourse/routing/_holders.py
@@ -20,11 +20,14 @@
     ----------
     holders : dict of str to float
         When each backend server was last seen to use the prefix.
+    pending : dict of str to int
+        Own unanswered long attempts by backend server; they will store the prefix.
     heat, heat_at : float
         Decayed count of own requests, and when it was last decayed.
     """
 
     holders: dict[str, float] = attrs.field(factory=dict)
+    pending: dict[str, int] = attrs.field(factory=dict)
     heat: float = 0.0
     heat_at: float = 0.0
 
@@ -33,6 +36,16 @@
         self.heat = 1.0 + self.rate(now) * HEAT_TIME_S
         self.heat_at = now
 
+    def add_pending(self, server: str) -> None:
+        """Count a long attempt that waits on a server."""
+        self.pending[server] = self.pending.get(server, 0) + 1
+
+    def drop_pending(self, server: str) -> None:
+        """Forget a long attempt that waited on a server."""
+        left = self.pending.pop(server, 0) - 1
+        if left > 0:
+            self.pending[server] = left
+
     def rate(self, now: float) -> float:
         """Return the own requests per second, averaged over HEAT_TIME_S."""
         return self.heat * math.exp((self.heat_at - now) / HEAT_TIME_S) / HEAT_TIME_S
@@ -79,10 +92,8 @@
         """Return how long a server is believed to keep an unused prefix."""
         return self._lifetime_s.get(server, START_LIFETIME_S)
 
-    def probability(self, prefix: Prefix, server: str, now: float) -> float | None:
-        """Return the belief that a server holds a prefix, None if nothing is known."""
-        if server not in prefix.holders:
-            return None
+    def probability(self, prefix: Prefix, server: str, now: float) -> float:
+        """Return the belief that a server holds a prefix, 0 if nothing is known."""
         age_s = self.age_s(prefix, server, now)
         if age_s is None:
             return 0.0
--- a/src/foxtailcourse/routing/_open.py
+++ b/src/foxtailcourse/routing/_open.py
@@ -147,17 +147,19 @@
             self._learn(attempt, refused, now)
         return attempt
 
-    def finished(self, prompt: Prompt, server: str) -> None:
-        """Forget an attempt, answered ones first."""
+    def finished(self, prompt: Prompt, server: str) -> bool:
+        """Forget an attempt; return whether it was long and had no reply."""
         name = attempt_id(prompt, server)
         attempts = self._open.get(name)
         if not attempts:
-            return
+            return False
         attempt = next((each for each in attempts if each.answered), attempts[0])
+        long = attempt.request_class is RequestClass.LONG and not attempt.answered
         self._answer(attempt)
         attempts.remove(attempt)
         if not attempts:
             del self._open[name]
+        return long
 
     def _learn(self, attempt: OpenAttempt, refused: bool, now: float) -> None:
         flow = self._flow(attempt.salt, attempt.server)
--- a/src/foxtailcourse/routing/_placement.py
+++ b/src/foxtailcourse/routing/_placement.py
@@ -4,17 +4,22 @@
 from collections.abc import Sequence
 
 from foxtailcourse.protocol import RequestClass
-from foxtailcourse.routing._holders import Holders
+from foxtailcourse.routing._holders import Holders, Prefix
+from foxtailcourse.routing._levels import home_level, tracked_levels
 from foxtailcourse.routing._open import OpenAttempts
 from foxtailcourse.routing._ring import HashRing
 from foxtailcourse.routing._settings import PlacementSettings
 from foxtailcourse.routing._types import Choice, Prompt, ServerReply
 from foxtailcourse.routing._views import LOST_S, REFUSED_S, ServerView
 
-LEVEL_DRAWS = (1, 2, 2, 2)
+DRAWS, HOME_DRAWS, MIN_DRAWS = 7, 2, 1
+MAX_WIDTH = 16
 MAX_KNOWN_HOLDERS = 2
 MAX_MODELS = 64
-HOME_PRIOR = 0.3
+# The home is believed even before a reply confirms it, so that entries that know
+# nothing of each other send a prefix to the same backend server.
+HOME_BELIEF = 0.95
+PENDING_BELIEF = 0.9
 
 
 class PrefixPlacement:
@@ -52,8 +57,8 @@
         self._ranked = (prompt, request_class)
         ring = self._ring(prompt.model, servers)
         choices = [
-            self._choice(prompt, each, homes, request_class, now)
-            for each, homes in self._candidates(prompt, ring).items()
+            self._choice(prompt, each, home, request_class, now)
+            for each, home in self._candidates(prompt, ring, now).items()
         ]
         return sorted(choices, key=lambda choice: choice.cost_s)
 
@@ -62,20 +67,22 @@
         ranked, request_class = self._ranked
         if ranked is not prompt:
             request_class = RequestClass.SHORT
-        matched = self._matched(prompt, backend_server, (), now)
+        matched = self._matched(prompt, backend_server, request_class, 0, now)
         work_s = self._prefill_s(prompt, matched)
-        prefixes = [self._holders.track(prompt.keys[n - 1]) for n in prompt.levels]
-        ages = [self._holders.age_s(each, backend_server, now) for each in prefixes]
-        believed = tuple(
-            (level, age_s)
-            for level, age_s in zip(prompt.levels, ages, strict=True)
-            if age_s is not None
-        )
-        self._open.sent(prompt, backend_server, request_class, work_s, believed, now)
-        for prefix in prefixes:
+        believed = []
+        for level in tracked_levels(prompt.levels):
+            prefix = self._holders.track(prompt.keys[level - 1])
             prefix.add_heat(now)
+            age_s = self._holders.age_s(prefix, backend_server, now)
+            if age_s is not None:
+                believed.append((level, age_s))
             if request_class is RequestClass.SHORT:
                 self._holders.used(prefix, backend_server, now)
+            else:
+                prefix.add_pending(backend_server)
+        self._open.sent(
+            prompt, backend_server, request_class, work_s, tuple(believed), now
+        )
 
     def replied(self, prompt: Prompt, reply: ServerReply, now: float) -> None:
         """Note what a reply said."""
@@ -84,21 +91,25 @@
         if view.take_reply(reply, now):
             self._holders.emptied(server, now)
         attempt = self._open.answered(prompt, server, reply.refused, now)
+        short = attempt is None or attempt.request_class is RequestClass.SHORT
+        if not short:
+            self._no_longer_pending(prompt, server)
         if reply.refused:
-            if attempt is None or attempt.request_class is RequestClass.SHORT:
+            if short:
                 view.avoid(now + REFUSED_S)
             return
         # A long request waits so long that its age when sent says nothing.
-        if attempt is not None and attempt.request_class is RequestClass.SHORT:
+        if short and attempt is not None:
             for level, age_s in attempt.believed:
                 self._holders.checked(server, age_s, level <= reply.matched_blocks)
-        for level in prompt.levels:
+        for level in tracked_levels(prompt.levels):
             prefix = self._holders.track(prompt.keys[level - 1])
             self._holders.used(prefix, server, now)
 
     def finished(self, prompt: Prompt, backend_server: str, now: float) -> None:
         """Note that an attempt ended, whole or broken."""
-        self._open.finished(prompt, backend_server)
+        if self._open.finished(prompt, backend_server):
+            self._no_longer_pending(prompt, backend_server)
 
     def lost(self, backend_server: str, now: float) -> None:
         """Note that a backend server could not be reached."""
@@ -115,26 +126,35 @@
             self._rings.popitem(last=False)
         return self._rings[model][1]
 
-    def _candidates(self, prompt: Prompt, ring: HashRing) -> dict[str, list[int]]:
-        """Return the candidates, each with the levels whose first draw it is."""
-        found: dict[str, list[int]] = {}
+    def _candidates(self, prompt: Prompt, ring: HashRing, now: float) -> dict[str, int]:
+        """Return the candidates, each with the level that it is the home of or 0."""
         if not prompt.levels:
             self._spread += 1
             key = self._spread.to_bytes(8, "big")
-            return {each: [] for each in ring.draw(key, sum(LEVEL_DRAWS))}
-        levels = prompt.levels[-len(LEVEL_DRAWS) :]
-        for level, count in zip(reversed(levels), LEVEL_DRAWS, strict=False):
-            draws = ring.draw(prompt.keys[level - 1], count)
-            for place, server in enumerate(draws):
-                homes = found.setdefault(server, [])
-                if place == 0:
-                    homes.append(level)
+            return dict.fromkeys(ring.draw(key, DRAWS), 0)
+        found: dict[str, int] = {}
+        home = home_level(prompt.levels)
+        width = self._width(prompt, home, now)
+        levels = tracked_levels(prompt.levels)
+        others = max(MIN_DRAWS, (DRAWS - HOME_DRAWS) // max(1, len(levels) - 1))
+        for level in (home, *(each for each in reversed(levels) if each != home)):
+            count = max(HOME_DRAWS, width) if level == home else others
+            for place, server in enumerate(ring.draw(prompt.keys[level - 1], count)):
+                found.setdefault(server, home if level == home and place < width else 0)
         for server in self._known(prompt, ring):
-            found.setdefault(server, [])
+            found.setdefault(server, 0)
         return found
 
+    def _width(self, prompt: Prompt, home: int, now: float) -> int:
+        """Return on how many servers a prefix has its home, by its heat."""
+        prefix = self._holders.get(prompt.keys[home - 1])
+        if prefix is None:
+            return 1
+        wider = int(prefix.rate(now) / self.cfg.hot_requests_per_s)
+        return min(MAX_WIDTH, 1 + wider)
+
     def _known(self, prompt: Prompt, ring: HashRing) -> list[str]:
-        for level in reversed(prompt.levels):
+        for level in reversed(tracked_levels(prompt.levels)):
             prefix = self._holders.get(prompt.keys[level - 1])
             if prefix is not None and prefix.holders:
                 recent = reversed(prefix.holders)
@@ -146,7 +166,7 @@
         self,
         prompt: Prompt,
         server: str,
-        homes: Sequence[int],
+        home: int,
         request_class: RequestClass,
         now: float,
     ) -> Choice:
@@ -158,29 +178,42 @@
         else:
             weight = self.cfg.long_recompute_weight
             wait_s += self._open.long_wait_s(prompt.salt, server, now)
-        matched = self._matched(prompt, server, homes, now)
+        matched = self._matched(prompt, server, request_class, home, now)
         cost_s = wait_s + weight * self._prefill_s(prompt, matched)
         return Choice(backend_server=server, matched_blocks=int(matched), cost_s=cost_s)
 
     def _matched(
-        self, prompt: Prompt, server: str, homes: Sequence[int], now: float
+        self,
+        prompt: Prompt,
+        server: str,
+        request_class: RequestClass,
+        home: int,
+        now: float,
     ) -> float:
         """Return the expected number of matched blocks."""
-        total, upper, deeper = 0.0, len(prompt.keys), 0.0
-        for level in reversed((0, *prompt.levels)):
-            total += (upper - level) * deeper
-            if level == 0:
-                break
+        total, upper, deeper = 0.0, 0, 0.0
+        for level in reversed(tracked_levels(prompt.levels)):
+            total += (upper - level) * deeper if upper else 0.0
             prefix = self._holders.get(prompt.keys[level - 1])
-            belief = None
+            belief = HOME_BELIEF if level == home else 0.0
             if prefix is not None:
-                belief = self._holders.probability(prefix, server, now)
-            if belief is None:
-                # The last level is mostly a question that nobody asked before.
-                unseen = prefix is None and level == prompt.levels[-1]
-                belief = HOME_PRIOR if level in homes and not unseen else 0.0
+                belief = max(belief, self._belief(prefix, server, request_class, now))
             deeper, upper = max(deeper, belief), level
-        return total
+        return total + upper * deeper
+
+    def _belief(
+        self, prefix: Prefix, server: str, request_class: RequestClass, now: float
+    ) -> float:
+        belief = self._holders.probability(prefix, server, now)
+        if request_class is RequestClass.LONG and server in prefix.pending:
+            return max(belief, PENDING_BELIEF)
+        return belief
+
+    def _no_longer_pending(self, prompt: Prompt, server: str) -> None:
+        for level in tracked_levels(prompt.levels):
+            prefix = self._holders.get(prompt.keys[level - 1])
+            if prefix is not None:
+                prefix.drop_pending(server)
 
     def _prefill_s(self, prompt: Prompt, matched: float) -> float:
         tokens = max(0.0, prompt.tokens - matched * self.cfg.block_tokens)
--- a/src/foxtailcourse/routing/_settings.py
+++ b/src/foxtailcourse/routing/_settings.py
@@ -15,7 +15,7 @@
     )
     long_recompute_weight: float = setting(
         float,
-        32.0,
+        128.0,
         minimum=0.0,
         description="Weight of predicted recomputation against wait, long requests.",
     )
@@ -33,6 +33,13 @@
         description="Tokens in each block of the engines' prefix cache.",
         unit="tokens",
     )
+    hot_requests_per_s: float = setting(
+        float,
+        5.0,
+        minimum=0.01,
+        description="Own requests of one prefix that widen its home by a server.",
+        unit="requests/s",
+    )
     tracked_prefixes: int = setting(
         int,
         20_000,
