Predict long waits without compounding refusals; weights by deployment

Cause: each refusal of a long request added its wait to the former one, so that 57% of the long requests left their home and made half of the waste.

--- a/src/foxtailcourse/emulator/_run.py
+++ b/src/foxtailcourse/emulator/_run.py
@@ -129,6 +129,7 @@
     return attrs.evolve(
         default,
         recompute_weight=deployment.recompute_weight,
+        long_recompute_weight=deployment.long_recompute_weight,
         prefill_tokens_per_s=deployment.engine.prefill_tokens_per_s,
         block_tokens=deployment.engine.block_tokens,
     )
--- a/src/foxtailcourse/routing/_open.py
+++ b/src/foxtailcourse/routing/_open.py
@@ -61,14 +61,10 @@
         Oldest first; answered ones are dropped when they reach the head.
     count : int
         Unanswered attempts.
-    wait_s, wait_at : float
-        Least wait to assume, in seconds, and when that was learned.
     """
 
     unanswered: "deque[OpenAttempt]" = attrs.field(factory=deque)
     count: int = 0
-    wait_s: float = 0.0
-    wait_at: float = 0.0
 
 
 class OpenAttempts:
@@ -100,13 +96,12 @@
         flow = self._flows.get((salt, server))
         if flow is None:
             return 0.0
-        learned = max(0.0, flow.wait_s - (now - flow.wait_at))
         while flow.unanswered and flow.unanswered[0].answered:
             flow.unanswered.popleft()
         if not flow.unanswered:
-            return learned
+            return 0.0
         age = now - flow.unanswered[0].sent_at
-        return max(learned, age, flow.count * self._interval_s.get(salt, 0.0))
+        return max(age, flow.count * self._interval_s.get(salt, 0.0))
 
     def sent(
         self,
@@ -143,8 +138,8 @@
         else:
             return None
         self._answer(attempt)
-        if attempt.request_class is RequestClass.LONG:
-            self._learn(attempt, refused, now)
+        if attempt.request_class is RequestClass.LONG and not refused:
+            self._learn(attempt, now)
         return attempt
 
     def finished(self, prompt: Prompt, server: str) -> bool:
@@ -161,14 +156,8 @@
             del self._open[name]
         return long
 
-    def _learn(self, attempt: OpenAttempt, refused: bool, now: float) -> None:
-        flow = self._flow(attempt.salt, attempt.server)
+    def _learn(self, attempt: OpenAttempt, now: float) -> None:
         wait_s = now - attempt.sent_at
-        if refused:
-            # A refusal says that the wait is longer than the deadline allows.
-            wait_s += self.long_wait_s(attempt.salt, attempt.server, now)
-            flow.wait_s, flow.wait_at = wait_s, now
-            return
         interval_s = wait_s / (attempt.ahead + 1)
         held = self._interval_s.get(attempt.salt, interval_s)
         self._interval_s[attempt.salt] = held + GAIN * (interval_s - held)
--- a/src/foxtailcourse/routing/_settings.py
+++ b/src/foxtailcourse/routing/_settings.py
@@ -15,7 +15,7 @@
     )
     long_recompute_weight: float = setting(
         float,
-        128.0,
+        96.0,
         minimum=0.0,
         description="Weight of predicted recomputation against wait, long requests.",
     )
