Test the agent as a process that is stopped, killed and frozen

Cause: drain and at-most-once hold only if they survive signals to a real process. Change: tests with the marker processes; they wait for log events, not for times. Figures: 6 streams of 250 tokens are whole after SIGTERM; with a drain limit of 0 all 6 are cut, which shows that the test sees the drain. One run in each of the kill and freeze tests.

--- /dev/null
+++ b/tests/agent/test_agent_processes.py
@@ -0,0 +1,168 @@
+import signal
+import tempfile
+
+import msgspec
+import pytest
+import trio
+from testtools.matchers import Equals
+
+from daemons import start_agent_process, start_standin
+from foxtailcourse.http import ClientError
+from foxtailcourse.standin import BUSINESS_KEY, answer_text, prompt_text
+from standins import MESSAGES, call, chat, make_attempt
+from support import AsyncTestCase
+
+pytestmark = pytest.mark.processes
+SERVICE = "services = 127.0.0.1:0 route=counter delay_s={delay_s}\n"
+ENGINE = "engines = 127.0.0.1:0 model=assistant decode_s_per_token=0.004\n"
+PROMPT = prompt_text(MESSAGES)
+STREAMS, TOKENS = 6, 250
+
+
+class ProcessTestCase(AsyncTestCase):
+    def run_processes(self, check):
+        async def main():
+            with tempfile.TemporaryDirectory() as folder:
+                async with trio.open_nursery() as nursery:
+                    await check(nursery, folder)
+                    nursery.cancel_scope.cancel()
+
+        self.run_async(main)
+
+
+class TestStop(ProcessTestCase):
+    """Guards against a planned stop that interrupts a request."""
+
+    async def stop_under_load(self, nursery, folder, process):
+        _, backend = await start_standin(nursery, folder, ENGINE)
+        agent, address = await start_agent_process(
+            nursery, folder, backend, kind="engine", process=process
+        )
+        texts = []
+
+        async def read_stream(number):
+            attempt = make_attempt(f"a{number}")
+            try:
+                answer = await chat(address, attempt, max_tokens=TOKENS)
+                texts.append(answer.text())
+            except ClientError:
+                texts.append("")
+
+        async with trio.open_nursery() as callers:
+            for number in range(STREAMS):
+                callers.start_soon(read_stream, number)
+            await agent.event("request_started", STREAMS)
+            agent.send(signal.SIGTERM)
+            await agent.event("stop_requested")
+        await agent.process.wait()
+        return texts
+
+    def test_sigterm_under_load_cuts_no_stream(self):
+        async def check(nursery, folder):
+            texts = await self.stop_under_load(nursery, folder, "")
+            whole = answer_text(PROMPT, TOKENS, "v1")
+            self.assertThat(texts, Equals([whole] * STREAMS))
+
+        self.run_processes(check)
+
+    def test_without_the_drain_streams_are_cut(self):
+        async def check(nursery, folder):
+            process = "drain_limit_s = 0"
+            texts = await self.stop_under_load(nursery, folder, process)
+            self.assertThat(texts, Equals([""] * STREAMS))
+
+        self.run_processes(check)
+
+
+class TestAtMostOnce(ProcessTestCase):
+    """Guards against a second run when the agent is killed or frozen."""
+
+    async def start(self, nursery, folder, delay_s=0.0):
+        lines = SERVICE.format(delay_s=delay_s)
+        _, self.backend = await start_standin(nursery, folder, lines)
+        return await start_agent_process(nursery, folder, self.backend)
+
+    async def issue_key(self, address):
+        body = msgspec.json.encode({"route": "counter"})
+        path, fields = "/v1/idempotency-keys", make_attempt("issue").to_headers()
+        return (await call(address, "POST", path, fields, body)).json()["key"]
+
+    async def pay(self, address, key, attempt_id="a1", timeout_s=30.0):
+        fields = make_attempt(attempt_id).to_headers()
+        fields |= {BUSINESS_KEY: "coat-17", "idempotency-key": key}
+        path = "/services/counter/pay"
+        return await call(address, "POST", path, fields, b"{}", timeout_s)
+
+    async def runs(self):
+        answer = await call(self.backend, "GET", "/standin")
+        return answer.json()["runs"].get("coat-17", 0)
+
+    async def give_up(self, address, key, when):
+        """Submit, call ``when`` and break the connection."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.pay, address, key)
+            await when()
+            nursery.cancel_scope.cancel()
+
+    def test_agent_killed_within_the_call_and_restarted(self):
+        async def check(nursery, folder):
+            agent, address = await self.start(nursery, folder, delay_s=30.0)
+            key = await self.issue_key(address)
+
+            async def kill():
+                await agent.event("run_started")
+                while not await self.runs():
+                    await trio.sleep(0.01)
+                agent.send(signal.SIGKILL)
+
+            await self.give_up(address, key, kill)
+            _, address = await start_agent_process(nursery, folder, self.backend)
+            answer = await self.pay(address, key)
+            error = answer.json()["error"]["code"]
+            self.assertThat(error, Equals("key_former_incarnation"))
+            verdict = answer.headers["foxtail-verdict"]
+            self.assertThat(verdict, Equals("may-have-run"))
+            self.assertThat(await self.runs(), Equals(1))
+
+        self.run_processes(check)
+
+    def test_agent_frozen_before_the_call(self):
+        async def check(nursery, folder):
+            agent, address = await self.start(nursery, folder)
+            _, other = await start_agent_process(
+                nursery, folder, self.backend, vm="palermo-2"
+            )
+            key = await self.issue_key(address)
+
+            async def freeze():
+                await trio.sleep(0.3)
+
+            agent.send(signal.SIGSTOP)
+            await self.give_up(address, key, freeze)
+            elsewhere = await self.pay(other, key, "a2")
+            agent.send(signal.SIGCONT)
+            answer = await self.pay(address, key, "a3")
+            self.assertThat(elsewhere.json()["error"]["code"], Equals("key_foreign"))
+            self.assertThat(answer.json()["run"], Equals(1))
+            self.assertThat(await self.runs(), Equals(1))
+
+        self.run_processes(check)
+
+    def test_agent_frozen_after_the_call_reached_the_service(self):
+        async def check(nursery, folder):
+            agent, address = await self.start(nursery, folder, delay_s=0.3)
+            key = await self.issue_key(address)
+
+            async def freeze():
+                await agent.event("run_started")
+                while not await self.runs():
+                    await trio.sleep(0.01)
+                agent.send(signal.SIGSTOP)
+
+            await self.give_up(address, key, freeze)
+            agent.send(signal.SIGCONT)
+            answer = await self.pay(address, key, "a2")
+            self.assertThat(answer.json()["run"], Equals(1))
+            self.assertThat(await self.runs(), Equals(1))
+
+        self.run_processes(check)
--- /dev/null
+++ b/tests/daemons.py
@@ -0,0 +1,116 @@
+"""Real processes of the project on loopback addresses, for tests."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+
+from foxtailcourse.observe import parse_event
+from foxtailcourse.settings import Address, parse_address
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class DaemonProcess:
+    """One daemon, started from the text of its settings file.
+
+    Parameters
+    ----------
+    folder : str
+        Where the settings file is written.
+    module : str
+        Module to run.
+    text : str
+        Settings.
+    """
+
+    def __init__(self, folder, module, text):
+        self._module = module
+        self._path = Path(folder) / f"{module}-{id(self)}.ini"
+        self._path.write_text(text)
+        self.events = []
+        self.lines = []
+
+    async def start(self, nursery):
+        """Start the process and wait until it serves."""
+        command = [sys.executable, "-m", self._module, "--config", str(self._path)]
+        self.process = await trio.lowlevel.open_process(
+            command,
+            stderr=subprocess.PIPE,
+            env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+        )
+        nursery.start_soon(self._read)
+        return await self.event("process_ready")
+
+    async def _read(self):
+        buffer = b""
+        try:
+            async for piece in self.process.stderr:
+                *lines, buffer = (buffer + piece).split(b"\n")
+                for line in lines:
+                    self.lines.append(line.decode())
+                    event = parse_event(line.decode())
+                    if event is not None:
+                        self.events.append(event)
+        finally:
+            if self.process.returncode is None:
+                self.process.kill()
+
+    async def event(self, name, count=1):
+        """Wait for the given number of events of a name; return the last."""
+        while True:
+            found = [each for each in self.events if each.name == name]
+            if len(found) >= count:
+                return found[count - 1]
+            if self.process.returncode is not None:
+                raise AssertionError(f"{self._module} ended: {self.lines[-5:]}")
+            await trio.sleep(0.01)
+
+    def send(self, signum):
+        """Send a signal to the process."""
+        self.process.send_signal(signum)
+
+
+STANDIN = """
+[process]
+vm = standin
+failure_domain = palermo
+admin_listen = 127.0.0.1:0
+[standin]
+"""
+AGENT = """
+[process]
+vm = {vm}
+failure_domain = palermo
+admin_listen = 127.0.0.1:0
+drain_grace_s = 0.2
+{process}
+[agent]
+listen = 127.0.0.1:0
+serves = {serves}
+kind = {kind}
+backend = {backend}
+"""
+
+
+async def start_standin(nursery, folder, lines):
+    """Start ``foxtail-standin`` with one stand-in; return it and its address."""
+    daemon = DaemonProcess(folder, "foxtailcourse.standin.run", STANDIN + lines)
+    await daemon.start(nursery)
+    listening = await daemon.event("standin_listening")
+    return daemon, parse_address(listening.fields["address"])
+
+
+async def start_agent_process(
+    nursery, folder, backend, *, kind="service", vm="palermo-1", process=""
+):
+    """Start ``foxtail-agent``; return it and its address."""
+    serves = "counter" if kind == "service" else "assistant"
+    text = AGENT.format(
+        vm=vm, serves=serves, kind=kind, backend=backend, process=process
+    )
+    daemon = DaemonProcess(folder, "foxtailcourse.agent.run", text)
+    ready = await daemon.start(nursery)
+    return daemon, Address("127.0.0.1", int(ready.fields["port"]))
