--- a/tests/agent/test_agent_processes.py
+++ b/tests/agent/test_agent_processes.py
@@ -34,9 +34,9 @@
     """Guards against a planned stop that interrupts a request."""
 
     async def stop_under_load(self, nursery, folder, process):
-        _, backend = await start_standin(nursery, folder, ENGINE)
+        addresses = await start_standin(nursery, folder, ENGINE)
         agent, address = await start_agent_process(
-            nursery, folder, backend, kind="engine", process=process
+            nursery, folder, addresses, kind="engine", process=process
         )
         texts = []
 
@@ -79,8 +79,8 @@
 
     async def start(self, nursery, folder, delay_s=0.0):
         lines = SERVICE.format(delay_s=delay_s)
-        _, self.backend = await start_standin(nursery, folder, lines)
-        return await start_agent_process(nursery, folder, self.backend)
+        self.addresses = await start_standin(nursery, folder, lines)
+        return await start_agent_process(nursery, folder, self.addresses)
 
     async def issue_key(self, address):
         body = msgspec.json.encode({"route": "counter"})
@@ -94,7 +94,7 @@
         return await call(address, "POST", path, fields, b"{}", timeout_s)
 
     async def runs(self):
-        answer = await call(self.backend, "GET", "/standin")
+        answer = await call(self.addresses[0], "GET", "/standin")
         return answer.json()["runs"].get("coat-17", 0)
 
     async def give_up(self, address, key, when):
@@ -116,7 +116,7 @@
                 agent.send(signal.SIGKILL)
 
             await self.give_up(address, key, kill)
-            _, address = await start_agent_process(nursery, folder, self.backend)
+            _, address = await start_agent_process(nursery, folder, self.addresses)
             answer = await self.pay(address, key)
             error = answer.json()["error"]["code"]
             self.assertThat(error, Equals("key_former_incarnation"))
@@ -130,7 +130,7 @@
         async def check(nursery, folder):
             agent, address = await self.start(nursery, folder)
             _, other = await start_agent_process(
-                nursery, folder, self.backend, vm="palermo-2"
+                nursery, folder, self.addresses, vm="palermo-2"
             )
             key = await self.issue_key(address)
 
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -79,6 +79,7 @@
 failure_domain = palermo
 admin_listen = 127.0.0.1:0
 [standin]
+platform = 127.0.0.1:0
 """
 AGENT = """
 [process]
@@ -92,24 +93,35 @@
 serves = {serves}
 kind = {kind}
 backend = {backend}
+[platform]
+key_value = {platform}
+vm_list = {platform}
 """
 
 
 async def start_standin(nursery, folder, lines):
-    """Start ``foxtail-standin`` with one stand-in; return it and its address."""
+    """Start ``foxtail-standin``; return the addresses of its stand-ins.
+
+    The platform comes last, after those of the given settings lines.
+    """
     daemon = DaemonProcess(folder, "foxtailcourse.standin.run", STANDIN + lines)
     await daemon.start(nursery)
-    listening = await daemon.event("standin_listening")
-    return daemon, parse_address(listening.fields["address"])
+    listening = [e for e in daemon.events if e.name == "standin_listening"]
+    return [parse_address(each.fields["address"]) for each in listening]
 
 
 async def start_agent_process(
-    nursery, folder, backend, *, kind="service", vm="palermo-1", process=""
+    nursery, folder, addresses, *, kind="service", vm="palermo-1", process=""
 ):
     """Start ``foxtail-agent``; return it and its address."""
     serves = "counter" if kind == "service" else "assistant"
     text = AGENT.format(
-        vm=vm, serves=serves, kind=kind, backend=backend, process=process
+        vm=vm,
+        serves=serves,
+        kind=kind,
+        backend=addresses[0],
+        platform=addresses[-1],
+        process=process,
     )
     daemon = DaemonProcess(folder, "foxtailcourse.agent.run", text)
     ready = await daemon.start(nursery)
