Load weights under a leased slot, move hot blocks, test engine failures

Cause: an engine must not load while too few others serve, more than two loads slow the weight store down, and an order of a paused agent must not take effect late. Ruled out: counting servers in service from the VM list alone, since the list does not show which ones load; each is asked for /ready. Counting the lease from the platform's answer, since the holder may have been paused before it read the answer. Without the lease check an engine that ignores the number executes the late order, one that checks it rejects it. Conclusion: between the lease check and an engine that ignores the number a pause is still possible; that gap is not proved.

--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -11,14 +11,22 @@
 from foxtailcourse.agent._scheduler import Scheduler
 from foxtailcourse.agent._service import ServiceHandler
 from foxtailcourse.agent._settings import AgentSettings
-from foxtailcourse.cache import BlockIndex
+from foxtailcourse.agent._target import AgentTarget
+from foxtailcourse.agent._transfer import BlockTransfer
+from foxtailcourse.cache import BlockIndex, TransferCosts, TransferPolicy
 from foxtailcourse.config import ConfigStore
-from foxtailcourse.engine import HttpEngineClient, HttpServiceClient
+from foxtailcourse.engine import (
+    HttpEngineClient,
+    HttpKvStoreClient,
+    HttpServiceClient,
+)
 from foxtailcourse.http import Exchange, HttpLimits, HttpServer
 from foxtailcourse.idempotency import KeyIssuer, OutcomeLimits, OutcomeTable
 from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.platform import KeyValueStore
 from foxtailcourse.process import Readiness
 from foxtailcourse.protocol import headers
+from foxtailcourse.rollout import LoadSlots, RolloutDriver, RolloutSettings
 from foxtailcourse.sharing import FairQueue, QueueLimits, ServiceRates
 
 MAX_SERVICE_BODY_BYTES = 8 * 1024 * 1024
@@ -67,7 +75,8 @@
         if cfg.kind == "engine":
             engine = HttpEngineClient(cfg.backend, cfg.token_timeout_s)
             self.feed = EngineFeed(self.context, engine)
-            self._chat = ChatHandler(self.context, engine)
+            self.engine = engine
+            self._chat = ChatHandler(self.context, engine, self._make_transfer(engine))
         else:
             service = HttpServiceClient(cfg.backend, MAX_SERVICE_BODY_BYTES)
             issuer = KeyIssuer(vm, cfg.key_lifetime_s, cfg.max_keys)
@@ -79,6 +88,36 @@
         self.server = HttpServer(self._handle, limits, self._on_error)
         self.port = 0
 
+    def _make_transfer(self, engine: HttpEngineClient) -> BlockTransfer | None:
+        cfg = self.context.cfg
+        if not cfg.kv_store:
+            return None
+        costs = TransferCosts(
+            recompute_s_per_block=cfg.block_tokens * cfg.prefill_s_per_token,
+            import_s_per_block=cfg.import_s_per_block,
+            call_s=cfg.import_call_s,
+        )
+        store = HttpKvStoreClient(cfg.kv_store[0])
+        return BlockTransfer(self.context, engine, store, TransferPolicy(costs))
+
+    def make_rollout(
+        self, cfg: RolloutSettings, store: KeyValueStore
+    ) -> RolloutDriver | None:
+        """Return the driver of the engine's rollouts; None for a plain service."""
+        if self.feed is None:
+            return None
+        slots = LoadSlots(
+            store,
+            vm=self.context.vm,
+            clock=trio.current_time,
+            prefix=cfg.slots_prefix,
+            slots=cfg.slots,
+            ttl_s=cfg.lease_s,
+        )
+        target = AgentTarget(self.context, self.feed)
+        events = self.context.events
+        return RolloutDriver(cfg, self.engine, slots, target, events, trio.current_time)
+
     async def run(
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -108,6 +147,8 @@
             return Readiness(False, "leaving")
         if not self.context.configured():
             return Readiness(False, "no configuration is held")
+        if self.context.loading:
+            return Readiness(False, "loading weights")
         if self.feed is not None and not self.feed.reachable:
             return Readiness(False, "engine is unreachable")
         return Readiness(True)
@@ -121,6 +162,7 @@
             "serves": context.cfg.serves,
             "port": self.port,
             "leaving": context.leaving,
+            "loading": context.loading,
             "engine_incarnation": context.index.incarnation,
             "weights_version": context.weights_version,
             "indexed_blocks": len(context.index),
--- a/src/foxtailcourse/agent/_chat.py
+++ b/src/foxtailcourse/agent/_chat.py
@@ -9,6 +9,7 @@
 
 from foxtailcourse.agent._context import AgentContext
 from foxtailcourse.agent._scheduler import RefusedError, Slot
+from foxtailcourse.agent._transfer import BlockTransfer
 from foxtailcourse.engine import (
     EngineClient,
     EngineError,
@@ -53,11 +54,19 @@
         The agent's state.
     engine : EngineClient
         The engine.
+    transfer : BlockTransfer or None
+        Exports and imports blocks, if there is a KV-cache store.
     """
 
-    def __init__(self, context: AgentContext, engine: EngineClient) -> None:
+    def __init__(
+        self,
+        context: AgentContext,
+        engine: EngineClient,
+        transfer: BlockTransfer | None = None,
+    ) -> None:
         self._context = context
         self._engine = engine
+        self._transfer = transfer
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer ``POST /v1/chat/completions``."""
@@ -120,6 +129,8 @@
     async def _run(self, exchange: Exchange, request: _Started, slot: Slot) -> None:
         attempt = request.attempt
         self._check_version(attempt)
+        if self._transfer is not None:
+            await self._transfer.prepare(attempt)
         engine_request = EngineRequest(
             request_id=attempt.attempt_id,
             body=request.body,
@@ -150,13 +161,15 @@
         context.weights_version = stream.weights_version
         if attempt.weights_version not in ("", stream.weights_version):
             raise WeightsChangedError("the engine's weights changed before the start")
+        if self._transfer is not None:
+            self._transfer.used(attempt, cached_blocks)
         context.events.emit(
             "request_started",
             request_id=attempt.request_id,
             attempt_id=attempt.attempt_id,
             cached_tokens=stream.cached_tokens,
         )
-        relay = _Relay(stream, slot, attempt.resume_from)
+        relay = _Relay(context, stream, slot, attempt.resume_from)
         if request.body.get("stream"):
             await self._stream(exchange, request, relay)
         else:
@@ -260,10 +273,12 @@
 
 
 class _Relay:
-    """Counts the chunks of a stream and checks that its weights stay the same.
+    """Counts the chunks of a stream and checks that one engine generated them.
 
     Parameters
     ----------
+    context : AgentContext
+        Knows the current engine incarnation.
     stream : EngineStream
         The running completion.
     slot : Slot
@@ -272,7 +287,10 @@
         Number of the first chunk: those that an earlier attempt delivered.
     """
 
-    def __init__(self, stream: EngineStream, slot: Slot, first: int) -> None:
+    def __init__(
+        self, context: AgentContext, stream: EngineStream, slot: Slot, first: int
+    ) -> None:
+        self._context = context
         self.stream = stream
         self.count = first
         self._first = first
@@ -282,11 +300,16 @@
         """Yield the chunks; raises EngineError on a broken or mixed stream."""
         last: EngineToken | None = None
         async for token in self.stream.tokens():
-            if token.weights_version not in ("", self.stream.weights_version):
-                raise WeightsChangedError("the engine's weights changed in the stream")
+            self._check(token)
             self.count += 1
             self._slot.generated(self.count - self._first)
             last = token
             yield token
         if last is not None and not last.finish_reason:
             raise EngineError("engine stream ended without a finish reason")
+
+    def _check(self, token: EngineToken) -> None:
+        if token.weights_version not in ("", self.stream.weights_version):
+            raise WeightsChangedError("the engine's weights changed in the stream")
+        if self._context.index.incarnation != self.stream.incarnation:
+            raise EngineError("the engine was replaced within the stream")
--- a/src/foxtailcourse/agent/_context.py
+++ b/src/foxtailcourse/agent/_context.py
@@ -21,7 +21,7 @@
     Verdict,
 )
 
-LEAVING_RETRY_AFTER_MS = 1000
+NEW_WORK_RETRY_AFTER_MS = 1000
 
 
 @attrs.define(kw_only=True)
@@ -48,6 +48,8 @@
         Version that the engine serves, empty if not known.
     stopping : bool
         Whether a planned stop has begun.
+    loading : bool
+        Whether the engine is out of service for new weights.
     active : int
         Runs in progress that must end before the process stops, whether or not a
         caller waits for them.
@@ -65,6 +67,7 @@
     scheduler: Scheduler
     weights_version: str = ""
     stopping: bool = False
+    loading: bool = False
     active: int = 0
     nursery: trio.Nursery | None = None
 
@@ -166,24 +169,22 @@
     @property
     def takes_new_work(self) -> bool:
         """Whether new work is taken; without a configuration none is."""
-        return self.configured() and not self.leaving
+        return self.configured() and not self.leaving and not self.loading
 
     def refuse_new_work(self, attempt_id: str) -> HttpError:
         """Return the refusal of new work."""
         if not self.configured():
-            return self.refusal(
-                attempt_id,
-                503,
-                "no_configuration",
-                "this agent holds no configuration yet",
-                retry_after_ms=LEAVING_RETRY_AFTER_MS,
-            )
+            code, reason = "no_configuration", "holds no configuration yet"
+        elif self.leaving:
+            code, reason = "leaving", "takes no new work"
+        else:
+            code, reason = "loading", "loads new weights"
         return self.refusal(
             attempt_id,
             503,
-            "leaving",
-            f"backend server {self.vm} takes no new work",
-            retry_after_ms=LEAVING_RETRY_AFTER_MS,
+            code,
+            f"backend server {self.vm} {reason}",
+            retry_after_ms=NEW_WORK_RETRY_AFTER_MS,
         )
 
     def read_attempt(self, exchange: Exchange) -> Attempt:
--- a/src/foxtailcourse/agent/_settings.py
+++ b/src/foxtailcourse/agent/_settings.py
@@ -81,6 +81,25 @@
         unit="seconds",
         minimum=0.01,
     )
+    kv_store: tuple[Address, ...] = setting(
+        tuple[Address, ...],
+        (),
+        description="Address of the KV-cache store; empty for none.",
+    )
+    import_s_per_block: float = setting(
+        float,
+        0.0002,
+        description="Predicted time to import one block from the KV-cache store.",
+        unit="seconds",
+        minimum=0,
+    )
+    import_call_s: float = setting(
+        float,
+        0.005,
+        description="Predicted time of one question to the KV-cache store.",
+        unit="seconds",
+        minimum=0,
+    )
     max_connections: int = setting(
         int, 2000, description="Connections of entries at once.", minimum=1
     )
--- a/src/foxtailcourse/agent/run.py
+++ b/src/foxtailcourse/agent/run.py
@@ -6,10 +6,14 @@
 from foxtailcourse.agent._settings import AgentSettings
 from foxtailcourse.config import ConfigFollower, ConfigStore, PlatformSettings
 from foxtailcourse.process import AdminServer, Daemon, start_daemon
+from foxtailcourse.rollout import RolloutSettings
 
 
 async def serve(
-    daemon: Daemon, cfg: AgentSettings, platform_cfg: PlatformSettings
+    daemon: Daemon,
+    cfg: AgentSettings,
+    platform_cfg: PlatformSettings,
+    rollout_cfg: RolloutSettings,
 ) -> None:
     """Serve until a planned stop has drained."""
     store = ConfigStore()
@@ -35,6 +39,9 @@
         await nursery.start(follower.run)
         port = await nursery.start(agent.run)
         nursery.start_soon(_announce, daemon, follower, port)
+        rollout = agent.make_rollout(rollout_cfg, follower.key_value)
+        if rollout is not None:
+            nursery.start_soon(rollout.run)
         await daemon.stopping.wait()
         agent.stop()
         await daemon.drain(agent.active)
@@ -50,7 +57,9 @@
 
 def main() -> None:
     """Run ``foxtail-agent``."""
-    start_daemon("foxtail-agent", [AgentSettings, PlatformSettings], serve)
+    start_daemon(
+        "foxtail-agent", [AgentSettings, PlatformSettings, RolloutSettings], serve
+    )
 
 
 if __name__ == "__main__":
--- a/src/foxtailcourse/standin/_engine.py
+++ b/src/foxtailcourse/standin/_engine.py
@@ -106,6 +106,7 @@
         """
         self.down = down
         self.incarnation = secrets.token_hex(6)
+        self.adapters.clear()
         self.cache.clear()
         self.feed.restart(self.options.late_events)
         self.orders.forget()
@@ -120,6 +121,7 @@
     def replace_weights(self, version: str) -> None:
         """Serve another version from the next token on, with an empty cache."""
         self.version = version
+        self.adapters.clear()
         self.cache.clear()
         self.incarnation = secrets.token_hex(6)
         self.feed.restart(False)
@@ -268,7 +270,15 @@
         await exchange.respond_json(200, value)
 
     async def _order(self, exchange: Exchange) -> None:
+        if self.orders.lose_orders:
+            self.orders.lose_orders -= 1
+            exchange.abort()
+            return
         result = await self.orders.execute(_object(exchange))
+        if self.orders.lose_replies:
+            self.orders.lose_replies -= 1
+            exchange.abort()
+            return
         await exchange.respond_json(200, result)
 
     async def _switch(self, exchange: Exchange) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,5 +1,6 @@
 """An agent and its stand-ins in one process, for tests."""
 
+import hashlib
 import time
 
 import attrs
@@ -110,3 +111,54 @@
     """Start a service stand-in; return it and its address."""
     service = ServiceStandin(ServiceOptions(**options))
     return service, await nursery.start(serve_handler, service.handle)
+
+
+def chain_keys(account, blocks, version="v1"):
+    """Return chained block keys bound to an account and a weights version."""
+    key = hashlib.blake2b(f"{account}|{version}".encode(), digest_size=16).digest()
+    keys = []
+    for block in range(blocks):
+        data = key + block.to_bytes(4, "big")
+        key = hashlib.blake2b(data, digest_size=16).digest()
+        keys.append(key)
+    return tuple(keys)
+
+
+async def start_cutter(nursery, backend):
+    """Start a proxy that cuts each response after ``cutter.limit`` bytes."""
+    cutter = Cutter(backend)
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    nursery.start_soon(trio.serve_listeners, cutter.serve, listeners)
+    return cutter, Address("127.0.0.1", port)
+
+
+class Cutter:
+    def __init__(self, backend):
+        self.backend = backend
+        self.limit = None
+
+    async def serve(self, stream):
+        async with stream:
+            left = self.limit
+            backend = await trio.open_tcp_stream(self.backend.host, self.backend.port)
+            async with backend, trio.open_nursery() as nursery:
+                nursery.start_soon(self._copy, stream, backend)
+                try:
+                    async for piece in backend:
+                        await stream.send_all(piece[:left])
+                        if left is not None:
+                            left -= len(piece)
+                            if left <= 0:
+                                break
+                except trio.BrokenResourceError:
+                    pass
+                nursery.cancel_scope.cancel()
+
+    async def _copy(self, source, target):
+        try:
+            async for piece in source:
+                await target.send_all(piece)
+            await target.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
