Test block transfer and an agent frozen past its lease

Cause: both were only reasoned about. Change: tests of the transfer policy and of an import by a second engine; a process test that freezes the holder of a load slot for longer than its lease.

--- a/tests/agent/test_agent_processes.py
+++ b/tests/agent/test_agent_processes.py
@@ -1,12 +1,13 @@
 import signal
 import tempfile
+from functools import partial
 
 import msgspec
 import pytest
 import trio
 from testtools.matchers import Equals
 
-from daemons import start_agent_process, start_standin
+from daemons import put_record, start_agent_process, start_standin
 from foxtailcourse.http import ClientError
 from foxtailcourse.standin import BUSINESS_KEY, answer_text, prompt_text
 from standins import MESSAGES, call, chat, make_attempt
@@ -166,3 +167,41 @@
             self.assertThat(await self.runs(), Equals(1))
 
         self.run_processes(check)
+
+
+class TestPausedHolder(ProcessTestCase):
+    """Guards against an order by an agent that was frozen past its lease."""
+
+    def test_frozen_holder_takes_a_new_slot_before_it_orders(self):
+        async def check(nursery, folder):
+            addresses = await start_standin(nursery, folder, ENGINE)
+            agent, address = await start_agent_process(
+                nursery,
+                folder,
+                addresses,
+                kind="engine",
+                more="[rollout]\nlease_s = 1.0\npoll_s = 0.05\n",
+            )
+            async with trio.open_nursery() as callers:
+                callers.start_soon(partial(chat, address, max_tokens=400))
+                await agent.event("request_started")
+                await put_record(
+                    addresses[-1],
+                    "models/assistant",
+                    model="assistant",
+                    weights_version="v2",
+                    min_in_service=0,
+                )
+                await agent.event("out_of_service")
+                agent.send(signal.SIGSTOP)
+                await trio.sleep(1.5)  # longer than the lease
+                agent.send(signal.SIGCONT)
+            failed = await agent.event("rollout_failed")
+            done = await agent.event("order_done")
+            self.assertTrue("may have expired" in failed.fields["error"])
+            names = [each.name for each in agent.events]
+            order = names.index("rollout_failed") < names.index("order_done")
+            self.assertTrue(order)
+            self.assertTrue(int(done.fields["fencing"]) > 0)
+
+        self.run_processes(check)
--- /dev/null
+++ b/tests/agent/test_agent_transfer.py
@@ -0,0 +1,95 @@
+import testtools
+import trio
+from testtools.matchers import Equals
+
+from foxtailcourse.cache import HotPrefixes, TransferCosts, TransferPolicy
+from foxtailcourse.standin import (
+    KvStoreStandin,
+    answer_text,
+    prompt_text,
+    serve_handler,
+)
+from standins import (
+    MESSAGES,
+    chain_keys,
+    chat,
+    make_agent,
+    make_attempt,
+    start_agent,
+    start_engine,
+    until,
+)
+from support import AsyncTestCase
+
+COSTS = TransferCosts(recompute_s_per_block=0.01, import_s_per_block=0.001, call_s=0.05)
+
+
+class TestTransferPolicy(testtools.TestCase):
+    """Guards against transfers that cost more than they save."""
+
+    def test_import_must_be_cheaper_than_recomputing(self):
+        policy = TransferPolicy(COSTS)
+        self.assertThat(
+            [policy.should_import(n) for n in (5, 6)], Equals([False, True])
+        )
+        self.assertThat([policy.should_ask(n) for n in (11, 12)], Equals([False, True]))
+
+    def test_hot_prefix_is_exported_once_in_a_while(self):
+        policy = TransferPolicy(COSTS, hot_count=3.0, export_again_s=60.0)
+        found = [policy.should_export(b"k", 0.1 * i) for i in range(6)]
+        self.assertThat(found.count(True), Equals(1))
+        self.assertThat([policy.should_export(b"k", 70.0)], Equals([False]))
+        found = [policy.should_export(b"k", 70.0 + 0.1 * i) for i in range(6)]
+        self.assertThat(found.count(True), Equals(1))
+
+    def test_counts_are_bounded_and_never_below_the_true_count(self):
+        hot = HotPrefixes(capacity=8)
+        for i in range(100):
+            hot.add(bytes([i]), 0.0)
+            count = hot.add(b"hot", 0.0)
+            self.assertTrue(len(hot) <= 8)
+            self.assertTrue(count >= i + 1)
+
+
+class TestTransfer(AsyncTestCase):
+    """Guards the way of hot blocks from one engine to another."""
+
+    async def send_to_second(self, *, kv_store):
+        async with trio.open_nursery() as nursery:
+            self.store = KvStoreStandin()
+            store = await nursery.start(serve_handler, self.store.handle)
+            addresses, settings = [], {"kv_store": (store,) if kv_store else ()}
+            # The predicted recomputation bounds the import; a busy machine needs time.
+            settings["prefill_s_per_token"] = 0.2
+            for vm in ("palermo-1", "catania-1"):
+                engine, backend = await start_engine(
+                    nursery, prefill_s_per_token=0.001, kv_store=store
+                )
+                agent = make_agent(backend, vm=vm, **settings)
+                addresses.append(await start_agent(nursery, agent))
+            keys = chain_keys("teatro", 3)
+            for number in range(6):
+                attempt = make_attempt(f"a{number}", prefix_keys=keys, cache_salt="s")
+                await chat(addresses[0], attempt)
+            if kv_store:
+                await until(lambda: self.store.blocks)
+            attempt = make_attempt("b", prefix_keys=keys, cache_salt="s")
+            answer = await chat(addresses[1], attempt)
+            nursery.cancel_scope.cancel()
+        whole = answer_text(prompt_text(MESSAGES), 16, "v1")
+        self.assertThat(answer.text(), Equals(whole))
+        return answer.headers["foxtail-cached-tokens"]
+
+    def test_hot_blocks_are_imported_by_another_engine(self):
+        async def main():
+            cached = await self.send_to_second(kv_store=True)
+            self.assertThat(cached, Equals("48"))
+
+        self.run_async(main)
+
+    def test_without_the_store_they_are_recomputed(self):
+        async def main():
+            cached = await self.send_to_second(kv_store=False)
+            self.assertThat(cached, Equals("0"))
+
+        self.run_async(main)
