Answer unknown for a key that expires before a leaving agent looks

Cause: a leaving agent looks at the table before it begins; a key that expired between the issuer's check and that look, and had run, was answered not-run. Ruled out: leaving the expiry to begin alone, as before. Figures: the test of an expiry during a call covers look; it failed before. Conclusion: not-run is given only for a key that is unused and unexpired.

--- a/src/foxtailcourse/agent/_context.py
+++ b/src/foxtailcourse/agent/_context.py
@@ -53,6 +53,8 @@
     active : int
         Runs in progress that must end before the process stops, whether or not a
         caller waits for them.
+    saw_revision : callable or None
+        Told of the configuration revision in each attempt.
     nursery : trio.Nursery or None
         Owns the runs that go on when their caller is gone.
     """
@@ -69,6 +71,7 @@
     stopping: bool = False
     loading: bool = False
     active: int = 0
+    saw_revision: Callable[[int], None] | None = None
     nursery: trio.Nursery | None = None
 
     @property
@@ -196,6 +199,8 @@
             raise self.refusal(attempt_id, 400, "malformed_header", str(exc)) from exc
         if attempt.clock:
             self.events.clock.receive(attempt.clock)
+        if self.saw_revision is not None:
+            self.saw_revision(attempt.config_revision)
         return attempt
 
 
--- a/src/foxtailcourse/agent/_runs.py
+++ b/src/foxtailcourse/agent/_runs.py
@@ -71,12 +71,8 @@
             raise self._unknown(attempt, f"key_{key.state.value}")
         fingerprint = request_fingerprint(request)
         now = context.now()
-        if (
-            not context.takes_new_work
-            and self.table.look(key.ident, fingerprint, now) is Decision.RUN
-        ):
-            self._fence(key, fingerprint)
-            raise context.refuse_new_work(attempt.attempt_id)
+        if not context.takes_new_work:
+            self._refuse_unused(attempt, key, fingerprint, now)
         decision = self.table.begin(key.ident, fingerprint, key.expires_at, now)
         if decision is Decision.RUN:
             run = self._runs[key.ident] = _Run()
@@ -85,6 +81,15 @@
             return self._settled(attempt, key, decision)
         return await self._wait(attempt, self._runs[key.ident])
 
+    def _refuse_unused(
+        self, attempt: Attempt, key: IssuedKey, fingerprint: bytes, now: float
+    ) -> None:
+        """Fence a key that has not run; raises HttpError if it had not."""
+        found = self.table.look(key.ident, fingerprint, key.expires_at, now)
+        if found is Decision.RUN:
+            self._fence(key, fingerprint)
+            raise self._context.refuse_new_work(attempt.attempt_id)
+
     async def _wait(self, attempt: Attempt, run: _Run) -> KeptResponse:
         await run.ended.wait()
         if run.refusal is not None:
--- a/src/foxtailcourse/agent/run.py
+++ b/src/foxtailcourse/agent/run.py
@@ -1,5 +1,9 @@
 """``foxtail-agent``: the program beside a backend server."""
 
+import random
+from functools import partial
+from typing import Any
+
 import trio
 
 from foxtailcourse.agent._agent import Agent
@@ -33,7 +37,12 @@
         store,
         configured=lambda: follower.ready,
     )
-    admin = AdminServer(daemon.events, daemon.metrics, agent.readiness, agent.status)
+    agent.context.saw_revision = partial(_pull_newer, follower)
+
+    def status() -> dict[str, Any]:
+        return agent.status() | {"config": follower.status()}
+
+    admin = AdminServer(daemon.events, daemon.metrics, agent.readiness, status)
     async with trio.open_nursery() as nursery:
         await nursery.start(admin.serve, daemon.cfg.admin_listen)
         await nursery.start(follower.run)
@@ -49,6 +58,13 @@
         nursery.cancel_scope.cancel()
 
 
+def _pull_newer(follower: ConfigFollower, revision: int) -> None:
+    """Pull from an entry, since an entry's request carried a newer revision."""
+    entries = follower.store.view.entries()
+    if revision > follower.store.revision and entries:
+        follower.saw_revision(revision, random.choice(entries).vm)
+
+
 async def _announce(daemon: Daemon, follower: ConfigFollower, port: int) -> None:
     daemon.events.emit("agent_listening", port=port)
     await follower.wait_ready()
--- a/src/foxtailcourse/idempotency/_outcomes.py
+++ b/src/foxtailcourse/idempotency/_outcomes.py
@@ -122,22 +122,21 @@
         now : float
             Current time on the clock of ``expires_at``.
         """
-        decision = self.look(ident, fingerprint, now)
-        if decision is not Decision.RUN:
-            return decision
-        if now >= expires_at:
-            # The key may have expired since the issuer checked it, and its outcome
-            # was then forgotten.
-            return Decision.UNKNOWN
-        self._remember(ident, _Outcome(_State.RUNNING, fingerprint, expires_at))
-        return Decision.RUN
+        decision = self.look(ident, fingerprint, expires_at, now)
+        if decision is Decision.RUN:
+            self._remember(ident, _Outcome(_State.RUNNING, fingerprint, expires_at))
+        return decision
 
-    def look(self, ident: bytes, fingerprint: bytes, now: float) -> Decision:
-        """Return what ``begin`` would decide, and change nothing."""
+    def look(
+        self, ident: bytes, fingerprint: bytes, expires_at: float, now: float
+    ) -> Decision:
+        """Return what ``begin`` would decide, and begin nothing."""
         self._expire(now)
         held = self._outcomes.get(ident)
         if held is None:
-            return Decision.RUN
+            # The key may have expired since the issuer checked it, and its outcome
+            # was then forgotten.
+            return Decision.RUN if now < expires_at else Decision.UNKNOWN
         if held.state is _State.FENCED:
             return Decision.FENCED
         if held.fingerprint != fingerprint:
@@ -181,7 +180,6 @@
         ValueError
             If the key has run or may have run.
         """
-        self._expire(now)
         if ident in self._outcomes:
             self._running(ident).state = _State.FENCED
         else:
--- a/tests/idempotency/test_outcomes.py
+++ b/tests/idempotency/test_outcomes.py
@@ -122,7 +122,7 @@
         table.begin(b"a", FINGERPRINT, 10.0, 0.0)
         table.begin(b"b", FINGERPRINT, 10.0, 0.0)
         table.finish(b"a", make_response(), 1.0)
-        table.look(b"c", FINGERPRINT, 11.0)
+        table.look(b"c", FINGERPRINT, 10.0, 11.0)
         self.assertThat(len(table), Equals(1))
         self.assertThat(table.kept_bytes, Equals(0))
         table.finish(b"b", make_response(), 12.0)
@@ -139,5 +139,7 @@
         first = table.begin(checked.ident, FINGERPRINT, checked.expires_at, 1.0)
         self.assertThat(first, Equals(Decision.RUN))
         table.finish(checked.ident, make_response(), 2.0)
-        second = table.begin(checked.ident, FINGERPRINT, checked.expires_at, 60.0)
-        self.assertThat(second, Equals(Decision.UNKNOWN))
+        # A leaving agent looks first, and must not answer "not run" either.
+        for decide in (table.look, table.begin):
+            second = decide(checked.ident, FINGERPRINT, checked.expires_at, 60.0)
+            self.assertThat(second, Equals(Decision.UNKNOWN))
