--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -1,5 +1,6 @@
 """The agent: the only path to one backend server."""
 
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -10,14 +11,22 @@
 from foxtailcourse.agent._scheduler import Scheduler
 from foxtailcourse.agent._service import ServiceHandler
 from foxtailcourse.agent._settings import AgentSettings
-from foxtailcourse.cache import BlockIndex
+from foxtailcourse.agent._target import AgentTarget
+from foxtailcourse.agent._transfer import BlockTransfer
+from foxtailcourse.cache import BlockIndex, TransferCosts, TransferPolicy
 from foxtailcourse.config import ConfigStore
-from foxtailcourse.engine import HttpEngineClient, HttpServiceClient
+from foxtailcourse.engine import (
+    HttpEngineClient,
+    HttpKvStoreClient,
+    HttpServiceClient,
+)
 from foxtailcourse.http import Exchange, HttpLimits, HttpServer
 from foxtailcourse.idempotency import KeyIssuer, OutcomeLimits, OutcomeTable
 from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.platform import KeyValueStore
 from foxtailcourse.process import Readiness
 from foxtailcourse.protocol import headers
+from foxtailcourse.rollout import LoadSlots, RolloutDriver, RolloutSettings
 from foxtailcourse.sharing import FairQueue, QueueLimits, ServiceRates
 
 MAX_SERVICE_BODY_BYTES = 8 * 1024 * 1024
@@ -38,6 +47,8 @@
         Where the agent reports.
     store : ConfigStore
         The configuration copy; a follower keeps it up to date.
+    configured : callable or None
+        Returns whether the copy holds a configuration; None for always.
     """
 
     def __init__(
@@ -47,6 +58,7 @@
         events: EventLog,
         metrics: Metrics,
         store: ConfigStore,
+        configured: Callable[[], bool] | None = None,
     ) -> None:
         queue = _make_queue(cfg)
         self.context = AgentContext(
@@ -55,6 +67,7 @@
             events=events,
             metrics=metrics,
             store=store,
+            configured=configured or (lambda: True),
             index=BlockIndex(cfg.index_blocks, cfg.index_stale_s),
             scheduler=Scheduler(queue, trio.current_time, queue.first_token),
         )
@@ -62,7 +75,8 @@
         if cfg.kind == "engine":
             engine = HttpEngineClient(cfg.backend, cfg.token_timeout_s)
             self.feed = EngineFeed(self.context, engine)
-            self._chat = ChatHandler(self.context, engine)
+            self.engine = engine
+            self._chat = ChatHandler(self.context, engine, self._make_transfer(engine))
         else:
             service = HttpServiceClient(cfg.backend, MAX_SERVICE_BODY_BYTES)
             issuer = KeyIssuer(vm, cfg.key_lifetime_s, cfg.max_keys)
@@ -74,6 +88,36 @@
         self.server = HttpServer(self._handle, limits, self._on_error)
         self.port = 0
 
+    def _make_transfer(self, engine: HttpEngineClient) -> BlockTransfer | None:
+        cfg = self.context.cfg
+        if not cfg.kv_store:
+            return None
+        costs = TransferCosts(
+            recompute_s_per_block=cfg.block_tokens * cfg.prefill_s_per_token,
+            import_s_per_block=cfg.import_s_per_block,
+            call_s=cfg.import_call_s,
+        )
+        store = HttpKvStoreClient(cfg.kv_store[0])
+        return BlockTransfer(self.context, engine, store, TransferPolicy(costs))
+
+    def make_rollout(
+        self, cfg: RolloutSettings, store: KeyValueStore
+    ) -> RolloutDriver | None:
+        """Return the driver of the engine's rollouts; None for a plain service."""
+        if self.feed is None:
+            return None
+        slots = LoadSlots(
+            store,
+            vm=self.context.vm,
+            clock=trio.current_time,
+            prefix=cfg.slots_prefix,
+            slots=cfg.slots,
+            ttl_s=cfg.lease_s,
+        )
+        target = AgentTarget(self.context, self.feed)
+        events = self.context.events
+        return RolloutDriver(cfg, self.engine, slots, target, events, trio.current_time)
+
     async def run(
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -101,6 +145,10 @@
         """Return whether the agent should get traffic."""
         if self.context.leaving:
             return Readiness(False, "leaving")
+        if not self.context.configured():
+            return Readiness(False, "no configuration is held")
+        if self.context.loading:
+            return Readiness(False, "loading weights")
         if self.feed is not None and not self.feed.reachable:
             return Readiness(False, "engine is unreachable")
         return Readiness(True)
@@ -114,6 +162,7 @@
             "serves": context.cfg.serves,
             "port": self.port,
             "leaving": context.leaving,
+            "loading": context.loading,
             "engine_incarnation": context.index.incarnation,
             "weights_version": context.weights_version,
             "indexed_blocks": len(context.index),
--- a/src/foxtailcourse/agent/_context.py
+++ b/src/foxtailcourse/agent/_context.py
@@ -21,7 +21,7 @@
     Verdict,
 )
 
-LEAVING_RETRY_AFTER_MS = 1000
+NEW_WORK_RETRY_AFTER_MS = 1000
 
 
 @attrs.define(kw_only=True)
@@ -38,6 +38,8 @@
         Where the agent reports.
     store : ConfigStore
         The configuration copy.
+    configured : callable
+        Returns whether the copy holds a configuration.
     index : BlockIndex
         Blocks that the engine holds.
     scheduler : Scheduler
@@ -46,9 +48,13 @@
         Version that the engine serves, empty if not known.
     stopping : bool
         Whether a planned stop has begun.
+    loading : bool
+        Whether the engine is out of service for new weights.
     active : int
         Runs in progress that must end before the process stops, whether or not a
         caller waits for them.
+    saw_revision : callable or None
+        Told of the configuration revision in each attempt.
     nursery : trio.Nursery or None
         Owns the runs that go on when their caller is gone.
     """
@@ -58,11 +64,14 @@
     events: EventLog
     metrics: Metrics
     store: ConfigStore
+    configured: Callable[[], bool]
     index: BlockIndex
     scheduler: Scheduler
     weights_version: str = ""
     stopping: bool = False
+    loading: bool = False
     active: int = 0
+    saw_revision: Callable[[int], None] | None = None
     nursery: trio.Nursery | None = None
 
     @property
@@ -160,14 +169,25 @@
             fields=reply.to_headers(),
         )
 
-    def refuse_leaving(self, attempt_id: str) -> HttpError:
-        """Return the refusal of new work by a leaving backend server."""
+    @property
+    def takes_new_work(self) -> bool:
+        """Whether new work is taken; without a configuration none is."""
+        return self.configured() and not self.leaving and not self.loading
+
+    def refuse_new_work(self, attempt_id: str) -> HttpError:
+        """Return the refusal of new work."""
+        if not self.configured():
+            code, reason = "no_configuration", "holds no configuration yet"
+        elif self.leaving:
+            code, reason = "leaving", "takes no new work"
+        else:
+            code, reason = "loading", "loads new weights"
         return self.refusal(
             attempt_id,
             503,
-            "leaving",
-            f"backend server {self.vm} takes no new work",
-            retry_after_ms=LEAVING_RETRY_AFTER_MS,
+            code,
+            f"backend server {self.vm} {reason}",
+            retry_after_ms=NEW_WORK_RETRY_AFTER_MS,
         )
 
     def read_attempt(self, exchange: Exchange) -> Attempt:
@@ -179,6 +199,8 @@
             raise self.refusal(attempt_id, 400, "malformed_header", str(exc)) from exc
         if attempt.clock:
             self.events.clock.receive(attempt.clock)
+        if self.saw_revision is not None:
+            self.saw_revision(attempt.config_revision)
         return attempt
 
 
--- a/src/foxtailcourse/agent/_service.py
+++ b/src/foxtailcourse/agent/_service.py
@@ -78,8 +78,8 @@
                 attempt.attempt_id, 400, "malformed_body", str(exc)
             ) from exc
         self._route(order.route, attempt)
-        if context.leaving:
-            raise context.refuse_leaving(attempt.attempt_id)
+        if not context.takes_new_work:
+            raise context.refuse_new_work(attempt.attempt_id)
         try:
             key = self._issuer.issue(attempt.client_account, context.now())
         except KeyLimitError as exc:
@@ -126,8 +126,8 @@
     ) -> KeptResponse:
         """Run a call that ends with its caller."""
         context = self._context
-        if context.leaving:
-            raise context.refuse_leaving(attempt.attempt_id)
+        if not context.takes_new_work:
+            raise context.refuse_new_work(attempt.attempt_id)
         try:
             async with context.scheduler.start(self._queued(attempt)) as slot:
                 slot.generated_tokens = 1
--- a/src/foxtailcourse/standin/_lines.py
+++ b/src/foxtailcourse/standin/_lines.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from foxtailcourse.config import Vm, VmRole, VmState
 from foxtailcourse.settings import Address, parse_address
 
 T = TypeVar("T")
@@ -58,3 +59,21 @@
         else:
             values[key] = parse_address(text)
     return cls(**values)
+
+
+def parse_vm(text: str) -> Vm:
+    """Parse one line of the VM list; raises ValueError if it is incomplete."""
+    words = parse_words(text.split())
+    try:
+        return Vm(
+            vm=words["vm"],
+            failure_domain=words["failure_domain"],
+            role=VmRole(words["role"]),
+            listen=parse_address(words["listen"]),
+            control=parse_address(words["control"]),
+            admin=parse_address(words["admin"]),
+            serves=words.get("serves", ""),
+            state=VmState(words.get("state", "live")),
+        )
+    except KeyError as exc:
+        raise ValueError(f"VM line lacks {exc}: {text!r}") from exc
