--- /dev/null
+++ b/tests/entry/test_once.py
@@ -0,0 +1,204 @@
+import time
+
+import msgspec
+from testtools.matchers import Equals, HasLength
+
+from entry_support import FakeAgent, FakeKeyValue, record, running_entry
+from foxtailcourse.entry import _claims
+from foxtailcourse.idempotency import KeyIssuer
+from foxtailcourse.platform import PlatformError
+from foxtailcourse.protocol import Verdict
+from support import AsyncTestCase
+
+RETURN = "/services/coats/return/7"
+KEYS = "/v1/idempotency-keys"
+
+
+class CoatAgent(FakeAgent):
+    """Issues keys and counts the runs of each, without joining repeated calls."""
+
+    def __init__(self, vm, fault=None):
+        super().__init__(vm, serves="coats", script=self.serve)
+        self.issuer = KeyIssuer(vm, 60.0, 1000)
+        self.runs = []
+        self.fault = fault
+
+    async def serve(self, agent, exchange, attempt):
+        if exchange.path == KEYS:
+            key = self.issuer.issue(attempt.client_account, time.monotonic())
+            value = {"key": key, "expires_in_s": 60}
+            await exchange.respond_json(200, value, self.reply(attempt))
+            return
+        self.runs.append(exchange.headers.get("idempotency-key", ""))
+        if self.fault == "cut":
+            exchange.abort()
+        elif self.fault == "cut once":
+            self.fault = None
+            exchange.abort()
+        elif self.fault == "refuse":
+            await self.refuse(exchange, attempt)
+        else:
+            await exchange.respond_json(200, {"vm": self.vm}, self.reply(attempt))
+
+
+class TestOnce(AsyncTestCase):
+    """Guards invariants 5 and 6: at most one run, and a true "not run"."""
+
+    def once(self, check, claims=None, faults=(None, None), **settings):
+        async def main():
+            agents = [CoatAgent(f"c{i}", fault) for i, fault in enumerate(faults)]
+            async with running_entry(agents, claims=claims, **settings) as entry:
+                await check(entry, agents)
+
+        self.run_async(main)
+
+    async def issue(self, entry):
+        _, _, body = await entry.call("POST", KEYS, {"route": "coats"})
+        return msgspec.json.decode(body)["key"]
+
+    def test_call_goes_to_the_agent_that_issued_its_key(self):
+        async def check(entry, agents):
+            for _ in range(6):
+                key = await self.issue(entry)
+                status, _, body = await entry.call("POST", RETURN, idempotency_key=key)
+                self.assertThat(status, Equals(200))
+                holder = msgspec.json.decode(body)["vm"]
+                runs = next(each.runs for each in agents if each.vm == holder)
+                self.assertThat(runs[-1], Equals(key))
+
+        self.once(check)
+
+    def test_broken_call_is_sent_again_to_the_same_agent_only(self):
+        async def check(entry, agents):
+            key = await self.issue(entry)
+            status, fields, _ = await entry.call("POST", RETURN, idempotency_key=key)
+            self.assertThat(status, Equals(503))
+            self.assertThat(fields["foxtail-verdict"], Equals("may-have-run"))
+            reached = [each for each in agents if each.runs]
+            self.assertThat(reached, HasLength(1))
+
+        self.once(check, faults=("cut", "cut"))
+
+        async def check_once(entry, agents):
+            key = await self.issue(entry)
+            status, _, _ = await entry.call("POST", RETURN, idempotency_key=key)
+            self.assertThat(status, Equals(200))
+
+        self.once(check_once, faults=("cut once", "cut once"))
+
+    def test_route_taken_for_repeatable_reaches_two_agents(self):
+        """The switch: with ordinary attempts the same call runs on both agents."""
+
+        async def check(entry, agents):
+            body = {"route": "coats", "repeatable": True}
+            entry.store.merge([record("services/coats", body, 2)])
+            await entry.call("POST", RETURN, idempotency_key="k")
+            self.assertThat([len(each.runs) for each in agents], Equals([1, 1]))
+
+        self.once(check, faults=("cut", "cut"))
+
+    def test_refusal_is_final_and_says_when_to_come_back(self):
+        async def check(entry, agents):
+            key = await self.issue(entry)
+            status, fields, _ = await entry.call("POST", RETURN, idempotency_key=key)
+            self.assertThat(status, Equals(429))
+            self.assertThat(fields["foxtail-verdict"], Equals("not-run"))
+            self.assertThat(fields["retry-after"], Equals("1"))
+            self.assertThat(sum(len(each.runs) for each in agents), Equals(1))
+
+        self.once(check, faults=("refuse", "refuse"))
+
+    def test_unreachable_key_holder_is_not_said_to_have_not_run(self):
+        async def check(entry, agents):
+            key = KeyIssuer("gone", 60.0, 1000).issue("teatro", time.monotonic())
+            status, fields, _ = await entry.call("POST", RETURN, idempotency_key=key)
+            self.assertThat(status, Equals(503))
+            self.assertThat(fields["foxtail-verdict"], Equals("may-have-run"))
+            self.assertThat(sum(len(each.runs) for each in agents), Equals(0))
+
+        self.once(check)
+
+    def test_call_without_key_is_refused(self):
+        async def check(entry, agents):
+            status, fields, _ = await entry.call("POST", RETURN)
+            self.assertThat(status, Equals(400))
+            self.assertThat(fields["foxtail-verdict"], Equals("not-run"))
+
+        self.once(check)
+
+
+class TestClaims(AsyncTestCase):
+    """Guards against two issued keys for one key of a caller."""
+
+    def run_with(self, faults, submissions=3):
+        """Return statuses, verdicts and the issued keys that ran."""
+        key_value = FakeKeyValue()
+        results, ran = [], []
+
+        async def main():
+            # A new entry for each submission shares nothing but the platform.
+            agents = [CoatAgent("c0"), CoatAgent("c1")]
+            for number in range(submissions):
+                key_value.faults = list(faults.get(number, ()))
+                async with running_entry(agents, claims=key_value) as entry:
+                    status, fields, _ = await entry.call(
+                        "POST", RETURN, idempotency_key="return of coat 7"
+                    )
+                results.append((status, fields["foxtail-verdict"]))
+            for each in agents:
+                ran.extend(each.runs)
+
+        self.run_async(main)
+        return results, ran
+
+    def test_own_key_stands_for_one_issued_key_whatever_is_lost(self):
+        ran_ok = (200, "ran")
+        refused = (503, "not-run")
+        cases = [
+            ({}, [ran_ok] * 3),
+            ({0: ["down"]}, [refused, ran_ok, ran_ok]),
+            ({0: ["lost"]}, [ran_ok] * 3),
+            ({0: ["lost", "down"]}, [refused, ran_ok, ran_ok]),
+            ({0: ["late"]}, [ran_ok] * 3),
+            ({0: ["late", "down"], 1: [None]}, [refused, ran_ok, ran_ok]),
+            ({1: ["lost"], 2: ["late"]}, [ran_ok] * 3),
+        ]
+        for faults, expected in cases:
+            results, ran = self.run_with(faults)
+            self.assertThat(results, Equals(expected), f"{faults}")
+            self.assertThat(set(ran), HasLength(1), f"{faults}")
+
+    def test_trusting_an_unanswered_create_lets_two_keys_run(self):
+        """The switch: without reading back, a late create loses to another one."""
+
+        async def trusting(self, name, value):
+            try:
+                result = await self._key_value.txn({name: 0}, [_put(name, value)])
+            except PlatformError:
+                return value
+            return value if result.succeeded else result.current[0].value
+
+        self.patch(_claims.Claims, "_create", trusting)
+        _, ran = self.run_with({0: ["down"]})
+        self.assertThat(set(ran), HasLength(2))
+
+    def test_key_of_another_route_is_refused(self):
+        async def main():
+            key_value = FakeKeyValue()
+            async with running_entry([CoatAgent("c0")], claims=key_value) as entry:
+                await entry.call("POST", RETURN, idempotency_key="mine")
+                name = next(iter(key_value.items))
+                claim = {"key": "x", "route": "other"}
+                key_value.items[name] = msgspec.json.encode(claim)
+                status, fields, _ = await entry.call(
+                    "POST", RETURN, idempotency_key="mine"
+                )
+                self.assertThat(status, Equals(409))
+                verdict = Verdict(fields["foxtail-verdict"])
+                self.assertThat(verdict, Equals(Verdict.NOT_RUN))
+
+        self.run_async(main)
+
+
+def _put(name, value):
+    return _claims.Put(key=name, value=value)
