--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -1,5 +1,6 @@
 """The agent: the only path to one backend server."""
 
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -38,6 +39,8 @@
         Where the agent reports.
     store : ConfigStore
         The configuration copy; a follower keeps it up to date.
+    configured : callable or None
+        Returns whether the copy holds a configuration; None for always.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         events: EventLog,
         metrics: Metrics,
         store: ConfigStore,
+        configured: Callable[[], bool] | None = None,
     ) -> None:
         queue = _make_queue(cfg)
         self.context = AgentContext(
@@ -55,6 +59,7 @@
             events=events,
             metrics=metrics,
             store=store,
+            configured=configured or (lambda: True),
             index=BlockIndex(cfg.index_blocks, cfg.index_stale_s),
             scheduler=Scheduler(queue, trio.current_time, queue.first_token),
         )
@@ -101,6 +106,8 @@
         """Return whether the agent should get traffic."""
         if self.context.leaving:
             return Readiness(False, "leaving")
+        if not self.context.configured():
+            return Readiness(False, "no configuration is held")
         if self.feed is not None and not self.feed.reachable:
             return Readiness(False, "engine is unreachable")
         return Readiness(True)
--- a/src/foxtailcourse/agent/_chat.py
+++ b/src/foxtailcourse/agent/_chat.py
@@ -63,8 +63,8 @@
         """Answer ``POST /v1/chat/completions``."""
         context = self._context
         attempt = context.read_attempt(exchange)
-        if context.leaving:
-            raise context.refuse_leaving(attempt.attempt_id)
+        if not context.takes_new_work:
+            raise context.refuse_new_work(attempt.attempt_id)
         self._check_version(attempt)
         body = self._read_body(exchange, attempt)
         matched = context.index.match(attempt.prefix_keys, context.now())
--- a/src/foxtailcourse/agent/_context.py
+++ b/src/foxtailcourse/agent/_context.py
@@ -38,6 +38,8 @@
         Where the agent reports.
     store : ConfigStore
         The configuration copy.
+    configured : callable
+        Returns whether the copy holds a configuration.
     index : BlockIndex
         Blocks that the engine holds.
     scheduler : Scheduler
@@ -58,6 +60,7 @@
     events: EventLog
     metrics: Metrics
     store: ConfigStore
+    configured: Callable[[], bool]
     index: BlockIndex
     scheduler: Scheduler
     weights_version: str = ""
@@ -160,8 +163,21 @@
             fields=reply.to_headers(),
         )
 
-    def refuse_leaving(self, attempt_id: str) -> HttpError:
-        """Return the refusal of new work by a leaving backend server."""
+    @property
+    def takes_new_work(self) -> bool:
+        """Whether new work is taken; without a configuration none is."""
+        return self.configured() and not self.leaving
+
+    def refuse_new_work(self, attempt_id: str) -> HttpError:
+        """Return the refusal of new work."""
+        if not self.configured():
+            return self.refusal(
+                attempt_id,
+                503,
+                "no_configuration",
+                "this agent holds no configuration yet",
+                retry_after_ms=LEAVING_RETRY_AFTER_MS,
+            )
         return self.refusal(
             attempt_id,
             503,
--- a/src/foxtailcourse/agent/_runs.py
+++ b/src/foxtailcourse/agent/_runs.py
@@ -72,11 +72,11 @@
         fingerprint = request_fingerprint(request)
         now = context.now()
         if (
-            context.leaving
+            not context.takes_new_work
             and self.table.look(key.ident, fingerprint, now) is Decision.RUN
         ):
             self._fence(key, fingerprint)
-            raise context.refuse_leaving(attempt.attempt_id)
+            raise context.refuse_new_work(attempt.attempt_id)
         decision = self.table.begin(key.ident, fingerprint, key.expires_at, now)
         if decision is Decision.RUN:
             run = self._runs[key.ident] = _Run()
