--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,387 @@
+"""Starts the system's programs on loopback addresses, for the demo and the tests."""
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import attrs
+import msgspec
+import trio
+
+from foxtailcourse.config import Record
+from foxtailcourse.http import ClientError, ConnectionPool
+from foxtailcourse.observe import parse_event
+from foxtailcourse.platform import KeyValueClient, PlatformError, Put
+from foxtailcourse.settings import Address
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+# Below the system's range of ports for outgoing connections, which would otherwise
+# take a port between its choice and its use.
+FIRST_PORT, LAST_PORT = 20_000, 31_999
+KEPT_LINES = 20_000
+
+
+class FleetError(Exception):
+    """A program did not start, or ended when it should not."""
+
+
+def free_address():
+    """Return a loopback address whose port is free now."""
+    for _ in range(1000):
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return Address(HOST, port)
+    raise FleetError("no free port")
+
+
+@attrs.define
+class Server:
+    """One VM of the layout: an agent with its backend server, or an entry.
+
+    Parameters
+    ----------
+    vm, failure_domain, role : str
+        As in the VM list.
+    serves : str
+        Model or service route of an agent.
+    """
+
+    vm: str
+    failure_domain: str
+    role: str
+    serves: str = ""
+    listen: Address = attrs.field(factory=free_address)
+    control: Address = attrs.field(factory=free_address)
+    admin: Address = attrs.field(factory=free_address)
+    state: str = "live"
+
+    def as_json(self):
+        """Return the entry of the VM list."""
+        value = attrs.asdict(self)
+        return value
+
+
+class Program:
+    """One running program; its event lines are kept and can be waited for."""
+
+    def __init__(self, name, module, path):
+        self.name = name
+        self.events = []
+        self.lines = []
+        self.process = None
+        self._module = module
+        self._path = path
+
+    async def start(self, nursery):
+        """Start the program and wait until it serves."""
+        first = len(self.events)
+        self.process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", self._module, "--config", str(self._path)],
+            stderr=subprocess.PIPE,
+            env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+        )
+        nursery.start_soon(self._read, self.process)
+        return await self.event("process_ready", first=first)
+
+    async def _read(self, process):
+        buffer = b""
+        try:
+            async for piece in process.stderr:
+                *lines, buffer = (buffer + piece).split(b"\n")
+                for line in lines:
+                    text = line.decode("utf-8", "replace")
+                    self.lines = [*self.lines[-50:], text]
+                    event = parse_event(text)
+                    if event is not None and len(self.events) < KEPT_LINES:
+                        self.events.append(event)
+        finally:
+            if process.returncode is None:
+                process.kill()
+
+    async def event(self, name, count=1, first=0):
+        """Wait for the given number of events of a name; return the last of them."""
+        while True:
+            found = [each for each in self.events[first:] if each.name == name]
+            if len(found) >= count:
+                return found[count - 1]
+            if self.process.returncode is not None:
+                tail = "\n".join(self.lines[-5:])
+                raise FleetError(f"{self.name} ended before {name}: {tail}")
+            await trio.sleep(0.01)
+
+    def send(self, signum):
+        """Send a signal."""
+        self.process.send_signal(signum)
+
+    async def stop(self):
+        """Stop with SIGTERM and return the exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        return await self.process.wait()
+
+
+class Fleet:
+    """The programs of one layout.
+
+    Parameters
+    ----------
+    folder : Path
+        Where the settings files are written.
+    servers : list of Server
+        The VMs.
+    engine_options, service_options : str
+        Further options of the stand-ins' engines and services.
+    process_options, entry_options : str
+        Further lines of the ``[process]`` and ``[entry]`` sections.
+    """
+
+    def __init__(
+        self,
+        folder,
+        servers,
+        *,
+        engine_options="",
+        service_options="",
+        process_options="drain_grace_s = 0.3",
+        entry_options="",
+    ):
+        self.folder = Path(folder)
+        self.servers = {each.vm: each for each in servers}
+        self.backends = {e.vm: free_address() for e in servers if e.role == "agent"}
+        self.platform = free_address()
+        self.pool = ConnectionPool()
+        self.programs = {}
+        self._engine_options = engine_options
+        self._service_options = service_options
+        self._process_options = process_options
+        self._entry_options = entry_options
+        self._generations = {}
+
+    def entries(self):
+        """Return the entries of the layout."""
+        return [each for each in self.servers.values() if each.role == "entry"]
+
+    def agents(self):
+        """Return the agents of the layout."""
+        return [each for each in self.servers.values() if each.role == "agent"]
+
+    async def start(self, nursery, records):
+        """Start the stand-ins, apply the records, start the agents and the entries.
+
+        Parameters
+        ----------
+        nursery : trio.Nursery
+            Runs the readers of the programs' logs.
+        records : dict of str to dict
+            Bodies of configuration records by key.
+        """
+        await self._start_program(nursery, "standin", "standin", self._standin_text())
+        await self.publish_vms()
+        await self.apply(records)
+        async with trio.open_nursery() as starting:
+            for each in self.servers.values():
+                starting.start_soon(self.start_server, nursery, each.vm)
+
+    async def start_server(self, nursery, vm):
+        """Start, or start again, one entry or agent."""
+        server = self.servers[vm]
+        text = self._entry_text(server)
+        if server.role == "agent":
+            text = self._agent_text(server)
+        await self._start_program(nursery, vm, server.role, text)
+
+    async def _start_program(self, nursery, name, package, text):
+        path = self.folder / f"{name}.ini"
+        path.write_text(text, encoding="utf-8")
+        program = self.programs.get(name)
+        if program is None:
+            program = Program(name, f"foxtailcourse.{package}.run", path)
+            self.programs[name] = program
+        await program.start(nursery)
+
+    async def apply(self, records):
+        """Write configuration records to the platform."""
+        client = KeyValueClient(self.pool, self.platform)
+        for key, body in records.items():
+            generation = self._generations.get(key, 0) + 1
+            record = Record(
+                key=key, generation=generation, write_id=f"fleet{generation}", body=body
+            )
+            held = await client.range(key)
+            revisions = [e.mod_revision for e in held.items if e.key == key]
+            expected = revisions[0] if revisions else 0
+            put = Put(key=key, value=record.encode())
+            result = await client.txn({key: expected}, [put])
+            if not result.succeeded:
+                raise PlatformError(f"{key} changed", may_have_applied=False)
+            self._generations[key] = generation
+
+    async def publish_vms(self):
+        """Replace the platform's VM list by the layout's servers."""
+        listing = [each.as_json() for each in self.servers.values()]
+        await self.post(self.platform, "/vms", listing)
+
+    async def post(self, address, path, value):
+        """Post a JSON value and return the decoded answer."""
+        body = msgspec.json.encode(value)
+        async with self.pool.request(address, "POST", path, body=body) as response:
+            return await response.json()
+
+    async def get(self, address, path):
+        """Return the decoded answer to a GET."""
+        async with self.pool.request(address, "GET", path) as response:
+            return await response.json()
+
+    async def status(self, vm):
+        """Return a program's ``/status``, or None if it can't be reached."""
+        try:
+            return await self.get(self.servers[vm].admin, "/status")
+        except ClientError:
+            return None
+
+    async def wait_status(self, vm, condition):
+        """Wait until a program's status meets a condition."""
+        while True:
+            status = await self.status(vm)
+            if status is not None and condition(status):
+                return status
+            await trio.sleep(0.02)
+
+    async def wait_known(self):
+        """Wait until each entry knows all agents and each agent its contracts."""
+        agents = {each.vm for each in self.agents()}
+        for each in self.entries():
+            await self.wait_status(
+                each.vm,
+                lambda status: (
+                    agents <= set(status["backend_servers"]) and status["contracts"]
+                ),
+            )
+
+    async def runs(self, route):
+        """Return how often the services of a route ran each business key."""
+        counts = {}
+        for each in self.agents():
+            if each.serves == route:
+                answer = await self.get(self.backends[each.vm], "/standin")
+                for key, count in answer["runs"].items():
+                    counts[key] = counts.get(key, 0) + count
+        return counts
+
+    def service_routes(self):
+        """Return the routes that plain services serve."""
+        return {e.serves for e in self.agents() if e.serves != "assistant"}
+
+    async def stop(self):
+        """Stop all programs, entries first; return their exit codes by name."""
+        codes = {}
+
+        async def stop_one(name):
+            codes[name] = await self.programs[name].stop()
+
+        for role in ("entry", "agent", ""):
+            async with trio.open_nursery() as nursery:
+                for name in self.programs:
+                    server = self.servers.get(name)
+                    if (server.role if server else "") == role:
+                        nursery.start_soon(stop_one, name)
+        await self.pool.aclose()
+        return codes
+
+    def _standin_text(self):
+        routes = self.service_routes()
+        engines, services = [], []
+        for each in self.agents():
+            address = self.backends[each.vm]
+            if each.serves in routes:
+                options = f"route={each.serves} {self._service_options}"
+                services.append(f"    {address} {options}")
+            else:
+                options = f"model={each.serves} {self._engine_options}"
+                engines.append(f"    {address} {options}")
+        return "\n".join(
+            [
+                "[process]",
+                "vm = standin",
+                "failure_domain = palermo",
+                f"admin_listen = {free_address()}",
+                "[standin]",
+                f"platform = {self.platform}",
+                "engines =",
+                *engines,
+                "services =",
+                *services,
+                "",
+            ]
+        )
+
+    def _process_text(self, server):
+        return [
+            "[process]",
+            f"vm = {server.vm}",
+            f"failure_domain = {server.failure_domain}",
+            f"admin_listen = {server.admin}",
+            self._process_options,
+            "[platform]",
+            f"key_value = {self.platform}",
+            f"vm_list = {self.platform}",
+            f"control_listen = {server.control}",
+            "vm_list_poll_s = 0.2",
+            "peers = " + ", ".join(str(e.control) for e in self.peers_of(server)),
+        ]
+
+    def peers_of(self, server):
+        """Return the servers whose configuration a process may ask for."""
+        return [e for e in self.servers.values() if e.vm != server.vm]
+
+    def _entry_text(self, server):
+        lines = [
+            *self._process_text(server),
+            "[entry]",
+            f"listen = {server.listen}",
+            self._entry_options,
+            "[routing]",
+            "block_tokens = 16",
+            "",
+        ]
+        return "\n".join(lines)
+
+    def _agent_text(self, server):
+        service = server.serves in self.service_routes()
+        lines = [
+            *self._process_text(server),
+            "[agent]",
+            f"listen = {server.listen}",
+            f"serves = {server.serves}",
+            f"kind = {'service' if service else 'engine'}",
+            f"backend = {self.backends[server.vm]}",
+            "",
+        ]
+        return "\n".join(lines)
+
+
+def guardaroba(entries=2, assistants=5, counters=2, availability=1):
+    """Return the servers of the Guardaroba layout."""
+    domains = ("palermo", "catania", "siracusa")
+    kinds = [
+        ("entry", "entry", "", entries),
+        ("assistant", "agent", "assistant", assistants),
+        ("counter", "agent", "counter", counters),
+        ("availability", "agent", "availability", availability),
+    ]
+    servers = []
+    for name, role, serves, count in kinds:
+        for number in range(count):
+            domain = domains[len(servers) % len(domains)]
+            server = Server(f"{name}-{number + 1}", domain, role, serves)
+            servers.append(server)
+    return servers
--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -1,6 +1,5 @@
 """The entry process: listeners, configuration and planned stop."""
 
-from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Any
 
@@ -9,12 +8,12 @@
 from foxtailcourse.config import ConfigFollower, ConfigStore, PlatformSettings
 from foxtailcourse.entry._attempts import Dispatcher
 from foxtailcourse.entry._claims import Claims
+from foxtailcourse.entry._config import ConfigSource
 from foxtailcourse.entry._gateway import Gateway
 from foxtailcourse.entry._once import OnceCaller
 from foxtailcourse.entry._relay import Relay
 from foxtailcourse.entry._settings import EntrySettings
 from foxtailcourse.http import ConnectionPool, Exchange, HttpServer
-from foxtailcourse.platform import KeyValueStore
 from foxtailcourse.process import AdminServer, Daemon, Readiness
 from foxtailcourse.routing import PlacementSettings, PrefixPlacement
 from foxtailcourse.settings import Address
@@ -32,12 +31,8 @@
         Settings of the entry.
     placement_cfg : PlacementSettings
         Settings of the placement policy.
-    store : ConfigStore
-        The configuration, filled by a follower.
-    key_value : KeyValueStore
-        Holds the claims of callers' own idempotency keys.
-    saw_revision : callable
-        Told of a configuration revision above ours and the VM that has it.
+    config : ConfigSource
+        The configuration.
     """
 
     def __init__(
@@ -45,32 +40,31 @@
         daemon: Daemon,
         cfg: EntrySettings,
         placement_cfg: PlacementSettings,
-        store: ConfigStore,
-        key_value: KeyValueStore,
-        saw_revision: Callable[[int, str], None],
+        config: ConfigSource,
     ) -> None:
         self._daemon = daemon
         self._cfg = cfg
-        self._store = store
+        self._config = config
+        self._store = config.store
         self.address = cfg.listen
         self._pool = ConnectionPool()
         self._limiter = AccountLimiter(daemon.cfg.vm)
         dispatcher = Dispatcher(
             cfg,
-            store,
+            self._store,
             PrefixPlacement(placement_cfg),
             self._pool,
             daemon.events,
             daemon.metrics,
-            saw_revision,
+            config.saw_revision,
         )
         relay = Relay(dispatcher)
         self._gateway = Gateway(
             cfg,
             placement_cfg.block_tokens,
-            store,
+            config,
             relay,
-            OnceCaller(dispatcher, relay, Claims(key_value)),
+            OnceCaller(dispatcher, relay, Claims(config.key_value)),
             self._limiter,
             daemon.events,
             daemon.metrics,
@@ -83,7 +77,7 @@
         """Whether the load balancer should send requests here."""
         if self._gateway.draining:
             return Readiness(False, "stopping")
-        if not self._store.view.contracts:
+        if not self._config.ready:
             return Readiness(False, "no configuration")
         return Readiness(True)
 
@@ -105,31 +99,57 @@
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until a planned stop has ended."""
+        admin = AdminServer(
+            self._daemon.events, self._daemon.metrics, self.readiness, self.status
+        )
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._pool.aclose)
-            admin = AdminServer(
-                self._daemon.events,
-                self._daemon.metrics,
-                self.readiness,
-                self.status,
-            )
-            listen = self._cfg.listen
-            listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
-            for listener in listeners:
-                stack.push_async_exit(listener)
             nursery = await stack.enter_async_context(trio.open_nursery())
             await nursery.start(admin.serve, self._daemon.cfg.admin_listen)
-            await nursery.start(self._server.serve, listeners)
-            port = listeners[0].socket.getsockname()[1]
-            self.address = Address(listen.host, port)
-            self._daemon.events.emit("entry_started", listen=self.address)
+            closed = trio.Event()
+            await nursery.start(self._serve_requests, closed)
+            nursery.start_soon(self._follow_config)
+            self._daemon.events.emit("entry_listening", port=self.address.port)
             task_status.started()
             await self._daemon.stopping.wait()
-            self._gateway.draining = True
-            await self._daemon.drain(lambda: self._server.active)
-            self._server.drain()
+            await self._stop(closed)
             nursery.cancel_scope.cancel()
 
+    async def _serve_requests(
+        self,
+        closed: trio.Event,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        listen = self._cfg.listen
+        listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
+        self.address = Address(listen.host, listeners[0].socket.getsockname()[1])
+        await self._server.serve(listeners, task_status=task_status)
+        closed.set()
+
+    async def _follow_config(self) -> None:
+        """Apply configuration changes that are not read with each request."""
+        while True:
+            view = self._store.view
+            live = [e.vm for e in view.entries() if not view.is_leaving(e.vm)]
+            self._limiter.set_entries(live, trio.current_time())
+            if self._daemon.cfg.vm in view.stops and not self._gateway.draining:
+                self._daemon.events.emit("stop_announced")
+                self._daemon.stopping.set()
+            await self._store.wait_change()
+
+    async def _stop(self, closed: trio.Event) -> None:
+        """Finish all requests, after the load balancer has had time to notice."""
+        cfg, events = self._daemon.cfg, self._daemon.events
+        self._gateway.draining = True
+        events.emit("drain_started", active=self._server.active)
+        await trio.sleep(cfg.drain_grace_s)
+        self._server.stop_accepting()
+        self._server.drain()
+        with trio.move_on_after(cfg.drain_limit_s):
+            await closed.wait()
+        events.emit("drain_ended", active=self._server.active)
+
     def _on_error(self, exchange: Exchange, exc: Exception) -> None:
         self._daemon.metrics.count("foxtail_entry_requests_total", code="internal")
         self._daemon.events.emit("request_failed", path=exchange.path, error=repr(exc))
@@ -142,19 +162,23 @@
     platform_cfg: PlatformSettings,
 ) -> None:
     """Run the entry; the main function of the daemon."""
-    store = ConfigStore()
     follower = ConfigFollower(
         platform_cfg,
-        store,
+        ConfigStore(),
         vm=daemon.cfg.vm,
         failure_domain=daemon.cfg.failure_domain,
         events=daemon.events,
         metrics=daemon.metrics,
     )
-    app = EntryApp(
-        daemon, cfg, placement_cfg, store, follower.key_value, follower.saw_revision
-    )
+    app = EntryApp(daemon, cfg, placement_cfg, follower)
     async with trio.open_nursery() as nursery:
         await nursery.start(follower.run)
-        await app.run()
+        async with trio.open_nursery() as serving:
+            await serving.start(app.run)
+            nursery.start_soon(_announce, daemon, follower, app)
         nursery.cancel_scope.cancel()
+
+
+async def _announce(daemon: Daemon, follower: ConfigFollower, app: EntryApp) -> None:
+    await follower.wait_ready()
+    daemon.events.emit("process_ready", port=app.address.port)
--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -241,6 +241,7 @@
                 self.pool, target.vm, attempt, outgoing, options
             ) as answer:
                 self._note_reply(call, target, answer.reply, refused=False)
+                self._count_tokens(call, prompt.tokens, answer.reply)
                 _check_version(target, answer.reply)
                 yield attempt, answer
             result = "whole"
@@ -272,6 +273,14 @@
         self.placement.replied(prompt, noted, trio.current_time())
         self.saw_reply(reply)
 
+    def _count_tokens(self, call: Call, tokens: int, reply: Reply) -> None:
+        if tokens:
+            model = call.serves
+            cached = min(tokens, reply.cached_tokens)
+            count = self.metrics.count
+            count("foxtail_entry_prompt_tokens_total", tokens, model=model)
+            count("foxtail_entry_cached_tokens_total", cached, model=model)
+
     def _note_broken(self, call: Call, target: Target, exc: AttemptBroken) -> None:
         now = trio.current_time()
         if exc.code in {"unreachable", "wrong_server", "timeout"}:
--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -6,9 +6,10 @@
 import msgspec
 import trio
 
-from foxtailcourse.config import ConfigStore, Contract, ServiceRoute
+from foxtailcourse.config import Contract, ServiceRoute
 from foxtailcourse.entry._auth import Authenticator
 from foxtailcourse.entry._call import Call, forwarded_fields
+from foxtailcourse.entry._config import ConfigSource
 from foxtailcourse.entry._once import OnceCaller, check_key
 from foxtailcourse.entry._parse import (
     ChatRequest,
@@ -38,7 +39,7 @@
         Bounds and defaults.
     block_tokens : int
         Tokens in each block of the engines' prefix cache.
-    store : ConfigStore
+    config : ConfigSource
         The configuration.
     relay : Relay
         Answers repeatable requests.
@@ -56,7 +57,7 @@
         self,
         cfg: EntrySettings,
         block_tokens: int,
-        store: ConfigStore,
+        config: ConfigSource,
         relay: Relay,
         once: OnceCaller,
         limiter: AccountLimiter,
@@ -65,7 +66,8 @@
     ) -> None:
         self._cfg = cfg
         self._block_tokens = block_tokens
-        self._store = store
+        self._config = config
+        self._store = config.store
         self._relay = relay
         self._once = once
         self._limiter = limiter
@@ -106,7 +108,7 @@
 
     def _authenticate(self, exchange: Exchange) -> Contract:
         view = self._store.view
-        if not view.contracts:
+        if not self._config.ready:
             raise HttpError(
                 503,
                 "no_configuration",
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -137,8 +137,15 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self.broken = False
+        self.late = False
         self.served = 0
 
+    @property
+    def idle(self) -> bool:
+        """Whether no byte of a request has arrived."""
+        arrived = self.h11.trailing_data[0] or self.stream.socket.is_readable()
+        return self.h11.their_state is h11.IDLE and not arrived
+
     async def send(self, *events: h11.Event) -> None:
         """Send events; a caller too slow to take them breaks the connection."""
         data = b"".join(self.h11.send(event) or b"" for event in events)
@@ -254,6 +261,7 @@
         self._on_error = on_error
         self._slots = trio.CapacityLimiter(limits.max_connections)
         self._draining = trio.Event()
+        self._accepting = trio.CancelScope()
         self.active = 0
 
     async def serve(
@@ -262,17 +270,26 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept connections until cancelled."""
-        task_status.started()
-        await trio.serve_listeners(self._serve_connection, listeners)
+        """Serve until cancelled, or until the last connection after a stop."""
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            with self._accepting:
+                await trio.serve_listeners(
+                    self._serve_connection, listeners, handler_nursery=nursery
+                )
+
+    def stop_accepting(self) -> None:
+        """Close the listeners; accepted connections go on."""
+        self._accepting.cancel()
 
     def drain(self) -> None:
-        """Close each connection after the response it is busy with."""
+        """Close idle connections, and others after the response they are busy with."""
         self._draining.set()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         async with self._slots, stream:
             conn = _Connection(stream, self._limits)
+            conn.late = self._draining.is_set()
             try:
                 while await self._serve_one(conn):
                     pass
@@ -282,16 +299,19 @@
                 pass
 
     async def _read(self, conn: _Connection) -> Exchange | None:
-        """Read a request; a kept connection that is idle ends when draining begins."""
+        """Read a request; an idle connection ends when draining begins.
+
+        One that is accepted later still gets to make its first request.
+        """
         result: Exchange | None = None
 
         async def stop_when_draining() -> None:
             await self._draining.wait()
-            if conn.h11.their_state is h11.IDLE and not conn.h11.trailing_data[0]:
+            if conn.idle:
                 nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            if conn.served:
+            if conn.served or not conn.late:
                 nursery.start_soon(stop_when_draining)
             result = await conn.read_request()
             nursery.cancel_scope.cancel()
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -91,6 +91,19 @@
         return RangeResult(revision=1, items=tuple(found))
 
 
+@attrs.define
+class FakeConfig:
+    """A configuration that the test fills."""
+
+    store: ConfigStore
+    key_value: FakeKeyValue
+    ready: bool = True
+    seen: list = attrs.field(factory=list)
+
+    def saw_revision(self, revision, vm):
+        self.seen.append((revision, vm))
+
+
 class FakeAgent:
     """Answers as the script says; the default script serves whole answers."""
 
@@ -162,7 +175,7 @@
     store: ConfigStore
     address: Address
     pool: ConnectionPool
-    revisions: list
+    config: FakeConfig
 
     @asynccontextmanager
     async def open(self, method, target, value=None, *, key=KEY, body=None, **fields):
@@ -241,18 +254,11 @@
         events = EventLog("test", HybridClock(time.time))
         daemon = Daemon(process_cfg, events, Metrics(), trio.Event())
         cfg = EntrySettings(listen=local, **settings)
-        seen = []
-        app = EntryApp(
-            daemon,
-            cfg,
-            PlacementSettings(),
-            store,
-            claims or FakeKeyValue(),
-            lambda revision, vm: seen.append((revision, vm)),
-        )
+        config = FakeConfig(store, claims or FakeKeyValue())
+        app = EntryApp(daemon, cfg, PlacementSettings(), config)
         async with trio.open_nursery() as nursery:
             await nursery.start(app.run)
             pool = ConnectionPool()
-            yield RunningEntry(app, daemon, store, app.address, pool, seen)
+            yield RunningEntry(app, daemon, store, app.address, pool, config)
             await pool.aclose()
             nursery.cancel_scope.cancel()
