Probe a silent agent before its request is sent elsewhere

Cause: an attempt was broken off after half of the time to the deadline, so that a frozen agent left time for another one. Ruled out: a longer fixed wait (a frozen agent then uses up the deadline); an interim response from the agent (each queued request would cost one more write). Change: after probe_after_s without an answer the agent's administration listener is asked whether it is alive; only one that does not answer is given up. Process tests for killed and frozen agents, SIGTERM under load, announced stop, leaving with a lagging list, duplicates through two entries, restarts.

--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -9,6 +9,7 @@
 
 from foxtailcourse.config import ConfigStore, Vm
 from foxtailcourse.entry._call import Call
+from foxtailcourse.entry._probe import LivenessProbes
 from foxtailcourse.entry._servers import ServerDirectory
 from foxtailcourse.entry._settings import EntrySettings
 from foxtailcourse.entry._upstream import (
@@ -26,7 +27,7 @@
 from foxtailcourse.sharing import RetryBudget
 
 RETRY_AFTER_MS = 1000
-MIN_HEAD_WAIT_S = 0.5
+HEAD_MARGIN_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -130,6 +131,7 @@
         self.metrics = metrics
         self.servers = ServerDirectory()
         self.retries = RetryBudget()
+        self.probes = LivenessProbes(pool, cfg.probe_after_s, cfg.probe_timeout_s)
 
     def saw_reply(self, reply: Reply) -> None:
         """Take note of what a reply says about its sender."""
@@ -238,7 +240,12 @@
         result = "cancelled"
         try:
             async with open_attempt(
-                self.pool, target.vm, attempt, outgoing, options
+                self.pool,
+                target.vm,
+                attempt,
+                outgoing,
+                options,
+                self.probes.wait_frozen,
             ) as answer:
                 self._note_reply(call, target, answer.reply, refused=False)
                 self._count_tokens(call, prompt.tokens, answer.reply)
@@ -283,7 +290,7 @@
 
     def _note_broken(self, call: Call, target: Target, exc: AttemptBroken) -> None:
         now = trio.current_time()
-        if exc.code in {"unreachable", "wrong_server", "timeout"}:
+        if exc.code in {"unreachable", "wrong_server", "frozen"}:
             self.servers.unreachable(target.vm.vm, now)
             self.placement.lost(target.vm.vm, now)
         self.events.emit(
@@ -307,16 +314,13 @@
         tries.avoid.add(target.vm.vm)
         return True
 
-    def head_wait_s(self, call: Call, tries: Tries) -> float:
+    def head_wait_s(self, call: Call) -> float:
         """Return how long to wait for the head of a streamed answer.
 
-        Half of the time left while other attempts are possible, so that a frozen
-        agent leaves time for another one.
+        Somewhat longer than until the deadline, at which the agent refuses a request
+        that has not started.
         """
-        left_s = max(0.0, call.deadline - trio.current_time())
-        if tries.made < self.cfg.max_attempts:
-            left_s /= 2
-        return max(MIN_HEAD_WAIT_S, left_s)
+        return max(0.0, call.deadline - trio.current_time()) + HEAD_MARGIN_S
 
 
 def _check_version(target: Target, reply: Reply) -> None:
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -107,7 +107,7 @@
             if target is None:
                 break
             try:
-                await self._stream_once(exchange, call, target, tries, delivery)
+                await self._stream_once(exchange, call, target, delivery)
             except AttemptError as exc:
                 if not self._dispatcher.note_failure(tries, target, exc):
                     break
@@ -124,13 +124,12 @@
         exchange: Exchange,
         call: Call,
         target: Target,
-        tries: Tries,
         delivery: Delivery,
     ) -> None:
         options = RequestOptions(
             connect_timeout_s=self._cfg.connect_timeout_s,
             idle_timeout_s=self._cfg.stream_idle_timeout_s,
-            head_timeout_s=self._dispatcher.head_wait_s(call, tries),
+            head_timeout_s=self._dispatcher.head_wait_s(call),
         )
         outgoing = _outgoing(call, _resumed_body(call, delivery))
         async with self._dispatcher.attempt(
--- a/src/foxtailcourse/entry/_settings.py
+++ b/src/foxtailcourse/entry/_settings.py
@@ -61,6 +61,21 @@
         unit="seconds",
         minimum=0.01,
     )
+    probe_after_s: float = setting(
+        float,
+        1.0,
+        description="Wait for an answer after which the agent is asked whether it "
+        "is alive.",
+        unit="seconds",
+        minimum=0.01,
+    )
+    probe_timeout_s: float = setting(
+        float,
+        1.0,
+        description="Longest wait for an agent to say that it is alive.",
+        unit="seconds",
+        minimum=0.01,
+    )
     max_attempts: int = setting(
         int, 4, description="Most attempts for one request.", minimum=1
     )
--- a/src/foxtailcourse/entry/_upstream.py
+++ b/src/foxtailcourse/entry/_upstream.py
@@ -1,10 +1,15 @@
 """One attempt at one agent."""
 
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
 
 import attrs
 import msgspec
+import trio
 
 from foxtailcourse.config import Vm
 from foxtailcourse.http import (
@@ -116,9 +121,25 @@
     attempt: Attempt,
     outgoing: Outgoing,
     options: RequestOptions,
+    wait_frozen: Callable[[Vm], Awaitable[None]],
 ) -> AsyncIterator[Answer]:
     """Send an attempt and yield its answer.
 
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Makes the connection.
+    vm : Vm
+        VM of the agent.
+    attempt : Attempt
+        Header fields of the attempt.
+    outgoing : Outgoing
+        The rest of the request.
+    options : RequestOptions
+        Times.
+    wait_frozen : callable
+        Returns once the agent is frozen; the wait for its answer then ends.
+
     Raises
     ------
     AttemptRefused
@@ -127,16 +148,17 @@
         No answer came, or the answer is not that of this attempt; the connection is
         then closed. Also raised when the body is cut while the caller reads it.
     """
-    fields = dict(outgoing.fields) | attempt.to_headers()
+    request = pool.request(
+        vm.listen,
+        outgoing.method,
+        outgoing.target,
+        headers=dict(outgoing.fields) | attempt.to_headers(),
+        body=outgoing.body,
+        options=options,
+    )
     try:
-        async with pool.request(
-            vm.listen,
-            outgoing.method,
-            outgoing.target,
-            headers=fields,
-            body=outgoing.body,
-            options=options,
-        ) as response:
+        async with AsyncExitStack() as stack:
+            response = await _wait_head(stack, request, vm, wait_frozen)
             reply = _check_reply(vm, attempt, response)
             if response.status >= 400 and reply.verdict is Verdict.NOT_RUN:
                 raise await _refusal(response, reply)
@@ -149,6 +171,33 @@
         raise AttemptBroken(code, str(exc), exc.verdict) from exc
 
 
+async def _wait_head(
+    stack: AsyncExitStack,
+    request: AbstractAsyncContextManager[ClientResponse],
+    vm: Vm,
+    wait_frozen: Callable[[Vm], Awaitable[None]],
+) -> ClientResponse:
+    """Send the request and return its response, unless the agent is frozen."""
+    result: ClientResponse | ClientError | None = None
+
+    async def watch() -> None:
+        await wait_frozen(vm)
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch)
+        try:
+            result = await stack.enter_async_context(request)
+        except ClientError as exc:
+            result = exc
+        nursery.cancel_scope.cancel()
+    if result is None:
+        raise AttemptBroken("frozen", f"{vm.vm} does not answer")
+    if isinstance(result, ClientError):
+        raise result
+    return result
+
+
 def _check_reply(vm: Vm, attempt: Attempt, response: ClientResponse) -> Reply:
     try:
         reply = Reply.from_headers(response.headers)
--- /dev/null
+++ b/tests/entry/test_entry_processes.py
@@ -0,0 +1,319 @@
+import signal
+import tempfile
+
+import msgspec
+import pytest
+import trio
+from fleet import Fleet, guardaroba
+from testtools.matchers import Contains, Equals
+from traffic import ACCOUNTS, Callers, demo_records
+
+from foxtailcourse.http import ClientError
+from foxtailcourse.standin import BUSINESS_KEY
+from support import AsyncTestCase
+
+pytestmark = pytest.mark.processes
+SLOW_ENGINE = "decode_s_per_token=0.01"
+STREAM_TOKENS = 150
+HELLO = [{"role": "user", "content": "a question that all accounts ask"}]
+
+
+def unlimited():
+    """Return the demo's records with limits that no test reaches."""
+    records = demo_records()
+    for key, body in records.items():
+        if key.startswith("contracts/"):
+            body |= {"requests_per_s": 1e5, "tokens_per_s": 1e8}
+    return records
+
+
+class FleetTestCase(AsyncTestCase):
+    """Runs a check against a small layout of real processes."""
+
+    def run_fleet(self, check, records=None, assistants=2, **options):
+        async def main():
+            servers = guardaroba(assistants=assistants)
+            with tempfile.TemporaryDirectory() as folder:
+                fleet = Fleet(folder, servers, **options)
+                async with trio.open_nursery() as nursery:
+                    await fleet.start(nursery, unlimited() | (records or {}))
+                    await fleet.wait_known()
+                    addresses = [each.listen for each in fleet.entries()]
+                    callers = Callers(addresses, seed=1)
+                    await check(fleet, callers, nursery)
+                    await callers.pool.aclose()
+                    await fleet.pool.aclose()
+                    nursery.cancel_scope.cancel()
+
+        self.run_async(main)
+
+    async def streams_while(self, callers, action):
+        """Run one stream for each account and an action once all have begun."""
+        seen = callers.kind("stream")
+        async with trio.open_nursery() as nursery:
+            for account in ACCOUNTS:
+                nursery.start_soon(callers.ask, "stream", account, HELLO, STREAM_TOKENS)
+            while len(seen.first_s) < len(ACCOUNTS):
+                self.assertThat((seen.wrong, seen.refused), Equals(([], {})))
+                await trio.sleep(0.01)
+            await action()
+        return seen
+
+
+class TestBrokenBackends(FleetTestCase):
+    """Guards streams against the end or freeze of an agent (invariants 2 and 4)."""
+
+    def kill_one(self, check, signum, **options):
+        async def run(fleet, callers, nursery):
+            async def kill():
+                running = {
+                    each.vm: (await fleet.status(each.vm))["running"]
+                    for each in fleet.agents()
+                    if each.serves == "assistant"
+                }
+                busiest = max(running, key=running.get)
+                fleet.programs[busiest].send(signum)
+
+            check(await self.streams_while(callers, kill))
+
+        self.run_fleet(run, engine_options=SLOW_ENGINE, **options)
+
+    def test_streams_of_a_killed_agent_are_continued(self):
+        def check(seen):
+            self.assertThat(seen.wrong, Equals([]))
+            self.assertThat((seen.ok, seen.broken), Equals((len(ACCOUNTS), 0)))
+
+        self.kill_one(check, signal.SIGKILL)
+
+    def test_streams_of_a_frozen_agent_are_continued(self):
+        def check(seen):
+            self.assertThat(seen.wrong, Equals([]))
+            self.assertThat((seen.ok, seen.broken), Equals((len(ACCOUNTS), 0)))
+
+        options = "stream_idle_timeout_s = 1"
+        self.kill_one(check, signal.SIGSTOP, entry_options=options)
+
+    def test_request_to_a_frozen_agent_is_sent_to_another(self):
+        async def check(fleet, callers, nursery):
+            fleet.programs["assistant-1"].send(signal.SIGSTOP)
+            await callers.run(1.0, {"short_question": 10.0})
+            seen = callers.kind("short question")
+            self.assertThat((seen.wrong, seen.refused), Equals(([], {})))
+            broken = [
+                each.fields["code"]
+                for vm in ("entry-1", "entry-2")
+                for each in fleet.programs[vm].events
+                if each.name == "attempt_broken"
+            ]
+            self.assertThat(set(broken), Equals({"frozen"}))
+
+        self.run_fleet(check, entry_options="probe_after_s = 0.3")
+
+    def test_without_continuation_they_are_marked_broken(self):
+        """The switch: one attempt only; no broken stream looks whole."""
+
+        def check(seen):
+            self.assertThat(seen.wrong, Equals([]))
+            self.assertTrue(seen.broken > 0)
+            self.assertThat(seen.ok + seen.broken, Equals(len(ACCOUNTS)))
+
+        self.kill_one(check, signal.SIGKILL, entry_options="max_attempts = 1")
+
+
+class TestStop(FleetTestCase):
+    """Guards invariants 7 and 8: a planned stop or leaving interrupts nothing."""
+
+    async def stop_entry(self, fleet, callers):
+        """Stop an entry under load; the load balancer drops it when it drains."""
+        stopped = fleet.entries()[0]
+        program = fleet.programs[stopped.vm]
+
+        async def stop():
+            program.send(signal.SIGTERM)
+            await program.event("drain_started")
+            callers.entries.remove(stopped.listen)
+
+        async with trio.open_nursery() as nursery:
+            rates = {"short_question": 30.0, "coat_return": 10.0}
+            nursery.start_soon(callers.run, 3.0, rates)
+            await self.streams_while(callers, stop)
+        return await program.process.wait()
+
+    def test_sigterm_under_load_interrupts_no_request(self):
+        async def check(fleet, callers, nursery):
+            code = await self.stop_entry(fleet, callers)
+            self.assertThat(code, Equals(0))
+            for name, seen in callers.seen.items():
+                self.assertThat(seen.wrong, Equals([]), name)
+                self.assertThat(seen.broken, Equals(0), name)
+                self.assertThat(seen.refused, Equals({}), name)
+
+        self.run_fleet(check, engine_options=SLOW_ENGINE)
+
+    def test_without_the_drain_requests_are_cut(self):
+        """The switch: no time to drain."""
+
+        async def check(fleet, callers, nursery):
+            await self.stop_entry(fleet, callers)
+            wrong = [each for seen in callers.seen.values() for each in seen.wrong]
+            self.assertThat("\n".join(wrong), Contains("cut without an error"))
+
+        options = "drain_grace_s = 0\ndrain_limit_s = 0"
+        self.run_fleet(check, engine_options=SLOW_ENGINE, process_options=options)
+
+    def test_announced_stop_ends_the_entry(self):
+        async def check(fleet, callers, nursery):
+            stopped = fleet.entries()[0].vm
+            await fleet.apply({f"stops/{stopped}": {}})
+            await fleet.programs[stopped].event("stop_announced")
+            code = await fleet.programs[stopped].process.wait()
+            self.assertThat(code, Equals(0))
+
+        self.run_fleet(check)
+
+    def test_leaving_agent_is_dropped_though_the_list_lags(self):
+        async def check(fleet, callers, nursery):
+            fault = {"vm_list_lag_ms": 600_000, "outage": "refuse"}
+            await fleet.post(fleet.platform, "/fault", fault)
+            leaving = fleet.programs["assistant-1"]
+
+            async def leave():
+                leaving.send(signal.SIGTERM)
+                await callers.run(2.0, {"short_question": 20.0})
+
+            seen = await self.streams_while(callers, leave)
+            questions = callers.kind("short question")
+            for each in (seen, questions):
+                self.assertThat(each.wrong, Equals([]))
+                self.assertThat(each.broken, Equals(0))
+                self.assertThat(each.refused, Equals({}))
+            self.assertThat(await leaving.process.wait(), Equals(0))
+            refusals = [e for e in leaving.events if e.name == "request_refused"]
+            # Each of the two entries may have had a few attempts on their way when
+            # the first refusal told it.
+            self.assertTrue(len(refusals) <= 10, len(refusals))
+
+        self.run_fleet(
+            check, engine_options=SLOW_ENGINE, process_options="drain_grace_s = 1.5"
+        )
+
+
+class TestDuplicates(FleetTestCase):
+    """Guards invariant 6 where submissions meet through two entries."""
+
+    async def submit(self, fleet, callers, coat, fields):
+        """Submit the same return four times, through both entries."""
+        statuses = []
+
+        async def one(address):
+            async with callers.pool.request(
+                address,
+                "POST",
+                "/services/counter/return",
+                headers=fields | {BUSINESS_KEY: coat},
+                body=b"{}",
+            ) as response:
+                await response.read()
+                statuses.append(response.status)
+
+        async with trio.open_nursery() as nursery:
+            for address in callers.entries * 2:
+                nursery.start_soon(one, address)
+        return statuses
+
+    def submit_all(self, check, records=None):
+        async def run(fleet, callers, nursery):
+            for number in range(10):
+                fields = callers.fields("teatro")
+                own = {"idempotency-key": f"coat {number}"}
+                statuses = await self.submit(
+                    fleet, callers, f"own-{number}", fields | own
+                )
+                self.assertThat(statuses, Equals([200] * 4))
+                order = msgspec.json.encode({"route": "counter"})
+                async with callers.pool.request(
+                    callers.entries[0],
+                    "POST",
+                    "/v1/idempotency-keys",
+                    headers=fields,
+                    body=order,
+                ) as response:
+                    issued = (await response.json())["key"]
+                fields |= {"idempotency-key": issued}
+                await self.submit(fleet, callers, f"issued-{number}", fields)
+            check(await fleet.runs("counter"))
+
+        self.run_fleet(run, records=records, service_options="delay_s=0.02")
+
+    def test_each_return_runs_once(self):
+        def check(runs):
+            self.assertThat(set(runs.values()), Equals({1}))
+            self.assertThat(len(runs), Equals(20))
+
+        self.submit_all(check)
+
+    def test_repeatable_route_runs_them_all(self):
+        """The switch: a route that is declared repeatable does not join calls."""
+
+        def check(runs):
+            self.assertThat(set(runs.values()), Equals({4}))
+
+        repeatable = {"route": "counter", "repeatable": True}
+        self.submit_all(check, records={"services/counter": repeatable})
+
+
+class TestRestart(FleetTestCase):
+    """Guards invariant 3: a restarted entry serves at once."""
+
+    async def restart(self, fleet, nursery, vms):
+        for vm in vms:
+            fleet.programs[vm].send(signal.SIGKILL)
+            await fleet.programs[vm].process.wait()
+        async with trio.open_nursery() as starting:
+            for vm in vms:
+                starting.start_soon(fleet.start_server, nursery, vm)
+
+    def restart_and_ask(self, vms, outage):
+        async def check(fleet, callers, nursery):
+            await fleet.post(fleet.platform, "/fault", {"outage": outage})
+            await self.restart(fleet, nursery, vms)
+            callers.entries = [fleet.servers[vm].listen for vm in vms]
+            await callers.run(1.0, {"short_question": 10.0, "coat_return": 5.0})
+            for name, seen in callers.seen.items():
+                self.assertThat(seen.wrong, Equals([]), name)
+                self.assertThat(seen.refused, Equals({}), name)
+            self.assertThat(set((await fleet.runs("counter")).values()), Equals({1}))
+
+        self.run_fleet(check)
+
+    def test_all_entries_restarted_together(self):
+        self.restart_and_ask(["entry-1", "entry-2"], outage="off")
+
+    def test_call_repeated_through_another_entry_runs_once(self):
+        async def check(fleet, callers, nursery):
+            fields = callers.fields("teatro") | {"idempotency-key": "mine"}
+            fields |= {BUSINESS_KEY: "coat"}
+            path = "/services/counter/return"
+
+            async def first():
+                try:
+                    async with callers.pool.request(
+                        callers.entries[0], "POST", path, headers=fields
+                    ):
+                        self.fail("the killed entry answered")
+                except ClientError:
+                    pass
+
+            async with trio.open_nursery() as submitting:
+                submitting.start_soon(first)
+                while not (await fleet.runs("counter")).get("coat"):
+                    await trio.sleep(0.01)
+                fleet.programs["entry-1"].send(signal.SIGKILL)
+            async with callers.pool.request(
+                callers.entries[1], "POST", path, headers=fields
+            ) as response:
+                self.assertThat(response.status, Equals(200))
+                self.assertThat((await response.json())["run"], Equals(1))
+            self.assertThat(await fleet.runs("counter"), Equals({"coat": 1}))
+
+        self.run_fleet(check, service_options="delay_s=1.0")
