Test entries restarted with the platform down

Ruled out: a copy on disk (VMs have none). Change: two process tests, configuration state in the entry's status. Conclusion: holds with agents as holders of the configuration.

--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -86,6 +86,7 @@
         view = self._store.view
         return {
             "vm": self._daemon.cfg.vm,
+            "config": self._config.status(),
             "revision": self._store.revision,
             "active": self._server.active,
             "draining": self._gateway.draining,
--- a/src/foxtailcourse/entry/_config.py
+++ b/src/foxtailcourse/entry/_config.py
@@ -1,6 +1,6 @@
 """Where the entry gets its configuration."""
 
-from typing import Protocol
+from typing import Any, Protocol
 
 from foxtailcourse.config import ConfigStore
 from foxtailcourse.platform import KeyValueStore
@@ -10,7 +10,10 @@
     """Where the entry gets its configuration; a ConfigFollower."""
 
     store: ConfigStore
-    key_value: KeyValueStore
+
+    @property
+    def key_value(self) -> KeyValueStore:
+        """The platform's key-value service."""
 
     @property
     def ready(self) -> bool:
@@ -18,3 +21,6 @@
 
     def saw_revision(self, revision: int, vm: str) -> None:
         """Take note of the revision in a message of another process."""
+
+    def status(self) -> dict[str, Any]:
+        """Return what ``/status`` shows of the configuration."""
--- a/tests/entry/test_entry_processes.py
+++ b/tests/entry/test_entry_processes.py
@@ -279,6 +279,7 @@
             await self.restart(fleet, nursery, vms)
             callers.entries = [fleet.servers[vm].listen for vm in vms]
             await callers.run(1.0, {"short_question": 10.0, "coat_return": 5.0})
+            await fleet.post(fleet.platform, "/fault", {"outage": "off"})
             for name, seen in callers.seen.items():
                 self.assertThat(seen.wrong, Equals([]), name)
                 self.assertThat(seen.refused, Equals({}), name)
@@ -289,6 +290,13 @@
     def test_all_entries_restarted_together(self):
         self.restart_and_ask(["entry-1", "entry-2"], outage="off")
 
+    def test_entry_restarted_with_the_platform_down(self):
+        self.restart_and_ask(["entry-1"], outage="refuse")
+
+    def test_all_entries_restarted_with_the_platform_down(self):
+        """The agents hold the configuration."""
+        self.restart_and_ask(["entry-1", "entry-2"], outage="silent")
+
     def test_call_repeated_through_another_entry_runs_once(self):
         async def check(fleet, callers, nursery):
             fields = callers.fields("teatro") | {"idempotency-key": "mine"}
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -100,6 +100,9 @@
     ready: bool = True
     seen: list = attrs.field(factory=list)
 
+    def status(self):
+        return {"ready": self.ready}
+
     def saw_revision(self, revision, vm):
         self.seen.append((revision, vm))
 
