--- a/src/foxtailcourse/emulator/_agent.py
+++ b/src/foxtailcourse/emulator/_agent.py
@@ -116,6 +116,29 @@
             if attempt_id not in running
         }
 
+    def long_wait_s(self, salt: str) -> float:
+        """Return the exact fluid wait of a new long request of an account.
+
+        The account's waiting work is served at its share of the slots among the
+        accounts that have long requests waiting.
+        """
+        work_s: dict[str, float] = {}
+        shares: dict[str, float] = {}
+        running, cfg = self.engine.jobs, self.engine.cfg
+        for attempt_id, attempt in self._attempts.items():
+            req = attempt.request
+            if req.request_class is RequestClass.LONG and attempt_id not in running:
+                token_s = 1.0 / cfg.decode_tokens_per_s
+                own_s = req.prompt.tokens / cfg.prefill_tokens_per_s
+                own_s += req.prompt.max_tokens * token_s
+                name = req.prompt.salt
+                work_s[name] = work_s.get(name, 0.0) + own_s
+                shares[name] = req.share
+        if salt not in work_s:
+            return 0.0
+        part = shares[salt] / sum(shares.values())
+        return work_s[salt] / part / cfg.slots
+
     def offer(self, attempt: AttemptState, now: float) -> None:
         """Take an attempt or refuse it."""
         if self.down:
--- a/src/foxtailcourse/emulator/_measure.py
+++ b/src/foxtailcourse/emulator/_measure.py
@@ -1,6 +1,8 @@
 """What one run of the emulator is judged by."""
 
-from collections import defaultdict
+import math
+from collections import Counter, defaultdict
+from typing import Any
 
 import attrs
 
@@ -12,35 +14,79 @@
 WINDOW_S = 5.0
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class Result:
-    """Figures of one run.
+    """Figures of one run, or of several runs together.
 
     Parameters
     ----------
-    hit_rate : float
-        Prompt tokens served from cache over prompt tokens.
-    waste_ratio : float
-        Prefix tokens computed although some server of the model held them, over
-        prompt tokens.
-    short_ttft_s : dict of int to float
-        Percentiles of the time to first token over all offered short requests; a
-        refused one counts with its deadline, an unanswered one with its age.
-    long_done_per_s : float
-        Completed long requests per second.
-    refused_ratio : dict of str to float
-        Refused over offered requests, by class.
-    least_share : float
-        Least ratio of received to contracted service of any client account, over the
-        windows in which it had a request waiting all the time.
+    seconds : float
+        Measured time.
+    prompt_tokens, hit_tokens, wasted_tokens : int
+        Tokens of the prompts that ran, those served from cache, and prefix tokens
+        computed although some server of the model held them.
+    short_ttft_s : list of float
+        Time to first token of every offered short request, in seconds; a refused
+        one counts with its deadline, an unanswered one with its age.
+    long_done : int
+        Completed long requests.
+    offered, refused : dict of RequestClass to int
+        Requests by class.
+    received, entitled : dict of str to float
+        Service by client account in seconds, and what its contract entitles it to,
+        over the windows in which it had a request waiting all the time.
     """
 
-    hit_rate: float
-    waste_ratio: float
-    short_ttft_s: dict[int, float]
-    long_done_per_s: float
-    refused_ratio: dict[str, float]
-    least_share: float
+    seconds: float = 0.0
+    prompt_tokens: int = 0
+    hit_tokens: int = 0
+    wasted_tokens: int = 0
+    short_ttft_s: list[float] = attrs.field(factory=list)
+    long_done: int = 0
+    offered: Counter[RequestClass] = attrs.field(factory=Counter)
+    refused: Counter[RequestClass] = attrs.field(factory=Counter)
+    received: dict[str, float] = attrs.field(factory=dict)
+    entitled: dict[str, float] = attrs.field(factory=dict)
+
+    @property
+    def hit_rate(self) -> float:
+        """Prompt tokens served from cache over prompt tokens."""
+        return self.hit_tokens / max(1, self.prompt_tokens)
+
+    @property
+    def waste_ratio(self) -> float:
+        """Needlessly computed prefix tokens over prompt tokens."""
+        return self.wasted_tokens / max(1, self.prompt_tokens)
+
+    @property
+    def long_done_per_s(self) -> float:
+        """Completed long requests per second."""
+        return self.long_done / self.seconds
+
+    @property
+    def least_share(self) -> float:
+        """Least ratio of received to contracted service of any client account."""
+        return min(self.shares().values(), default=math.inf)
+
+    def shares(self) -> dict[str, float]:
+        """Return the ratio of received to contracted service by client account."""
+        entitled = sorted(self.entitled)
+        return {each: self.received[each] / self.entitled[each] for each in entitled}
+
+    def short_percentile_s(self, percent: int) -> float:
+        """Return a percentile of the short requests' time to first token."""
+        ordered = sorted(self.short_ttft_s)
+        if not ordered:
+            return 0.0
+        return ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
+
+    def refused_ratio(self, request_class: RequestClass) -> float:
+        """Return refused over offered requests of a class."""
+        return self.refused[request_class] / max(1, self.offered[request_class])
+
+    def __add__(self, other: "Result") -> "Result":
+        names = [each.name for each in attrs.fields(Result)]
+        return Result(**{n: _sum(getattr(self, n), getattr(other, n)) for n in names})
 
 
 class Meter:
@@ -72,30 +118,30 @@
     def result(self, outcomes: list[Outcome]) -> Result:
         """Return the figures."""
         cfg = self._cfg
-        counted = [each for each in outcomes if each.request.at >= cfg.warm_up_s]
-        by_class = {
-            each: [o for o in counted if o.request.request_class is each]
-            for each in RequestClass
-        }
-        end = cfg.duration_s + cfg.long_deadline_s
-        ttft = sorted(_ttft_s(each, end) for each in by_class[RequestClass.SHORT])
-        done = [
-            each
-            for each in outcomes
-            if each.request.request_class is RequestClass.LONG
-            and each.done_at is not None
-            and cfg.warm_up_s <= each.done_at < cfg.duration_s
-        ]
-        return Result(
-            hit_rate=self._hit / max(1, self._tokens),
-            waste_ratio=self._wasted / max(1, self._tokens),
-            short_ttft_s={p: _percentile(ttft, p) for p in (50, 95, 99)},
-            long_done_per_s=len(done) / (cfg.duration_s - cfg.warm_up_s),
-            refused_ratio={
-                each.value: _refused_ratio(group) for each, group in by_class.items()
-            },
-            least_share=min(self._share_ratios().values(), default=float("inf")),
+        result = Result(
+            seconds=cfg.duration_s - cfg.warm_up_s,
+            prompt_tokens=self._tokens,
+            hit_tokens=self._hit,
+            wasted_tokens=self._wasted,
         )
+        for outcome in outcomes:
+            self._count(outcome, result)
+        self._add_shares(result)
+        return result
+
+    def _count(self, outcome: Outcome, result: Result) -> None:
+        cfg, req = self._cfg, outcome.request
+        short = req.request_class is RequestClass.SHORT
+        done_at = outcome.done_at or 0.0
+        if not short and cfg.warm_up_s <= done_at < cfg.duration_s:
+            result.long_done += 1
+        if req.at < cfg.warm_up_s:
+            return
+        result.offered[req.request_class] += 1
+        result.refused[req.request_class] += outcome.refused
+        if short:
+            end = cfg.duration_s + cfg.long_deadline_s
+            result.short_ttft_s.append(_ttft_s(outcome, end))
 
     def _spread(self, account: str, service_s: float, now: float) -> None:
         """Credit the service to the windows in which it was given."""
@@ -106,20 +152,18 @@
             self._service[window][account] += end - start
             start, window = end, window + 1
 
-    def _share_ratios(self) -> dict[str, float]:
+    def _add_shares(self, result: Result) -> None:
         total_share = sum(self._accounts.values())
-        received: dict[str, float] = defaultdict(float)
-        entitled: dict[str, float] = defaultdict(float)
         first = int(self._cfg.warm_up_s / WINDOW_S) + 2
         last = int(self._cfg.duration_s / WINDOW_S) - 2
         for window in range(first, last):
             service = self._service[window]
             total = sum(service.values())
-            for account in self._accounts.keys() - self._idle[window]:
+            for account in sorted(self._accounts.keys() - self._idle[window]):
                 share = self._accounts[account] / total_share
-                received[account] += service[account]
-                entitled[account] += total * share
-        return {a: received[a] / entitled[a] for a in entitled if entitled[a] > 0}
+                gained = {account: service[account]}
+                result.received = _sum(result.received, gained)
+                result.entitled = _sum(result.entitled, {account: total * share})
 
 
 def _ttft_s(outcome: Outcome, end: float) -> float:
@@ -129,12 +173,9 @@
     return req.deadline_s if outcome.refused else end - req.at
 
 
-def _percentile(ordered: list[float], percent: int) -> float:
-    if not ordered:
-        return 0.0
-    return ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
-
-
-def _refused_ratio(outcomes: list[Outcome]) -> float:
-    refused = sum(each.refused for each in outcomes)
-    return refused / max(1, len(outcomes))
+def _sum(one: Any, other: Any) -> Any:
+    """Add two figures; those of mappings are added by key."""
+    if not isinstance(one, dict):
+        return one + other
+    keys = sorted(one.keys() | other.keys(), key=str)
+    return type(one)({each: one.get(each, 0) + other.get(each, 0) for each in keys})
--- a/src/foxtailcourse/emulator/_policies.py
+++ b/src/foxtailcourse/emulator/_policies.py
@@ -85,18 +85,21 @@
 class Oracle(_Silent):
     """Knows every cache, every queue and every lane exactly and at once.
 
-    Prefixes that waiting requests are about to compute count as held.
+    Prefixes that waiting requests are about to compute count as held. The wait of a
+    long request is that of its client account.
 
     Parameters
     ----------
     agents : mapping of str to AgentModel
         By backend server.
-    weight : float
+    weights : mapping of RequestClass to float
         Weight of recomputation against waiting.
     """
 
-    def __init__(self, agents: Mapping[str, AgentModel], weight: float) -> None:
-        self._agents, self._weight = agents, weight
+    def __init__(
+        self, agents: Mapping[str, AgentModel], weights: Mapping[RequestClass, float]
+    ) -> None:
+        self._agents, self._weights = agents, weights
 
     def rank(
         self,
@@ -120,11 +123,14 @@
         engine = agent.engine
         matched = engine.cache.matched(prompt.keys)
         matched += leading(prompt.keys[matched:], agent.pending)
-        wait_s = agent.queue.predicted_wait_s(request_class, now)
+        if request_class is RequestClass.SHORT:
+            wait_s = agent.queue.predicted_wait_s(request_class, now)
+        else:
+            wait_s = agent.long_wait_s(prompt.salt)
         wait_s += engine.lane_s(PRIORITY[request_class], now)
         tokens = prompt.tokens - matched * engine.cfg.block_tokens
         recompute_s = max(0, tokens) / engine.cfg.prefill_tokens_per_s
-        cost_s = wait_s + self._weight * recompute_s
+        cost_s = wait_s + self._weights[request_class] * recompute_s
         return Choice(backend_server=server, matched_blocks=matched, cost_s=cost_s)
 
 
--- a/src/foxtailcourse/emulator/_run.py
+++ b/src/foxtailcourse/emulator/_run.py
@@ -19,6 +19,7 @@
 )
 from foxtailcourse.emulator._timeline import Timeline
 from foxtailcourse.emulator._workload import Deployment, Workload
+from foxtailcourse.protocol import RequestClass
 from foxtailcourse.routing import Placement, PlacementSettings, PrefixPlacement
 from foxtailcourse.sharing import FairQueue, QueueLimits, RequestQueue, ServiceRates
 
@@ -40,8 +41,8 @@
         Sizes.
     policy : str
         One of POLICIES.
-    weight : float
-        Weight of the oracle.
+    short_weight, long_weight : float
+        Weights of the oracle.
     seed : int
         Seed of the workload and of the event gaps.
     cfg : PlacementSettings
@@ -50,7 +51,8 @@
 
     deployment: Deployment
     policy: str
-    weight: float = 2.0
+    short_weight: float = 2.0
+    long_weight: float = 2.0
     seed: int = 1
     cfg: PlacementSettings | None = None
 
@@ -118,7 +120,11 @@
         if scenario.policy == LEAST_LOADED:
             return LeastLoaded
         if scenario.policy == ORACLE:
-            return lambda: Oracle(self.agents, scenario.weight)
+            weights = {
+                RequestClass.SHORT: scenario.short_weight,
+                RequestClass.LONG: scenario.long_weight,
+            }
+            return lambda: Oracle(self.agents, weights)
         cfg = scenario.cfg or placement_settings(scenario.deployment)
         return lambda: PrefixPlacement(cfg)
 
