--- a/src/foxtailcourse/sharing/_fair.py
+++ b/src/foxtailcourse/sharing/_fair.py
@@ -120,7 +120,7 @@
         left_s = request.deadline - now
         first_token_s = scale.safe_s(unscaled_s) + prefill_s
         if not self._can_make_it(first_token_s, left_s):
-            return _refuse("deadline", first_token_s - left_s)
+            return _refuse("deadline", (first_token_s - left_s) / scale.scale)
         # Estimates may be wrong by any factor; half of the time left stays usable.
         latest = max(request.deadline - prefill_s, now + left_s / 2)
         cost_s = self.rates.cost_s(request.uncached_tokens, request.expected_tokens)
@@ -200,6 +200,18 @@
         wait_s = self._wait_s(request_class, None, 0.0, now)
         return wait_s * self._scales[request_class].factor
 
+    def waits(self, now: float) -> dict[tuple[str, RequestClass], float]:
+        """Return the safe wait in seconds of each account with waiting work.
+
+        By client account and class; other accounts start within one request's time.
+        """
+        waits = {}
+        for kind in RequestClass:
+            for flow in self._flows(kind).active():
+                wait_s = self._wait_s(kind, flow.account, flow.weight, now)
+                waits[flow.account, kind] = self._scales[kind].safe_s(wait_s)
+        return waits
+
     def next_event(self, now: float) -> float | None:
         """Return when ``take`` or ``expire`` may next give something by time alone.
 
--- a/src/foxtailcourse/sharing/_flows.py
+++ b/src/foxtailcourse/sharing/_flows.py
@@ -164,6 +164,10 @@
         extra = 0.0 if flow.items else flow.weight
         return min(self.work_s, lead * (self.active_weight + extra))
 
+    def active(self) -> list[Flow]:
+        """Return the flows with waiting work."""
+        return [each for each in self._flows.values() if each.items]
+
     def reset(self) -> None:
         """Forget all debts; only allowed while nothing waits."""
         self._flows.clear()
@@ -182,8 +186,9 @@
         flow.ticket = self._ticket
         heapq.heappush(self._heap, (flow.tag, flow.ticket, flow.account))
         if len(self._heap) > 2 * self._active + COMPACT_SLACK:
-            flows = [each for each in self._flows.values() if each.items]
-            self._heap = [(each.tag, each.ticket, each.account) for each in flows]
+            self._heap = [
+                (each.tag, each.ticket, each.account) for each in self.active()
+            ]
             heapq.heapify(self._heap)
 
     def _drop(self, flow: Flow, item: Item) -> None:
--- a/src/foxtailcourse/sharing/_limits.py
+++ b/src/foxtailcourse/sharing/_limits.py
@@ -191,8 +191,11 @@
     def _refresh(self, accounts: Iterable[str], now: float) -> None:
         for name in accounts:
             account = self._accounts[name]
+            part = self._table.part(name, now)
+            if part == account.part:
+                continue
             account.refill(now, self.burst_s)
-            account.part = self._table.part(name, now)
+            account.part = part
             account.refill(now, self.burst_s)
 
     def _forget(self, now: float) -> None:
--- a/src/foxtailcourse/sharing/_rates.py
+++ b/src/foxtailcourse/sharing/_rates.py
@@ -111,7 +111,12 @@
 
     def safe_s(self, predicted_s: float) -> float:
         """Return a wait that most requests don't exceed."""
-        return predicted_s * self.factor * (1.0 + self.error)
+        return predicted_s * self.scale
+
+    @property
+    def scale(self) -> float:
+        """Factor of a safe wait."""
+        return self.factor * (1.0 + self.error)
 
     def observe(self, predicted_s: float, real_s: float) -> None:
         """Learn from one start; ``predicted_s`` is without the factor."""
--- a/src/foxtailcourse/sharing/_slices.py
+++ b/src/foxtailcourse/sharing/_slices.py
@@ -146,8 +146,10 @@
 
     def part(self, account: str, now: float) -> float:
         """Return the part of the account's limits that this entry may use now."""
-        others = sum(self._held(each, account, now) for each in self.peers.values())
-        return max(0.0, min(self._usable(account), 1.0 - others))
+        left = 1.0
+        for peer in self.peers.values():
+            left -= self._held(peer, account, now)
+        return max(0.0, min(self._usable(account), left))
 
     def review(self, now: float) -> None:
         """Note which peers are fresh: heard, and hearing, within STALE_S."""
