Use blocks of 64 tokens in the demo

Cause: with blocks of 16 tokens a worker's 1,000 blocks hold about a dozen of the demo's prompts, which measures eviction and not placement. Ruled out: more engine blocks (the users' size is about 1,000). Change: one block size for engines, agents and entries of the demo.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -24,6 +24,7 @@
 # take a port between its choice and its use.
 FIRST_PORT, LAST_PORT = 20_000, 31_999
 KEPT_LINES = 20_000
+BLOCK_TOKENS = 64
 
 
 class FleetError(Exception):
@@ -306,7 +307,8 @@
                 options = f"route={each.serves} {self._service_options}"
                 services.append(f"    {address} {options}")
             else:
-                options = f"model={each.serves} {self._engine_options}"
+                options = f"model={each.serves} block_tokens={BLOCK_TOKENS}"
+                options = f"{options} {self._engine_options}"
                 engines.append(f"    {address} {options}")
         return "\n".join(
             [
@@ -350,7 +352,7 @@
             f"listen = {server.listen}",
             self._entry_options,
             "[routing]",
-            "block_tokens = 16",
+            f"block_tokens = {BLOCK_TOKENS}",
             "",
         ]
         return "\n".join(lines)
@@ -364,6 +366,7 @@
             f"serves = {server.serves}",
             f"kind = {'service' if service else 'engine'}",
             f"backend = {self.backends[server.vm]}",
+            f"block_tokens = {BLOCK_TOKENS}",
             "",
         ]
         return "\n".join(lines)
