Take the start values of the service rates by name only

Cause: the constructor got a new first argument; the agent and the emulator passed the prefill rate as the time of a request, so every server looked busy for thousands of seconds and short requests were refused with code deadline. Ruled out: wrong deadlines in the tests; the refusals came at an idle server.

--- a/tests/sharing/test_prediction.py
+++ b/tests/sharing/test_prediction.py
@@ -104,7 +104,12 @@
 
     def test_learns_a_server_that_is_five_times_slower(self):
         rng = random.Random(3)
-        rates, real = ServiceRates(), ServiceRates(0.005, 800.0, 10.0)
+        rates, real = (
+            ServiceRates(),
+            ServiceRates(
+                request_s=0.005, prefill_tokens_per_s=800.0, decode_tokens_per_s=10.0
+            ),
+        )
         for _ in range(300):
             size = rng.randint(10, 5_000), rng.randint(5, 400)
             noise = rng.uniform(0.8, 1.25)
@@ -125,7 +130,9 @@
             def again(req, now):
                 return same_again(req, now) if req.client_account == "a" else None
 
-            slow = ServiceRates(0.005, 800.0, 10.0)
+            slow = ServiceRates(
+                request_s=0.005, prefill_tokens_per_s=800.0, decode_tokens_per_s=10.0
+            )
 
             def duration(req):
                 return slow.cost_s(req.uncached_tokens, req.expected_tokens)
