--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -32,6 +32,7 @@
 MAX_SERVICE_BODY_BYTES = 8 * 1024 * 1024
 # 256 prefix keys alone take 5.5 KB of one request's header fields.
 MAX_HEADER_BYTES = 64 * 1024
+RESERVED_SHORT_SLOTS = 2
 
 
 class Agent:
@@ -191,7 +192,16 @@
 
 
 def _make_queue(cfg: AgentSettings) -> FairQueue:
-    limits = QueueLimits(slots=cfg.slots, max_waiting=cfg.queue_limit)
-    decode_s = cfg.decode_s_per_token if cfg.kind == "engine" else cfg.service_call_s
-    rates = ServiceRates(1.0 / cfg.prefill_s_per_token, 1.0 / decode_s)
+    limits = QueueLimits(
+        slots=cfg.slots,
+        reserved_short_slots=min(RESERVED_SHORT_SLOTS, cfg.slots - 1),
+        max_waiting=cfg.queue_limit,
+    )
+    if cfg.kind == "service":
+        # A call has no tokens; its whole time is the constant.
+        return FairQueue(limits, ServiceRates(request_s=cfg.service_call_s))
+    rates = ServiceRates(
+        prefill_tokens_per_s=1.0 / cfg.prefill_s_per_token,
+        decode_tokens_per_s=1.0 / cfg.decode_s_per_token,
+    )
     return FairQueue(limits, rates)
--- a/src/foxtailcourse/agent/_runs.py
+++ b/src/foxtailcourse/agent/_runs.py
@@ -143,8 +143,7 @@
         """Make the one call of a key; it goes on when its callers are gone."""
         context = self._context
         try:
-            async with context.scheduler.start(queued) as slot:
-                slot.generated_tokens = 1
+            async with context.scheduler.start(queued):
                 context.events.emit("run_started", ident=key.ident.hex())
                 response = await self._service.call(request)
             run.response = KeptResponse(
--- a/src/foxtailcourse/agent/_service.py
+++ b/src/foxtailcourse/agent/_service.py
@@ -129,8 +129,7 @@
         if not context.takes_new_work:
             raise context.refuse_new_work(attempt.attempt_id)
         try:
-            async with context.scheduler.start(self._queued(attempt)) as slot:
-                slot.generated_tokens = 1
+            async with context.scheduler.start(self._queued(attempt)):
                 response = await self._service.call(request)
         except RefusedError as exc:
             raise context.refusal(
@@ -159,7 +158,7 @@
             share=context.share(attempt.client_account),
             request_class=attempt.request_class,
             uncached_tokens=0,
-            expected_tokens=1,
+            expected_tokens=0,
             deadline=context.now() + attempt.deadline_ms / 1000,
         )
 
--- a/src/foxtailcourse/agent/_settings.py
+++ b/src/foxtailcourse/agent/_settings.py
@@ -73,7 +73,14 @@
         unit="seconds",
         minimum=0.001,
     )
-    max_keys: int = setting(int, 20_000, description="Most unexpired keys.", minimum=1)
+    max_keys: int = setting(int, 10_000, description="Most unexpired keys.", minimum=1)
+    kept_response_bytes: int = setting(
+        int,
+        4 * 1024 * 1024,
+        description="Responses kept for repeated calls, in all.",
+        unit="bytes",
+        minimum=0,
+    )
     token_timeout_s: float = setting(
         float,
         30.0,
