List the test's agents, so that they watch the platform

Cause: an unlisted process reads the platform only now and then since the distribution over gRPC; the frozen-holder test needs the change while its stream runs. Change: the stand-in of the process tests lists two VMs.

--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -83,7 +83,13 @@
 admin_listen = 127.0.0.1:0
 [standin]
 platform = 127.0.0.1:0
+vms =
+    vm=palermo-1 {vm}
+    vm=palermo-2 {vm}
 """
+# Processes listed in a failure domain watch the platform for it; nobody calls them.
+LISTED = "failure_domain=palermo role=entry listen={0} control={0} admin={0}"
+
 AGENT = """
 [process]
 vm = {vm}
@@ -107,7 +113,8 @@
 
     The platform comes last, after those of the given settings lines.
     """
-    daemon = DaemonProcess(folder, "foxtailcourse.standin.run", STANDIN + lines)
+    text = STANDIN.format(vm=LISTED.format("127.0.0.1:1")) + lines
+    daemon = DaemonProcess(folder, "foxtailcourse.standin.run", text)
     await daemon.start(nursery)
     listening = [e for e in daemon.events if e.name == "standin_listening"]
     return [parse_address(each.fields["address"]) for each in listening]
