--- a/src/foxtailcourse/config/_follower.py
+++ b/src/foxtailcourse/config/_follower.py
@@ -1,28 +1,26 @@
 """Keeps a process's configuration copy up to date."""
 
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import trio
-import trio_asyncio
 
 from foxtailcourse.config._backoff import Backoff
-from foxtailcourse.config._model import ConfigView, Vm
+from foxtailcourse.config._model import Vm
 from foxtailcourse.config._peers import PeerExchange, TopicHandler, to_message
 from foxtailcourse.config._platform_source import PlatformSource
 from foxtailcourse.config._platform_watch import PlatformWatch
 from foxtailcourse.config._pulls import PullQueue
 from foxtailcourse.config._records import Record
 from foxtailcourse.config._settings import PlatformSettings
-from foxtailcourse.config._store import ConfigStore, operators_digest
+from foxtailcourse.config._store import ConfigStore
 from foxtailcourse.config._watchers import (
     choose_watchers,
     fallback_interval_s,
     follow_order,
 )
-from foxtailcourse.control import PeerClient, PeerError, PeerServer
+from foxtailcourse.control import PeerClient, PeerError, PeerServer, asyncio_loop
 from foxtailcourse.http import ConnectionPool
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import (
@@ -93,7 +91,7 @@
         self._ready = trio.Event()
         self._next_fallback: float | None = None
         self._peers_asked = trio.Event()
-        self._role_view: ConfigView | None = None
+        self._role_vms: dict[str, Vm] | None = None
         self._watching = False
         self._watch = PlatformWatch(cfg, self._platform, events, metrics, self._rng)
         self._watch.on_success = lambda: self._set_ready("platform")
@@ -114,9 +112,9 @@
     @property
     def watching(self) -> bool:
         """Whether this process watches the platform for its failure domain."""
-        if self._role_view is not self.store.view:
-            self._role_view = self.store.view
-            watchers = choose_watchers(self._role_view.vms, self.failure_domain)
+        if self._role_vms is not self.store.view.vms:
+            self._role_vms = self.store.view.vms
+            watchers = choose_watchers(self._role_vms, self.failure_domain)
             self._watching = self.vm in {each.vm for each in watchers}
         return self._watching
 
@@ -129,7 +127,7 @@
         return {
             "ready": self.ready,
             "revision": self.store.revision,
-            "digest": operators_digest(self.store.records()),
+            "digest": self.store.operators_digest,
             "watching": self.watching,
             "current": self._watch.current,
             "source": self.source,
@@ -173,7 +171,7 @@
 
         ``started`` does not wait for a configuration; see :meth:`wait_ready`.
         """
-        async with _asyncio_loop(), trio.open_nursery() as nursery:
+        async with asyncio_loop(), trio.open_nursery() as nursery:
             await nursery.start(self._server.serve, self.cfg.control_listen)
             nursery.start_soon(self._start_from_peers)
             nursery.start_soon(self._keep_up)
@@ -302,7 +300,7 @@
         try:
             await self._platform.read_vm_list()
             if not self.watching:
-                await self._platform.scan(write_back=False)
+                await self._platform.scan()
                 self._set_ready("platform")
         except PlatformError as exc:
             self._events.emit("platform_failed", error=exc)
@@ -365,13 +363,3 @@
 
     def _backoff(self) -> Backoff:
         return Backoff(self.cfg.backoff_min_s, self.cfg.backoff_max_s, self._rng)
-
-
-@asynccontextmanager
-async def _asyncio_loop() -> AsyncIterator[None]:
-    """Open an asyncio loop for gRPC unless the caller runs in one."""
-    if trio_asyncio.current_loop.get() is not None:
-        yield
-        return
-    async with trio_asyncio.open_loop():
-        yield
--- a/src/foxtailcourse/config/_platform_source.py
+++ b/src/foxtailcourse/config/_platform_source.py
@@ -68,6 +68,7 @@
         self._latest: KeyValue | KeyEvent | None = None
         self._listing_revision = 0
         self._expected: dict[str, float] = {}
+        self.repair_wanted = trio.Event()
 
     def expect(self, records: Iterable[Record]) -> None:
         """Note records that came from a peer and that the platform should hold."""
@@ -81,21 +82,21 @@
         latest = trio.current_time() - CONFIRMATION_S
         return any(noted < latest for noted in self._expected.values())
 
-    async def scan(self, *, write_back: bool = True) -> int:
-        """Read all records; return the store revision to watch from.
-
-        With ``write_back``, keys for which the platform holds an older record than
-        this process get the newer one by compare-and-swap.
-        """
+    async def scan(self) -> int:
+        """Read all records; return the store revision to watch from."""
         revision, outdated = await self._read_all()
-        if outdated and write_back:
-            await trio.sleep(self._rng.uniform(0, self._write_back_jitter_s))
-            # Another watcher may have corrected the platform in the meantime.
-            revision, outdated = await self._read_all()
-            for key, mod_revision in outdated.items():
-                await self._write_back(key, mod_revision)
+        if outdated:
+            self.repair_wanted.set()
         return revision
 
+    async def repair(self) -> None:
+        """Write newer records back to a platform that holds older ones."""
+        self.repair_wanted = trio.Event()
+        await trio.sleep(self._rng.uniform(0, self._write_back_jitter_s))
+        _, outdated = await self._read_all()
+        for key, mod_revision in outdated.items():
+            await self._write_back(key, mod_revision)
+
     async def watch(self, after: int, wait_s: float) -> int:
         """Wait for changes; return the revision to watch from next.
 
@@ -112,7 +113,7 @@
         outdated = self._take(result.events)
         deleted = any(each.value is None for each in result.events)
         if outdated or deleted or self._is_missing():
-            raise RevisionGoneError("older records appeared", may_have_applied=False)
+            self.repair_wanted.set()
         return result.revision
 
     async def _read_all(self) -> tuple[int, dict[str, int]]:
@@ -122,9 +123,9 @@
         self._latest = max(result.items, key=lambda e: e.mod_revision, default=None)
         outdated = self._take(result.items)
         present = {each.key for each in result.items}
-        for held in self._store.records():
-            if held.key.startswith(WATCHED) and held.key not in present:
-                outdated[held.key] = 0
+        for key in self._store.keys(*WATCHED):
+            if key not in present:
+                outdated[key] = 0
         return result.revision, outdated
 
     async def _is_continuous(self) -> bool:
@@ -179,7 +180,9 @@
 
     async def read_vm_list(self) -> None:
         """Read the VM list and merge what changed."""
-        self.take_listing(await self.vm_list.list_vms())
+        listing = await self.vm_list.list_vms(self._listing_revision)
+        if listing is not None:
+            self.take_listing(listing)
 
     def take_listing(self, listing: VmListing) -> None:
         """Turn a VM list into records; an older list than a former one is ignored.
@@ -196,10 +199,10 @@
             held = self._store.get(key)
             if held is None or held.deleted or held.body != body:
                 changes.append(_vm_record(key, listing.revision, body))
-        for held in self._store.records():
-            listed = held.key in bodies or not held.key.startswith(_records.VMS)
-            if not listed and not held.deleted:
-                changes.append(_vm_record(held.key, listing.revision, None))
+        for key in self._store.keys(_records.VMS):
+            held = None if key in bodies else self._store.get(key)
+            if held is not None and not held.deleted:
+                changes.append(_vm_record(key, listing.revision, None))
         self._merge(changes)
 
 
--- a/src/foxtailcourse/routing/_placement.py
+++ b/src/foxtailcourse/routing/_placement.py
@@ -4,13 +4,22 @@
 from collections.abc import Sequence
 
 from foxtailcourse.protocol import RequestClass
+from foxtailcourse.routing._holders import Holders, Prefix
+from foxtailcourse.routing._levels import home_level, tracked_levels
+from foxtailcourse.routing._open import OpenAttempts
 from foxtailcourse.routing._ring import HashRing
 from foxtailcourse.routing._settings import PlacementSettings
 from foxtailcourse.routing._types import Choice, Prompt, ServerReply
-from foxtailcourse.routing._views import ServerView
+from foxtailcourse.routing._views import LOST_S, REFUSED_S, ServerView
 
-LEVEL_DRAWS = (3, 2, 2)
+DRAWS, HOME_DRAWS, MIN_DRAWS = 7, 2, 1
+MAX_WIDTH = 16
+MAX_KNOWN_HOLDERS = 2
 MAX_MODELS = 64
+# The home is believed even before a reply confirms it, so that entries that know
+# nothing of each other send a prefix to the same backend server.
+HOME_BELIEF = 0.95
+PENDING_BELIEF = 0.9
 
 
 class PrefixPlacement:
@@ -26,7 +35,9 @@
         self.cfg = cfg or PlacementSettings()
         self._rings: OrderedDict[str, tuple[Sequence[str], HashRing]] = OrderedDict()
         self._views: dict[str, ServerView] = {}
-        self._holders: OrderedDict[bytes, dict[str, str]] = OrderedDict()
+        self._holders = Holders(self.cfg.tracked_prefixes)
+        self._open = OpenAttempts(self.cfg.tracked_attempts)
+        self._ranked: tuple[Prompt | None, RequestClass] = (None, RequestClass.SHORT)
         self._spread = 0
 
     def rank(
@@ -43,90 +54,173 @@
         """
         if not servers:
             return []
+        self._ranked = (prompt, request_class)
         ring = self._ring(prompt.model, servers)
-        choices = [self._choice(prompt, each, now) for each in self._draw(prompt, ring)]
+        choices = [
+            self._choice(prompt, each, home, request_class, now)
+            for each, home in self._candidates(prompt, ring, now).items()
+        ]
         return sorted(choices, key=lambda choice: choice.cost_s)
 
     def sent(self, prompt: Prompt, backend_server: str, now: float) -> None:
         """Note that an attempt was sent."""
-        self._view(backend_server).own_s += self._service_s(prompt, backend_server)
+        ranked, request_class = self._ranked
+        if ranked is not prompt:
+            request_class = RequestClass.SHORT
+        matched = self._matched(prompt, backend_server, request_class, 0, now)
+        work_s = self._prefill_s(prompt, matched)
+        believed = []
+        for level in tracked_levels(prompt.levels):
+            prefix = self._holders.track(prompt.keys[level - 1])
+            prefix.add_heat(now)
+            age_s = self._holders.age_s(prefix, backend_server, now)
+            if age_s is not None:
+                believed.append((level, age_s))
+            if request_class is RequestClass.SHORT:
+                self._holders.used(prefix, backend_server, now)
+            else:
+                prefix.add_pending(backend_server)
+        self._open.sent(
+            prompt, backend_server, request_class, work_s, tuple(believed), now
+        )
 
     def replied(self, prompt: Prompt, reply: ServerReply, now: float) -> None:
         """Note what a reply said."""
-        view = self._view(reply.backend_server)
+        server = reply.backend_server
+        view = self._view(server)
         if view.take_reply(reply, now):
-            self._forget(reply.backend_server)
-        view.own_s = 0.0
-        held = reply.matched_blocks if reply.refused else len(prompt.keys)
-        for level in prompt.levels:
-            self._note(prompt.keys[level - 1], reply, level <= held)
+            self._holders.emptied(server, now)
+        attempt = self._open.answered(prompt, server, reply.refused, now)
+        short = attempt is None or attempt.request_class is RequestClass.SHORT
+        if not short:
+            self._no_longer_pending(prompt, server)
+        if reply.refused:
+            if short:
+                view.avoid(now + REFUSED_S)
+            return
+        # A long request waits so long that its age when sent says nothing.
+        if short and attempt is not None:
+            for level, age_s in attempt.believed:
+                self._holders.checked(server, age_s, level <= reply.matched_blocks)
+        for level in tracked_levels(prompt.levels):
+            prefix = self._holders.track(prompt.keys[level - 1])
+            self._holders.used(prefix, server, now)
 
     def finished(self, prompt: Prompt, backend_server: str, now: float) -> None:
         """Note that an attempt ended, whole or broken."""
+        if self._open.finished(prompt, backend_server):
+            self._no_longer_pending(prompt, backend_server)
 
     def lost(self, backend_server: str, now: float) -> None:
         """Note that a backend server could not be reached."""
-        view = self._view(backend_server)
-        view.own_s = 0.0
-        view.lost_until = now + 2.0
-        self._forget(backend_server)
+        self._view(backend_server).avoid(now + LOST_S)
+        self._holders.emptied(backend_server, now)
 
     def _ring(self, model: str, servers: Sequence[str]) -> HashRing:
         held = self._rings.get(model)
         if held is not None and (held[0] is servers or held[0] == tuple(servers)):
-            self._rings.move_to_end(model)
             return held[1]
         fleet = tuple(servers)
         self._rings[model] = (fleet, HashRing(fleet))
-        while len(self._rings) > MAX_MODELS:
+        if len(self._rings) > MAX_MODELS:
             self._rings.popitem(last=False)
         return self._rings[model][1]
 
-    def _draw(self, prompt: Prompt, ring: HashRing) -> list[str]:
+    def _candidates(self, prompt: Prompt, ring: HashRing, now: float) -> dict[str, int]:
+        """Return the candidates, each with the level that it is the home of or 0."""
         if not prompt.levels:
             self._spread += 1
             key = self._spread.to_bytes(8, "big")
-            return list(ring.draw(key, sum(LEVEL_DRAWS)))
-        found: dict[str, None] = {}
-        levels = reversed(prompt.levels[-len(LEVEL_DRAWS) :])
-        for level, count in zip(levels, LEVEL_DRAWS, strict=False):
-            found.update(dict.fromkeys(ring.draw(prompt.keys[level - 1], count)))
-        return list(found)
-
-    def _choice(self, prompt: Prompt, server: str, now: float) -> Choice:
-        matched = self._matched(prompt, server)
-        wait_s = self._view(server).wait_s(now)
-        cost_s = wait_s + self.cfg.recompute_weight * self._prefill_s(prompt, matched)
-        return Choice(backend_server=server, matched_blocks=matched, cost_s=cost_s)
-
-    def _matched(self, prompt: Prompt, server: str) -> int:
-        incarnation = self._view(server).incarnation
-        for level in reversed(prompt.levels):
-            holders = self._holders.get(prompt.keys[level - 1])
-            if holders is not None and holders.get(server) == incarnation:
-                return level
-        return 0
-
-    def _prefill_s(self, prompt: Prompt, matched: int) -> float:
-        tokens = max(0, prompt.tokens - matched * self.cfg.block_tokens)
-        return tokens / self.cfg.prefill_tokens_per_s
+            return dict.fromkeys(ring.draw(key, DRAWS), 0)
+        found: dict[str, int] = {}
+        home = home_level(prompt.levels)
+        width = self._width(prompt, home, now)
+        levels = tracked_levels(prompt.levels)
+        others = max(MIN_DRAWS, (DRAWS - HOME_DRAWS) // max(1, len(levels) - 1))
+        for level in (home, *(each for each in reversed(levels) if each != home)):
+            count = max(HOME_DRAWS, width) if level == home else others
+            for place, server in enumerate(ring.draw(prompt.keys[level - 1], count)):
+                found.setdefault(server, home if level == home and place < width else 0)
+        for server in self._known(prompt, ring):
+            found.setdefault(server, 0)
+        return found
+
+    def _width(self, prompt: Prompt, home: int, now: float) -> int:
+        """Return on how many servers a prefix has its home, by its heat."""
+        prefix = self._holders.get(prompt.keys[home - 1])
+        if prefix is None:
+            return 1
+        wider = int(prefix.rate(now) / self.cfg.hot_requests_per_s)
+        return min(MAX_WIDTH, 1 + wider)
+
+    def _known(self, prompt: Prompt, ring: HashRing) -> list[str]:
+        for level in reversed(tracked_levels(prompt.levels)):
+            prefix = self._holders.get(prompt.keys[level - 1])
+            if prefix is not None and prefix.holders:
+                recent = reversed(prefix.holders)
+                known = [each for each in recent if each in ring]
+                return known[:MAX_KNOWN_HOLDERS]
+        return []
+
+    def _choice(
+        self,
+        prompt: Prompt,
+        server: str,
+        home: int,
+        request_class: RequestClass,
+        now: float,
+    ) -> Choice:
+        view = self._view(server)
+        wait_s = view.penalty_s(now)
+        if request_class is RequestClass.SHORT:
+            weight = self.cfg.recompute_weight
+            wait_s += view.short_wait_s(now) + self._open.short_work_s(server)
+        else:
+            weight = self.cfg.long_recompute_weight
+            wait_s += self._open.long_wait_s(prompt.salt, server, now)
+        matched = self._matched(prompt, server, request_class, home, now)
+        cost_s = wait_s + weight * self._prefill_s(prompt, matched)
+        return Choice(backend_server=server, matched_blocks=int(matched), cost_s=cost_s)
 
-    def _service_s(self, prompt: Prompt, server: str) -> float:
-        return self._prefill_s(prompt, self._matched(prompt, server))
+    def _matched(
+        self,
+        prompt: Prompt,
+        server: str,
+        request_class: RequestClass,
+        home: int,
+        now: float,
+    ) -> float:
+        """Return the expected number of matched blocks."""
+        total, upper, deeper = 0.0, 0, 0.0
+        for level in reversed(tracked_levels(prompt.levels)):
+            total += (upper - level) * deeper if upper else 0.0
+            prefix = self._holders.get(prompt.keys[level - 1])
+            belief = HOME_BELIEF if level == home else 0.0
+            if prefix is not None:
+                belief = max(belief, self._belief(prefix, server, request_class, now))
+            deeper, upper = max(deeper, belief), level
+        return total + upper * deeper
+
+    def _belief(
+        self, prefix: Prefix, server: str, request_class: RequestClass, now: float
+    ) -> float:
+        belief = self._holders.probability(prefix, server, now)
+        if request_class is RequestClass.LONG and server in prefix.pending:
+            return max(belief, PENDING_BELIEF)
+        return belief
+
+    def _no_longer_pending(self, prompt: Prompt, server: str) -> None:
+        for level in tracked_levels(prompt.levels):
+            prefix = self._holders.get(prompt.keys[level - 1])
+            if prefix is not None:
+                prefix.drop_pending(server)
+
+    def _prefill_s(self, prompt: Prompt, matched: float) -> float:
+        tokens = max(0.0, prompt.tokens - matched * self.cfg.block_tokens)
+        return tokens / self.cfg.prefill_tokens_per_s
 
     def _view(self, server: str) -> ServerView:
-        return self._views.setdefault(server, ServerView())
-
-    def _note(self, key: bytes, reply: ServerReply, held: bool) -> None:
-        holders = self._holders.setdefault(key, {})
-        self._holders.move_to_end(key)
-        if held:
-            holders[reply.backend_server] = reply.engine_incarnation
-        else:
-            holders.pop(reply.backend_server, None)
-        while len(self._holders) > self.cfg.tracked_prefixes:
-            self._holders.popitem(last=False)
-
-    def _forget(self, server: str) -> None:
-        for holders in self._holders.values():
-            holders.pop(server, None)
+        view = self._views.get(server)
+        if view is None:
+            view = self._views[server] = ServerView()
+        return view
--- a/src/foxtailcourse/routing/_settings.py
+++ b/src/foxtailcourse/routing/_settings.py
@@ -11,7 +11,13 @@
         float,
         2.0,
         minimum=0.0,
-        description="Weight of predicted recomputation against predicted wait.",
+        description="Weight of predicted recomputation against wait, short requests.",
+    )
+    long_recompute_weight: float = setting(
+        float,
+        96.0,
+        minimum=0.0,
+        description="Weight of predicted recomputation against wait, long requests.",
     )
     prefill_tokens_per_s: float = setting(
         float,
@@ -27,9 +33,22 @@
         description="Tokens in each block of the engines' prefix cache.",
         unit="tokens",
     )
+    hot_requests_per_s: float = setting(
+        float,
+        5.0,
+        minimum=0.01,
+        description="Own requests of one prefix that widen its home by a server.",
+        unit="requests/s",
+    )
     tracked_prefixes: int = setting(
         int,
         20_000,
         minimum=16,
         description="Prefixes whose holders and heat are remembered.",
     )
+    tracked_attempts: int = setting(
+        int,
+        10_000,
+        minimum=16,
+        description="Open attempts that are remembered.",
+    )
