Choose the reserved slots by the number of slots

Cause: an agent with one or two slots could not create its queue, since two reserved slots were the default.

--- a/src/foxtailcourse/sharing/_fair.py
+++ b/src/foxtailcourse/sharing/_fair.py
@@ -24,7 +24,8 @@
     slots : int
         Requests on the backend server at once.
     reserved_short_slots : int
-        Slots that long requests never use; must leave room for the floor.
+        Slots that long requests never use; by default a quarter, rounded down. They
+        must leave room for the floor.
     long_floor : float
         Part of the capacity that long requests get while any is waiting, below 1.
     short_burst_s : float
@@ -41,7 +42,9 @@
     """
 
     slots: int = 8
-    reserved_short_slots: int = 2
+    reserved_short_slots: int = attrs.field(
+        default=attrs.Factory(lambda self: self.slots // 4, takes_self=True)
+    )
     long_floor: float = 0.2
     short_burst_s: float = 5.0
     max_debt_s: float = 30.0
--- a/tests/sharing/test_fair.py
+++ b/tests/sharing/test_fair.py
@@ -134,6 +134,16 @@
         names = [each.attempt_id for each in ended]
         self.assertThat(len(set(names)), Equals(len(names)))
 
+    def test_any_number_of_slots_serves_both_classes(self):
+        for slots in range(1, 20):
+            queue = fixed_queue(slots=slots)
+            for kind in (SHORT, LONG):
+                queue.offer(request("a", kind), 0.0)
+                taken = queue.take(0.0)
+                self.assertThat(taken.request_class, Equals(kind))
+                queue.finish(taken.attempt_id, 20, 0.0)
+        self.assertRaises(ValueError, fixed_queue, slots=2, reserved_short_slots=2)
+
     def test_one_account_cannot_fill_the_queue(self):
         queue = fixed_queue(max_waiting=10, max_waiting_per_account=4)
         answers = [queue.offer(request("a"), 0.0) for _ in range(5)]
