--- a/src/foxtailcourse/routing/_placement.py
+++ b/src/foxtailcourse/routing/_placement.py
@@ -12,7 +12,7 @@
 from foxtailcourse.routing._types import Choice, Prompt, ServerReply
 from foxtailcourse.routing._views import LOST_S, REFUSED_S, ServerView
 
-DRAWS, HOME_DRAWS, MIN_DRAWS = 7, 2, 1
+HOME_DRAWS, OTHER_DRAWS = 2, 5
 MAX_WIDTH = 16
 MAX_KNOWN_HOLDERS = 2
 MAX_MODELS = 64
@@ -131,16 +131,19 @@
         if not prompt.levels:
             self._spread += 1
             key = self._spread.to_bytes(8, "big")
-            return dict.fromkeys(ring.draw(key, DRAWS), 0)
+            return dict.fromkeys(ring.draw(key, HOME_DRAWS + OTHER_DRAWS), 0)
         found: dict[str, int] = {}
         home = home_level(prompt.levels)
         width = self._width(prompt, home, now)
-        levels = tracked_levels(prompt.levels)
-        others = max(MIN_DRAWS, (DRAWS - HOME_DRAWS) // max(1, len(levels) - 1))
-        for level in (home, *(each for each in reversed(levels) if each != home)):
-            count = max(HOME_DRAWS, width) if level == home else others
-            for place, server in enumerate(ring.draw(prompt.keys[level - 1], count)):
-                found.setdefault(server, home if level == home and place < width else 0)
+        others = [each for each in tracked_levels(prompt.levels) if each != home]
+        for place, server in enumerate(
+            ring.draw(prompt.keys[home - 1], max(HOME_DRAWS, width))
+        ):
+            found[server] = home if place < width else 0
+        count = max(1, OTHER_DRAWS // max(1, len(others)))
+        for level in reversed(others):
+            for server in ring.draw(prompt.keys[level - 1], count):
+                found.setdefault(server, 0)
         for server in self._known(prompt, ring):
             found.setdefault(server, 0)
         return found
--- a/src/foxtailcourse/routing/_settings.py
+++ b/src/foxtailcourse/routing/_settings.py
@@ -35,7 +35,7 @@
     )
     hot_requests_per_s: float = setting(
         float,
-        5.0,
+        2.0,
         minimum=0.01,
         description="Own requests of one prefix that widen its home by a server.",
         unit="requests/s",
