Keep the oracle's long waits up to date instead of recomputing them

Cause: on 100 servers each oracle decision scanned all open attempts. Change: the agent model adds and drops waiting long work per account.

--- a/src/foxtailcourse/emulator/_agent.py
+++ b/src/foxtailcourse/emulator/_agent.py
@@ -102,6 +102,8 @@
         self._timeline = timeline
         self._attempts: dict[str, AttemptState] = {}
         self._reported_running = 0
+        self._waiting_long: dict[str, tuple[str, float]] = {}
+        self._long_work: dict[str, tuple[float, float]] = {}
         engine.callbacks = EngineCallbacks(
             first_token=self._first_token, done=self._done, changed=self.index.event
         )
@@ -122,22 +124,11 @@
         The account's waiting work is served at its share of the slots among the
         accounts that have long requests waiting.
         """
-        work_s: dict[str, float] = {}
-        shares: dict[str, float] = {}
-        running, cfg = self.engine.jobs, self.engine.cfg
-        for attempt_id, attempt in self._attempts.items():
-            req = attempt.request
-            if req.request_class is RequestClass.LONG and attempt_id not in running:
-                token_s = 1.0 / cfg.decode_tokens_per_s
-                own_s = req.prompt.tokens / cfg.prefill_tokens_per_s
-                own_s += req.prompt.max_tokens * token_s
-                name = req.prompt.salt
-                work_s[name] = work_s.get(name, 0.0) + own_s
-                shares[name] = req.share
-        if salt not in work_s:
+        if salt not in self._long_work:
             return 0.0
-        part = shares[salt] / sum(shares.values())
-        return work_s[salt] / part / cfg.slots
+        active = sum(share for _, share in self._long_work.values())
+        work_s, share = self._long_work[salt]
+        return work_s * active / share / self.engine.cfg.slots
 
     def offer(self, attempt: AttemptState, now: float) -> None:
         """Take an attempt or refuse it."""
@@ -161,6 +152,8 @@
             self._refuse(attempt, now)
             return
         self._attempts[attempt.attempt_id] = attempt
+        if req.request_class is RequestClass.LONG:
+            self._add_long(attempt)
         self.pending.update(req.prompt.keys[: req.prefix_blocks])
         self._pump(now)
 
@@ -196,6 +189,23 @@
             refused=refused,
         )
 
+    def _add_long(self, attempt: AttemptState) -> None:
+        prompt, cfg = attempt.request.prompt, self.engine.cfg
+        own_s = prompt.tokens / cfg.prefill_tokens_per_s
+        own_s += prompt.max_tokens / cfg.decode_tokens_per_s
+        self._waiting_long[attempt.attempt_id] = prompt.salt, own_s
+        held_s, _ = self._long_work.get(prompt.salt, (0.0, 0.0))
+        self._long_work[prompt.salt] = held_s + own_s, attempt.request.share
+
+    def _drop_long(self, attempt_id: str) -> None:
+        salt, own_s = self._waiting_long.pop(attempt_id, ("", 0.0))
+        if not salt:
+            return
+        held_s, share = self._long_work[salt]
+        self._long_work[salt] = held_s - own_s, share
+        if held_s - own_s < own_s / 1_000:
+            del self._long_work[salt]
+
     def _restart(self, now: float) -> None:
         self.down = False
 
@@ -206,6 +216,7 @@
             self._refuse(self._forget(expired.attempt_id), now)
         while (queued := self.queue.take(now)) is not None:
             req = self._attempts[queued.attempt_id].request
+            self._drop_long(queued.attempt_id)
             job = Job(
                 attempt_id=queued.attempt_id,
                 client_account=req.client_account,
@@ -234,6 +245,7 @@
 
     def _forget(self, attempt_id: str) -> AttemptState:
         attempt = self._attempts.pop(attempt_id)
+        self._drop_long(attempt_id)
         req = attempt.request
         for key in req.prompt.keys[: req.prefix_blocks]:
             self.pending[key] -= 1
