Name the service rates of the emulator's queues

Cause: ServiceRates got a first parameter, so that the prefill rate arrived as a constant of 8,000 s for each request and the queue refused 95% of all. Change: keyword arguments.

--- a/src/foxtailcourse/emulator/_run.py
+++ b/src/foxtailcourse/emulator/_run.py
@@ -108,7 +108,10 @@
         engine = self.scenario.deployment.engine
         if self.scenario.policy == NAIVE:
             return FirstComeQueue(engine.slots)
-        rates = ServiceRates(engine.prefill_tokens_per_s, engine.decode_tokens_per_s)
+        rates = ServiceRates(
+            prefill_tokens_per_s=engine.prefill_tokens_per_s,
+            decode_tokens_per_s=engine.decode_tokens_per_s,
+        )
         reserved = self.scenario.deployment.reserved_short_slots
         limits = QueueLimits(slots=engine.slots, reserved_short_slots=reserved)
         return FairQueue(limits, rates)
