--- /dev/null
+++ b/src/foxtailcourse/agent/_agent.py
@@ -0,0 +1,197 @@
+"""The agent: the only path to one backend server."""
+
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from foxtailcourse.agent._chat import ChatHandler
+from foxtailcourse.agent._context import AgentContext
+from foxtailcourse.agent._feed import EngineFeed
+from foxtailcourse.agent._scheduler import Scheduler
+from foxtailcourse.agent._service import ServiceHandler
+from foxtailcourse.agent._settings import AgentSettings
+from foxtailcourse.agent._target import AgentTarget
+from foxtailcourse.agent._transfer import BlockTransfer
+from foxtailcourse.cache import BlockIndex, TransferCosts, TransferPolicy
+from foxtailcourse.config import ConfigStore
+from foxtailcourse.engine import (
+    HttpEngineClient,
+    HttpKvStoreClient,
+    HttpServiceClient,
+)
+from foxtailcourse.http import Exchange, HttpLimits, HttpServer
+from foxtailcourse.idempotency import KeyIssuer, OutcomeLimits, OutcomeTable
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.platform import KeyValueStore
+from foxtailcourse.process import Readiness
+from foxtailcourse.protocol import headers
+from foxtailcourse.rollout import LoadSlots, RolloutDriver, RolloutSettings
+from foxtailcourse.sharing import FairQueue, QueueLimits, ServiceRates
+
+MAX_SERVICE_BODY_BYTES = 8 * 1024 * 1024
+# 256 prefix keys alone take 5.5 KB of one request's header fields.
+MAX_HEADER_BYTES = 64 * 1024
+
+
+class Agent:
+    """One agent and its listener for requests.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    cfg : AgentSettings
+        Settings.
+    events, metrics : EventLog, Metrics
+        Where the agent reports.
+    store : ConfigStore
+        The configuration copy; a follower keeps it up to date.
+    configured : callable or None
+        Returns whether the copy holds a configuration; None for always.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        cfg: AgentSettings,
+        events: EventLog,
+        metrics: Metrics,
+        store: ConfigStore,
+        configured: Callable[[], bool] | None = None,
+    ) -> None:
+        queue = _make_queue(cfg)
+        self.context = AgentContext(
+            vm=vm,
+            cfg=cfg,
+            events=events,
+            metrics=metrics,
+            store=store,
+            configured=configured or (lambda: True),
+            index=BlockIndex(cfg.index_blocks, cfg.index_stale_s),
+            scheduler=Scheduler(queue, trio.current_time, queue.first_token),
+        )
+        self.feed: EngineFeed | None = None
+        if cfg.kind == "engine":
+            engine = HttpEngineClient(cfg.backend, cfg.token_timeout_s)
+            self.feed = EngineFeed(self.context, engine)
+            self.engine = engine
+            self._chat = ChatHandler(self.context, engine, self._make_transfer(engine))
+        else:
+            service = HttpServiceClient(cfg.backend, MAX_SERVICE_BODY_BYTES)
+            issuer = KeyIssuer(vm, cfg.key_lifetime_s, cfg.max_keys)
+            table = OutcomeTable(OutcomeLimits(max_kept_bytes=cfg.kept_response_bytes))
+            self._service = ServiceHandler(self.context, service, issuer, table)
+        limits = HttpLimits(
+            max_connections=cfg.max_connections, max_header_bytes=MAX_HEADER_BYTES
+        )
+        self.server = HttpServer(self._handle, limits, self._on_error)
+        self.port = 0
+
+    def _make_transfer(self, engine: HttpEngineClient) -> BlockTransfer | None:
+        cfg = self.context.cfg
+        if not cfg.kv_store:
+            return None
+        costs = TransferCosts(
+            recompute_s_per_block=cfg.block_tokens * cfg.prefill_s_per_token,
+            import_s_per_block=cfg.import_s_per_block,
+            call_s=cfg.import_call_s,
+        )
+        store = HttpKvStoreClient(cfg.kv_store[0])
+        return BlockTransfer(self.context, engine, store, TransferPolicy(costs))
+
+    def make_rollout(
+        self, cfg: RolloutSettings, store: KeyValueStore
+    ) -> RolloutDriver | None:
+        """Return the driver of the engine's rollouts; None for a plain service."""
+        if self.feed is None:
+            return None
+        slots = LoadSlots(
+            store,
+            vm=self.context.vm,
+            clock=trio.current_time,
+            prefix=cfg.slots_prefix,
+            slots=cfg.slots,
+            ttl_s=cfg.lease_s,
+        )
+        target = AgentTarget(self.context, self.feed)
+        events = self.context.events
+        return RolloutDriver(cfg, self.engine, slots, target, events, trio.current_time)
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; the task status is the bound port."""
+        listen = self.context.cfg.listen
+        listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
+        self.port = listeners[0].socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            self.context.nursery = nursery
+            if self.feed is not None:
+                await self.feed.refresh()
+                nursery.start_soon(self.feed.run)
+            await nursery.start(self.server.serve, listeners)
+            task_status.started(self.port)
+
+    def stop(self) -> None:
+        """Begin a planned stop: take no new work."""
+        self.context.stopping = True
+
+    def active(self) -> int:
+        """Return the number of requests in progress."""
+        return self.server.active + self.context.active
+
+    def readiness(self) -> Readiness:
+        """Return whether the agent should get traffic."""
+        if self.context.leaving:
+            return Readiness(False, "leaving")
+        if not self.context.configured():
+            return Readiness(False, "no configuration is held")
+        if self.context.loading:
+            return Readiness(False, "loading weights")
+        if self.feed is not None and not self.feed.reachable:
+            return Readiness(False, "engine is unreachable")
+        return Readiness(True)
+
+    def status(self) -> dict[str, Any]:
+        """Return what ``/status`` shows."""
+        context = self.context
+        queue = context.scheduler.queue
+        return {
+            "vm": context.vm,
+            "serves": context.cfg.serves,
+            "port": self.port,
+            "leaving": context.leaving,
+            "loading": context.loading,
+            "engine_incarnation": context.index.incarnation,
+            "weights_version": context.weights_version,
+            "indexed_blocks": len(context.index),
+            "running": queue.running,
+            "waiting": queue.waiting,
+            "active": self.active(),
+            "config_revision": context.store.revision,
+        }
+
+    def _on_error(self, exchange: Exchange, exc: Exception) -> None:
+        self.context.events.emit("handler_error", path=exchange.path, error=repr(exc))
+
+    async def _handle(self, exchange: Exchange) -> None:
+        kind = self.context.cfg.kind
+        call = f"{exchange.method} {exchange.path}"
+        if call == "POST /v1/chat/completions" and kind == "engine":
+            await self._chat.handle(exchange)
+        elif call == "POST /v1/idempotency-keys" and kind == "service":
+            await self._service.issue_key(exchange)
+        elif exchange.path.startswith("/services/") and kind == "service":
+            await self._service.handle(exchange)
+        else:
+            attempt_id = exchange.headers.get(headers.ATTEMPT_ID, "")
+            message = f"no such call {call}"
+            raise self.context.refusal(attempt_id, 404, "unknown_path", message)
+
+
+def _make_queue(cfg: AgentSettings) -> FairQueue:
+    limits = QueueLimits(slots=cfg.slots, max_waiting=cfg.queue_limit)
+    decode_s = cfg.decode_s_per_token if cfg.kind == "engine" else cfg.service_call_s
+    rates = ServiceRates(1.0 / cfg.prefill_s_per_token, 1.0 / decode_s)
+    return FairQueue(limits, rates)
--- /dev/null
+++ b/src/foxtailcourse/config/_follower.py
@@ -0,0 +1,365 @@
+"""Keeps a process's configuration copy up to date."""
+
+import random
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import trio
+
+from foxtailcourse.config._backoff import Backoff
+from foxtailcourse.config._model import Vm
+from foxtailcourse.config._peers import PeerExchange, TopicHandler, to_message
+from foxtailcourse.config._platform_source import PlatformSource
+from foxtailcourse.config._platform_watch import PlatformWatch
+from foxtailcourse.config._pulls import PullQueue
+from foxtailcourse.config._records import Record
+from foxtailcourse.config._settings import PlatformSettings
+from foxtailcourse.config._store import ConfigStore
+from foxtailcourse.config._watchers import (
+    choose_watchers,
+    fallback_interval_s,
+    follow_order,
+)
+from foxtailcourse.control import PeerClient, PeerError, PeerServer, asyncio_loop
+from foxtailcourse.http import ConnectionPool
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.platform import (
+    KeyValueClient,
+    PlatformError,
+    VmListClient,
+)
+from foxtailcourse.protocol import ExchangeMessage, FollowEvent, Sender
+from foxtailcourse.settings import Address
+
+START_PEERS = 4
+OUTDATED_FOLLOW_S = 10.0
+
+
+class ConfigFollower:
+    """Fills a ConfigStore, keeps it up to date and serves it to peers.
+
+    Parameters
+    ----------
+    cfg : PlatformSettings
+        Addresses and times.
+    store : ConfigStore
+        The copy to fill.
+    vm, failure_domain : str
+        Of this process.
+    events : EventLog
+        Told of changes and failures.
+    metrics : Metrics
+        Counts calls and changes.
+    rng : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        cfg: PlatformSettings,
+        store: ConfigStore,
+        *,
+        vm: str,
+        failure_domain: str,
+        events: EventLog,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.cfg = cfg
+        self.store = store
+        self.vm = vm
+        self.failure_domain = failure_domain
+        self.pool = ConnectionPool()
+        self.key_value = KeyValueClient(self.pool, cfg.key_value, cfg.call_timeout_s)
+        self._events = events
+        self._metrics = metrics
+        self._rng = rng or random.Random()
+        self._platform = PlatformSource(
+            self.key_value,
+            VmListClient(self.pool, cfg.vm_list, cfg.call_timeout_s),
+            store,
+            self.merge,
+            events,
+            self._rng,
+            cfg.write_back_jitter_s,
+        )
+        self._peers = PeerExchange(store, self._sender, self._merge_from_peer, events)
+        self._peers.on_sender = self._note_sender
+        self._pulls = PullQueue(store, self._pull_from)
+        self._peers.on_difference = self._pulls.want
+        self._server = PeerServer(self._peers, cfg.heartbeat_s)
+        self._ready = trio.Event()
+        self._next_fallback: float | None = None
+        self._peers_asked = trio.Event()
+        self._role_vms: dict[str, Vm] | None = None
+        self._watching = False
+        self._watch = PlatformWatch(cfg, self._platform, events, metrics, self._rng)
+        self._watch.on_success = lambda: self._set_ready("platform")
+        self._watch.on_failures = self._pull_from_watchers
+        self.source = "none"
+        store.subscribe(self._publish)
+
+    @property
+    def ready(self) -> bool:
+        """Whether a configuration is held."""
+        return self._ready.is_set()
+
+    @property
+    def control_port(self) -> int:
+        """Port of the control listener, once ``run`` has started."""
+        return self._server.port
+
+    @property
+    def watching(self) -> bool:
+        """Whether this process watches the platform for its failure domain."""
+        if self._role_vms is not self.store.view.vms:
+            self._role_vms = self.store.view.vms
+            watchers = choose_watchers(self._role_vms, self.failure_domain)
+            self._watching = self.vm in {each.vm for each in watchers}
+        return self._watching
+
+    async def wait_ready(self) -> None:
+        """Wait until a configuration is held."""
+        await self._ready.wait()
+
+    def status(self) -> dict[str, Any]:
+        """Return the value for ``config`` in the process's ``/status``."""
+        return {
+            "ready": self.ready,
+            "revision": self.store.revision,
+            "digest": self.store.operators_digest,
+            "watching": self.watching,
+            "current": self._watch.current,
+            "source": self.source,
+            "followers": self._server.followers,
+            "rejected": dict(self.store.rejected),
+        }
+
+    def add_topic(self, topic: str, handler: TopicHandler) -> None:
+        """Answer the summaries of one topic of ``Exchange``.
+
+        The handler gets the sender's VM and the payload, and returns this
+        process's payload. It must not block; a ValueError drops the message.
+        """
+        self._peers.topics[topic] = handler
+
+    async def exchange(self, vm: str, topics: dict[str, bytes]) -> dict[str, bytes]:
+        """Send summaries to the process on a VM and return its own.
+
+        Raises PeerError if the VM is not listed or does not answer.
+        """
+        listed = self.store.view.vms.get(vm)
+        if listed is None:
+            raise PeerError(f"VM {vm} is not listed")
+        message = ExchangeMessage(sender=self._sender(), topics=topics)
+        reply = await self._client(listed.control).exchange(message)
+        self._note_sender(reply.sender)
+        return reply.topics
+
+    def saw_revision(self, revision: int, vm: str) -> None:
+        """Take note of the revision in a message of another process.
+
+        A revision above this process's own makes it pull from that process.
+        """
+        if vm != self.vm:
+            self._pulls.saw_revision(revision, vm)
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Follow the configuration and serve it to peers until cancelled.
+
+        ``started`` does not wait for a configuration; see :meth:`wait_ready`.
+        """
+        async with asyncio_loop(), trio.open_nursery() as nursery:
+            await nursery.start(self._server.serve, self.cfg.control_listen)
+            nursery.start_soon(self._start_from_peers)
+            nursery.start_soon(self._keep_up)
+            nursery.start_soon(self._pulls.run)
+            task_status.started()
+
+    # Start
+
+    async def _start_from_peers(self) -> None:
+        """Ask peers for a configuration until one is held."""
+        backoff = self._backoff()
+        while not self.ready:
+            answered: list[Sender] = []
+            async with trio.open_nursery() as nursery:
+                for address in self._start_addresses():
+                    nursery.start_soon(self._ask, address, answered)
+            self._peers_asked.set()
+            if any(sender.ready for sender in answered):
+                # A peer may be behind; a watcher or the platform is better.
+                with trio.move_on_after(self.cfg.start_grace_s):
+                    await self._ready.wait()
+                self._set_ready("peer")
+            await trio.sleep(backoff.next_s())
+
+    async def _pull_from(self, vm: str) -> None:
+        listed = self.store.view.vms.get(vm)
+        if listed is not None and vm != self.vm:
+            await self._ask(listed.control, [])
+
+    def _start_addresses(self) -> list[Address]:
+        listed = [v.control for v in self.store.view.vms.values() if v.vm != self.vm]
+        sample = self._rng.sample(listed, min(START_PEERS, len(listed)))
+        return list(dict.fromkeys([*self.cfg.peers, *sample]))
+
+    async def _ask(self, address: Address, answered: list[Sender]) -> None:
+        try:
+            answered.append(await self._peers.pull(self._client(address)))
+        except PeerError as exc:
+            self._events.emit("peer_failed", peer=address, error=exc)
+
+    # Following
+
+    async def _keep_up(self) -> None:
+        await self._peers_asked.wait()
+        while True:
+            if self.watching:
+                await self._while_watching_is(True, self._watch.run)
+            else:
+                await self._while_watching_is(False, self._follow_watchers)
+
+    async def _while_watching_is(
+        self, role: bool, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run until this process becomes or ceases to be a watcher."""
+        self._events.emit("config_role", watching=role)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            while self.watching is role:
+                await self.store.wait_change()
+            nursery.cancel_scope.cancel()
+
+    async def _pull_from_watchers(self) -> None:
+        """Get changes from another failure domain that may still see the platform."""
+        order = follow_order(self.store.view.vms, self.vm, self.failure_domain)
+        if order:
+            await self._pull_from(self._rng.choice(order).vm)
+
+    async def _follow_watchers(self) -> None:
+        backoff = self._backoff()
+        while True:
+            if await self._follow_any(current=True):
+                backoff.reset()
+                self._next_fallback = None
+            else:
+                await self._fall_back()
+                # During an outage no watcher is current; one of them may still
+                # have changes from processes that saw the platform later.
+                with trio.move_on_after(OUTDATED_FOLLOW_S):
+                    await self._follow_any(current=False)
+            await trio.sleep(backoff.next_s())
+
+    async def _follow_any(self, *, current: bool) -> bool:
+        """Follow the first watcher that can be followed, until it fails."""
+        order = follow_order(self.store.view.vms, self.vm, self.failure_domain)
+        for watcher in order:
+            if await self._follow(watcher, current):
+                return True
+        return False
+
+    async def _follow(self, watcher: Vm, current: bool) -> bool:
+        """Follow one watcher until it fails; return whether it brought up to date."""
+        synced = False
+
+        def take(event: FollowEvent) -> None:
+            nonlocal synced
+            if not event.sender.watching:
+                # Two processes that follow each other would both miss all changes.
+                raise PeerError(f"{watcher.vm} does not watch the platform")
+            if current and not event.sender.current:
+                raise PeerError(f"{watcher.vm} cannot reach the platform")
+            if event.synced and event.sender.ready:
+                synced = True
+            if synced and event.sender.current:
+                self._set_ready("watcher")
+
+        try:
+            await self._peers.follow_peer(
+                watcher.control,
+                self.cfg.call_timeout_s,
+                self.cfg.follow_idle_s,
+                take,
+            )
+        except PeerError as exc:
+            self._events.emit("follow_failed", peer=watcher.vm, error=exc)
+            self._metrics.count("foxtail_config_failures_total", kind="follow")
+        return synced
+
+    async def _fall_back(self) -> None:
+        """Read the platform directly, at most as often as the call budget allows."""
+        now = trio.current_time()
+        if self._next_fallback is None and self.store.view.vms:
+            # All followers of a lost watcher come here at the same moment.
+            self._next_fallback = now + self._fallback_s() * self._rng.random()
+        if self._next_fallback is not None and now < self._next_fallback:
+            return
+        try:
+            await self._platform.read_vm_list()
+            if not self.watching:
+                await self._platform.scan()
+                self._set_ready("platform")
+        except PlatformError as exc:
+            self._events.emit("platform_failed", error=exc)
+            self._metrics.count("foxtail_config_failures_total", kind="platform_failed")
+        wait_s = self._fallback_s() * self._rng.uniform(0.5, 1.5)
+        self._next_fallback = trio.current_time() + wait_s
+
+    def _fallback_s(self) -> float:
+        return fallback_interval_s(
+            len(self.store.view.vms),
+            self.cfg.fallback_calls_per_s,
+            self.cfg.backoff_max_s,
+        )
+
+    # Common
+
+    def merge(self, records: Iterable[Record]) -> list[Record]:
+        """Merge records and log those taken."""
+        taken = self.store.merge(records)
+        for record in taken:
+            self._metrics.count("foxtail_config_changes_total")
+            self._events.emit(
+                "config_changed",
+                key=record.key,
+                generation=record.generation,
+                revision=record.mod_revision,
+            )
+        return taken
+
+    def _merge_from_peer(self, records: Iterable[Record]) -> None:
+        self._platform.expect(self.merge(records))
+
+    def _publish(self, records: list[Record]) -> None:
+        messages = tuple(to_message(each) for each in records)
+        self._server.publish(FollowEvent(sender=self._sender(), records=messages))
+
+    def _note_sender(self, sender: Sender) -> None:
+        self.saw_revision(sender.revision, sender.vm)
+
+    def _sender(self) -> Sender:
+        return Sender(
+            vm=self.vm,
+            revision=self.store.revision,
+            ready=self.ready,
+            watching=self.watching,
+            current=self._watch.current,
+            clock=str(self._events.clock.tick()),
+        )
+
+    def _client(self, address: Address) -> PeerClient:
+        return PeerClient(address, self.cfg.call_timeout_s)
+
+    def _set_ready(self, source: str) -> None:
+        self.source = source
+        if not self.ready:
+            self._ready.set()
+            self._events.emit(
+                "config_ready", source=source, revision=self.store.revision
+            )
+
+    def _backoff(self) -> Backoff:
+        return Backoff(self.cfg.backoff_min_s, self.cfg.backoff_max_s, self._rng)
