--- /dev/null
+++ b/src/foxtailcourse/entry/_app.py
@@ -0,0 +1,185 @@
+"""The entry process: listeners, configuration and planned stop."""
+
+from contextlib import AsyncExitStack
+from typing import Any
+
+import trio
+
+from foxtailcourse.config import ConfigFollower, ConfigStore, PlatformSettings
+from foxtailcourse.entry._attempts import Dispatcher
+from foxtailcourse.entry._claims import Claims
+from foxtailcourse.entry._config import ConfigSource
+from foxtailcourse.entry._gateway import Gateway
+from foxtailcourse.entry._once import OnceCaller
+from foxtailcourse.entry._relay import Relay
+from foxtailcourse.entry._settings import EntrySettings
+from foxtailcourse.http import ConnectionPool, Exchange, HttpServer
+from foxtailcourse.process import AdminServer, Daemon, Readiness
+from foxtailcourse.routing import PlacementSettings, PrefixPlacement
+from foxtailcourse.settings import Address
+from foxtailcourse.sharing import AccountLimiter
+
+
+class EntryApp:
+    """The parts of one entry.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        Settings, log, metrics and stop signal of the process.
+    cfg : EntrySettings
+        Settings of the entry.
+    placement_cfg : PlacementSettings
+        Settings of the placement policy.
+    config : ConfigSource
+        The configuration.
+    """
+
+    def __init__(
+        self,
+        daemon: Daemon,
+        cfg: EntrySettings,
+        placement_cfg: PlacementSettings,
+        config: ConfigSource,
+    ) -> None:
+        self._daemon = daemon
+        self._cfg = cfg
+        self._config = config
+        self._store = config.store
+        self.address = cfg.listen
+        self._pool = ConnectionPool()
+        self._limiter = AccountLimiter(daemon.cfg.vm)
+        dispatcher = Dispatcher(
+            cfg,
+            self._store,
+            PrefixPlacement(placement_cfg),
+            self._pool,
+            daemon.events,
+            daemon.metrics,
+            config.saw_revision,
+        )
+        relay = Relay(dispatcher)
+        self._gateway = Gateway(
+            cfg,
+            placement_cfg.block_tokens,
+            config,
+            relay,
+            OnceCaller(dispatcher, relay, Claims(config.key_value)),
+            self._limiter,
+            daemon.events,
+            daemon.metrics,
+        )
+        self._server = HttpServer(
+            self._gateway.handle, cfg.http_limits(), self._on_error
+        )
+
+    def readiness(self) -> Readiness:
+        """Whether the load balancer should send requests here."""
+        if self._gateway.draining:
+            return Readiness(False, "stopping")
+        if not self._config.ready:
+            return Readiness(False, "no configuration")
+        return Readiness(True)
+
+    def status(self) -> dict[str, Any]:
+        """Return what ``/status`` shows."""
+        view = self._store.view
+        return {
+            "vm": self._daemon.cfg.vm,
+            "config": self._config.status(),
+            "revision": self._store.revision,
+            "active": self._server.active,
+            "draining": self._gateway.draining,
+            "contracts": sorted(view.contracts),
+            "backend_servers": sorted(
+                each for each in view.vms if not view.is_leaving(each)
+            ),
+        }
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until a planned stop has ended."""
+        admin = AdminServer(
+            self._daemon.events, self._daemon.metrics, self.readiness, self.status
+        )
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self._pool.aclose)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            await nursery.start(admin.serve, self._daemon.cfg.admin_listen)
+            closed = trio.Event()
+            await nursery.start(self._serve_requests, closed)
+            nursery.start_soon(self._follow_config)
+            self._daemon.events.emit("entry_listening", port=self.address.port)
+            task_status.started()
+            await self._daemon.stopping.wait()
+            await self._stop(closed)
+            nursery.cancel_scope.cancel()
+
+    async def _serve_requests(
+        self,
+        closed: trio.Event,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        listen = self._cfg.listen
+        listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
+        self.address = Address(listen.host, listeners[0].socket.getsockname()[1])
+        await self._server.serve(listeners, task_status=task_status)
+        closed.set()
+
+    async def _follow_config(self) -> None:
+        """Apply configuration changes that are not read with each request."""
+        while True:
+            view = self._store.view
+            live = [e.vm for e in view.entries() if not view.is_leaving(e.vm)]
+            self._limiter.set_entries(live, trio.current_time())
+            if self._daemon.cfg.vm in view.stops and not self._gateway.draining:
+                self._daemon.events.emit("stop_announced")
+                self._daemon.stopping.set()
+            await self._store.wait_change()
+
+    async def _stop(self, closed: trio.Event) -> None:
+        """Finish all requests, after the load balancer has had time to notice."""
+        cfg, events = self._daemon.cfg, self._daemon.events
+        self._gateway.draining = True
+        events.emit("drain_started", active=self._server.active)
+        await trio.sleep(cfg.drain_grace_s)
+        self._server.stop_accepting()
+        self._server.drain()
+        with trio.move_on_after(cfg.drain_limit_s):
+            await closed.wait()
+        events.emit("drain_ended", active=self._server.active)
+
+    def _on_error(self, exchange: Exchange, exc: Exception) -> None:
+        self._daemon.metrics.count("foxtail_entry_requests_total", code="internal")
+        self._daemon.events.emit("request_failed", path=exchange.path, error=repr(exc))
+
+
+async def serve(
+    daemon: Daemon,
+    cfg: EntrySettings,
+    placement_cfg: PlacementSettings,
+    platform_cfg: PlatformSettings,
+) -> None:
+    """Run the entry; the main function of the daemon."""
+    follower = ConfigFollower(
+        platform_cfg,
+        ConfigStore(),
+        vm=daemon.cfg.vm,
+        failure_domain=daemon.cfg.failure_domain,
+        events=daemon.events,
+        metrics=daemon.metrics,
+    )
+    app = EntryApp(daemon, cfg, placement_cfg, follower)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(follower.run)
+        async with trio.open_nursery() as serving:
+            await serving.start(app.run)
+            nursery.start_soon(_announce, daemon, follower, app)
+        nursery.cancel_scope.cancel()
+
+
+async def _announce(daemon: Daemon, follower: ConfigFollower, app: EntryApp) -> None:
+    await follower.wait_ready()
+    daemon.events.emit("process_ready", port=app.address.port)
--- /dev/null
+++ b/tests/daemons.py
@@ -0,0 +1,153 @@
+"""Real processes of the project on loopback addresses, for tests."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+
+from foxtailcourse.config import Record
+from foxtailcourse.http import ConnectionPool
+from foxtailcourse.observe import parse_event
+from foxtailcourse.platform import KeyValueClient, Put
+from foxtailcourse.settings import Address, parse_address
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class DaemonProcess:
+    """One daemon, started from the text of its settings file.
+
+    Parameters
+    ----------
+    folder : str
+        Where the settings file is written.
+    module : str
+        Module to run.
+    text : str
+        Settings.
+    """
+
+    def __init__(self, folder, module, text):
+        self._module = module
+        self._path = Path(folder) / f"{module}-{id(self)}.ini"
+        self._path.write_text(text)
+        self.events = []
+        self.lines = []
+
+    async def start(self, nursery):
+        """Start the process and wait until it serves."""
+        command = [sys.executable, "-m", self._module, "--config", str(self._path)]
+        self.process = await trio.lowlevel.open_process(
+            command,
+            stderr=subprocess.PIPE,
+            env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+        )
+        nursery.start_soon(self._read)
+        return await self.event("process_ready")
+
+    async def _read(self):
+        buffer = b""
+        try:
+            async for piece in self.process.stderr:
+                *lines, buffer = (buffer + piece).split(b"\n")
+                for line in lines:
+                    self.lines.append(line.decode())
+                    event = parse_event(line.decode())
+                    if event is not None:
+                        self.events.append(event)
+        finally:
+            if self.process.returncode is None:
+                self.process.kill()
+
+    async def event(self, name, count=1):
+        """Wait for the given number of events of a name; return the last."""
+        while True:
+            found = [each for each in self.events if each.name == name]
+            if len(found) >= count:
+                return found[count - 1]
+            if self.process.returncode is not None:
+                raise AssertionError(f"{self._module} ended: {self.lines[-5:]}")
+            await trio.sleep(0.01)
+
+    def send(self, signum):
+        """Send a signal to the process."""
+        self.process.send_signal(signum)
+
+
+STANDIN = """
+[process]
+vm = standin
+failure_domain = palermo
+admin_listen = 127.0.0.1:0
+[standin]
+platform = 127.0.0.1:0
+vms =
+    vm=palermo-1 {vm}
+    vm=palermo-2 {vm}
+"""
+# Processes listed in a failure domain watch the platform for it; nobody calls them.
+LISTED = "failure_domain=palermo role=entry listen={0} control={0} admin={0}"
+
+AGENT = """
+[process]
+vm = {vm}
+failure_domain = palermo
+admin_listen = 127.0.0.1:0
+drain_grace_s = 0.2
+{process}
+[agent]
+listen = 127.0.0.1:0
+serves = {serves}
+kind = {kind}
+backend = {backend}
+[platform]
+key_value = {platform}
+vm_list = {platform}
+"""
+
+
+async def start_standin(nursery, folder, lines):
+    """Start ``foxtail-standin``; return the addresses of its stand-ins.
+
+    The platform comes last, after those of the given settings lines.
+    """
+    text = STANDIN.format(vm=LISTED.format("127.0.0.1:1")) + lines
+    daemon = DaemonProcess(folder, "foxtailcourse.standin.run", text)
+    await daemon.start(nursery)
+    listening = [e for e in daemon.events if e.name == "standin_listening"]
+    return [parse_address(each.fields["address"]) for each in listening]
+
+
+async def start_agent_process(
+    nursery,
+    folder,
+    addresses,
+    *,
+    kind="service",
+    vm="palermo-1",
+    process="",
+    more="",
+):
+    """Start ``foxtail-agent``; return it and its address."""
+    serves = "counter" if kind == "service" else "assistant"
+    text = AGENT.format(
+        vm=vm,
+        serves=serves,
+        kind=kind,
+        backend=addresses[0],
+        platform=addresses[-1],
+        process=process,
+    )
+    text += more
+    daemon = DaemonProcess(folder, "foxtailcourse.agent.run", text)
+    ready = await daemon.start(nursery)
+    return daemon, Address("127.0.0.1", int(ready.fields["port"]))
+
+
+async def put_record(platform, key, **body):
+    """Write the first record of a key into the platform stand-in."""
+    store = KeyValueClient(ConnectionPool(), platform)
+    record = Record(key=key, generation=1, write_id="w", body=body)
+    await store.txn({key: 0}, put=[Put(key=key, value=record.encode())])
