Show that the check for continuity is needed; measure with its own program

Cause: the test of a restored platform that overtakes a watch had no counterpart without the mechanism.

--- a/tests/follower_process.py
+++ b/scripts/follower_process.py
@@ -1,4 +1,8 @@
-"""One follower as a process: reads settings as JSON, writes its state as lines."""
+"""One process that only follows the configuration, for tests and measurements.
+
+Takes a JSON object as its argument: ``platform``, ``vm``, ``failure_domain`` and
+``settings`` (of the section [platform]). Prints one JSON line with its addresses.
+"""
 
 import json
 import random
@@ -7,8 +11,8 @@
 
 import trio
 
-from cluster import FAST, serve
 from foxtailcourse.config import ConfigFollower, ConfigStore, PlatformSettings
+from foxtailcourse.http import HttpLimits, HttpServer
 from foxtailcourse.observe import EventLog, HybridClock, Metrics
 from foxtailcourse.settings import parse_address
 
@@ -23,12 +27,11 @@
 async def main(options):
     """Follow, and answer /status with the copy and the cost so far."""
     platform = parse_address(options["platform"])
-    times = FAST if options.get("fast", True) else {}
     cfg = PlatformSettings(
         key_value=platform,
         vm_list=platform,
         control_listen=parse_address("127.0.0.1:0"),
-        **(times | options.get("settings", {})),
+        **options["settings"],
     )
     store = ConfigStore()
     follower = ConfigFollower(
@@ -55,10 +58,15 @@
         value["teatro"] = shares.get("teatro")
         await exchange.respond_json(200, value)
 
-    async with trio.open_nursery() as nursery, serve(status) as admin:
+    server = HttpServer(status, HttpLimits(), lambda exchange, exc: None)
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve, listeners)
         await nursery.start(follower.run)
+        port = listeners[0].socket.getsockname()[1]
         control = f"127.0.0.1:{follower.control_port}"
-        print(json.dumps({"control": control, "admin": str(admin)}), flush=True)
+        line = {"control": control, "admin": f"127.0.0.1:{port}"}
+        print(json.dumps(line), flush=True)
         await trio.sleep_forever()
 
 
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -1,3 +1,4 @@
+import random
 from contextlib import ExitStack
 from unittest import mock
 
@@ -6,10 +7,11 @@
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
 from cluster import cluster, contract, make_vm, wait_until
-from foxtailcourse.config import decode_record
+from foxtailcourse.config import ConfigStore, decode_record
 from foxtailcourse.config._platform_source import PlatformSource
 from foxtailcourse.config._watchers import fallback_interval_s, follow_order
-from foxtailcourse.platform import PlatformError
+from foxtailcourse.http import ConnectionPool
+from foxtailcourse.platform import KeyValueClient, PlatformError
 from foxtailcourse.standin._platform import PlatformStandin
 from support import AsyncTestCase
 
@@ -58,6 +60,27 @@
 
         self.with_cluster(check)
 
+    def test_without_the_check_for_continuity_the_change_is_hidden(self):
+        """Shows that the test above depends on the check, between two watch calls."""
+
+        async def check(running):
+            platform, store = running.platform, ConfigStore()
+            key_value = KeyValueClient(ConnectionPool(), running.address)
+            source = PlatformSource(
+                key_value, None, store, store.merge, None, random.Random(0), 0.0
+            )
+            old = platform.seed([contract(1, 1.0)])
+            platform.seed([contract(2, 2.0)])
+            after = await source.scan()
+            platform.restore(old)
+            platform.seed([contract(3, 5.0)])
+            self.assertFalse(await source._is_continuous())
+            with mock.patch.object(source, "_is_continuous", return_value=True):
+                await source.watch(after, 0.01)
+            self.assertThat(store.view.contracts["teatro"].share, Equals(2.0))
+
+        self.with_cluster(check)
+
     def test_start_during_an_outage_becomes_ready_afterwards(self):
         async def check(running):
             process = await running.start("a")
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -9,11 +9,12 @@
 import attrs
 import trio
 
-from cluster import make_vm
+from cluster import FAST, make_vm
 from foxtailcourse.http import ConnectionPool
 from foxtailcourse.settings import parse_address
 
-PROGRAM = Path(__file__).with_name("follower_process.py")
+ROOT = Path(__file__).resolve().parent.parent
+PROGRAM = ROOT / "scripts" / "follower_process.py"
 
 
 @attrs.define
@@ -37,9 +38,10 @@
 
 
 @asynccontextmanager
-async def start_follower(platform, vm, failure_domain="palermo", **options):
+async def start_follower(platform, vm, failure_domain="palermo", settings=FAST):
     """Start a follower process and end it afterwards."""
-    options |= {"platform": str(platform), "vm": vm, "failure_domain": failure_domain}
+    options = {"platform": str(platform), "vm": vm, "failure_domain": failure_domain}
+    options["settings"] = settings
     process = await trio.lowlevel.open_process(
         [sys.executable, str(PROGRAM), json.dumps(options)],
         stdout=subprocess.PIPE,
