Leave out malformed VM list entries; reconnect less in an outage

Cause: an entry without a name became a record of a VM called None, and in a platform outage each follower left its watcher every 10 s to look for a current one.

--- a/src/foxtailcourse/config/_follower.py
+++ b/src/foxtailcourse/config/_follower.py
@@ -32,7 +32,7 @@
 from foxtailcourse.settings import Address
 
 START_PEERS = 4
-OUTDATED_FOLLOW_S = 10.0
+OUTDATED_FOLLOW_S = 60.0
 
 
 class ConfigFollower:
@@ -249,7 +249,8 @@
                 await self._fall_back()
                 # During an outage no watcher is current; one of them may still
                 # have changes from processes that saw the platform later.
-                with trio.move_on_after(OUTDATED_FOLLOW_S):
+                limit_s = OUTDATED_FOLLOW_S * self._rng.uniform(0.5, 1.5)
+                with trio.move_on_after(limit_s):
                     await self._follow_any(current=False)
             await trio.sleep(backoff.next_s())
 
--- a/src/foxtailcourse/config/_platform_source.py
+++ b/src/foxtailcourse/config/_platform_source.py
@@ -201,7 +201,7 @@
             body = self._decode_entry(entry)
             if body is None:
                 continue
-            key = _records.VMS + str(body.get("vm"))
+            key = _records.VMS + body["vm"]
             listed.add(key)
             held = self._store.get(key)
             if held is None or held.deleted or held.body != body:
@@ -217,10 +217,14 @@
 
     def _decode_entry(self, entry: msgspec.Raw) -> dict[str, Any] | None:
         try:
-            return msgspec.json.decode(entry, type=dict[str, Any])
+            body = msgspec.json.decode(entry, type=dict[str, Any])
         except (msgspec.DecodeError, RecursionError) as exc:
             self._events.emit("vm_list_malformed", error=exc)
             return None
+        if not isinstance(body.get("vm"), str):
+            self._events.emit("vm_list_malformed", error="an entry names no VM")
+            return None
+        return body
 
 
 def _vm_record(key: str, revision: int, body: dict | None) -> Record:
--- a/tests/config/test_faults.py
+++ b/tests/config/test_faults.py
@@ -2,14 +2,16 @@
 from contextlib import AsyncExitStack
 from unittest import mock
 
+import msgspec
 import pytest
 import trio
 from testtools.matchers import Equals, GreaterThan
 
-from cluster import cluster, contract, serve, wait_until
+from cluster import cluster, contract, make_vm, serve, wait_until
 from foxtailcourse.config import ConfigFollower
 from foxtailcourse.config._pulls import PullQueue
 from foxtailcourse.config._watchers import choose_watchers
+from foxtailcourse.platform import VmListing
 from foxtailcourse.standin import _platform
 from foxtailcourse.standin._platform import PlatformStandin
 from processes import start_follower
@@ -185,6 +187,20 @@
 
         self.run_async(check)
 
+    def test_malformed_vm_list_entries_are_left_out(self):
+        async def check():
+            async with cluster() as running:
+                process = await running.start("a", listed=False)
+                await process.follower.wait_ready()
+                entries = (b"1", b"null", b"{}", b'{"vm": 3}', b"[" * 5000, b"{")
+                good = msgspec.json.encode(make_vm("b"))
+                raw = tuple(msgspec.Raw(each) for each in (*entries, good))
+                listing = VmListing(revision=9, vms=raw)
+                process.follower._platform.take_listing(listing)
+                self.assertThat(set(process.store.view.vms), Equals({"b"}))
+
+        self.run_async(check)
+
     def test_lagging_vm_list_does_not_go_back(self):
         async def check():
             async with cluster() as running:
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -10,6 +10,7 @@
 from foxtailcourse.config import ConfigStore, decode_record
 from foxtailcourse.config._platform_source import PlatformSource
 from foxtailcourse.config._watchers import fallback_interval_s, follow_order
+from foxtailcourse.control import PeerServer
 from foxtailcourse.http import ConnectionPool
 from foxtailcourse.platform import KeyValueClient, PlatformError
 from foxtailcourse.standin._platform import PlatformStandin
@@ -289,6 +290,12 @@
             self.assertThat(processes / interval, LessThan(200.1))
         self.assertThat(fallback_interval_s(12_700, 100.0, 0.05), GreaterThan(100))
 
+    def test_signs_of_life_become_rarer_with_more_followers(self):
+        for followers, interval_s in ((0, 1.0), (20, 1.0), (300, 6.0)):
+            server = PeerServer(None, heartbeat_s=1.0)
+            server._queues = set(range(followers))
+            self.assertThat(server.interval_s, Equals(interval_s))
+
     def test_both_watchers_carry_followers(self):
         vms = {f"vm{i}": make_vm(f"vm{i}") for i in range(40)}
         first = [follow_order(vms, name, "palermo")[0].vm for name in vms]
