--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
 from cluster import cluster, contract, make_vm, wait_until
-from foxtailcourse.config import ConfigStore, decode_record
+from foxtailcourse.config import ConfigFollower, ConfigStore, decode_record
 from foxtailcourse.config._platform_source import PlatformSource
 from foxtailcourse.config._watchers import fallback_interval_s, follow_order
 from foxtailcourse.control import PeerServer
@@ -198,13 +198,36 @@
             for name in "ab":
                 await running.start(name)
             await running.settled(2)
-            with mock.patch.object(
-                type(running.processes["a"].follower), "watching", False
-            ):
-                running.platform.seed([contract(1, 4.0)])
-                await running.all_have(4.0)
+            running.platform.seed([contract(1, 4.0)])
+            await running.all_have(4.0)
 
-        self.with_cluster(check)
+        with mock.patch.object(ConfigFollower, "watching", False):
+            self.with_cluster(check)
+
+    def test_without_the_watching_flag_both_miss_the_change(self):
+        """Shows that the test above depends on what messages say of the sender."""
+        sender = ConfigFollower._sender
+
+        def boasting(follower):
+            return attrs.evolve(sender(follower), watching=True, current=True)
+
+        async def check(running):
+            for name in "ab":
+                await running.start(name)
+            await running.settled(2)
+            processes = running.processes.values()
+            await wait_until(
+                lambda: all(each.follower.source == "watcher" for each in processes)
+            )
+            running.platform.seed([contract(1, 4.0)])
+            await trio.sleep(0.5)
+            self.assertThat([each.share() for each in processes], Equals([None] * 2))
+
+        with (
+            mock.patch.object(ConfigFollower, "watching", False),
+            mock.patch.object(ConfigFollower, "_sender", boasting),
+        ):
+            self.with_cluster(check)
 
     def test_higher_revision_in_a_message_causes_a_pull(self):
         async def check(running):
