Add foxtailctl timeline

Cause: an operator must see one request cross the processes; the merge had no command. Ruled out: filtering single events by account or server; events that know only the attempt were lost, so a request showed half of its way. Change: reads log files or asks the processes, keeps whole requests, shows text, JSON or one HTML page.

--- a/src/foxtailcourse/ctl/_app.py
+++ b/src/foxtailcourse/ctl/_app.py
@@ -1,12 +1,15 @@
 """Command line of foxtailctl."""
 
+import enum
 import hashlib
 import sys
+import time
+from collections.abc import Iterable
 from pathlib import Path
 
 import typer
 
-from foxtailcourse.ctl import _records, _show
+from foxtailcourse.ctl import _records, _show, _timeline
 from foxtailcourse.ctl._errors import CtlError, ExitCode
 from foxtailcourse.ctl._ini import InputErrors, parse_contracts, parse_services
 from foxtailcourse.ctl._operator import Operator
@@ -19,6 +22,7 @@
     run_plain,
 )
 from foxtailcourse.ctl._wait import wait_in_force
+from foxtailcourse.observe import Event, Filter
 
 MAIN_HELP = """Operate a foxtailcourse installation.
 
@@ -41,6 +45,14 @@
 DRY_RUN = typer.Option(False, "--dry-run", help="Show the difference, write nothing.")
 
 
+class Form(enum.Enum):
+    """How a time line is shown."""
+
+    TEXT = "text"
+    JSON = "json"
+    HTML = "html"
+
+
 def _group(text: str) -> typer.Typer:
     return typer.Typer(help=text, no_args_is_help=True, rich_markup_mode=None)
 
@@ -262,6 +274,47 @@
     run_command(ctx, as_json, lambda each: wait_in_force(each, revision, timeout_s))
 
 
+@app.command()
+def timeline(
+    ctx: typer.Context,
+    file: list[Path] = typer.Option(
+        None, "--file", help="Log file; repeat for several. Else processes are asked."
+    ),
+    request: str = typer.Option("", help="Only this request identifier."),
+    account: str = typer.Option("", help="Only this client account."),
+    server: str = typer.Option("", help="Only this backend server."),
+    since: str = typer.Option("", help="ISO 8601 time, or 90s, 5m, 2h before now."),
+    until: str = typer.Option("", help="ISO 8601 time, or 90s, 5m, 2h before now."),
+    form: Form = typer.Option(Form.TEXT, "--format", help="How to show the events."),
+    output: Path = typer.Option(None, help="Write to this file instead."),
+    as_json: bool = JSON,
+) -> None:
+    """Show the events of all processes in the order of cause and effect.
+
+    Without --file the processes of all listed VMs are asked for their latest events.
+    With --request only the events of one request are shown, wherever they happened.
+    """
+
+    def show(sources: Iterable[Iterable[Event]]) -> Result:
+        now = time.time()
+        kept = Filter(
+            request_id=request,
+            client_account=account,
+            backend_server=server,
+            since_ms=_timeline.parse_time(since, now),
+            until_ms=_timeline.parse_time(until, now),
+        )
+        return _timeline.show_events(sources, kept, form.value, output)
+
+    async def ask(operator: Operator) -> Result:
+        return show(await _timeline.read_processes(operator))
+
+    if file:
+        run_plain(as_json, lambda: show([_timeline.read_log(each) for each in file]))
+    else:
+        run_command(ctx, as_json, ask)
+
+
 @key.command("hash")
 def key_hash(as_json: bool = JSON) -> None:
     """Print the SHA-256 of a bearer key read from standard input.
--- a/src/foxtailcourse/observe/_timeline.py
+++ b/src/foxtailcourse/observe/_timeline.py
@@ -38,15 +38,45 @@
     since_ms: int = 0
     until_ms: int = 0
 
-    def keeps(self, event: Event) -> bool:
-        """Whether an event passes."""
-        for name in ("request_id", "client_account", "backend_server"):
-            wanted = getattr(self, name)
-            if wanted and event.fields.get(name) != wanted:
-                return False
+    def within(self, event: Event) -> bool:
+        """Whether an event lies between the times."""
         at_ms = wall_ms(event)
         return at_ms >= self.since_ms and (not self.until_ms or at_ms <= self.until_ms)
 
+    def names(self, event: Event) -> bool:
+        """Whether an event itself carries all wanted values."""
+        vm = event.process.rpartition("/")[2]
+        servers = {event.fields.get("backend_server"), vm}
+        return (
+            self.request_id in ("", event.fields.get("request_id"))
+            and self.client_account in ("", event.fields.get("client_account"))
+            and (not self.backend_server or self.backend_server in servers)
+        )
+
+
+def select_events(events: Sequence[Event], kept: Filter) -> list[Event]:
+    """Return the events that a filter keeps, in the same order.
+
+    If one event of a request carries the wanted values, all events of that request
+    are kept, so that its whole way shows. Events that know only the attempt belong to
+    the request that made the attempt.
+    """
+    requests = {}
+    for event in events:
+        if "attempt_id" in event.fields and "request_id" in event.fields:
+            requests[event.fields["attempt_id"]] = event.fields["request_id"]
+
+    def request_of(event: Event) -> str | None:
+        attempt_id = event.fields.get("attempt_id", "")
+        return event.fields.get("request_id") or requests.get(attempt_id)
+
+    wanted = {request_of(event) for event in events if kept.names(event)} - {None}
+    return [
+        event
+        for event in events
+        if kept.within(event) and (kept.names(event) or request_of(event) in wanted)
+    ]
+
 
 def wall_ms(event: Event) -> int:
     """Return the wall part of an event's clock, 0 if the clock is malformed."""
--- a/tests/observe/test_timeline.py
+++ b/tests/observe/test_timeline.py
@@ -11,6 +11,7 @@
     merge_events,
     render_html,
     render_text,
+    select_events,
 )
 
 
@@ -67,10 +68,25 @@
             Event("0" * 11 + "1.000000", "p", "sent", {"request_id": "r1"}),
             Event("0" * 11 + "2.000000", "p", "sent", {"request_id": "r2"}),
         ]
-        kept = [each for each in events if Filter(request_id="r2").keeps(each)]
+        kept = select_events(events, Filter(request_id="r2"))
         self.assertThat(render_text(kept), Contains("request_id=r2"))
         self.assertThat(render_text(kept), Not(Contains("r1")))
 
     def test_page_escapes_values(self):
         event = Event("0" * 12 + ".000000", "<p>", "sent", {"reason": "<script>"})
         self.assertThat(render_html([event]), Not(Contains("<script>")))
+
+    def test_a_request_is_shown_whole_across_processes(self):
+        fields = {"request_id": "r1", "attempt_id": "a1", "client_account": "teatro"}
+        events = [
+            Event("0" * 11 + "1.000000", "foxtail-entry/e1", "attempt_started", fields),
+            Event(
+                "0" * 11 + "2.000000",
+                "foxtail-agent/w1",
+                "request_ended",
+                {"attempt_id": "a1"},
+            ),
+            Event("0" * 11 + "3.000000", "foxtail-agent/w2", "event_gap", {}),
+        ]
+        for kept in (Filter(client_account="teatro"), Filter(backend_server="w1")):
+            self.assertThat(select_events(events, kept), Equals(events[:2]))
