Use the index only while cache events are heard of

Cause: the poll for the engine's state also counted as a sign of life of the event stream, so a stuck stream went unnoticed; and after a start the index stayed unused until the first long poll ended. Change: only polls for events count; the first poll and the one after a failure do not wait, through a wait_ms argument of GET /events. Figures: the test of a silent event stream covers the second sign of life. Conclusion: no match is older than index_stale_s without an answered event poll.

--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -129,7 +129,7 @@
         async with trio.open_nursery() as nursery:
             self.context.nursery = nursery
             if self.feed is not None:
-                await self.feed.refresh()
+                await self.feed.start()
                 nursery.start_soon(self.feed.run)
             await nursery.start(self.server.serve, listeners)
             task_status.started(self.port)
--- a/src/foxtailcourse/agent/_feed.py
+++ b/src/foxtailcourse/agent/_feed.py
@@ -10,6 +10,7 @@
 from foxtailcourse.http import ClientError
 
 RETRY_S = 0.2
+EVENT_WAIT_S = 10.0
 
 
 class EngineFeed:
@@ -28,6 +29,12 @@
         self._engine = engine
         self.reachable = False
 
+    async def start(self) -> None:
+        """Ask once for the engine's state and cache events."""
+        await self.refresh()
+        if self.reachable:
+            await self._poll(0.0)
+
     async def run(self) -> None:
         """Follow the engine until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -35,14 +42,24 @@
             nursery.start_soon(self._follow_state)
 
     async def _follow_events(self) -> None:
-        index = self._context.index
+        wait_s = 0.0
         while True:
-            try:
-                batch = await self._engine.events(index.next_seq - 1, index.incarnation)
-            except (EngineError, ClientError):
+            if await self._poll(wait_s):
+                wait_s = EVENT_WAIT_S
+            else:
+                # After a failure the index is not used until the next answer.
+                wait_s = 0.0
                 await trio.sleep(RETRY_S)
-                continue
-            self.apply(batch)
+
+    async def _poll(self, wait_s: float) -> bool:
+        index = self._context.index
+        after = index.next_seq - 1
+        try:
+            batch = await self._engine.events(after, index.incarnation, wait_s)
+        except (EngineError, ClientError):
+            return False
+        self.apply(batch)
+        return True
 
     def apply(self, batch: EventBatch) -> None:
         """Apply one answer to a poll for cache events."""
@@ -83,7 +100,7 @@
         if not self.reachable:
             context.events.emit("engine_reachable", incarnation=state.incarnation)
         self.reachable = True
-        if context.index.heard(state.incarnation, context.now()):
+        if context.index.seen(state.incarnation):
             context.events.emit("engine_incarnation", incarnation=state.incarnation)
         if context.weights_version != state.weights_version:
             context.weights_version = state.weights_version
--- a/src/foxtailcourse/cache/_index.py
+++ b/src/foxtailcourse/cache/_index.py
@@ -58,17 +58,20 @@
         return len(keys)
 
     def heard(self, incarnation: str, now: float) -> bool:
-        """Note that an incarnation answered a poll.
+        """Note that an incarnation answered a poll for cache events.
 
         Returns
         -------
         bool
             Whether it is a new one, so that the index was emptied.
         """
-        if incarnation in self._former:
-            return False
-        self._heard_at = now
-        return self._adopt(incarnation)
+        if incarnation not in self._former:
+            self._heard_at = now
+        return self.seen(incarnation)
+
+    def seen(self, incarnation: str) -> bool:
+        """Note an incarnation by other means than its events; returns as ``heard``."""
+        return incarnation not in self._former and self._adopt(incarnation)
 
     def apply(
         self,
--- a/src/foxtailcourse/engine/_http.py
+++ b/src/foxtailcourse/engine/_http.py
@@ -28,7 +28,6 @@
 from foxtailcourse.settings import Address
 
 ORDER_TIMEOUT_S = 120.0
-POLL_TIMEOUT_S = 30.0
 STATE_TIMEOUT_S = 5.0
 CANCEL_TIMEOUT_S = 2.0
 DONE = "[DONE]"
@@ -144,12 +143,12 @@
         body = {"request_id": request_id}
         await self._json("POST", "/cancel", CANCEL_TIMEOUT_S, body)
 
-    async def events(self, after: int, incarnation: str) -> EventBatch:
+    async def events(self, after: int, incarnation: str, wait_s: float) -> EventBatch:
         """Return the cache events after a number, waiting for the first."""
-        target = f"/events?after={after}"
+        target = f"/events?after={after}&wait_ms={int(wait_s * 1000)}"
         if incarnation:
             target += f"&incarnation={incarnation}"
-        value = await self._json("GET", target, POLL_TIMEOUT_S)
+        value = await self._json("GET", target, wait_s + STATE_TIMEOUT_S)
         try:
             batch = msgspec.convert(value, _Batch)
             events = tuple(
--- a/src/foxtailcourse/engine/_types.py
+++ b/src/foxtailcourse/engine/_types.py
@@ -174,7 +174,7 @@
     async def cancel(self, request_id: str) -> None:
         """End a completion that nobody reads any more."""
 
-    async def events(self, after: int, incarnation: str) -> EventBatch:
+    async def events(self, after: int, incarnation: str, wait_s: float) -> EventBatch:
         """Return the cache events after a number, waiting for the first."""
 
     async def state(self) -> EngineState:
--- a/src/foxtailcourse/standin/_engine.py
+++ b/src/foxtailcourse/standin/_engine.py
@@ -21,7 +21,7 @@
     token_text,
 )
 
-EVENT_POLL_S = 10.0
+MAX_EVENT_WAIT_S = 10.0
 BLOCK_KEY_BYTES = 16
 
 
@@ -250,7 +250,8 @@
         after = int(exchange.query.get("after", "0"))
         if exchange.query.get("incarnation", self.incarnation) != self.incarnation:
             after = 0
-        events = await self.feed.read(after, EVENT_POLL_S)
+        wait_s = int(exchange.query.get("wait_ms", "10000")) / 1000
+        events = await self.feed.read(after, min(wait_s, MAX_EVENT_WAIT_S))
         value = {
             "incarnation": self.incarnation,
             "weights_version": self.version,
--- a/tests/cache/test_index.py
+++ b/tests/cache/test_index.py
@@ -35,6 +35,7 @@
         outcome = index.apply("e1", 1, True, make_keys(0, 4), 1.0)
         index.replied("e1", make_keys(0, 4), 4, 1.0)
         index.heard("e1", 1.0)
+        index.seen("e1")
         self.assertThat(outcome, Equals(EventOutcome.FORMER))
         self.assertThat(index.incarnation, Equals("e2"))
         self.assertThat(len(index), Equals(0))
@@ -57,6 +58,8 @@
     def test_silent_event_stream_matches_nothing(self):
         index = make_index()
         index.replied("e1", make_keys(0, 4), 0, 0.0)
+        # Another sign of life does not show that events arrive.
+        index.seen("e1")
         self.assertThat(index.match(make_keys(0, 4), STALE_S + 1), Equals(0))
 
     def test_never_matches_what_the_engine_lacks_once_events_have_arrived(self):
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -2,6 +2,7 @@
 from contextlib import asynccontextmanager
 
 import attrs
+import msgspec
 import trio
 from testtools.matchers import Equals
 
@@ -18,7 +19,6 @@
     RolloutSettings,
     SlotLostError,
 )
-from foxtailcourse.settings import Address
 from foxtailcourse.standin import PlatformStandin, WeightStoreStandin, serve_handler
 from standins import (
     LOOPBACK,
@@ -320,11 +320,5 @@
         admin=admin,
         serves="assistant",
     )
-    body = attrs.asdict(vm, value_serializer=plain)
+    body = msgspec.to_builtins(vm)
     return Record(key=f"vms/{name}", generation=1, write_id="w", body=body)
-
-
-def plain(instance, field, value):
-    if isinstance(value, Address):
-        return {"host": value.host, "port": value.port}
-    return getattr(value, "value", value)
