Detect the loss of the last cache events

Cause: a lost event showed only with the next one that arrived, so an idle engine's lost eviction stayed unnoticed. Ruled out: a periodic drop of the index, which costs hits without a fault. Change: the answer to a poll names the last published event; a higher one than was received empties the index. Engines that don't name it behave as before. Figures: the gap test without both checks still matches evicted blocks; with either one it does not.

--- a/src/foxtailcourse/engine/_http.py
+++ b/src/foxtailcourse/engine/_http.py
@@ -53,6 +53,7 @@
 class _Batch(msgspec.Struct):
     incarnation: str
     events: list[_Event]
+    last: int = 0
 
 
 class HttpEngineStream:
@@ -162,7 +163,7 @@
             )
         except (msgspec.ValidationError, ValueError) as exc:
             raise EngineError(f"engine events are malformed: {exc}") from exc
-        return EventBatch(incarnation=batch.incarnation, events=events)
+        return EventBatch(incarnation=batch.incarnation, events=events, last=batch.last)
 
     async def state(self) -> EngineState:
         """Return what the engine reports about itself."""
--- a/src/foxtailcourse/engine/_types.py
+++ b/src/foxtailcourse/engine/_types.py
@@ -116,10 +116,13 @@
         Incarnation that answered.
     events : tuple of BlockEvent
         In order of publication; late ones of an old incarnation come first.
+    last : int
+        Number of the last event published so far, 0 if the engine does not say.
     """
 
     incarnation: str
     events: tuple[BlockEvent, ...]
+    last: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/standin/_engine.py
+++ b/src/foxtailcourse/standin/_engine.py
@@ -256,6 +256,7 @@
             "incarnation": self.incarnation,
             "weights_version": self.version,
             "events": [each.as_json() for each in events],
+            "last": self.feed.last,
         }
         await exchange.respond_json(200, value)
 
--- a/tests/agent/test_agent_failures.py
+++ b/tests/agent/test_agent_failures.py
@@ -2,7 +2,7 @@
 from testtools.matchers import Equals
 
 from foxtailcourse.agent import _chat
-from foxtailcourse.cache import BlockIndex
+from foxtailcourse.cache import BlockIndex, EventOutcome
 from foxtailcourse.http import ClientError
 from foxtailcourse.standin import answer_text, prompt_text
 from standins import (
@@ -171,6 +171,8 @@
 
         async def check(address):
             self.remove(BlockIndex, "apply", skip_gap)
+            ignore = EventOutcome.REPEATED
+            self.remove(BlockIndex, "published", lambda *args: ignore)
             # One of the three was evicted by an event that did arrive.
             self.assertTrue(await self.lose_an_eviction(address) > 0)
 
--- a/tests/cache/test_index.py
+++ b/tests/cache/test_index.py
@@ -49,6 +49,15 @@
         self.assertThat(index.match(make_keys(0, 4), 0.0), Equals(0))
         self.assertThat(index.match(make_keys(4, 5), 0.0), Equals(1))
 
+    def test_lost_last_event_shows_in_the_count_of_published_ones(self):
+        index = make_index()
+        index.apply("e1", 1, True, make_keys(0, 4), 0.0)
+        self.assertThat(index.published("e1", 1), Equals(EventOutcome.REPEATED))
+        self.assertThat(index.published("e0", 9), Equals(EventOutcome.FORMER))
+        self.assertThat(len(index), Equals(4))
+        self.assertThat(index.published("e1", 2), Equals(EventOutcome.GAP))
+        self.assertThat(len(index), Equals(0))
+
     def test_reply_removes_blocks_that_were_evicted_without_an_event(self):
         index = make_index(capacity=4)
         index.replied("e1", make_keys(0, 4), 0, 0.0)
