--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -24,22 +24,33 @@
 # take a port between its choice and its use.
 FIRST_PORT, LAST_PORT = 20_000, 31_999
 KEPT_LINES = 20_000
+BLOCK_TOKENS = 64
 
 
 class FleetError(Exception):
     """A program did not start, or ended when it should not."""
 
 
+# Bound sockets that keep the chosen ports from other programs until this one ends.
+_guards = []
+
+
 def free_address():
-    """Return a loopback address whose port is free now."""
+    """Return a loopback address whose port no other program can choose.
+
+    The port stays bound by a socket that does not listen. Programs that set
+    SO_REUSEADDR, as the system's do, can still listen on it.
+    """
     for _ in range(1000):
-        port = random.randint(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            return Address(HOST, port)
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, random.randint(FIRST_PORT, LAST_PORT)))
+        except OSError:
+            guard.close()
+            continue
+        guard.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _guards.append(guard)
+        return Address(HOST, guard.getsockname()[1])
     raise FleetError("no free port")
 
 
@@ -306,7 +317,8 @@
                 options = f"route={each.serves} {self._service_options}"
                 services.append(f"    {address} {options}")
             else:
-                options = f"model={each.serves} {self._engine_options}"
+                options = f"model={each.serves} block_tokens={BLOCK_TOKENS}"
+                options = f"{options} {self._engine_options}"
                 engines.append(f"    {address} {options}")
         return "\n".join(
             [
@@ -350,7 +362,7 @@
             f"listen = {server.listen}",
             self._entry_options,
             "[routing]",
-            "block_tokens = 16",
+            f"block_tokens = {BLOCK_TOKENS}",
             "",
         ]
         return "\n".join(lines)
@@ -364,6 +376,7 @@
             f"serves = {server.serves}",
             f"kind = {'service' if service else 'engine'}",
             f"backend = {self.backends[server.vm]}",
+            f"block_tokens = {BLOCK_TOKENS}",
             "",
         ]
         return "\n".join(lines)
--- a/src/foxtailcourse/config/_platform_source.py
+++ b/src/foxtailcourse/config/_platform_source.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+import msgspec
 import trio
 
 from foxtailcourse.config import _records
@@ -23,6 +24,7 @@
 WATCHED = tuple(each for each in _records.PREFIXES if each != _records.VMS)
 VM_LIST_WRITE_ID = "vm-list"
 CONFIRMATION_S = 1.0
+MERGE_BATCH = 500
 
 
 class PlatformSource:
@@ -123,9 +125,9 @@
         self._latest = max(result.items, key=lambda e: e.mod_revision, default=None)
         outdated = self._take(result.items)
         present = {each.key for each in result.items}
-        for held in self._store.records():
-            if held.key.startswith(WATCHED) and held.key not in present:
-                outdated[held.key] = 0
+        for key in self._store.keys(*WATCHED):
+            if key not in present:
+                outdated[key] = 0
         return result.revision, outdated
 
     async def _is_continuous(self) -> bool:
@@ -180,7 +182,9 @@
 
     async def read_vm_list(self) -> None:
         """Read the VM list and merge what changed."""
-        self.take_listing(await self.vm_list.list_vms())
+        listing = await self.vm_list.list_vms(self._listing_revision)
+        if listing is not None:
+            self.take_listing(listing)
 
     def take_listing(self, listing: VmListing) -> None:
         """Turn a VM list into records; an older list than a former one is ignored.
@@ -191,18 +195,33 @@
         if listing.revision <= self._listing_revision:
             return
         self._listing_revision = listing.revision
-        bodies = {_records.VMS + str(each.get("vm")): each for each in listing.vms}
-        changes = []
-        for key, body in bodies.items():
+        listed: set[str] = set()
+        changes: list[Record] = []
+        for entry in listing.vms:
+            body = self._decode_entry(entry)
+            if body is None:
+                continue
+            key = _records.VMS + str(body.get("vm"))
+            listed.add(key)
             held = self._store.get(key)
             if held is None or held.deleted or held.body != body:
                 changes.append(_vm_record(key, listing.revision, body))
-        for held in self._store.records():
-            listed = held.key in bodies or not held.key.startswith(_records.VMS)
-            if not listed and not held.deleted:
-                changes.append(_vm_record(held.key, listing.revision, None))
+            if len(changes) >= MERGE_BATCH:
+                self._merge(changes)
+                changes = []
+        for key in self._store.keys(_records.VMS):
+            held = None if key in listed else self._store.get(key)
+            if held is not None and not held.deleted:
+                changes.append(_vm_record(key, listing.revision, None))
         self._merge(changes)
 
+    def _decode_entry(self, entry: msgspec.Raw) -> dict[str, Any] | None:
+        try:
+            return msgspec.json.decode(entry, type=dict[str, Any])
+        except (msgspec.DecodeError, RecursionError) as exc:
+            self._events.emit("vm_list_malformed", error=exc)
+            return None
+
 
 def _vm_record(key: str, revision: int, body: dict | None) -> Record:
     return Record(
--- a/src/foxtailcourse/sharing/_fair.py
+++ b/src/foxtailcourse/sharing/_fair.py
@@ -24,7 +24,8 @@
     slots : int
         Requests on the backend server at once.
     reserved_short_slots : int
-        Slots that long requests never use; must leave room for the floor.
+        Slots that long requests never use; by default a quarter, rounded down. They
+        must leave room for the floor.
     long_floor : float
         Part of the capacity that long requests get while any is waiting, below 1.
     short_burst_s : float
@@ -41,7 +42,9 @@
     """
 
     slots: int = 8
-    reserved_short_slots: int = 2
+    reserved_short_slots: int = attrs.field(
+        default=attrs.Factory(lambda self: self.slots // 4, takes_self=True)
+    )
     long_floor: float = 0.2
     short_burst_s: float = 5.0
     max_debt_s: float = 30.0
@@ -120,7 +123,7 @@
         left_s = request.deadline - now
         first_token_s = scale.safe_s(unscaled_s) + prefill_s
         if not self._can_make_it(first_token_s, left_s):
-            return _refuse("deadline", first_token_s - left_s)
+            return _refuse("deadline", (first_token_s - left_s) / scale.scale)
         # Estimates may be wrong by any factor; half of the time left stays usable.
         latest = max(request.deadline - prefill_s, now + left_s / 2)
         cost_s = self.rates.cost_s(request.uncached_tokens, request.expected_tokens)
@@ -200,6 +203,18 @@
         wait_s = self._wait_s(request_class, None, 0.0, now)
         return wait_s * self._scales[request_class].factor
 
+    def waits(self, now: float) -> dict[tuple[str, RequestClass], float]:
+        """Return the safe wait in seconds of each account with waiting work.
+
+        By client account and class; other accounts start within one request's time.
+        """
+        waits = {}
+        for kind in RequestClass:
+            for flow in self._flows(kind).active():
+                wait_s = self._wait_s(kind, flow.account, flow.weight, now)
+                waits[flow.account, kind] = self._scales[kind].safe_s(wait_s)
+        return waits
+
     def next_event(self, now: float) -> float | None:
         """Return when ``take`` or ``expire`` may next give something by time alone.
 
