Check stand-in lines with the settings; test further removals

Tests that remove the unknown outcome, the fence and the incarnation's secret, and tests of the engine stand-in itself. Figures: without the unknown outcome and with a secret that outlives the agent the test service runs a call twice; without the fence it runs a call that was refused not-run. Conclusion: each mechanism of the at-most-once path has a test that fails without it.

--- a/src/foxtailcourse/standin/run.py
+++ b/src/foxtailcourse/standin/run.py
@@ -1,40 +1,49 @@
 """``foxtail-standin``: all stand-ins in one process."""
 
 import json
-import sys
 from functools import partial
 from pathlib import Path
+from typing import TypeAlias
 
+import attrs
 import trio
 
-from foxtailcourse.config import Record
+from foxtailcourse.config import Record, Vm
 from foxtailcourse.http import Handler
 from foxtailcourse.process import AdminServer, Daemon, Readiness, start_daemon
 from foxtailcourse.settings import Address, section, setting
 from foxtailcourse.standin._engine import EngineOptions, EngineStandin
 from foxtailcourse.standin._kv_store import KvStoreStandin
-from foxtailcourse.standin._lines import fill_options, parse_line, parse_vm
+from foxtailcourse.standin._lines import (
+    StandinLine,
+    parse_line,
+    parse_lines,
+    parse_vm,
+)
 from foxtailcourse.standin._platform import PlatformStandin
 from foxtailcourse.standin._serve import serve_handler
 from foxtailcourse.standin._service import ServiceOptions, ServiceStandin
 from foxtailcourse.standin._weights import WeightStoreStandin
 
-EXIT_BAD_SETTINGS = 2
+EngineLine: TypeAlias = StandinLine[EngineOptions]
+ServiceLine: TypeAlias = StandinLine[ServiceOptions]
 
 
 @section("standin")
 class StandinSettings:
     """Which stand-ins run, and where."""
 
-    engines: tuple[str, ...] = setting(
-        tuple[str, ...],
+    engines: tuple[EngineLine, ...] = setting(
+        tuple[EngineLine, ...],
         (),
+        parse=partial(parse_lines, partial(parse_line, EngineOptions)),
         description="Engines, one a line: IP:PORT model=NAME and further options "
         "of EngineOptions.",
     )
-    services: tuple[str, ...] = setting(
-        tuple[str, ...],
+    services: tuple[ServiceLine, ...] = setting(
+        tuple[ServiceLine, ...],
         (),
+        parse=partial(parse_lines, partial(parse_line, ServiceOptions)),
         description="Plain services, one a line: IP:PORT route=NAME and further "
         "options of ServiceOptions.",
     )
@@ -43,9 +52,10 @@
         (),
         description="Address of the platform: key-value service and VM list.",
     )
-    vms: tuple[str, ...] = setting(
-        tuple[str, ...],
+    vms: tuple[Vm, ...] = setting(
+        tuple[Vm, ...],
         (),
+        parse=partial(parse_lines, parse_vm),
         description="VM list, one VM a line: vm=NAME failure_domain=NAME "
         "role=entry|agent listen=IP:PORT control=IP:PORT admin=IP:PORT serves=NAME.",
     )
@@ -74,16 +84,15 @@
     handlers: list[tuple[Address, Handler]] = []
     kv_store = cfg.kv_store[0] if cfg.kv_store else None
     weight_store = cfg.weight_store[0] if cfg.weight_store else None
-    for text in cfg.engines:
-        line = parse_line(text)
-        options = fill_options(EngineOptions, line.options)
-        options.kv_store = options.kv_store or kv_store
-        options.weight_store = options.weight_store or weight_store
-        handlers.append((line.address, EngineStandin(options).handle))
-    for text in cfg.services:
-        line = parse_line(text)
-        service = ServiceStandin(fill_options(ServiceOptions, line.options))
-        handlers.append((line.address, service.handle))
+    for engine in cfg.engines:
+        options = attrs.evolve(
+            engine.options,
+            kv_store=engine.options.kv_store or kv_store,
+            weight_store=engine.options.weight_store or weight_store,
+        )
+        handlers.append((engine.address, EngineStandin(options).handle))
+    for service in cfg.services:
+        handlers.append((service.address, ServiceStandin(service.options).handle))
     if kv_store is not None:
         handlers.append((kv_store, KvStoreStandin().handle))
     if weight_store is not None:
@@ -96,7 +105,7 @@
 def build_platform(cfg: StandinSettings) -> PlatformStandin:
     """Return the platform with the VMs and records of the settings."""
     platform = PlatformStandin()
-    platform.set_vms([parse_vm(text) for text in cfg.vms])
+    platform.set_vms(cfg.vms)
     if cfg.records_file:
         bodies = json.loads(Path(cfg.records_file).read_text(encoding="utf-8"))
         platform.seed(
@@ -111,13 +120,8 @@
     admin = AdminServer(
         daemon.events, daemon.metrics, lambda: Readiness(True), lambda: {}
     )
-    try:
-        handlers = build_handlers(cfg)
-    except (ValueError, TypeError, OSError) as exc:
-        print(f"error: [standin] {exc}", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTINGS) from exc
     async with trio.open_nursery() as nursery:
-        for address, handler in handlers:
+        for address, handler in build_handlers(cfg):
             start = partial(serve_handler, handler, address)
             bound = await nursery.start(start)
             daemon.events.emit("standin_listening", address=bound)
--- a/tests/agent/test_agent_service.py
+++ b/tests/agent/test_agent_service.py
@@ -35,6 +35,10 @@
     return await call(address, "POST", "/services/counter/return", fields, body)
 
 
+def forget(table):
+    table.__init__(OutcomeLimits())
+
+
 def summary(answer):
     body = answer.json()
     code = body["error"]["code"] if "error" in body else "ok"
@@ -123,6 +127,46 @@
 
         self.serve(check, fault="cut_after")
 
+    def test_without_unknown_outcomes_a_cut_call_runs_twice(self):
+        async def check(address, agent, service):
+            self.patch(OutcomeTable, "fail", lambda table, ident, now: forget(table))
+            key = await issue_key(address)
+            for _ in range(2):
+                await return_coat(address, key)
+            self.assertThat(service.runs["coat-17"], Equals(2))
+
+        self.serve(check, fault="cut_after")
+
+    async def call_before_and_after_a_restart(self, address, agent, service, issuer):
+        key = await issue_key(address)
+        await return_coat(address, key)
+        async with trio.open_nursery() as nursery:
+            later = make_agent(agent.context.cfg.backend, "service")
+            if issuer is not None:
+                later._service._issuer = issuer
+            address = await start_agent(nursery, later)
+            answer = await return_coat(address, key)
+            nursery.cancel_scope.cancel()
+        return answer, service.runs["coat-17"]
+
+    def test_restarted_agent_does_not_run_a_former_key(self):
+        async def check(address, agent, service):
+            parts = (address, agent, service, None)
+            answer, runs = await self.call_before_and_after_a_restart(*parts)
+            expected = ("key_former_incarnation", "may-have-run")
+            self.assertThat(summary(answer), Equals(expected))
+            self.assertThat(runs, Equals(1))
+
+        self.serve(check)
+
+    def test_with_a_secret_that_outlives_the_agent_the_key_runs_twice(self):
+        async def check(address, agent, service):
+            parts = (address, agent, service, agent._service._issuer)
+            _, runs = await self.call_before_and_after_a_restart(*parts)
+            self.assertThat(runs, Equals(2))
+
+        self.serve(check)
+
     def test_run_goes_on_when_the_caller_is_gone(self):
         async def check(address, agent, service):
             key = await issue_key(address)
@@ -145,6 +189,19 @@
 
         self.serve(check)
 
+    def test_without_the_fence_a_refused_key_runs_later(self):
+        async def check(address, agent, service):
+            self.patch(OutcomeTable, "fence", lambda *args: None)
+            key = await issue_key(address)
+            agent.stop()
+            refused = await return_coat(address, key)
+            agent.context.stopping = False
+            await return_coat(address, key)
+            self.assertThat(refused.headers["foxtail-verdict"], Equals("not-run"))
+            self.assertThat(service.runs["coat-17"], Equals(1))
+
+        self.serve(check)
+
     def test_leaving_agent_still_gives_the_outcome_of_a_used_key(self):
         async def check(address, agent, service):
             key = await issue_key(address)
--- /dev/null
+++ b/tests/standin/test_engine_standin.py
@@ -0,0 +1,79 @@
+import trio
+import trio.lowlevel
+from testtools.matchers import Equals
+
+from foxtailcourse.engine import EngineError, HttpEngineClient, Order
+from foxtailcourse.standin import WeightStoreStandin, serve_handler
+from foxtailcourse.standin._cache import BlockCache
+from foxtailcourse.standin._lines import parse_vm
+from foxtailcourse.standin._slots import PrioritySlots
+from standins import call, start_engine
+from support import AsyncTestCase
+
+
+class TestEngineStandin(AsyncTestCase):
+    """Guards the stand-in's own behaviour, which other tests rely on."""
+
+    def test_urgent_request_gets_the_next_slot(self):
+        async def main():
+            slots, order = PrioritySlots(1), []
+
+            async def run(name, priority):
+                async with slots.hold(priority):
+                    order.append(name)
+                    await trio.lowlevel.checkpoint()
+
+            async with trio.open_nursery() as nursery, slots.hold(0):
+                for name, priority in (("long", 1), ("short", 0)):
+                    nursery.start_soon(run, name, priority)
+                while slots.waiting < 2:
+                    await trio.lowlevel.checkpoint()
+            self.assertThat(order, Equals(["short", "long"]))
+
+        self.run_async(main)
+
+    def test_cache_evicts_the_least_recently_used_block(self):
+        cache = BlockCache(2)
+        cache.store("s", [b"a", b"b"])
+        cache.match("s", [b"a"])
+        self.assertThat(cache.store("s", [b"c"]), Equals(([b"c"], [b"b"])))
+        self.assertThat(cache.match("other", [b"a"]), Equals(0))
+
+    def test_old_fencing_number_is_rejected_only_by_engines_that_check(self):
+        async def outcome(checks):
+            async with trio.open_nursery() as nursery:
+                engine, address = await start_engine(nursery, checks_fencing=checks)
+                client = HttpEngineClient(address)
+                for fencing, version in ((7, "v2"), (5, "v3")):
+                    arguments = {"version": version}
+                    order = Order(kind="load", fencing=fencing, arguments=arguments)
+                    try:
+                        await client.order(order)
+                    except EngineError as exc:
+                        self.assertThat(exc.status, Equals(409))
+                nursery.cancel_scope.cancel()
+            return engine.version
+
+        async def main():
+            self.assertThat(await outcome(True), Equals("v2"))
+            self.assertThat(await outcome(False), Equals("v3"))
+
+        self.run_async(main)
+
+    def test_weight_store_counts_loads_at_once(self):
+        async def main():
+            store = WeightStoreStandin(0.01)
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(serve_handler, store.handle)
+                async with trio.open_nursery() as loads:
+                    for version in range(3):
+                        target = f"/weights/m/v{version}"
+                        loads.start_soon(call, address, "GET", target)
+                nursery.cancel_scope.cancel()
+            self.assertThat((store.loads, store.peak), Equals((3, 3)))
+
+        self.run_async(main)
+
+    def test_incomplete_vm_line_is_refused(self):
+        self.assertRaises(ValueError, parse_vm, "vm=a role=agent")
+        self.assertRaises(ValueError, parse_vm, "vm")
