--- a/src/foxtailcourse/engine/_types.py
+++ b/src/foxtailcourse/engine/_types.py
@@ -116,10 +116,13 @@
         Incarnation that answered.
     events : tuple of BlockEvent
         In order of publication; late ones of an old incarnation come first.
+    last : int
+        Number of the last event published so far, 0 if the engine does not say.
     """
 
     incarnation: str
     events: tuple[BlockEvent, ...]
+    last: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -174,7 +177,7 @@
     async def cancel(self, request_id: str) -> None:
         """End a completion that nobody reads any more."""
 
-    async def events(self, after: int, incarnation: str) -> EventBatch:
+    async def events(self, after: int, incarnation: str, wait_s: float) -> EventBatch:
         """Return the cache events after a number, waiting for the first."""
 
     async def state(self) -> EngineState:
