Exchange demand between entries and bind fenced own keys anew

Cause: the limits were sliced evenly whatever the demand, and a caller's own key whose issued key had been fenced by a refusal could never run again. Ruled out: an exchange with all entries in each round (its cost per entry grows with their number; 16 in turn is the bound); a new claim after any refusal, since only the issuing agent's "key_fenced" says that the old key never runs. Conclusion: the entry's part is complete for two entries; many entries were not measured.

--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -1,14 +1,17 @@
 """The entry process: listeners, configuration and planned stop."""
 
+import time
 from contextlib import AsyncExitStack
 from typing import Any
 
 import trio
+import trio_asyncio
 
 from foxtailcourse.config import ConfigFollower, ConfigStore, PlatformSettings
 from foxtailcourse.entry._attempts import Dispatcher
 from foxtailcourse.entry._claims import Claims
 from foxtailcourse.entry._config import ConfigSource
+from foxtailcourse.entry._exchange import TOPIC, DemandExchange
 from foxtailcourse.entry._gateway import Gateway
 from foxtailcourse.entry._once import OnceCaller
 from foxtailcourse.entry._relay import Relay
@@ -48,7 +51,19 @@
         self._store = config.store
         self.address = cfg.listen
         self._pool = ConnectionPool()
-        self._limiter = AccountLimiter(daemon.cfg.vm)
+        self._limiter = AccountLimiter(
+            daemon.cfg.vm,
+            trio.current_time(),
+            first_sequence=int(time.time() * 1000),
+        )
+        self._exchange = DemandExchange(
+            daemon.cfg.vm,
+            config.store,
+            self._limiter,
+            config.exchange,
+            daemon.metrics,
+        )
+        config.add_topic(TOPIC, self._exchange.answer)
         dispatcher = Dispatcher(
             cfg,
             self._store,
@@ -110,6 +125,7 @@
             closed = trio.Event()
             await nursery.start(self._serve_requests, closed)
             nursery.start_soon(self._follow_config)
+            nursery.start_soon(self._exchange.run)
             self._daemon.events.emit("entry_listening", port=self.address.port)
             task_status.started()
             await self._daemon.stopping.wait()
@@ -172,7 +188,8 @@
         metrics=daemon.metrics,
     )
     app = EntryApp(daemon, cfg, placement_cfg, follower)
-    async with trio.open_nursery() as nursery:
+    # The exchange between entries uses gRPC, which needs an asyncio loop.
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
         await nursery.start(follower.run)
         async with trio.open_nursery() as serving:
             await serving.start(app.run)
--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -23,7 +23,7 @@
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.protocol import RequestClass, headers
 from foxtailcourse.routing import Prompt, prompt_from_messages
-from foxtailcourse.sharing import AccountLimiter, Grant, Refusal
+from foxtailcourse.sharing import AccountLimiter, Refusal
 
 NOT_READY_RETRY_MS = 1000
 SERVICES = "/services/"
@@ -74,8 +74,6 @@
         self._events = events
         self._metrics = metrics
         self._authenticator = Authenticator()
-        self._started = trio.current_time()
-        self._accounts: set[str] = set()
         self.draining = False
 
     async def handle(self, exchange: Exchange) -> None:
@@ -270,7 +268,7 @@
         call: Call,
     ) -> None:
         """Answer if the contract's limits allow it."""
-        grant = self._admit(contract, tokens)
+        grant = self._limiter.admit(contract, tokens, trio.current_time())
         if isinstance(grant, Refusal):
             raise HttpError(
                 429,
@@ -287,17 +285,6 @@
         finally:
             self._limiter.finish(grant, trio.current_time(), ran=ran)
 
-    def _admit(self, contract: Contract, tokens: int) -> Grant | Refusal:
-        account = contract.client_account
-        if account not in self._accounts:
-            self._accounts.add(account)
-            # Buckets start empty when first used. Counting from the start of the
-            # process keeps the first request of an account from being refused.
-            first = self._limiter.admit(contract, 0, self._started)
-            if isinstance(first, Grant):
-                self._limiter.finish(first, self._started, ran=False)
-        return self._limiter.admit(contract, tokens, trio.current_time())
-
 
 def _require(exchange: Exchange, method: str) -> None:
     if exchange.method != method:
--- a/src/foxtailcourse/entry/_once.py
+++ b/src/foxtailcourse/entry/_once.py
@@ -16,6 +16,8 @@
 
 KEYS_TARGET = "/v1/idempotency-keys"
 MAX_KEY_CHARS = 400
+# Sent by an agent for a key that it will never run.
+FENCED_CODE = "key_fenced"
 FIRST_PAUSE_S = 0.05
 RETRY_AFTER_MS = 1000
 
@@ -59,16 +61,29 @@
 
     async def answer(self, exchange: Exchange, call: Call) -> None:
         """Answer the call; raises HttpError with a verdict that holds for the key."""
-        if not issuing_agent(call.idempotency_key):
-            await self._claim(call)
-        vm = issuing_agent(call.idempotency_key)
-        listed = self._dispatcher.store.view.vms.get(vm)
-        if listed is None or listed.serves != call.serves:
-            raise _unknown("key_holder_gone", "the key's agent is not in service")
-        await self._send(exchange, call, listed)
+        own_key = call.idempotency_key
+        if issuing_agent(own_key):
+            await self._send(exchange, call)
+            return
+        account, route = call.contract.client_account, call.serves
+        issued = await self._issue(call)
+        bound = await self._claims.bind(account, own_key, route, issued)
+        call.idempotency_key = bound
+        try:
+            await self._send(exchange, call)
+            return
+        except HttpError as exc:
+            if exc.code != FENCED_CODE or exc.verdict is not Verdict.NOT_RUN:
+                raise
+        # The agent never runs a fenced key, so the caller's key can get another one.
+        fresh = await self._issue(call)
+        call.idempotency_key = await self._claims.replace(
+            account, own_key, route, bound, fresh
+        )
+        await self._send(exchange, call)
 
-    async def _claim(self, call: Call) -> None:
-        """Replace the caller's own key by the issued key that it stands for."""
+    async def _issue(self, call: Call) -> str:
+        """Return a new issued key."""
         issue = attrs.evolve(
             call,
             method="POST",
@@ -78,18 +93,22 @@
         )
         try:
             _, body = await self._relay.fetch(issue)
-            issued = msgspec.json.decode(body, type=_Issued).key
+            return msgspec.json.decode(body, type=_Issued).key
         except HttpError as exc:
             # Issuing a key runs nothing, whatever became of the attempts.
             exc.verdict = Verdict.NOT_RUN
             raise
         except msgspec.DecodeError as exc:
             raise HttpError(502, "malformed_key", "no key was issued") from exc
-        call.idempotency_key = await self._claims.bind(
-            call.contract.client_account, call.idempotency_key, call.serves, issued
-        )
 
-    async def _send(self, exchange: Exchange, call: Call, vm: Vm) -> None:
+    def _holder(self, call: Call) -> Vm:
+        view = self._dispatcher.store.view
+        vm = view.vms.get(issuing_agent(call.idempotency_key))
+        if vm is None or vm.serves != call.serves:
+            raise _unknown("key_holder_gone", "the key's agent is not in service")
+        return vm
+
+    async def _send(self, exchange: Exchange, call: Call) -> None:
         """Send the call to the key's agent until it answers or time is up.
 
         Repeated sending is safe: the agent joins a repeated call to the running one.
@@ -98,7 +117,7 @@
         outgoing = Outgoing(
             method=call.method, target=call.target, fields=fields, body=call.body
         )
-        target = Target(vm=vm, version="")
+        target = Target(vm=self._holder(call), version="")
         options = RequestOptions(
             connect_timeout_s=self._dispatcher.cfg.connect_timeout_s,
             idle_timeout_s=self._dispatcher.cfg.stream_idle_timeout_s,
--- a/tests/entry/test_once.py
+++ b/tests/entry/test_once.py
@@ -21,6 +21,7 @@
         super().__init__(vm, serves="coats", script=self.serve)
         self.issuer = KeyIssuer(vm, 60.0, 1000)
         self.runs = []
+        self.fenced = set()
         self.fault = fault
 
     async def serve(self, agent, exchange, attempt):
@@ -29,7 +30,11 @@
             value = {"key": key, "expires_in_s": 60}
             await exchange.respond_json(200, value, self.reply(attempt))
             return
-        self.runs.append(exchange.headers.get("idempotency-key", ""))
+        key = exchange.headers.get("idempotency-key", "")
+        if key in self.fenced:
+            await self.refuse(exchange, attempt, code="key_fenced", status=409)
+            return
+        self.runs.append(key)
         if self.fault == "cut":
             exchange.abort()
         elif self.fault == "cut once":
@@ -182,6 +187,38 @@
         _, ran = self.run_with({0: ["down"]})
         self.assertThat(set(ran), HasLength(2))
 
+    def test_own_key_of_a_fenced_key_is_bound_anew(self):
+        """The replacement survives lost and late writes, and is made once."""
+
+        async def check(faults):
+            key_value = FakeKeyValue()
+            agents = [CoatAgent("c0"), CoatAgent("c1")]
+            async with running_entry(agents, claims=key_value) as entry:
+                old = KeyIssuer("c0", 60.0, 9).issue("teatro", time.monotonic())
+                agents[0].fenced.add(old)
+                claims = _claims.Claims(key_value)
+                await claims.bind("teatro", "mine", "coats", old)
+                key_value.faults = list(faults)
+                statuses = []
+                for _ in range(3):
+                    status, _, _ = await entry.call(
+                        "POST", RETURN, idempotency_key="mine"
+                    )
+                    statuses.append(status)
+            return statuses, agents[0].runs + agents[1].runs
+
+        async def main():
+            # The calls are: create, read, replace, read.
+            for faults in ([], [None, None, "lost"], [None, None, "late"]):
+                statuses, ran = await check(faults)
+                self.assertThat(statuses, Equals([200] * 3), f"{faults}")
+                self.assertThat(set(ran), HasLength(1), f"{faults}")
+            statuses, ran = await check([None, "down"])
+            self.assertThat(statuses, Equals([503, 200, 200]))
+            self.assertThat(set(ran), HasLength(1))
+
+        self.run_async(main)
+
     def test_key_of_another_route_is_refused(self):
         async def main():
             key_value = FakeKeyValue()
@@ -189,7 +226,7 @@
                 await entry.call("POST", RETURN, idempotency_key="mine")
                 name = next(iter(key_value.items))
                 claim = {"key": "x", "route": "other"}
-                key_value.items[name] = msgspec.json.encode(claim)
+                key_value.items[name] = (msgspec.json.encode(claim), 1)
                 status, fields, _ = await entry.call(
                     "POST", RETURN, idempotency_key="mine"
                 )
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -9,6 +9,7 @@
 import trio
 
 from foxtailcourse.config import ConfigStore, Record
+from foxtailcourse.control import PeerError
 from foxtailcourse.entry import EntryApp, EntrySettings
 from foxtailcourse.http import ConnectionPool, HttpLimits, HttpServer, SseEvent
 from foxtailcourse.http import format_sse as format_event
@@ -52,42 +53,53 @@
         self.items = {}
         self.faults = []
         self.calls = 0
-        self._late = []
+        self._late = None
 
     def _next_fault(self):
         self.calls += 1
-        late, self._late = self._late, []
-        for put in late:
-            self.items.setdefault(put.key, put.value)
+        late, self._late = self._late, None
+        if late is not None:
+            self._apply(*late)
         return self.faults.pop(0) if self.faults else None
 
+    def _revision(self, key):
+        return self.items[key][1] if key in self.items else 0
+
+    def _write(self, puts):
+        for put in puts:
+            self.items[put.key] = (put.value, self._revision(put.key) + 1)
+
+    def _item(self, key):
+        value, revision = self.items[key]
+        return KeyValue(key=key, value=value, mod_revision=revision)
+
     async def txn(self, compare, put=(), delete=()):
         fault = self._next_fault()
         if fault == "down":
             raise PlatformError("down", may_have_applied=False)
         if fault == "late":
-            self._late = list(put)
+            self._late = (dict(compare), list(put))
             raise PlatformError("late", may_have_applied=True)
-        held = [each for each in compare if each in self.items]
-        if not held:
-            self.items.update({each.key: each.value for each in put})
+        succeeded = self._apply(compare, put)
         if fault == "lost":
             raise PlatformError("lost", may_have_applied=True)
-        current = [
-            KeyValue(key=each, value=self.items[each], mod_revision=1) for each in held
-        ]
-        return TxnResult(succeeded=not held, revision=1, current=tuple(current))
+        current = [self._item(each) for each in compare if each in self.items]
+        return TxnResult(
+            succeeded=succeeded, revision=1, current=() if succeeded else tuple(current)
+        )
+
+    def _apply(self, compare, puts):
+        held = all(self._revision(key) == each for key, each in compare.items())
+        if held:
+            self._write(puts)
+        return held
 
     async def range(self, *prefixes):
-        late, self._late = self._late, []
+        late, self._late = self._late, None
         if self._next_fault() == "down":
             raise PlatformError("down", may_have_applied=False)
         self._late = late
-        found = [
-            KeyValue(key=key, value=value, mod_revision=1)
-            for key, value in self.items.items()
-            if key.startswith(prefixes)
-        ]
+        found = [self._item(key) for key in self.items if key.startswith(prefixes)]
         return RangeResult(revision=1, items=tuple(found))
 
 
@@ -103,6 +115,12 @@
     def status(self):
         return {"ready": self.ready}
 
+    def add_topic(self, topic, handler):
+        pass
+
+    async def exchange(self, vm, topics):
+        raise PeerError(f"no peer {vm}")
+
     def saw_revision(self, revision, vm):
         self.seen.append((revision, vm))
 
