--- a/src/foxtailcourse/emulator/_agent.py
+++ b/src/foxtailcourse/emulator/_agent.py
@@ -6,11 +6,11 @@
 
 import attrs
 
+from foxtailcourse.cache import BlockIndex
 from foxtailcourse.emulator._engine import (
     EngineCallbacks,
     EngineModel,
     Job,
-    leading,
 )
 from foxtailcourse.emulator._timeline import Timeline
 from foxtailcourse.emulator._workload import Request
@@ -21,6 +21,7 @@
 NETWORK_S = 0.0015
 TICK_S = 0.25
 EVENT_GAP_PROBABILITY = 0.01
+INDEX_BLOCKS_PER_CACHED, INDEX_STALE_S = 4, 15.0
 PRIORITY = {RequestClass.SHORT: 0, RequestClass.LONG: 1}
 
 
@@ -38,38 +39,51 @@
 
 
 class LateIndex:
-    """The agent's belief about the cache, from cache events that arrive late.
+    """The agent's block index, fed with events that arrive late or not at all.
 
-    A lost batch of events empties the belief, as the agent does on a gap.
+    Parameters
+    ----------
+    engine : EngineModel
+        The engine whose events it takes.
+    rng : random.Random
+        Source of lost events.
     """
 
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._held: set[bytes] = set()
-        self._pending: list[tuple[list[bytes], list[bytes]]] = []
+    def __init__(self, engine: EngineModel, rng: random.Random) -> None:
+        self._engine, self._rng = engine, rng
+        capacity = engine.cfg.cache_blocks * INDEX_BLOCKS_PER_CACHED
+        self._index = BlockIndex(capacity, INDEX_STALE_S)
+        self._pending: list[tuple[int, bool, list[bytes]]] = []
+        self._last_seq = 0
 
-    def matched(self, keys: tuple[bytes, ...]) -> int:
+    def matched(self, keys: tuple[bytes, ...], now: float) -> int:
         """Return the number of leading keys believed held."""
-        return leading(keys, self._held)
+        return self._index.match(keys, now)
 
     def event(self, stored: list[bytes], evicted: list[bytes], now: float) -> None:
-        """Take an event that :meth:`deliver` makes visible."""
-        self._pending.append((stored, evicted))
+        """Take events that :meth:`deliver` makes visible."""
+        for is_stored, keys in ((True, stored), (False, evicted)):
+            self._last_seq += 1
+            self._pending.append((self._last_seq, is_stored, keys))
 
-    def deliver(self) -> None:
+    def deliver(self, now: float) -> None:
         """Apply the events since the last call, or lose them."""
         pending, self._pending = self._pending, []
+        incarnation = self._engine.incarnation
+        self._index.heard(incarnation, now)
         if pending and self._rng.random() < EVENT_GAP_PROBABILITY:
-            self._held.clear()
             return
-        for stored, evicted in pending:
-            self._held.update(stored)
-            self._held.difference_update(evicted)
+        for seq, stored, keys in pending:
+            self._index.apply(incarnation, seq, stored, keys, now)
+
+    def replied(self, job: Job, now: float) -> None:
+        """Learn from the reply of the engine."""
+        self._index.replied(self._engine.incarnation, job.keys, job.matched, now)
 
-    def clear(self) -> None:
-        """Forget everything after a restart of the engine."""
-        self._held.clear()
+    def restart(self) -> None:
+        """Start the event sequence of a new incarnation."""
         self._pending.clear()
+        self._last_seq = 0
 
 
 class AgentModel:
@@ -95,7 +109,7 @@
         rng: random.Random,
     ) -> None:
         self.engine, self.queue = engine, queue
-        self.index = LateIndex(rng)
+        self.index = LateIndex(engine, rng)
         self.down = False
         self.pending: Counter[bytes] = Counter()
         self.on_service: Callable[[Job, float], None] = lambda job, now: None
@@ -136,7 +150,7 @@
             self._refuse(attempt, now)
             return
         req = attempt.request
-        matched = self.index.matched(req.prompt.keys)
+        matched = self.index.matched(req.prompt.keys, now)
         uncached = req.prompt.tokens - matched * self.engine.cfg.block_tokens
         queued = QueuedRequest(
             attempt_id=attempt.attempt_id,
@@ -159,7 +173,7 @@
 
     def tick(self, now: float) -> None:
         """Take late reports of the engine and expire requests."""
-        self.index.deliver()
+        self.index.deliver(now)
         self._reported_running = len(self.engine.jobs)
         self._pump(now)
 
@@ -167,7 +181,7 @@
         """Crash the engine: running requests break, waiting ones are refused."""
         lost = self.engine.crash(now)
         self.down = True
-        self.index.clear()
+        self.index.restart()
         for job in lost:
             self.queue.finish(job.attempt_id, 0, now)
             attempt = self._forget(job.attempt_id)
@@ -230,6 +244,7 @@
 
     def _first_token(self, job: Job, now: float) -> None:
         attempt = self._attempts[job.attempt_id]
+        self.index.replied(job, now)
         note = getattr(self.queue, "first_token", None)
         if note is not None:
             note(job.attempt_id, now)
@@ -254,6 +269,6 @@
         return attempt
 
     def _refuse(self, attempt: AttemptState, now: float) -> None:
-        matched = self.index.matched(attempt.request.prompt.keys)
+        matched = self.index.matched(attempt.request.prompt.keys, now)
         reply = self.reply(matched, True, now)
         self._timeline.at(now + NETWORK_S, attempt.on_refused, attempt, reply)
--- a/src/foxtailcourse/emulator/_workload.py
+++ b/src/foxtailcourse/emulator/_workload.py
@@ -63,8 +63,8 @@
     long_load: float = 1.2
     short_deadline_s: float = 5.0
     long_deadline_s: float = 30.0
-    recompute_weight: float = 3.0
-    long_recompute_weight: float = 96.0
+    recompute_weight: float = 4.0
+    long_recompute_weight: float = 128.0
     reserved_short_slots: int = 6
     duration_s: float = 180.0
     warm_up_s: float = 10.0
@@ -109,8 +109,8 @@
     long_blocks=(16, 40),
     long_levels=3,
     long_tokens=(250, 600),
-    recompute_weight=3.0,
-    long_recompute_weight=80.0,
+    recompute_weight=8.0,
+    long_recompute_weight=96.0,
     reserved_short_slots=5,
 )
 DEPLOYMENTS = {each.name: each for each in (GUARDAROBA, ARDENNES)}
--- a/src/foxtailcourse/routing/_open.py
+++ b/src/foxtailcourse/routing/_open.py
@@ -1,5 +1,6 @@
 """Attempts that an entry has open, and the waits they show."""
 
+import math
 from collections import OrderedDict, deque
 
 import attrs
@@ -9,6 +10,9 @@
 
 GAIN = 0.2
 MAX_FLOWS = 10_000
+# A refusal says that the wait is too long for the caller, not how long it is. A floor
+# that grew with each refusal kept requests from servers that had long had room again.
+REFUSED_WAIT_S = 30.0
 
 FlowId = tuple[str, str]
 AttemptId = tuple[str, bytes, int, str]
@@ -61,10 +65,13 @@
         Oldest first; answered ones are dropped when they reach the head.
     count : int
         Unanswered attempts.
+    refused_at : float
+        When the backend server last refused one.
     """
 
     unanswered: "deque[OpenAttempt]" = attrs.field(factory=deque)
     count: int = 0
+    refused_at: float = -math.inf
 
 
 class OpenAttempts:
@@ -96,12 +103,13 @@
         flow = self._flows.get((salt, server))
         if flow is None:
             return 0.0
+        refused_s = max(0.0, REFUSED_WAIT_S - (now - flow.refused_at))
         while flow.unanswered and flow.unanswered[0].answered:
             flow.unanswered.popleft()
         if not flow.unanswered:
-            return 0.0
+            return refused_s
         age = now - flow.unanswered[0].sent_at
-        return max(age, flow.count * self._interval_s.get(salt, 0.0))
+        return max(refused_s, age, flow.count * self._interval_s.get(salt, 0.0))
 
     def sent(
         self,
@@ -138,8 +146,11 @@
         else:
             return None
         self._answer(attempt)
-        if attempt.request_class is RequestClass.LONG and not refused:
-            self._learn(attempt, now)
+        if attempt.request_class is RequestClass.LONG:
+            if refused:
+                self._flow(attempt.salt, attempt.server).refused_at = now
+            else:
+                self._learn(attempt, now)
         return attempt
 
     def finished(self, prompt: Prompt, server: str) -> bool:
--- a/src/foxtailcourse/routing/_placement.py
+++ b/src/foxtailcourse/routing/_placement.py
@@ -19,7 +19,7 @@
 # The home is believed even before a reply confirms it, so that entries that know
 # nothing of each other send a prefix to the same backend server.
 HOME_BELIEF = 0.95
-PENDING_BELIEF = 0.9
+PENDING_BELIEF = 0.97
 
 
 class PrefixPlacement:
