Reuse rings for partial fleets; keep the class between ranking and sending

Cause: the entry ranks a retry without the servers that were tried and each weights version apart, so that the ring was built again for each such call; between its call of rank and of sent other tasks rank, so that a long request counted as a short one. Ruled out: a ring for each subset; at 10,000 servers a retry would take over 100 ms. Change: _fleets.py draws a partial fleet from the ring of the whole one; classes are kept by prompt; tables of servers are bounded.

--- a/src/foxtailcourse/routing/_holders.py
+++ b/src/foxtailcourse/routing/_holders.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import OrderedDict
+from typing import Any
 
 import attrs
 
@@ -10,6 +11,13 @@
 LIFETIME_STEP = 1.08
 MAX_HOLDERS = 16
 HEAT_TIME_S = 10.0
+MAX_SERVERS = 20_000
+
+
+def drop_oldest(table: dict[str, Any], limit: int) -> None:
+    """Bound a table of servers; one that is still in use is learned again."""
+    while len(table) > limit:
+        del table[next(iter(table))]
 
 
 @attrs.define(eq=False)
@@ -133,7 +141,9 @@
             lifetime_s /= LIFETIME_STEP
         bounded = min(MAX_LIFETIME_S, max(MIN_LIFETIME_S, lifetime_s))
         self._lifetime_s[server] = bounded
+        drop_oldest(self._lifetime_s, MAX_SERVERS)
 
     def emptied(self, server: str, now: float) -> None:
         """Note that a server lost its cache."""
         self._emptied_at[server] = now
+        drop_oldest(self._emptied_at, MAX_SERVERS)
--- a/src/foxtailcourse/routing/_open.py
+++ b/src/foxtailcourse/routing/_open.py
@@ -13,14 +13,22 @@
 # A refusal says that the wait is too long for the caller, not how long it is. A floor
 # that grew with each refusal kept requests from servers that had long had room again.
 REFUSED_WAIT_S = 30.0
+# Sums of work within this of zero are rounding errors.
+ROUNDING_S = 1e-9
 
 FlowId = tuple[str, str]
-AttemptId = tuple[str, bytes, int, str]
+PromptId = tuple[str, bytes, int]
+AttemptId = tuple[PromptId, str]
+
+
+def prompt_id(prompt: Prompt) -> PromptId:
+    """Return what identifies a prompt; two equal prompts are interchangeable."""
+    return prompt.salt, b"".join(prompt.keys[-1:]), prompt.tokens
 
 
 def attempt_id(prompt: Prompt, server: str) -> AttemptId:
-    """Return what identifies an attempt; two equal prompts are interchangeable."""
-    return prompt.salt, b"".join(prompt.keys[-1:]), prompt.tokens, server
+    """Return what identifies an attempt to run a prompt on a server."""
+    return prompt_id(prompt), server
 
 
 @attrs.define(eq=False)
@@ -181,8 +189,11 @@
             return
         attempt.answered = True
         if attempt.request_class is RequestClass.SHORT:
-            left = self.short_work_s(attempt.server) - attempt.work_s
-            self._short_work_s[attempt.server] = max(0.0, left)
+            left_s = self.short_work_s(attempt.server) - attempt.work_s
+            if left_s > ROUNDING_S:
+                self._short_work_s[attempt.server] = left_s
+            else:
+                self._short_work_s.pop(attempt.server, None)
             return
         flow = self._flows.get((attempt.salt, attempt.server))
         if flow is not None:
--- a/src/foxtailcourse/routing/_placement.py
+++ b/src/foxtailcourse/routing/_placement.py
@@ -4,10 +4,10 @@
 from collections.abc import Sequence
 
 from foxtailcourse.protocol import RequestClass
-from foxtailcourse.routing._holders import Holders, Prefix
+from foxtailcourse.routing._fleets import Fleet, Fleets
+from foxtailcourse.routing._holders import MAX_SERVERS, Holders, Prefix, drop_oldest
 from foxtailcourse.routing._levels import home_level, tracked_levels
-from foxtailcourse.routing._open import OpenAttempts
-from foxtailcourse.routing._ring import HashRing
+from foxtailcourse.routing._open import OpenAttempts, PromptId, prompt_id
 from foxtailcourse.routing._settings import PlacementSettings
 from foxtailcourse.routing._types import Choice, Prompt, ServerReply
 from foxtailcourse.routing._views import LOST_S, REFUSED_S, ServerView
@@ -15,7 +15,7 @@
 HOME_DRAWS, OTHER_DRAWS = 2, 5
 MAX_WIDTH = 16
 MAX_KNOWN_HOLDERS = 2
-MAX_MODELS = 64
+MAX_RANKED = 1_024
 # The home is believed even before a reply confirms it, so that entries that know
 # nothing of each other send a prefix to the same backend server.
 HOME_BELIEF = 0.95
@@ -33,11 +33,11 @@
 
     def __init__(self, cfg: PlacementSettings | None = None) -> None:
         self.cfg = cfg or PlacementSettings()
-        self._rings: OrderedDict[str, tuple[Sequence[str], HashRing]] = OrderedDict()
+        self._fleets = Fleets()
         self._views: dict[str, ServerView] = {}
         self._holders = Holders(self.cfg.tracked_prefixes)
         self._open = OpenAttempts(self.cfg.tracked_attempts)
-        self._ranked: tuple[Prompt | None, RequestClass] = (None, RequestClass.SHORT)
+        self._classes: OrderedDict[PromptId, RequestClass] = OrderedDict()
         self._spread = 0
 
     def rank(
@@ -54,19 +54,17 @@
         """
         if not servers:
             return []
-        self._ranked = (prompt, request_class)
-        ring = self._ring(prompt.model, servers)
+        self._note_class(prompt, request_class)
+        fleet = self._fleets.find(prompt.model, servers)
         choices = [
             self._choice(prompt, each, home, request_class, now)
-            for each, home in self._candidates(prompt, ring, now).items()
+            for each, home in self._candidates(prompt, fleet, now).items()
         ]
         return sorted(choices, key=lambda choice: choice.cost_s)
 
     def sent(self, prompt: Prompt, backend_server: str, now: float) -> None:
         """Note that an attempt was sent."""
-        ranked, request_class = self._ranked
-        if ranked is not prompt:
-            request_class = RequestClass.SHORT
+        request_class = self._classes.get(prompt_id(prompt), RequestClass.SHORT)
         matched = self._matched(prompt, backend_server, request_class, 0, now)
         work_s = self._prefill_s(prompt, matched)
         believed = []
@@ -116,35 +114,33 @@
         self._view(backend_server).avoid(now + LOST_S)
         self._holders.emptied(backend_server, now)
 
-    def _ring(self, model: str, servers: Sequence[str]) -> HashRing:
-        held = self._rings.get(model)
-        if held is not None and (held[0] is servers or held[0] == tuple(servers)):
-            return held[1]
-        fleet = tuple(servers)
-        self._rings[model] = (fleet, HashRing(fleet))
-        if len(self._rings) > MAX_MODELS:
-            self._rings.popitem(last=False)
-        return self._rings[model][1]
-
-    def _candidates(self, prompt: Prompt, ring: HashRing, now: float) -> dict[str, int]:
+    def _note_class(self, prompt: Prompt, request_class: RequestClass) -> None:
+        """Keep the class for ``sent``; other calls may come in between."""
+        name = prompt_id(prompt)
+        self._classes[name] = request_class
+        self._classes.move_to_end(name)
+        if len(self._classes) > MAX_RANKED:
+            self._classes.popitem(last=False)
+
+    def _candidates(self, prompt: Prompt, fleet: Fleet, now: float) -> dict[str, int]:
         """Return the candidates, each with the level that it is the home of or 0."""
         if not prompt.levels:
             self._spread += 1
             key = self._spread.to_bytes(8, "big")
-            return dict.fromkeys(ring.draw(key, HOME_DRAWS + OTHER_DRAWS), 0)
+            return dict.fromkeys(fleet.draw(key, HOME_DRAWS + OTHER_DRAWS), 0)
         found: dict[str, int] = {}
         home = home_level(prompt.levels)
         width = self._width(prompt, home, now)
         others = [each for each in tracked_levels(prompt.levels) if each != home]
         for place, server in enumerate(
-            ring.draw(prompt.keys[home - 1], max(HOME_DRAWS, width))
+            fleet.draw(prompt.keys[home - 1], max(HOME_DRAWS, width))
         ):
             found[server] = home if place < width else 0
         count = max(1, OTHER_DRAWS // max(1, len(others)))
         for level in reversed(others):
-            for server in ring.draw(prompt.keys[level - 1], count):
+            for server in fleet.draw(prompt.keys[level - 1], count):
                 found.setdefault(server, 0)
-        for server in self._known(prompt, ring):
+        for server in self._known(prompt, fleet):
             found.setdefault(server, 0)
         return found
 
@@ -156,12 +152,12 @@
         wider = int(prefix.rate(now) / self.cfg.hot_requests_per_s)
         return min(MAX_WIDTH, 1 + wider)
 
-    def _known(self, prompt: Prompt, ring: HashRing) -> list[str]:
+    def _known(self, prompt: Prompt, fleet: Fleet) -> list[str]:
         for level in reversed(tracked_levels(prompt.levels)):
             prefix = self._holders.get(prompt.keys[level - 1])
             if prefix is not None and prefix.holders:
                 recent = reversed(prefix.holders)
-                known = [each for each in recent if each in ring]
+                known = [each for each in recent if each in fleet]
                 return known[:MAX_KNOWN_HOLDERS]
         return []
 
@@ -226,4 +222,5 @@
         view = self._views.get(server)
         if view is None:
             view = self._views[server] = ServerView()
+            drop_oldest(self._views, MAX_SERVERS)
         return view
--- a/src/foxtailcourse/routing/_ring.py
+++ b/src/foxtailcourse/routing/_ring.py
@@ -67,7 +67,17 @@
     def __contains__(self, server: str) -> bool:
         return server in self._known
 
-    def draw(self, key: bytes, count: int) -> Iterator[str]:
+    def without(self, servers: Sequence[str]) -> frozenset[str] | None:
+        """Return the ring's servers that are not among these.
+
+        None if some of these are not on the ring.
+        """
+        names = frozenset(servers)
+        return self._known - names if names <= self._known else None
+
+    def draw(
+        self, key: bytes, count: int, absent: frozenset[str] = frozenset()
+    ) -> Iterator[str]:
         """Yield up to ``count`` distinct servers of a key, in a fixed order.
 
         Parameters
@@ -76,25 +86,29 @@
             At least 8 bytes, already uniformly distributed.
         count : int
             How many servers; fewer are given if the fleet is smaller.
+        absent : frozenset of str
+            Servers of the ring that are passed over.
         """
-        count = min(count, len(self.servers))
+        count = min(count, len(self.servers) - len(absent))
+        if count < 1:
+            return
         state = int.from_bytes(key[:_POINT_BYTES], "big")
-        drawn: set[int] = set()
+        passed, left = set(absent), count
         for _ in range(count * _PROBES_PER_SERVER):
-            if len(drawn) == count:
-                return
             state = (state + _STEP) & _MASK
             place = bisect_left(self._points, _mix(state)) % len(self._points)
-            owner = self._owners[place]
-            if owner not in drawn:
-                drawn.add(owner)
-                yield self.servers[owner]
-        yield from self._walk(place, drawn, count)
-
-    def _walk(self, place: int, drawn: set[int], count: int) -> Iterator[str]:
-        while len(drawn) < count:
+            server = self.servers[self._owners[place]]
+            if server not in passed:
+                passed.add(server)
+                yield server
+                left -= 1
+                if not left:
+                    return
+        # The probes found too few different servers, as in a very small fleet.
+        while left:
             place = (place + 1) % len(self._points)
-            owner = self._owners[place]
-            if owner not in drawn:
-                drawn.add(owner)
-                yield self.servers[owner]
+            server = self.servers[self._owners[place]]
+            if server not in passed:
+                passed.add(server)
+                yield server
+                left -= 1
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -195,6 +195,23 @@
         levels = tuple(range(1, 200))
         self.assertThat(tracked_levels(levels), Equals((1, 2, 3, 197, 198, 199)))
 
+    def test_a_retry_draws_from_the_whole_fleets_ring(self):
+        policy, prompt = PrefixPlacement(), make_prompt("p")
+        first = policy.rank(prompt, FLEET, SHORT, 0.0)[0].backend_server
+        rest = tuple(each for each in FLEET if each != first)
+        again = policy.rank(prompt, list(rest), SHORT, 0.0)
+        self.assertNotIn(first, [each.backend_server for each in again])
+        rings = {id(fleet.ring) for fleet in policy._fleets._models["m"]}
+        self.assertThat(len(rings), Equals(1))
+
+    def test_a_class_survives_rankings_of_other_requests(self):
+        policy, prompt = PrefixPlacement(), make_prompt("p")
+        server = policy.rank(prompt, FLEET, LONG, 0.0)[0].backend_server
+        policy.rank(make_prompt("q"), FLEET, SHORT, 0.0)
+        policy.sent(prompt, server, 0.0)
+        self.assertThat(policy._open.short_work_s(server), Equals(0.0))
+        self.assertThat(policy._open.long_wait_s("a", server, 3.0), Equals(3.0))
+
 
 class TestHeat(testtools.TestCase):
     """Guards against a hot prefix that stays on one server, or stays spread."""
