Let long requests leave the slots that short ones recently needed

Cause: a long request that takes a momentarily free slot holds it for tens of seconds; with 5.4 of 8 slots of short load the 95th percentile of the wait was 3.8 s. Ruled out: a larger fixed reserve, which wastes slots when no short work comes; the same limit for owed long requests, which broke the floor (0.16 instead of 0.20) and a long-only account's share (0.625 instead of 0.667). Change: square-root staffing from the recent short arrivals of each account, up to its share, while no short request waits; long work in excess of the floor counts for it.

--- a/src/foxtailcourse/sharing/_fair.py
+++ b/src/foxtailcourse/sharing/_fair.py
@@ -1,11 +1,13 @@
 """Weighted fair queue in front of one backend server."""
 
 import heapq
+import math
 
 import attrs
 
 from foxtailcourse.protocol import RequestClass
-from foxtailcourse.sharing._flows import FlowQueue, Item
+from foxtailcourse.sharing._demand import REFRESH_S, ShortDemand
+from foxtailcourse.sharing._flows import FlowQueue, Item, weight_of
 from foxtailcourse.sharing._rates import ServiceRates, WaitScale
 from foxtailcourse.sharing._running import RunningSet
 from foxtailcourse.sharing._types import Admission, QueuedRequest, Refusal
@@ -13,6 +15,7 @@
 
 MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS = 50, 60_000
 COMPACT_SLACK = 16
+MAX_LONG_DEBT = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -26,6 +29,8 @@
     reserved_short_slots : int
         Slots that long requests never use; by default a quarter, rounded down. They
         must leave room for the floor.
+    adapt_long_slots : bool
+        Whether long requests also leave the slots that short ones recently needed.
     long_floor : float
         Part of the capacity that long requests get while any is waiting, below 1.
     short_burst_s : float
@@ -45,6 +50,7 @@
     reserved_short_slots: int = attrs.field(
         default=attrs.Factory(lambda self: self.slots // 4, takes_self=True)
     )
+    adapt_long_slots: bool = True
     long_floor: float = 0.2
     short_burst_s: float = 5.0
     max_debt_s: float = 30.0
@@ -86,6 +92,7 @@
         self.rates = rates or ServiceRates()
         self._short, self._long = FlowQueue(), FlowQueue()
         self._meter = ShareMeter(self.limits.slots, self.limits.short_burst_s)
+        self._demand = ShortDemand(self.limits.slots)
         self._running = RunningSet()
         self._scales = {each: WaitScale() for each in RequestClass}
         self._waiting: dict[str, Item] = {}
@@ -115,6 +122,9 @@
         unscaled_s = self._wait_s(request.request_class, account, request.share, now)
         scale = self._scales[request.request_class]
         wait_s = unscaled_s * scale.factor
+        cost_s = self.rates.cost_s(request.uncached_tokens, request.expected_tokens)
+        if request.request_class is RequestClass.SHORT:
+            self._demand.add(account, weight_of(request.share), cost_s, now)
         if len(self._waiting) >= self.limits.max_waiting:
             return _refuse("queue_full", wait_s)
         if self._meter.waiting(account) >= self.limits.max_waiting_per_account:
@@ -126,7 +136,6 @@
             return _refuse("deadline", (first_token_s - left_s) / scale.scale)
         # Estimates may be wrong by any factor; half of the time left stays usable.
         latest = max(request.deadline - prefill_s, now + left_s / 2)
-        cost_s = self.rates.cost_s(request.uncached_tokens, request.expected_tokens)
         self._enqueue(Item(request, cost_s, latest, now, unscaled_s), now)
         return Admission(predicted_start_s=wait_s)
 
@@ -137,10 +146,13 @@
             return None
         short, long = self._short.head(), self._startable_long(now)
         if long is not None and (
-            short is None or self._long_goes_first(short, long, now)
+            self._long_may_fill(now)
+            if short is None
+            else self._long_goes_first(short, long, now)
         ):
             item = self._long.pop()
-            self._long_credit_s = max(0.0, self._long_credit_s - item.cost_s)
+            left_s = self._long_credit_s - item.cost_s
+            self._long_credit_s = max(left_s, -MAX_LONG_DEBT * item.cost_s)
         elif short is not None:
             item = self._short.pop()
             self._charge_short(item, now)
@@ -224,6 +236,8 @@
         prefill_end = self._running.next_prefill_end() if self._long.size else None
         if prefill_end is not None:
             times.append(prefill_end)
+        if self._startable_long(now) is not None:
+            times.append(now + REFRESH_S)
         return max(now, min(times)) if times else None
 
     def _knows(self, attempt_id: str) -> bool:
@@ -263,10 +277,8 @@
 
     def _startable_long(self, now: float) -> Item | None:
         limits = self.limits
-        if self._running.long >= self._long_slots:
-            return None
         item = self._long.head()
-        if item is None:
+        if item is None or self._running.long >= self._most_long:
             return None
         computing = self._running.long_prefill_tokens(now)
         total = computing + item.request.uncached_tokens
@@ -286,7 +298,7 @@
             return
         limits = self.limits
         self._long.charge(req.client_account, req.share, item.cost_s, limits.max_debt_s)
-        if self._running.long < self._long_slots:
+        if self._running.long < self._most_long:
             floor = limits.long_floor
             self._long_credit_s += item.cost_s * floor / (1.0 - floor)
             self._limit_credit()
@@ -330,20 +342,31 @@
         if request_class is RequestClass.SHORT:
             free_s = self._running.next_end_s(now, long=False) if full else 0.0
             return free_s + self._short_wait_s(ahead_s)
-        at_cap = self._running.long >= self._long_slots
+        at_cap = self._running.long >= self._long_slots(now)
         free_s = self._running.next_end_s(now, long=at_cap) if full or at_cap else 0.0
-        return free_s + self._long_wait_s(ahead_s)
+        return free_s + self._long_wait_s(ahead_s, now)
 
     @property
-    def _long_slots(self) -> int:
+    def _most_long(self) -> int:
         return self.limits.slots - self.limits.reserved_short_slots
 
+    def _long_may_fill(self, now: float) -> bool:
+        return self._running.long < self._long_slots(now)
+
+    def _long_slots(self, now: float) -> int:
+        limits = self.limits
+        if not limits.adapt_long_slots:
+            return self._most_long
+        needed = self._demand.slots_needed(self._meter.weights, now)
+        floor = max(1, math.ceil(limits.long_floor * limits.slots))
+        return min(self._most_long, max(floor, math.floor(limits.slots - needed)))
+
     def _short_wait_s(self, ahead_s: float) -> float:
         wait_s = ahead_s / max(1, self.limits.slots - self._running.long)
         return wait_s / (1.0 - self.limits.long_floor) if self._long.size else wait_s
 
-    def _long_wait_s(self, ahead_s: float) -> float:
-        wait_s = (ahead_s + self._short.work_s) / self._long_slots
+    def _long_wait_s(self, ahead_s: float, now: float) -> float:
+        wait_s = (ahead_s + self._short.work_s) / self._long_slots(now)
         floor = self.limits.long_floor * self.limits.slots
         return min(wait_s, ahead_s / floor) if floor and ahead_s else wait_s
 
