--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -259,6 +259,15 @@
         except ClientError:
             return None
 
+    async def kill_busiest(self, signum):
+        """Send a signal to the assistant agent with the most running requests."""
+        running = {
+            each.vm: (await self.status(each.vm))["running"]
+            for each in self.agents()
+            if each.serves == "assistant"
+        }
+        self.programs[max(running, key=running.get)].send(signum)
+
     async def wait_status(self, vm, condition):
         """Wait until a program's status meets a condition."""
         while True:
--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -237,6 +237,14 @@
             resume_from=resume_from,
         )
         self.placement.sent(prompt, vm, now)
+        self.events.emit(
+            "attempt_sent",
+            request_id=call.request_id,
+            attempt_id=attempt.attempt_id,
+            client_account=attempt.client_account,
+            backend_server=vm,
+            resume_from=resume_from or None,
+        )
         result = "cancelled"
         try:
             async with open_attempt(
@@ -263,6 +271,13 @@
         finally:
             self.placement.finished(prompt, vm, trio.current_time())
             self.metrics.count("foxtail_entry_attempts_total", result=result, server=vm)
+            self.events.emit(
+                "attempt_ended",
+                request_id=call.request_id,
+                attempt_id=attempt.attempt_id,
+                backend_server=vm,
+                result=result,
+            )
 
     def _note_reply(
         self, call: Call, target: Target, reply: Reply, *, refused: bool
@@ -296,7 +311,7 @@
         self.events.emit(
             "attempt_broken",
             request_id=call.request_id,
-            server=target.vm.vm,
+            backend_server=target.vm.vm,
             code=exc.code,
             reason=exc.message,
         )
--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -98,7 +98,7 @@
         self._events.emit(
             "request_refused",
             request_id=request_id,
-            account=account or None,
+            client_account=account or None,
             status=exc.status,
             code=exc.code,
             verdict=exc.verdict.value,
@@ -276,9 +276,17 @@
                 "the contract's limit is reached",
                 retry_after_ms=grant.retry_after_ms,
             )
+        self._events.emit(
+            "request_admitted",
+            request_id=call.request_id,
+            client_account=contract.client_account,
+            request_class=call.request_class.value,
+            target=call.target,
+        )
         ran = True
         try:
             await answer(exchange, call)
+            self._events.emit("request_answered", request_id=call.request_id)
         except HttpError as exc:
             ran = not exc.verdict.may_repeat
             raise
--- /dev/null
+++ b/tests/fleet_case.py
@@ -0,0 +1,56 @@
+"""Base class of the tests that run a small layout of real processes."""
+
+import tempfile
+
+import trio
+from fleet import Fleet, guardaroba
+from testtools.matchers import Equals
+from traffic import ACCOUNTS, Callers, demo_records
+
+from support import AsyncTestCase
+
+SLOW_ENGINE = "decode_s_per_token=0.01"
+STREAM_TOKENS = 150
+HELLO = [{"role": "user", "content": "a question that all accounts ask"}]
+
+
+def unlimited():
+    """Return the demo's records with limits that no test reaches."""
+    records = demo_records()
+    for key, body in records.items():
+        if key.startswith("contracts/"):
+            body |= {"requests_per_s": 1e5, "tokens_per_s": 1e8}
+    return records
+
+
+class FleetTestCase(AsyncTestCase):
+    """Runs a check against a small layout of real processes."""
+
+    def run_fleet(self, check, records=None, assistants=2, **options):
+        async def main():
+            servers = guardaroba(assistants=assistants)
+            with tempfile.TemporaryDirectory() as folder:
+                fleet = Fleet(folder, servers, **options)
+                async with trio.open_nursery() as nursery:
+                    await fleet.start(nursery, unlimited() | (records or {}))
+                    await fleet.wait_known()
+                    addresses = [each.listen for each in fleet.entries()]
+                    callers = Callers(addresses, seed=1)
+                    await check(fleet, callers, nursery)
+                    await callers.pool.aclose()
+                    await fleet.pool.aclose()
+                    nursery.cancel_scope.cancel()
+
+        self.run_async(main)
+
+    async def streams_while(self, callers, action):
+        """Run one stream for each account and an action once all have begun."""
+        seen = callers.kind("stream")
+        async with trio.open_nursery() as nursery:
+            for account in ACCOUNTS:
+                nursery.start_soon(callers.ask, "stream", account, HELLO, STREAM_TOKENS)
+            while len(seen.first_s) < len(ACCOUNTS):
+                self.assertThat((seen.wrong, seen.refused), Equals(([], {})))
+                await trio.sleep(0.01)
+            await action()
+        return seen
