--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -21,6 +21,7 @@
 from foxtailcourse.observe import EventLog, HybridClock, Metrics
 from foxtailcourse.settings import Address
 from foxtailcourse.standin._platform import PlatformStandin
+from support import AsyncTestCase
 
 FAST = {
     "backoff_min_s": 0.01,
@@ -179,3 +180,14 @@
     ):
         yield Cluster(platform, address, nursery)
         nursery.cancel_scope.cancel()
+
+
+class ClusterTestCase(AsyncTestCase):
+    """Runs a check with a cluster."""
+
+    def with_cluster(self, check, platform=None):
+        async def main():
+            async with cluster(platform) as running:
+                await check(running)
+
+        self.run_async(main)
--- a/tests/config/test_faults.py
+++ b/tests/config/test_faults.py
@@ -2,74 +2,54 @@
 from contextlib import AsyncExitStack
 from unittest import mock
 
+import attrs
 import msgspec
 import pytest
 import trio
 from testtools.matchers import Equals, GreaterThan
 
-from cluster import cluster, contract, make_vm, serve, wait_until
+from cluster import ClusterTestCase, contract, make_vm, serve, wait_until
 from foxtailcourse.config import ConfigFollower
 from foxtailcourse.config._pulls import PullQueue
-from foxtailcourse.config._watchers import choose_watchers
 from foxtailcourse.platform import VmListing
 from foxtailcourse.standin import _platform
 from foxtailcourse.standin._platform import PlatformStandin
 from processes import start_follower
-from support import AsyncTestCase
+from support import AsyncTestCase, run_with
 
 
 @pytest.mark.processes
 class TestFrozenProcess(AsyncTestCase):
     """Guards against a process that misses the changes made while it was frozen."""
 
-    def with_processes(self, count, check):
-        async def main():
-            platform = PlatformStandin()
-            async with AsyncExitStack() as stack:
-                address = await stack.enter_async_context(serve(platform.handler))
-                started = []
-                for number in range(count):
-                    process = start_follower(address, f"vm{number}")
-                    started.append(await stack.enter_async_context(process))
-                platform.set_vms([each.vm for each in started])
-                platform.seed([contract(1, 1.0)])
-                for each in started:
-                    await each.wait_for(lambda s: s["teatro"] == 1.0)
-                    await each.wait_for(lambda s: s["config"]["source"] != "none")
-                await check(platform, started)
-
-        self.run_async(main)
-
-    def test_frozen_process_catches_up(self):
-        async def check(platform, started):
-            for each in started:
-                each.process.send_signal(signal.SIGSTOP)
-                platform.seed([contract(2, 2.0), contract(3, 3.0)])
-                others = [other for other in started if other is not each]
-                for other in others:
-                    await other.wait_for(lambda s: s["teatro"] == 3.0)
-                each.process.send_signal(signal.SIGCONT)
-                await each.wait_for(lambda s: s["teatro"] == 3.0)
-
-        self.with_processes(3, check)
-
-    def test_followers_of_a_frozen_watcher_get_the_change(self):
-        async def check(platform, started):
-            vms = {each.vm.vm: each.vm for each in started}
-            watchers = {each.vm for each in choose_watchers(vms, "palermo")}
-            frozen = next(each for each in started if each.vm.vm in watchers)
-            frozen.process.send_signal(signal.SIGSTOP)
-            platform.seed([contract(2, 2.0)])
+    @run_with("run_async")
+    async def test_frozen_process_catches_up_and_delays_nobody(self):
+        """Freezes each of two watchers and three followers in turn."""
+        platform = PlatformStandin()
+        async with AsyncExitStack() as stack:
+            address = await stack.enter_async_context(serve(platform.handler))
+            started = [
+                await stack.enter_async_context(start_follower(address, f"vm{number}"))
+                for number in range(5)
+            ]
+            platform.set_vms([each.vm for each in started])
             for each in started:
-                if each is not frozen:
-                    await each.wait_for(lambda s: s["teatro"] == 2.0)
-            frozen.process.send_signal(signal.SIGCONT)
-            await frozen.wait_for(lambda s: s["teatro"] == 2.0)
-
-        self.with_processes(5, check)
+                await each.wait_for(
+                    lambda s: (
+                        s["config"]["source"] == "watcher" or s["config"]["current"]
+                    )
+                )
+            for share, frozen in enumerate(started, 1):
+                frozen.process.send_signal(signal.SIGSTOP)
+                platform.seed([contract(share, share)])
+                for each in started:
+                    if each is not frozen:
+                        await each.wait_for(lambda s, share=share: s["teatro"] == share)
+                frozen.process.send_signal(signal.SIGCONT)
+                await frozen.wait_for(lambda s, share=share: s["teatro"] == share)
 
 
-class TestMessages(AsyncTestCase):
+class TestMessages(ClusterTestCase):
     """Guards against a process that ignores a higher revision in a message."""
 
     async def cut_off(self, running):
@@ -85,132 +65,98 @@
         await wait_until(lambda: not older.follower.status()["current"])
         record = contract(5, 5.0)
         revision = older.store.revision + 10
-        newer.store.merge(
-            [
-                type(record)(
-                    key=record.key,
-                    generation=5,
-                    write_id="w",
-                    body=record.body,
-                    mod_revision=revision,
-                )
-            ]
-        )
+        newer.store.merge([attrs.evolve(record, mod_revision=revision)])
         return newer, older
 
-    def test_pull_from_the_sender(self):
-        async def check():
-            async with cluster() as running:
-                newer, older = await self.cut_off(running)
-                older.follower.saw_revision(newer.store.revision, "newer")
-                await wait_until(lambda: older.share() == 5.0)
+    @run_with("with_cluster")
+    async def test_pull_from_the_sender(self, running):
+        newer, older = await self.cut_off(running)
+        older.follower.saw_revision(newer.store.revision, "newer")
+        await wait_until(lambda: older.share() == 5.0)
 
-        self.run_async(check)
-
-    def test_without_the_pull_the_process_stays_behind(self):
+    @run_with("with_cluster")
+    async def test_without_the_pull_the_process_stays_behind(self, running):
         """Shows that the test above depends on the pull from the sender."""
-
-        async def check():
-            async with cluster() as running:
-                with (
-                    mock.patch.object(PullQueue, "want"),
-                    mock.patch(
-                        "foxtailcourse.config._platform_watch.FAILURES_BEFORE_PULL",
-                        1_000_000,
-                    ),
-                ):
-                    newer, older = await self.cut_off(running)
-                    older.follower.saw_revision(newer.store.revision, "newer")
-                    await trio.sleep(0.3)
-                    self.assertIsNone(older.share())
-
-        self.run_async(check)
-
-
-class TestWatchGap(AsyncTestCase):
+        with (
+            mock.patch.object(PullQueue, "want"),
+            mock.patch(
+                "foxtailcourse.config._platform_watch.FAILURES_BEFORE_PULL",
+                1_000_000,
+            ),
+        ):
+            newer, older = await self.cut_off(running)
+            older.follower.saw_revision(newer.store.revision, "newer")
+            await trio.sleep(0.3)
+            self.assertIsNone(older.share())
+
+
+class TestWatchGap(ClusterTestCase):
     """Guards against changes that the platform dropped before they were read."""
 
-    def test_compacted_changes_are_read_by_a_scan(self):
-        async def check():
-            async with cluster() as running:
-                process = await running.start("a")
-                running.platform.seed([contract(1, 1.0)])
-                await running.settled(1)
-                await wait_until(lambda: process.follower.status()["current"])
-                running.platform.faults.outage = "refuse"
-                await wait_until(lambda: not process.follower.status()["current"])
-                with mock.patch.object(_platform, "KEPT_EVENTS", 2):
-                    for generation in range(2, 9):
-                        running.platform.seed([contract(generation, generation)])
-                    running.platform.put("slots/weights/0", b"x")
-                    running.platform.put("slots/weights/1", b"x")
-                    running.platform.faults.outage = "off"
-                    await running.all_have(8.0)
-
-        self.run_async(check)
-
-    def test_idle_watch_survives_compaction_of_what_it_saw(self):
-        async def check():
-            async with cluster() as running:
-                process = await running.start("a")
-                running.platform.seed([contract(1, 1.0)])
-                await running.settled(1)
-                await running.all_have(1.0)
-                with mock.patch.object(_platform, "KEPT_EVENTS", 2):
-                    for number in range(5):
-                        running.platform.put(f"slots/{number}", b"x")
-                    scans = running.platform.calls["GET /kv/range"]
-                    await wait_until(
-                        lambda: running.platform.calls["GET /kv/range"] > scans
-                    )
-                    running.platform.seed([contract(2, 2.0)])
-                    await running.all_have(2.0)
-                self.assertThat(process.share(), Equals(2.0))
-
-        self.run_async(check)
-
-
-class TestBadMessages(AsyncTestCase):
+    @run_with("with_cluster")
+    async def test_compacted_changes_are_read_by_a_scan(self, running):
+        process = await running.start("a")
+        running.platform.seed([contract(1, 1.0)])
+        await running.settled(1)
+        await wait_until(lambda: process.follower.status()["current"])
+        running.platform.faults.outage = "refuse"
+        await wait_until(lambda: not process.follower.status()["current"])
+        with mock.patch.object(_platform, "KEPT_EVENTS", 2):
+            for generation in range(2, 9):
+                running.platform.seed([contract(generation, generation)])
+            running.platform.put("slots/weights/0", b"x")
+            running.platform.put("slots/weights/1", b"x")
+            running.platform.faults.outage = "off"
+            await running.all_have(8.0)
+
+    @run_with("with_cluster")
+    async def test_idle_watch_survives_compaction_of_what_it_saw(self, running):
+        process = await running.start("a")
+        running.platform.seed([contract(1, 1.0)])
+        await running.settled(1)
+        await running.all_have(1.0)
+        with mock.patch.object(_platform, "KEPT_EVENTS", 2):
+            for number in range(5):
+                running.platform.put(f"slots/{number}", b"x")
+            scans = running.platform.calls["GET /kv/range"]
+            await wait_until(lambda: running.platform.calls["GET /kv/range"] > scans)
+            running.platform.seed([contract(2, 2.0)])
+            await running.all_have(2.0)
+        self.assertThat(process.share(), Equals(2.0))
+
+
+class TestBadMessages(ClusterTestCase):
     """Guards against a bad record or listing that stops the following."""
 
-    def test_malformed_record_does_not_hide_the_next_change(self):
-        async def check():
-            async with cluster() as running:
-                process = await running.start("a")
-                running.platform.put("contracts/bad", b"\xff{")
-                running.platform.set_vms([*running.platform.vms()])
-                await running.settled(1)
-                running.platform.put("contracts/worse", b"[]")
-                running.platform.seed([contract(1, 3.0)])
-                await running.all_have(3.0)
-                self.assertThat(process.store.revision, GreaterThan(0))
-
-        self.run_async(check)
-
-    def test_malformed_vm_list_entries_are_left_out(self):
-        async def check():
-            async with cluster() as running:
-                process = await running.start("a", listed=False)
-                await process.follower.wait_ready()
-                entries = (b"1", b"null", b"{}", b'{"vm": 3}', b"[" * 5000, b"{")
-                good = msgspec.json.encode(make_vm("b"))
-                raw = tuple(msgspec.Raw(each) for each in (*entries, good))
-                listing = VmListing(revision=9, vms=raw)
-                process.follower._platform.take_listing(listing)
-                self.assertThat(set(process.store.view.vms), Equals({"b"}))
-
-        self.run_async(check)
-
-    def test_lagging_vm_list_does_not_go_back(self):
-        async def check():
-            async with cluster() as running:
-                process = await running.start("a")
-                await running.settled(1)
-                await running.start("b", "catania")
-                await running.settled(2)
-                running.platform.faults.vm_list_lag_ms = 60_000
-                calls = running.platform.calls["GET /vms"]
-                await wait_until(lambda: running.platform.calls["GET /vms"] > calls + 3)
-                self.assertThat(set(process.store.view.vms), Equals({"a", "b"}))
-
-        self.run_async(check)
+    @run_with("with_cluster")
+    async def test_malformed_record_does_not_hide_the_next_change(self, running):
+        process = await running.start("a")
+        running.platform.put("contracts/bad", b"\xff{")
+        running.platform.set_vms([*running.platform.vms()])
+        await running.settled(1)
+        running.platform.put("contracts/worse", b"[]")
+        running.platform.seed([contract(1, 3.0)])
+        await running.all_have(3.0)
+        self.assertThat(process.store.revision, GreaterThan(0))
+
+    @run_with("with_cluster")
+    async def test_malformed_vm_list_entries_are_left_out(self, running):
+        process = await running.start("a", listed=False)
+        await process.follower.wait_ready()
+        entries = (b"1", b"null", b"{}", b'{"vm": 3}', b"[" * 5000, b"{")
+        good = msgspec.json.encode(make_vm("b"))
+        raw = tuple(msgspec.Raw(each) for each in (*entries, good))
+        listing = VmListing(revision=9, vms=raw)
+        process.follower._platform.take_listing(listing)
+        self.assertThat(set(process.store.view.vms), Equals({"b"}))
+
+    @run_with("with_cluster")
+    async def test_lagging_vm_list_does_not_go_back(self, running):
+        process = await running.start("a")
+        await running.settled(1)
+        await running.start("b", "catania")
+        await running.settled(2)
+        running.platform.faults.vm_list_lag_ms = 60_000
+        calls = running.platform.calls["GET /vms"]
+        await wait_until(lambda: running.platform.calls["GET /vms"] > calls + 3)
+        self.assertThat(set(process.store.view.vms), Equals({"a", "b"}))
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -6,7 +6,7 @@
 import trio
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
-from cluster import cluster, contract, make_vm, wait_until
+from cluster import ClusterTestCase, contract, make_vm, wait_until
 from foxtailcourse.config import ConfigFollower, ConfigStore, decode_record
 from foxtailcourse.config._platform_source import PlatformSource
 from foxtailcourse.config._watchers import fallback_interval_s, follow_order
@@ -14,35 +14,22 @@
 from foxtailcourse.http import ConnectionPool
 from foxtailcourse.platform import KeyValueClient, PlatformError
 from foxtailcourse.standin._platform import PlatformStandin
-from support import AsyncTestCase
+from support import AsyncTestCase, run_with
 
 
-class FollowerTestCase(AsyncTestCase):
-    """Runs a check with a cluster."""
-
-    def with_cluster(self, check, platform=None):
-        async def main():
-            async with cluster(platform) as running:
-                await check(running)
-
-        self.run_async(main)
-
-
-class TestPlatformReading(FollowerTestCase):
+class TestPlatformReading(ClusterTestCase):
     """Guards against a copy that misses a change of the platform or goes back."""
 
-    def test_change_and_vm_list_arrive(self):
-        async def check(running):
-            process = await running.start("a", listed=False)
-            running.platform.set_vms([make_vm("b")])
-            await process.follower.wait_ready()
-            running.platform.seed([contract(1, 3.0)])
-            await wait_until(lambda: process.share() == 3.0)
-            await wait_until(lambda: "b" in process.store.view.vms)
-            running.platform.set_vms([])
-            await wait_until(lambda: not process.store.view.vms)
-
-        self.with_cluster(check)
+    @run_with("with_cluster")
+    async def test_change_and_vm_list_arrive(self, running):
+        process = await running.start("a", listed=False)
+        running.platform.set_vms([make_vm("b")])
+        await process.follower.wait_ready()
+        running.platform.seed([contract(1, 3.0)])
+        await wait_until(lambda: process.share() == 3.0)
+        await wait_until(lambda: "b" in process.store.view.vms)
+        running.platform.set_vms([])
+        await wait_until(lambda: not process.store.view.vms)
 
     async def restore_and_overtake(self, running):
         process = await running.start("a")
@@ -54,33 +41,28 @@
         running.platform.seed([contract(3, 5.0)])
         return process
 
-    def test_restored_platform_does_not_hide_a_change(self):
-        async def check(running):
-            await self.restore_and_overtake(running)
-            await running.all_have(5.0)
-
-        self.with_cluster(check)
+    @run_with("with_cluster")
+    async def test_restored_platform_does_not_hide_a_change(self, running):
+        await self.restore_and_overtake(running)
+        await running.all_have(5.0)
 
-    def test_without_the_check_for_continuity_the_change_is_hidden(self):
+    @run_with("with_cluster")
+    async def test_without_the_check_for_continuity_the_change_is_hidden(self, running):
         """Shows that the test above depends on the check, between two watch calls."""
-
-        async def check(running):
-            platform, store = running.platform, ConfigStore()
-            key_value = KeyValueClient(ConnectionPool(), running.address)
-            source = PlatformSource(
-                key_value, None, store, store.merge, None, random.Random(0), 0.0
-            )
-            old = platform.seed([contract(1, 1.0)])
-            platform.seed([contract(2, 2.0)])
-            after = await source.scan()
-            platform.restore(old)
-            platform.seed([contract(3, 5.0)])
-            self.assertFalse(await source._is_continuous())
-            with mock.patch.object(source, "_is_continuous", return_value=True):
-                await source.watch(after, 0.01)
-            self.assertThat(store.view.contracts["teatro"].share, Equals(2.0))
-
-        self.with_cluster(check)
+        platform, store = running.platform, ConfigStore()
+        key_value = KeyValueClient(ConnectionPool(), running.address)
+        source = PlatformSource(
+            key_value, None, store, store.merge, None, random.Random(0), 0.0
+        )
+        old = platform.seed([contract(1, 1.0)])
+        platform.seed([contract(2, 2.0)])
+        after = await source.scan()
+        platform.restore(old)
+        platform.seed([contract(3, 5.0)])
+        self.assertFalse(await source._is_continuous())
+        with mock.patch.object(source, "_is_continuous", return_value=True):
+            await source.watch(after, 0.01)
+        self.assertThat(store.view.contracts["teatro"].share, Equals(2.0))
 
     def test_start_during_an_outage_becomes_ready_afterwards(self):
         async def check(running):
@@ -95,7 +77,7 @@
         self.with_cluster(check, platform)
 
 
-class TestRestoredPlatform(FollowerTestCase):
+class TestRestoredPlatform(ClusterTestCase):
     """Guards against an accepted change that a restored platform takes back."""
 
     async def restore(self, running):
@@ -111,14 +93,12 @@
         held = running.platform.get("contracts/teatro")
         return decode_record(held.key, held.value, held.mod_revision).generation
 
-    def test_watcher_writes_the_newer_record_back(self):
-        async def check(running):
-            await self.restore(running)
-            await wait_until(lambda: self.platform_generation(running) == 2)
-            shares = [each.share() for each in running.processes.values()]
-            self.assertThat(shares, Equals([2.0] * 4))
-
-        self.with_cluster(check)
+    @run_with("with_cluster")
+    async def test_watcher_writes_the_newer_record_back(self, running):
+        await self.restore(running)
+        await wait_until(lambda: self.platform_generation(running) == 2)
+        shares = [each.share() for each in running.processes.values()]
+        self.assertThat(shares, Equals([2.0] * 4))
 
     def test_without_write_back_the_platform_stays_behind(self):
         """Shows that the test above depends on the write-back."""
@@ -137,59 +117,53 @@
         with mock.patch.object(PlatformSource, "_write_back", skip):
             self.with_cluster(check)
 
-    def test_follower_hands_a_record_to_restarted_watchers(self):
-        async def check(running):
-            await self.restore(running)
-            running.platform.faults.outage = "refuse"
-            for name in running.watching():
-                await running.stop(name, listed=True)
-                await running.start(name)
-            running.platform.faults.outage = "off"
-            await running.all_have(2.0)
-            await wait_until(lambda: self.platform_generation(running) == 2)
-
-        self.with_cluster(check)
+    @run_with("with_cluster")
+    async def test_follower_hands_a_record_to_restarted_watchers(self, running):
+        await self.restore(running)
+        running.platform.faults.outage = "refuse"
+        for name in running.watching():
+            await running.stop(name, listed=True)
+            await running.start(name)
+        running.platform.faults.outage = "off"
+        await running.all_have(2.0)
+        await wait_until(lambda: self.platform_generation(running) == 2)
 
 
-class TestDistribution(FollowerTestCase):
+class TestDistribution(ClusterTestCase):
     """Guards against processes that are cut off from changes."""
 
-    def test_only_watchers_call_the_platform(self):
-        async def check(running):
-            for number in range(8):
-                await running.start(f"vm{number}", f"domain{number % 2}")
-            await running.settled(8)
-            await wait_until(lambda: len(running.watching()) == 4)
-            followers = [
-                each.follower
-                for each in running.processes.values()
-                if not each.follower.watching
-            ]
-            await wait_until(lambda: all(f.source == "watcher" for f in followers))
-            with ExitStack() as stack:
-                for each in followers:
-                    error = AssertionError("a follower called the platform")
-                    stack.enter_context(
-                        mock.patch.object(each.key_value, "range", side_effect=error)
-                    )
-                running.platform.seed([contract(1, 7.0)])
-                await running.all_have(7.0)
-
-        self.with_cluster(check)
-
-    def test_followers_leave_a_dead_watcher(self):
-        async def check(running):
-            for number in range(5):
-                await running.start(f"vm{number}")
-            await running.settled(5)
-            await wait_until(lambda: len(running.watching()) == 2)
-            for name in sorted(running.watching()):
-                # The VM list lags: it still shows the dead watcher.
-                await running.stop(name, listed=True)
-                running.platform.seed([contract(ord(name[-1]), ord(name[-1]))])
-                await running.all_have(ord(name[-1]))
-
-        self.with_cluster(check)
+    @run_with("with_cluster")
+    async def test_only_watchers_call_the_platform(self, running):
+        for number in range(8):
+            await running.start(f"vm{number}", f"domain{number % 2}")
+        await running.settled(8)
+        await wait_until(lambda: len(running.watching()) == 4)
+        followers = [
+            each.follower
+            for each in running.processes.values()
+            if not each.follower.watching
+        ]
+        await wait_until(lambda: all(f.source == "watcher" for f in followers))
+        with ExitStack() as stack:
+            for each in followers:
+                error = AssertionError("a follower called the platform")
+                stack.enter_context(
+                    mock.patch.object(each.key_value, "range", side_effect=error)
+                )
+            running.platform.seed([contract(1, 7.0)])
+            await running.all_have(7.0)
+
+    @run_with("with_cluster")
+    async def test_followers_leave_a_dead_watcher(self, running):
+        for number in range(5):
+            await running.start(f"vm{number}")
+        await running.settled(5)
+        await wait_until(lambda: len(running.watching()) == 2)
+        for name in sorted(running.watching()):
+            # The VM list lags: it still shows the dead watcher.
+            await running.stop(name, listed=True)
+            running.platform.seed([contract(ord(name[-1]), ord(name[-1]))])
+            await running.all_have(ord(name[-1]))
 
     def test_two_processes_do_not_follow_each_other(self):
         """Each takes the other for the watcher; both must reach the platform."""
@@ -229,47 +203,41 @@
         ):
             self.with_cluster(check)
 
-    def test_higher_revision_in_a_message_causes_a_pull(self):
-        async def check(running):
-            newer = await running.start("newer")
-            older = await running.start("older", "catania")
-            await running.settled(2)
-            running.platform.faults.outage = "refuse"
-            await wait_until(lambda: running.platform.faults.outage == "refuse")
-            revision = older.store.revision + 10
-            newer.follower.merge(
-                [attrs.evolve(contract(5, 5.0), mod_revision=revision)]
-            )
-            older.follower.saw_revision(newer.store.revision, "newer")
-            await wait_until(lambda: older.share() == 5.0)
-
-        self.with_cluster(check)
+    @run_with("with_cluster")
+    async def test_higher_revision_in_a_message_causes_a_pull(self, running):
+        newer = await running.start("newer")
+        older = await running.start("older", "catania")
+        await running.settled(2)
+        running.platform.faults.outage = "refuse"
+        await wait_until(lambda: running.platform.faults.outage == "refuse")
+        revision = older.store.revision + 10
+        newer.follower.merge([attrs.evolve(contract(5, 5.0), mod_revision=revision)])
+        older.follower.saw_revision(newer.store.revision, "newer")
+        await wait_until(lambda: older.share() == 5.0)
 
 
-class TestStart(FollowerTestCase):
+class TestStart(ClusterTestCase):
     """Guards against a cold start, and against a start from an older copy."""
 
     def control(self, process):
         return (process.vm.control,)
 
-    def test_start_from_peers_while_the_platform_is_down(self):
-        async def check(running):
-            running.platform.seed([contract(1, 2.0)])
-            first = await running.start("a")
-            await running.settled(1)
-            await running.all_have(2.0)
-            running.platform.faults.outage = "refuse"
-            running.platform.faults.vm_list_outage = True
-            second = await running.start("b", peers=self.control(first), listed=False)
-            await second.follower.wait_ready()
-            self.assertThat(second.share(), Equals(2.0))
-            await running.stop("a", listed=True)
-            third = await running.start("c", peers=self.control(first), listed=False)
-            with trio.move_on_after(0.5):
-                await third.follower.wait_ready()
-            self.assertFalse(third.follower.ready)
-
-        self.with_cluster(check)
+    @run_with("with_cluster")
+    async def test_start_from_peers_while_the_platform_is_down(self, running):
+        running.platform.seed([contract(1, 2.0)])
+        first = await running.start("a")
+        await running.settled(1)
+        await running.all_have(2.0)
+        running.platform.faults.outage = "refuse"
+        running.platform.faults.vm_list_outage = True
+        second = await running.start("b", peers=self.control(first), listed=False)
+        await second.follower.wait_ready()
+        self.assertThat(second.share(), Equals(2.0))
+        await running.stop("a", listed=True)
+        third = await running.start("c", peers=self.control(first), listed=False)
+        with trio.move_on_after(0.5):
+            await third.follower.wait_ready()
+        self.assertFalse(third.follower.ready)
 
     async def start_from_older_peer(self, running, **changes):
         running.platform.seed([contract(1, 1.0)])
@@ -287,21 +255,16 @@
             await new.follower.wait_ready()
             return new.share()
 
-    def test_older_peer_does_not_decide(self):
-        async def check(running):
-            share = await self.start_from_older_peer(running, start_grace_s=30.0)
-            self.assertThat(share, Equals(2.0))
+    @run_with("with_cluster")
+    async def test_older_peer_does_not_decide(self, running):
+        share = await self.start_from_older_peer(running, start_grace_s=30.0)
+        self.assertThat(share, Equals(2.0))
 
-        self.with_cluster(check)
-
-    def test_without_the_grace_time_an_older_peer_decides(self):
+    @run_with("with_cluster")
+    async def test_without_the_grace_time_an_older_peer_decides(self, running):
         """Shows that the test above depends on the wait for confirmation."""
-
-        async def check(running):
-            share = await self.start_from_older_peer(running, start_grace_s=0.0)
-            self.assertThat(share, Equals(1.0))
-
-        self.with_cluster(check)
+        share = await self.start_from_older_peer(running, start_grace_s=0.0)
+        self.assertThat(share, Equals(1.0))
 
 
 class TestCallBudget(AsyncTestCase):
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -5,7 +5,7 @@
 from cluster import UNUSED, cluster
 from foxtailcourse.control import PeerClient, PeerError
 from foxtailcourse.protocol import FollowRequest, Sender, SnapshotRequest
-from support import AsyncTestCase
+from support import AsyncTestCase, run_with
 
 
 class TestPeerService(AsyncTestCase):
@@ -20,50 +20,41 @@
 
         self.run_async(main)
 
-    async def fails(self, call, *args):
-        try:
-            await call(*args)
-        except PeerError as exc:
-            return exc
-        self.fail("expected a PeerError")
-
-    def test_summaries_reach_the_handler_of_their_topic(self):
-        async def check(running, a, b):
-            b.follower.add_topic("demand", lambda vm, data: vm.encode() + data[::-1])
-            topics = {"demand": b"\x00\x01", "unknown": b""}
-            answer = await a.follower.exchange("b", topics)
-            self.assertThat(answer, Equals({"demand": b"a\x01\x00"}))
-            await self.fails(a.follower.exchange, "nobody", topics)
-
-        self.with_pair(check)
-
-    def test_failing_handler_and_malformed_message_end_only_their_call(self):
-        async def check(running, a, b):
-            b.follower.add_topic("demand", mock.Mock(side_effect=ValueError("bad")))
-            await self.fails(a.follower.exchange, "b", {"demand": b""})
-            client = PeerClient(b.vm.control, 2.0)
-            target = "foxtailcourse.control._client.encode_message"
-            with mock.patch(target, lambda message: b"\xc1 nonsense"):
-                request = SnapshotRequest(sender=Sender(vm="a"))
-                await self.fails(client.snapshot, request)
-                await self.fails(client.follow, request, 5.0, lambda event: None)
-            self.assertTrue((await client.snapshot(request)).sender.ready)
-
-        self.with_pair(check)
-
-    def test_unreachable_peer_is_an_error_within_the_timeout(self):
-        async def check(running, a, b):
-            client = PeerClient(UNUSED, 0.5)
-            await self.fails(client.snapshot, SnapshotRequest(sender=Sender(vm="a")))
-
-        self.with_pair(check)
-
-    def test_silent_peer_is_left(self):
-        async def check(running, a, b):
-            client = PeerClient(b.vm.control, 2.0)
-            with mock.patch.object(b.follower._server, "publish"):
-                request = FollowRequest(sender=Sender(vm="x"))
-                exc = await self.fails(client.follow, request, 0.3, lambda event: None)
-            self.assertThat(str(exc), Contains("Timeout"))
-
-        self.with_pair(check)
+    @run_with("with_pair")
+    async def test_summaries_reach_the_handler_of_their_topic(self, running, a, b):
+        b.follower.add_topic("demand", lambda vm, data: vm.encode() + data[::-1])
+        topics = {"demand": b"\x00\x01", "unknown": b""}
+        answer = await a.follower.exchange("b", topics)
+        self.assertThat(answer, Equals({"demand": b"a\x01\x00"}))
+        await self.fails(PeerError, a.follower.exchange, "nobody", topics)
+
+    @run_with("with_pair")
+    async def test_failing_handler_and_malformed_message_end_only_their_call(
+        self, running, a, b
+    ):
+        b.follower.add_topic("demand", mock.Mock(side_effect=ValueError("bad")))
+        await self.fails(PeerError, a.follower.exchange, "b", {"demand": b""})
+        client = PeerClient(b.vm.control, 2.0)
+        target = "foxtailcourse.control._client.encode_message"
+        with mock.patch(target, lambda message: b"\xc1 nonsense"):
+            request = SnapshotRequest(sender=Sender(vm="a"))
+            await self.fails(PeerError, client.snapshot, request)
+            await self.fails(PeerError, client.follow, request, 5.0, lambda event: None)
+        self.assertTrue((await client.snapshot(request)).sender.ready)
+
+    @run_with("with_pair")
+    async def test_unreachable_peer_is_an_error_within_the_timeout(self, running, a, b):
+        client = PeerClient(UNUSED, 0.5)
+        await self.fails(
+            PeerError, client.snapshot, SnapshotRequest(sender=Sender(vm="a"))
+        )
+
+    @run_with("with_pair")
+    async def test_silent_peer_is_left(self, running, a, b):
+        client = PeerClient(b.vm.control, 2.0)
+        with mock.patch.object(b.follower._server, "publish"):
+            request = FollowRequest(sender=Sender(vm="x"))
+            exc = await self.fails(
+                PeerError, client.follow, request, 0.3, lambda event: None
+            )
+        self.assertThat(str(exc), Contains("Timeout"))
--- a/tests/ctl/test_operator.py
+++ b/tests/ctl/test_operator.py
@@ -1,4 +1,4 @@
-import secrets
+import random
 from unittest import mock
 
 import trio
@@ -12,7 +12,7 @@
 from foxtailcourse.ctl._wait import wait_in_force
 from foxtailcourse.http import ConnectionPool
 from foxtailcourse.platform import KeyValueClient, PlatformError
-from support import AsyncTestCase
+from support import AsyncTestCase, run_with
 
 
 def contract_text(share, generation=0):
@@ -25,8 +25,7 @@
     def with_operator(self, check, **options):
         async def main():
             async with cluster() as running:
-                yield_to = self.make_operator(running, **options)
-                await check(running, yield_to)
+                await check(running, self.make_operator(running, **options))
 
         self.run_async(main)
 
@@ -42,13 +41,10 @@
         options = {"dry_run": False, "wait_s": 0.0} | options
         return await apply_parsed(operator, parsed, **options)
 
-    async def fails(self, code, call, *args, **kwargs):
-        try:
-            await call(*args, **kwargs)
-        except CtlError as exc:
-            self.assertThat(exc.code, Equals(code))
-            return exc
-        self.fail(f"expected exit code {code!r}")
+    async def ends_with(self, code, call, *args):
+        exc = await self.fails(CtlError, call, *args)
+        self.assertThat(exc.code, Equals(code))
+        return exc
 
 
 class TestOperatorRace(OperatorTestCase):
@@ -66,91 +62,86 @@
         with mock.patch.object(operator, "write", late):
             return await self.apply(operator, 2.0)
 
-    def test_loser_of_a_race_gets_a_conflict_with_the_difference(self):
-        async def check(running, operator):
-            running.platform.seed([contract(1, 1.0)])
-            exc = await self.fails(ExitCode.CONFLICT, self.race, running, operator)
-            fields = {each["field"]: each for each in exc.details["difference"]}
-            self.assertThat(fields["share"]["old"], Equals(7.0))
-            self.assertThat(fields["share"]["new"], Equals(2.0))
-
-        self.with_operator(check)
-
-    def test_without_the_comparison_a_race_overwrites(self):
+    @run_with("with_operator")
+    async def test_loser_of_a_race_gets_a_conflict_with_the_difference(
+        self, running, operator
+    ):
+        running.platform.seed([contract(1, 1.0)])
+        exc = await self.ends_with(ExitCode.CONFLICT, self.race, running, operator)
+        fields = {each["field"]: each for each in exc.details["difference"]}
+        self.assertThat(fields["share"]["old"], Equals(7.0))
+        self.assertThat(fields["share"]["new"], Equals(2.0))
+
+    @run_with("with_operator")
+    async def test_without_the_comparison_a_race_overwrites(self, running, operator):
         """Shows that the test above depends on the compare-and-swap."""
         txn = KeyValueClient.txn
 
         async def blind(client, compare, put):
             return await txn(client, {}, put)
 
-        async def check(running, operator):
-            with mock.patch.object(KeyValueClient, "txn", blind):
-                await self.race(running, operator)
-            state = (await operator.current(["contracts/teatro"])).popitem()[1]
-            self.assertThat(state.body["share"], Equals(2.0))
-
-        self.with_operator(check)
-
-    def test_many_racing_operators_lose_no_accepted_change(self):
-        async def check(running, operator):
-            accepted = []
-
-            async def work():
-                own = self.make_operator(running)
-                for _ in range(5):
-                    share = 1 + secrets.randbelow(10**6)
-                    try:
-                        result = await self.apply(own, share)
-                    except CtlError as exc:
-                        self.assertThat(exc.code, Equals(ExitCode.CONFLICT))
-                    else:
-                        accepted.append(result.value["generations"]["contracts/teatro"])
-
-            async with trio.open_nursery() as nursery:
-                for _ in range(4):
-                    nursery.start_soon(work)
-            self.assertThat(sorted(accepted), Equals(list(range(1, len(accepted) + 1))))
-
-        self.with_operator(check)
-
-    def test_file_made_from_an_older_generation_is_a_conflict(self):
-        async def check(running, operator):
-            running.platform.seed([contract(1, 1.0)])
-            text = (await get_contract(operator, "teatro")).lines[0]
-            self.assertThat(text, Contains("generation = 1"))
-            await self.apply(operator, 3.0)
-            await self.fails(ExitCode.CONFLICT, self.apply, operator, 2.0, 1)
-
-        self.with_operator(check)
+        with mock.patch.object(KeyValueClient, "txn", blind):
+            await self.race(running, operator)
+        state = (await operator.current(["contracts/teatro"])).popitem()[1]
+        self.assertThat(state.body["share"], Equals(2.0))
+
+    @run_with("with_operator")
+    async def test_many_racing_operators_lose_no_accepted_change(
+        self, running, operator
+    ):
+        accepted = []
+        rng = random.Random(1)
+
+        async def work():
+            own = self.make_operator(running)
+            for _ in range(5):
+                share = rng.uniform(1, 10**6)
+                try:
+                    result = await self.apply(own, share)
+                except CtlError as exc:
+                    self.assertThat(exc.code, Equals(ExitCode.CONFLICT))
+                else:
+                    accepted.append(result.value["generations"]["contracts/teatro"])
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(work)
+        self.assertThat(sorted(accepted), Equals(list(range(1, len(accepted) + 1))))
+
+    @run_with("with_operator")
+    async def test_file_made_from_an_older_generation_is_a_conflict(
+        self, running, operator
+    ):
+        running.platform.seed([contract(1, 1.0)])
+        text = (await get_contract(operator, "teatro")).lines[0]
+        self.assertThat(text, Contains("generation = 1"))
+        await self.apply(operator, 3.0)
+        await self.ends_with(ExitCode.CONFLICT, self.apply, operator, 2.0, 1)
 
 
 class TestLostAnswer(OperatorTestCase):
     """Guards against a write reported as failed, or made twice."""
 
-    def test_lost_answer_is_settled_by_the_write_id(self):
-        async def check(running, operator):
-            running.platform.faults.lose_answers = 2
-            result = await self.apply(operator, 2.0)
-            held = running.platform.get("contracts/teatro")
-            self.assertThat(result.value["revision"], Equals(held.mod_revision))
-            self.assertThat(
-                result.value["generations"], Equals({"contracts/teatro": 1})
-            )
-
-        self.with_operator(check)
-
-    def test_without_the_write_id_the_operator_sees_a_false_conflict(self):
+    @run_with("with_operator")
+    async def test_lost_answer_is_settled_by_the_write_id(self, running, operator):
+        running.platform.faults.lose_answers = 2
+        result = await self.apply(operator, 2.0)
+        held = running.platform.get("contracts/teatro")
+        self.assertThat(result.value["revision"], Equals(held.mod_revision))
+        self.assertThat(result.value["generations"], Equals({"contracts/teatro": 1}))
+
+    @run_with("with_operator")
+    async def test_without_the_write_id_the_operator_sees_a_false_conflict(
+        self, running, operator
+    ):
         """Shows that the test above depends on the comparison of write_id."""
+        running.platform.faults.lose_answers = 1
+        target = "foxtailcourse.ctl._operator._own_revision"
+        with mock.patch(target, lambda result, write_id: 0):
+            await self.ends_with(ExitCode.CONFLICT, self.apply, operator, 2.0)
 
-        async def check(running, operator):
-            running.platform.faults.lose_answers = 1
-            target = "foxtailcourse.ctl._operator._own_revision"
-            with mock.patch(target, lambda result, write_id: 0):
-                await self.fails(ExitCode.CONFLICT, self.apply, operator, 2.0)
-
-        self.with_operator(check)
-
-    def test_delayed_copy_of_a_write_has_no_effect(self):
+    @run_with("with_operator")
+    async def test_delayed_copy_of_a_write_has_no_effect(self, running, operator):
         """The first copy arrives after the repetition took effect."""
         txn = KeyValueClient.txn
         delayed = []
@@ -161,58 +152,57 @@
                 raise PlatformError("timed out", may_have_applied=True)
             return await txn(client, compare, put)
 
-        async def check(running, operator):
-            with mock.patch.object(KeyValueClient, "txn", delay_first):
-                result = await self.apply(operator, 2.0)
-            compare, put = delayed[0]
-            late = await operator.key_value.txn(compare, put)
-            self.assertFalse(late.succeeded)
-            held = running.platform.get("contracts/teatro")
-            self.assertThat(result.value["revision"], Equals(held.mod_revision))
-
-        self.with_operator(check)
-
-    def test_replaced_write_of_unknown_outcome_is_not_called_a_conflict(self):
-        async def check(running, operator):
-            running.platform.faults.lose_answers = 1
-            other = self.make_operator(running)
-            txn = operator.key_value.txn
-
-            async def overtaken(*args):
-                try:
-                    return await txn(*args)
-                except PlatformError:
-                    await self.apply(other, 9.0)
-                    raise
+        with mock.patch.object(KeyValueClient, "txn", delay_first):
+            result = await self.apply(operator, 2.0)
+        compare, put = delayed[0]
+        late = await operator.key_value.txn(compare, put)
+        self.assertFalse(late.succeeded)
+        held = running.platform.get("contracts/teatro")
+        self.assertThat(result.value["revision"], Equals(held.mod_revision))
+
+    @run_with("with_operator")
+    async def test_replaced_write_of_unknown_outcome_is_not_called_a_conflict(
+        self, running, operator
+    ):
+        running.platform.faults.lose_answers = 1
+        other = self.make_operator(running)
+        txn = operator.key_value.txn
 
-            with mock.patch.object(operator.key_value, "txn", overtaken):
-                await self.fails(ExitCode.UNKNOWN_OUTCOME, self.apply, operator, 2.0)
+        async def overtaken(*args):
+            try:
+                return await txn(*args)
+            except PlatformError:
+                await self.apply(other, 9.0)
+                raise
 
-        self.with_operator(check)
+        with mock.patch.object(operator.key_value, "txn", overtaken):
+            await self.ends_with(ExitCode.UNKNOWN_OUTCOME, self.apply, operator, 2.0)
 
 
 class TestOutage(OperatorTestCase):
     """Guards the operator's knowledge while the platform is down."""
 
-    def test_outage_that_ends_delays_an_apply(self):
-        async def check(running, operator):
-            async def end():
-                await wait_until(lambda: running.platform.calls["POST /kv/txn"] > 1)
-                running.platform.faults.outage = "off"
+    async def apply_in_outage(self, running, operator, outage):
+        """Apply a contract; the outage begins between the reading and the write."""
+        write = operator.write
 
-            write = operator.write
+        async def in_outage(*args):
+            running.platform.faults.outage = outage
+            return await write(*args)
 
-            async def in_outage(*args):
-                running.platform.faults.outage = "refuse"
-                return await write(*args)
+        with mock.patch.object(operator, "write", in_outage):
+            return await self.apply(operator, 2.0)
 
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(end)
-                with mock.patch.object(operator, "write", in_outage):
-                    result = await self.apply(operator, 2.0)
-            self.assertTrue(result.value["changed"])
+    @run_with("with_operator")
+    async def test_outage_that_ends_delays_an_apply(self, running, operator):
+        async def end():
+            await wait_until(lambda: running.platform.calls["POST /kv/txn"] > 1)
+            running.platform.faults.outage = "off"
 
-        self.with_operator(check)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end)
+            result = await self.apply_in_outage(running, operator, "refuse")
+        self.assertTrue(result.value["changed"])
 
     def test_exit_codes_tell_refused_from_unanswered(self):
         for outage, code in (
@@ -221,14 +211,8 @@
         ):
 
             async def check(running, operator, outage=outage, code=code):
-                write = operator.write
-
-                async def in_outage(*args):
-                    running.platform.faults.outage = outage
-                    return await write(*args)
-
-                with mock.patch.object(operator, "write", in_outage):
-                    await self.fails(code, self.apply, operator, 2.0)
+                call = self.apply_in_outage
+                await self.ends_with(code, call, running, operator, outage)
                 self.assertIsNone(running.platform.get("contracts/teatro"))
 
             self.with_operator(check, command_timeout_s=0.3, call_timeout_s=0.1)
@@ -246,55 +230,48 @@
         running.platform.restore(old)
         return process
 
-    def test_generation_is_above_those_of_the_processes(self):
-        async def check(running, operator):
-            await self.restore(running)
-            result = await self.apply(operator, 5.0)
-            generation = result.value["generations"]["contracts/teatro"]
-            self.assertThat(generation, Equals(4))
-            await running.all_have(5.0)
-
-        self.with_operator(check)
-
-    def test_without_asking_the_processes_the_change_is_not_in_force(self):
+    @run_with("with_operator")
+    async def test_generation_is_above_those_of_the_processes(self, running, operator):
+        await self.restore(running)
+        result = await self.apply(operator, 5.0)
+        generation = result.value["generations"]["contracts/teatro"]
+        self.assertThat(generation, Equals(4))
+        await running.all_have(5.0)
+
+    @run_with("with_operator")
+    async def test_without_asking_the_processes_the_change_is_not_in_force(
+        self, running, operator
+    ):
         """Shows that the test above depends on the processes' generations."""
-
-        async def check(running, operator):
-            await self.restore(running)
-            with mock.patch.object(operator, "_held") as held:
-                held.return_value.records = ()
-                await self.apply(operator, 5.0)
-            revision = running.platform.get("contracts/teatro").mod_revision
-            await self.fails(ExitCode.FAILED, wait_in_force, operator, revision, 0.5)
-
-        self.with_operator(check)
+        await self.restore(running)
+        with mock.patch.object(operator, "_held") as held:
+            held.return_value.records = ()
+            await self.apply(operator, 5.0)
+        revision = running.platform.get("contracts/teatro").mod_revision
+        await self.ends_with(ExitCode.FAILED, wait_in_force, operator, revision, 0.5)
 
 
 class TestWait(OperatorTestCase):
     """Guards against a change that is called in force too early."""
 
-    def test_wait_follows_all_processes(self):
-        async def check(running, operator):
-            for name in "abc":
-                await running.start(name)
-            await running.settled(3)
-            result = await self.apply(operator, 4.0, wait_s=20.0)
-            self.assertThat(result.value["in_force"]["processes"], Equals(3))
-            shares = [each.share() for each in running.processes.values()]
-            self.assertThat(shares, Equals([4.0] * 3))
-
-        self.with_operator(check)
-
-    def test_stopped_process_is_named(self):
-        async def check(running, operator):
-            for name in "ab":
-                await running.start(name)
-            await running.settled(2)
-            await running.stop("b", listed=True)
-            exc = await self.fails(
-                ExitCode.UNREACHABLE, wait_in_force, operator, None, 0.3
-            )
-            self.assertThat(exc.details["lines"], HasLength(1))
-            self.assertThat(exc.details["behind"], Contains("b"))
-
-        self.with_operator(check)
+    @run_with("with_operator")
+    async def test_wait_follows_all_processes(self, running, operator):
+        for name in "abc":
+            await running.start(name)
+        await running.settled(3)
+        result = await self.apply(operator, 4.0, wait_s=20.0)
+        self.assertThat(result.value["in_force"]["processes"], Equals(3))
+        shares = [each.share() for each in running.processes.values()]
+        self.assertThat(shares, Equals([4.0] * 3))
+
+    @run_with("with_operator")
+    async def test_stopped_process_is_named(self, running, operator):
+        for name in "ab":
+            await running.start(name)
+        await running.settled(2)
+        await running.stop("b", listed=True)
+        exc = await self.ends_with(
+            ExitCode.UNREACHABLE, wait_in_force, operator, None, 0.3
+        )
+        self.assertThat(exc.details["lines"], HasLength(1))
+        self.assertThat(exc.details["behind"], Contains("b"))
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -11,7 +11,7 @@
     RevisionGoneError,
 )
 from foxtailcourse.standin._platform import PlatformStandin
-from support import AsyncTestCase
+from support import AsyncTestCase, run_with
 
 
 class TestKeyValueClient(AsyncTestCase):
@@ -28,49 +28,40 @@
 
         self.run_async(main)
 
-    async def fails(self, kind, call, *args):
-        try:
-            await call(*args)
-        except kind as exc:
-            return exc
-        self.fail(f"expected {kind}")
-
-    def test_compare_and_swap_is_all_or_none(self):
-        async def check(platform, client, now):
-            first = await client.txn({"a": 0}, [Put(key="a", value=b"1")])
-            puts = [Put(key="a", value=b"2"), Put(key="b", value=b"2")]
-            lost = await client.txn({"a": 0, "b": 0}, puts)
-            self.assertFalse(lost.succeeded)
-            self.assertThat(lost.current[0].value, Equals(b"1"))
-            self.assertIsNone(platform.get("b"))
-            won = await client.txn({"a": first.revision}, puts, ["c"])
-            self.assertTrue(won.succeeded)
-            self.assertThat((await client.range("b")).items[0].value, Equals(b"2"))
-
-        self.with_client(check)
-
-    def test_lapsed_lease_deletes_its_key_and_tells_the_watcher(self):
-        async def check(platform, client, now):
-            lease = await client.lease_grant(1.0)
-            put = Put(key="slots/0", value=b"a", lease=lease)
-            first = await client.txn({"slots/0": 0}, [put])
-            now[0] = 0.9
-            await client.lease_keepalive(lease)
-            now[0] = 1.5
-            self.assertTrue(platform.get("slots/0"))
-            now[0] = 2.0
-            await self.fails(LeaseLostError, client.lease_keepalive, lease)
-            seen = await client.watch(["slots/"], first.revision, 5.0)
-            self.assertThat([each.value for each in seen.events], Equals([None]))
-            exc = await self.fails(LeaseLostError, client.txn, {}, [put])
-            self.assertFalse(exc.may_have_applied)
-            again = Put(key="slots/0", value=b"b", lease=await client.lease_grant(1.0))
-            second = await client.txn({"slots/0": 0}, [again])
-            self.assertTrue(second.succeeded and second.revision > first.revision)
-            await client.lease_revoke(again.lease)
-            self.assertIsNone(platform.get("slots/0"))
-
-        self.with_client(check)
+    @run_with("with_client")
+    async def test_compare_and_swap_is_all_or_none(self, platform, client, now):
+        first = await client.txn({"a": 0}, [Put(key="a", value=b"1")])
+        puts = [Put(key="a", value=b"2"), Put(key="b", value=b"2")]
+        lost = await client.txn({"a": 0, "b": 0}, puts)
+        self.assertFalse(lost.succeeded)
+        self.assertThat(lost.current[0].value, Equals(b"1"))
+        self.assertIsNone(platform.get("b"))
+        won = await client.txn({"a": first.revision}, puts, ["c"])
+        self.assertTrue(won.succeeded)
+        self.assertThat((await client.range("b")).items[0].value, Equals(b"2"))
+
+    @run_with("with_client")
+    async def test_lapsed_lease_deletes_its_key_and_tells_the_watcher(
+        self, platform, client, now
+    ):
+        lease = await client.lease_grant(1.0)
+        put = Put(key="slots/0", value=b"a", lease=lease)
+        first = await client.txn({"slots/0": 0}, [put])
+        now[0] = 0.9
+        await client.lease_keepalive(lease)
+        now[0] = 1.5
+        self.assertTrue(platform.get("slots/0"))
+        now[0] = 2.0
+        await self.fails(LeaseLostError, client.lease_keepalive, lease)
+        seen = await client.watch(["slots/"], first.revision, 5.0)
+        self.assertThat([each.value for each in seen.events], Equals([None]))
+        exc = await self.fails(LeaseLostError, client.txn, {}, [put])
+        self.assertFalse(exc.may_have_applied)
+        again = Put(key="slots/0", value=b"b", lease=await client.lease_grant(1.0))
+        second = await client.txn({"slots/0": 0}, [again])
+        self.assertTrue(second.succeeded and second.revision > first.revision)
+        await client.lease_revoke(again.lease)
+        self.assertIsNone(platform.get("slots/0"))
 
     def test_errors_say_whether_a_write_may_have_applied(self):
         async def check(platform, client, now):
@@ -92,30 +83,26 @@
 
         self.with_client(check, timeout_s=0.2)
 
-    def test_watch_shows_restores_and_compaction(self):
-        async def check(platform, client, now):
-            old = platform.put("a", b"1")
-            new = platform.put("a", b"2")
-            platform.restore(old)
-            result = await client.watch(["a"], new, 5.0)
-            self.assertThat(result.revision, Equals(old))
-            self.assertThat((await client.range("a")).items[0].value, Equals(b"1"))
-            platform._compacted = old
-            await self.fails(RevisionGoneError, client.watch, ["a"], old - 1, 5.0)
-
-        self.with_client(check)
-
-    def test_restore_ends_a_waiting_watch(self):
-        async def check(platform, client, now):
-            async def restore():
-                while platform.calls["GET /kv/watch"] == 0:
-                    await trio.sleep(0.002)
-                platform.restore(platform.revision)
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(restore)
-                await self.fails(
-                    PlatformError, client.watch, ["a"], platform.revision, 30.0
-                )
-
-        self.with_client(check)
+    @run_with("with_client")
+    async def test_watch_shows_restores_and_compaction(self, platform, client, now):
+        old = platform.put("a", b"1")
+        new = platform.put("a", b"2")
+        platform.restore(old)
+        result = await client.watch(["a"], new, 5.0)
+        self.assertThat(result.revision, Equals(old))
+        self.assertThat((await client.range("a")).items[0].value, Equals(b"1"))
+        platform._compacted = old
+        await self.fails(RevisionGoneError, client.watch, ["a"], old - 1, 5.0)
+
+    @run_with("with_client")
+    async def test_restore_ends_a_waiting_watch(self, platform, client, now):
+        async def restore():
+            while platform.calls["GET /kv/watch"] == 0:
+                await trio.sleep(0.002)
+            platform.restore(platform.revision)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(restore)
+            await self.fails(
+                PlatformError, client.watch, ["a"], platform.revision, 30.0
+            )
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,5 +1,6 @@
 """Shared base classes of the tests."""
 
+import functools
 from collections.abc import Awaitable, Callable
 
 import testtools
@@ -19,3 +20,27 @@
                 await main()
 
         trio.run(bounded)
+
+    async def fails(self, kind: type, call: Callable, *args: object) -> Exception:
+        """Return the error of the given type that a call must raise."""
+        try:
+            await call(*args)
+        except kind as exc:
+            return exc
+        self.fail(f"expected {kind}")
+
+
+def run_with(method: str) -> Callable[[Callable[..., Awaitable[None]]], Callable]:
+    """Turn a coroutine test into a test that a method of its class runs.
+
+    The method takes a coroutine function and passes it what the test works on.
+    """
+
+    def decorate(test: Callable[..., Awaitable[None]]) -> Callable:
+        @functools.wraps(test)
+        def run(self: testtools.TestCase) -> None:
+            getattr(self, method)(functools.partial(test, self))
+
+        return run
+
+    return decorate
