Write async tests as methods

Change: decorators served and run_trio in tests/support.py; no test was removed or weakened. With the lease check and the fence removed from the source, exactly the four tests that guard them fail.

--- a/tests/agent/test_agent_chat.py
+++ b/tests/agent/test_agent_chat.py
@@ -13,7 +13,7 @@
     start_engine,
     until,
 )
-from support import AsyncTestCase
+from support import AsyncTestCase, served
 
 PROMPT = prompt_text(MESSAGES)
 
@@ -32,79 +32,71 @@
 
         self.run_async(main)
 
-    def test_stream_is_whole_numbered_and_ended(self):
-        async def check(address, agent, engine):
-            answer = await chat(address)
-            *tokens, end = answer.events()
-            self.assertThat([e.id for e in tokens], Equals([str(i) for i in range(16)]))
-            self.assertThat(answer.text(), Equals(answer_text(PROMPT, 16, "v1")))
-            self.assertThat(end.event, Equals("end"))
-            expected = {"count": 16, "attempt_id": "a1"}
-            self.assertThat(msgspec.json.decode(end.data), Equals(expected))
-            incarnation = answer.headers["foxtail-engine-incarnation"]
-            self.assertThat(incarnation, Equals(engine.incarnation))
-
-        self.serve(check)
-
-    def test_whole_answer(self):
-        async def check(address, agent, engine):
-            answer = await chat(address, stream=False)
-            content = answer.json()["choices"][0]["message"]["content"]
-            self.assertThat(content, Equals(answer_text(PROMPT, 16, "v1")))
-            self.assertThat(answer.headers["foxtail-verdict"], Equals("ran"))
-
-        self.serve(check)
-
-    def test_resumed_stream_continues_at_the_position(self):
-        async def check(address, agent, engine):
-            attempt = make_attempt(resume_from=6)
-            answer = await chat(address, attempt)
-            whole = answer_text(PROMPT, 16, "v1")
-            self.assertThat(answer.text(), Equals(whole[6 * 9 :]))
-
-        self.serve(check)
-
-    def test_second_prompt_is_matched_and_cached(self):
-        async def check(address, agent, engine):
-            keys = tuple(bytes([i]) * 16 for i in range(3))
-            first = make_attempt("a1", prefix_keys=keys, cache_salt="00")
-            second = make_attempt("a2", prefix_keys=keys, cache_salt="00")
-            await chat(address, first)
-            answer = await chat(address, second)
-            self.assertThat(answer.headers["foxtail-matched-blocks"], Equals("3"))
-            self.assertThat(answer.headers["foxtail-cached-tokens"], Equals("48"))
-
-        self.serve(check)
-
-    def test_caller_gone_cancels_at_the_engine(self):
-        async def check(address, agent, engine):
-            with trio.move_on_after(0.05):
-                await chat(address, max_tokens=100_000)
-            await until(lambda: agent.context.scheduler.queue.running == 0)
-            await until(lambda: not engine.busy)
-            self.assertThat(engine.completed, Equals(0))
-
-        self.serve(check)
-
-    def test_leaving_draining_deadline_and_version_are_refused_not_run(self):
-        async def check(address, agent, engine):
-            answers = [
-                await chat(address, make_attempt(deadline_ms=0)),
-                await chat(address, make_attempt(weights_version="v0")),
-            ]
-            record = make_record("backends/palermo-1", leaving=True)
-            agent.context.store.merge([record])
-            answers.append(await chat(address))
-            record = make_record("backends/palermo-1", 2, leaving=False)
-            agent.context.store.merge([record])
-            agent.stop()
-            answers.append(await chat(address))
-            for answer in answers:
-                self.assertThat(answer.headers["foxtail-verdict"], Equals("not-run"))
-                self.assertThat(answer.headers["foxtail-attempt-id"], Equals("a1"))
-            codes = [each.json()["error"]["code"] for each in answers]
-            expected = ["deadline", "weights_version", "leaving", "leaving"]
-            self.assertThat(codes, Equals(expected))
-            self.assertThat(engine.completed, Equals(0))
-
-        self.serve(check)
+    @served()
+    async def test_stream_is_whole_numbered_and_ended(self, address, agent, engine):
+        answer = await chat(address)
+        *tokens, end = answer.events()
+        self.assertThat([e.id for e in tokens], Equals([str(i) for i in range(16)]))
+        self.assertThat(answer.text(), Equals(answer_text(PROMPT, 16, "v1")))
+        self.assertThat(end.event, Equals("end"))
+        expected = {"count": 16, "attempt_id": "a1"}
+        self.assertThat(msgspec.json.decode(end.data), Equals(expected))
+        incarnation = answer.headers["foxtail-engine-incarnation"]
+        self.assertThat(incarnation, Equals(engine.incarnation))
+
+    @served()
+    async def test_whole_answer(self, address, agent, engine):
+        answer = await chat(address, stream=False)
+        content = answer.json()["choices"][0]["message"]["content"]
+        self.assertThat(content, Equals(answer_text(PROMPT, 16, "v1")))
+        self.assertThat(answer.headers["foxtail-verdict"], Equals("ran"))
+
+    @served()
+    async def test_resumed_stream_continues_at_the_position(
+        self, address, agent, engine
+    ):
+        attempt = make_attempt(resume_from=6)
+        answer = await chat(address, attempt)
+        whole = answer_text(PROMPT, 16, "v1")
+        self.assertThat(answer.text(), Equals(whole[6 * 9 :]))
+
+    @served()
+    async def test_second_prompt_is_matched_and_cached(self, address, agent, engine):
+        keys = tuple(bytes([i]) * 16 for i in range(3))
+        first = make_attempt("a1", prefix_keys=keys, cache_salt="00")
+        second = make_attempt("a2", prefix_keys=keys, cache_salt="00")
+        await chat(address, first)
+        answer = await chat(address, second)
+        self.assertThat(answer.headers["foxtail-matched-blocks"], Equals("3"))
+        self.assertThat(answer.headers["foxtail-cached-tokens"], Equals("48"))
+
+    @served()
+    async def test_caller_gone_cancels_at_the_engine(self, address, agent, engine):
+        with trio.move_on_after(0.05):
+            await chat(address, max_tokens=100_000)
+        await until(lambda: agent.context.scheduler.queue.running == 0)
+        await until(lambda: not engine.busy)
+        self.assertThat(engine.completed, Equals(0))
+
+    @served()
+    async def test_leaving_draining_deadline_and_version_are_refused_not_run(
+        self, address, agent, engine
+    ):
+        answers = [
+            await chat(address, make_attempt(deadline_ms=0)),
+            await chat(address, make_attempt(weights_version="v0")),
+        ]
+        record = make_record("backends/palermo-1", leaving=True)
+        agent.context.store.merge([record])
+        answers.append(await chat(address))
+        record = make_record("backends/palermo-1", 2, leaving=False)
+        agent.context.store.merge([record])
+        agent.stop()
+        answers.append(await chat(address))
+        for answer in answers:
+            self.assertThat(answer.headers["foxtail-verdict"], Equals("not-run"))
+            self.assertThat(answer.headers["foxtail-attempt-id"], Equals("a1"))
+        codes = [each.json()["error"]["code"] for each in answers]
+        expected = ["deadline", "weights_version", "leaving", "leaving"]
+        self.assertThat(codes, Equals(expected))
+        self.assertThat(engine.completed, Equals(0))
--- a/tests/agent/test_agent_entry.py
+++ b/tests/agent/test_agent_entry.py
@@ -6,7 +6,7 @@
 from foxtailcourse.http import SseParser
 from foxtailcourse.standin import BUSINESS_KEY, answer_text, prompt_text
 from standins import make_agent, start_agent, start_engine, start_service, until
-from support import AsyncTestCase
+from support import AsyncTestCase, run_trio
 
 MESSAGES = [{"role": "user", "content": "ciao"}]
 TOKENS = 120
@@ -74,24 +74,22 @@
     def test_weights_change_in_a_stream_continues_on_the_old_version(self):
         self.check_stream_survives(lambda engine: engine.replace_weights("v2"))
 
-    def test_keyed_call_runs_once_through_the_entry(self):
-        async def main():
-            async with trio.open_nursery() as nursery:
-                service, backend = await start_service(nursery, route="coats")
-                agent = make_agent(backend, "service", serves="coats")
-                await start_agent(nursery, agent)
-                async with running_entry([ListedAgent(agent, "coats")]) as entry:
-                    order = {"route": "coats"}
-                    _, _, body = await entry.call("POST", "/v1/idempotency-keys", order)
-                    fields = {"idempotency_key": msgspec.json.decode(body)["key"]}
-                    fields[BUSINESS_KEY.replace("-", "_")] = "coat-17"
-                    for _ in range(2):
-                        status, _, body = await entry.call(
-                            "POST", "/services/coats/return", {}, **fields
-                        )
-                        self.assertThat(status, Equals(200))
-                        self.assertThat(msgspec.json.decode(body)["run"], Equals(1))
-                self.assertThat(service.runs["coat-17"], Equals(1))
-                nursery.cancel_scope.cancel()
-
-        self.run_async(main)
+    @run_trio
+    async def test_keyed_call_runs_once_through_the_entry(self):
+        async with trio.open_nursery() as nursery:
+            service, backend = await start_service(nursery, route="coats")
+            agent = make_agent(backend, "service", serves="coats")
+            await start_agent(nursery, agent)
+            async with running_entry([ListedAgent(agent, "coats")]) as entry:
+                order = {"route": "coats"}
+                _, _, body = await entry.call("POST", "/v1/idempotency-keys", order)
+                fields = {"idempotency_key": msgspec.json.decode(body)["key"]}
+                fields[BUSINESS_KEY.replace("-", "_")] = "coat-17"
+                for _ in range(2):
+                    status, _, body = await entry.call(
+                        "POST", "/services/coats/return", {}, **fields
+                    )
+                    self.assertThat(status, Equals(200))
+                    self.assertThat(msgspec.json.decode(body)["run"], Equals(1))
+            self.assertThat(service.runs["coat-17"], Equals(1))
+            nursery.cancel_scope.cancel()
--- a/tests/agent/test_agent_failures.py
+++ b/tests/agent/test_agent_failures.py
@@ -16,7 +16,7 @@
     start_engine,
     until,
 )
-from support import AsyncTestCase
+from support import AsyncTestCase, served
 
 PROMPT = prompt_text(MESSAGES)
 WHOLE = answer_text(PROMPT, 16, "v1")
@@ -64,43 +64,37 @@
         self.assertThat(answer.headers["foxtail-cached-tokens"], Equals("0"))
         return matched(answer)
 
-    def test_crash_between_events_empties_the_index(self):
-        async def check(address):
-            self.assertThat(await self.crash_and_repeat(address), Equals(0))
-
-        self.serve(check)
+    @served()
+    async def test_crash_between_events_empties_the_index(self, address):
+        self.assertThat(await self.crash_and_repeat(address), Equals(0))
 
-    def test_without_the_drop_dead_blocks_are_matched(self):
-        async def check(address):
-            self.remove(BlockIndex, "_drop", lambda index: None)
-            self.assertThat(await self.crash_and_repeat(address), Equals(3))
+    @served()
+    async def test_without_the_drop_dead_blocks_are_matched(self, address):
+        self.remove(BlockIndex, "_drop", lambda index: None)
+        self.assertThat(await self.crash_and_repeat(address), Equals(3))
 
-        self.serve(check)
-
-    def test_crash_in_a_stream_is_an_explicit_error(self):
-        async def check(address):
-            answers = []
+    @served()
+    async def test_crash_in_a_stream_is_an_explicit_error(self, address):
+        answers = []
 
-            async def read():
-                answers.append(await chat(address, max_tokens=1000))
-
-            async def main():
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(read)
-                    await until(lambda: self.agent.context.scheduler.queue.running)
-                    await trio.sleep(0.05)
-                    self.engine.crash()
+        async def read():
+            answers.append(await chat(address, max_tokens=1000))
 
-            try:
-                await main()
-            except* ClientError:
-                pass  # the agent closes the connection without a clean end
-            self.assertThat(answers, Equals([]))
-            names = [each.name for each in self.agent.context.events.recent()]
-            self.assertTrue("stream_broken" in names)
-            self.assertThat(self.agent.context.scheduler.queue.running, Equals(0))
+        async def main():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                await until(lambda: self.agent.context.scheduler.queue.running)
+                await trio.sleep(0.05)
+                self.engine.crash()
 
-        self.serve(check)
+        try:
+            await main()
+        except* ClientError:
+            pass  # the agent closes the connection without a clean end
+        self.assertThat(answers, Equals([]))
+        names = [each.name for each in self.agent.context.events.recent()]
+        self.assertTrue("stream_broken" in names)
+        self.assertThat(self.agent.context.scheduler.queue.running, Equals(0))
 
     async def late_events(self, address):
         await chat(address, keyed("a1"))
@@ -114,11 +108,9 @@
         self.assertTrue(late > 0)
         return matched(await chat(address, keyed("a2")))
 
-    def test_late_events_of_the_old_incarnation_are_ignored(self):
-        async def check(address):
-            self.assertThat(await self.late_events(address), Equals(0))
-
-        self.serve(check, event_delay_s=0.5, late_events=True)
+    @served(event_delay_s=0.5, late_events=True)
+    async def test_late_events_of_the_old_incarnation_are_ignored(self, address):
+        self.assertThat(await self.late_events(address), Equals(0))
 
     def test_without_the_incarnation_check_late_events_are_believed(self):
         apply = BlockIndex.apply
@@ -156,11 +148,9 @@
         await until(lambda: index.next_seq >= 5)
         return index.match(chain_keys("teatro", 3), trio.current_time())
 
-    def test_gap_drops_the_index(self):
-        async def check(address):
-            self.assertThat(await self.lose_an_eviction(address), Equals(0))
-
-        self.serve(check, cache_blocks=4)
+    @served(cache_blocks=4)
+    async def test_gap_drops_the_index(self, address):
+        self.assertThat(await self.lose_an_eviction(address), Equals(0))
 
     def test_without_the_gap_check_evicted_blocks_are_matched(self):
         apply = BlockIndex.apply
@@ -182,23 +172,19 @@
 class TestIsolation(FailureTestCase):
     """Guards against state that crosses client accounts or weights versions."""
 
-    def test_identical_prompts_of_two_accounts_share_no_block(self):
-        async def check(address):
-            await chat(address, keyed("a1", "teatro"))
-            answer = await chat(address, keyed("a2", "museo"))
-            self.assertThat(matched(answer), Equals(0))
-            self.assertThat(answer.headers["foxtail-cached-tokens"], Equals("0"))
-
-        self.serve(check)
-
-    def test_without_the_account_in_the_root_blocks_are_shared(self):
-        async def check(address):
-            first, second = keyed("a1", "teatro"), keyed("a2", "teatro")
-            await chat(address, first)
-            answer = await chat(address, second)
-            self.assertThat(matched(answer), Equals(3))
+    @served()
+    async def test_identical_prompts_of_two_accounts_share_no_block(self, address):
+        await chat(address, keyed("a1", "teatro"))
+        answer = await chat(address, keyed("a2", "museo"))
+        self.assertThat(matched(answer), Equals(0))
+        self.assertThat(answer.headers["foxtail-cached-tokens"], Equals("0"))
 
-        self.serve(check)
+    @served()
+    async def test_without_the_account_in_the_root_blocks_are_shared(self, address):
+        first, second = keyed("a1", "teatro"), keyed("a2", "teatro")
+        await chat(address, first)
+        answer = await chat(address, second)
+        self.assertThat(matched(answer), Equals(3))
 
     async def change_weights_in_a_stream(self, address):
         texts = []
@@ -220,22 +206,18 @@
             pass  # the agent closes the connection without a clean end
         return texts
 
-    def test_weights_change_in_a_stream_breaks_it(self):
-        async def check(address):
-            texts = await self.change_weights_in_a_stream(address)
-            self.assertThat(texts, Equals([]))
-
-        self.serve(check)
-
-    def test_without_the_check_a_stream_mixes_versions(self):
-        async def check(address):
-            self.remove(_chat._Relay, "_check", lambda relay, token: None)
-            (text,) = await self.change_weights_in_a_stream(address)
-            whole = [answer_text(PROMPT, 200, each) for each in ("v1", "v2")]
-            self.assertThat(len(text), Equals(len(whole[0])))
-            self.assertTrue(text not in whole)
+    @served()
+    async def test_weights_change_in_a_stream_breaks_it(self, address):
+        texts = await self.change_weights_in_a_stream(address)
+        self.assertThat(texts, Equals([]))
 
-        self.serve(check)
+    @served()
+    async def test_without_the_check_a_stream_mixes_versions(self, address):
+        self.remove(_chat._Relay, "_check", lambda relay, token: None)
+        (text,) = await self.change_weights_in_a_stream(address)
+        whole = [answer_text(PROMPT, 200, each) for each in ("v1", "v2")]
+        self.assertThat(len(text), Equals(len(whole[0])))
+        self.assertTrue(text not in whole)
 
 
 class TestCuts(FailureTestCase):
@@ -264,11 +246,9 @@
         # The agent's polls pass the same cutter, so they are made rare.
         self.serve(check, {"load_poll_s": 30.0}, decode_s_per_token=0.0)
 
-    def test_entry_connection_cut_at_many_bytes(self):
-        async def check(address):
-            async with trio.open_nursery() as nursery:
-                cutter, front = await start_cutter(nursery, address)
-                await self.check_cuts(front, cutter)
-                nursery.cancel_scope.cancel()
-
-        self.serve(check, decode_s_per_token=0.0)
+    @served(decode_s_per_token=0.0)
+    async def test_entry_connection_cut_at_many_bytes(self, address):
+        async with trio.open_nursery() as nursery:
+            cutter, front = await start_cutter(nursery, address)
+            await self.check_cuts(front, cutter)
+            nursery.cancel_scope.cancel()
--- a/tests/agent/test_agent_processes.py
+++ b/tests/agent/test_agent_processes.py
@@ -11,7 +11,7 @@
 from foxtailcourse.http import ClientError
 from foxtailcourse.standin import BUSINESS_KEY, answer_text, prompt_text
 from standins import MESSAGES, call, chat, make_attempt
-from support import AsyncTestCase
+from support import AsyncTestCase, served
 
 pytestmark = pytest.mark.processes
 SERVICE = "services = 127.0.0.1:0 route=counter delay_s={delay_s}\n"
@@ -21,7 +21,7 @@
 
 
 class ProcessTestCase(AsyncTestCase):
-    def run_processes(self, check):
+    def serve(self, check):
         async def main():
             with tempfile.TemporaryDirectory() as folder:
                 async with trio.open_nursery() as nursery:
@@ -58,21 +58,17 @@
         await agent.process.wait()
         return texts
 
-    def test_sigterm_under_load_cuts_no_stream(self):
-        async def check(nursery, folder):
-            texts = await self.stop_under_load(nursery, folder, "")
-            whole = answer_text(PROMPT, TOKENS, "v1")
-            self.assertThat(texts, Equals([whole] * STREAMS))
+    @served()
+    async def test_sigterm_under_load_cuts_no_stream(self, nursery, folder):
+        texts = await self.stop_under_load(nursery, folder, "")
+        whole = answer_text(PROMPT, TOKENS, "v1")
+        self.assertThat(texts, Equals([whole] * STREAMS))
 
-        self.run_processes(check)
-
-    def test_without_the_drain_streams_are_cut(self):
-        async def check(nursery, folder):
-            process = "drain_limit_s = 0"
-            texts = await self.stop_under_load(nursery, folder, process)
-            self.assertThat(texts, Equals([""] * STREAMS))
-
-        self.run_processes(check)
+    @served()
+    async def test_without_the_drain_streams_are_cut(self, nursery, folder):
+        process = "drain_limit_s = 0"
+        texts = await self.stop_under_load(nursery, folder, process)
+        self.assertThat(texts, Equals([""] * STREAMS))
 
 
 class TestAtMostOnce(ProcessTestCase):
@@ -105,103 +101,99 @@
             await when()
             nursery.cancel_scope.cancel()
 
-    def test_agent_killed_within_the_call_and_restarted(self):
-        async def check(nursery, folder):
-            agent, address = await self.start(nursery, folder, delay_s=30.0)
-            key = await self.issue_key(address)
-
-            async def kill():
-                await agent.event("run_started")
-                while not await self.runs():
-                    await trio.sleep(0.01)
-                agent.send(signal.SIGKILL)
-
-            await self.give_up(address, key, kill)
-            _, address = await start_agent_process(nursery, folder, self.addresses)
-            answer = await self.pay(address, key)
-            error = answer.json()["error"]["code"]
-            self.assertThat(error, Equals("key_former_incarnation"))
-            verdict = answer.headers["foxtail-verdict"]
-            self.assertThat(verdict, Equals("may-have-run"))
-            self.assertThat(await self.runs(), Equals(1))
-
-        self.run_processes(check)
-
-    def test_agent_frozen_before_the_call(self):
-        async def check(nursery, folder):
-            agent, address = await self.start(nursery, folder)
-            _, other = await start_agent_process(
-                nursery, folder, self.addresses, vm="palermo-2"
-            )
-            key = await self.issue_key(address)
-
-            async def freeze():
-                await trio.sleep(0.3)
-
+    @served()
+    async def test_agent_killed_within_the_call_and_restarted(self, nursery, folder):
+        agent, address = await self.start(nursery, folder, delay_s=30.0)
+        key = await self.issue_key(address)
+
+        async def kill():
+            await agent.event("run_started")
+            while not await self.runs():
+                await trio.sleep(0.01)
+            agent.send(signal.SIGKILL)
+
+        await self.give_up(address, key, kill)
+        _, address = await start_agent_process(nursery, folder, self.addresses)
+        answer = await self.pay(address, key)
+        error = answer.json()["error"]["code"]
+        self.assertThat(error, Equals("key_former_incarnation"))
+        verdict = answer.headers["foxtail-verdict"]
+        self.assertThat(verdict, Equals("may-have-run"))
+        self.assertThat(await self.runs(), Equals(1))
+
+    @served()
+    async def test_agent_frozen_before_the_call(self, nursery, folder):
+        agent, address = await self.start(nursery, folder)
+        _, other = await start_agent_process(
+            nursery, folder, self.addresses, vm="palermo-2"
+        )
+        key = await self.issue_key(address)
+
+        async def freeze():
+            await trio.sleep(0.3)
+
+        agent.send(signal.SIGSTOP)
+        await self.give_up(address, key, freeze)
+        elsewhere = await self.pay(other, key, "a2")
+        agent.send(signal.SIGCONT)
+        answer = await self.pay(address, key, "a3")
+        self.assertThat(elsewhere.json()["error"]["code"], Equals("key_foreign"))
+        self.assertThat(answer.json()["run"], Equals(1))
+        self.assertThat(await self.runs(), Equals(1))
+
+    @served()
+    async def test_agent_frozen_after_the_call_reached_the_service(
+        self, nursery, folder
+    ):
+        agent, address = await self.start(nursery, folder, delay_s=0.3)
+        key = await self.issue_key(address)
+
+        async def freeze():
+            await agent.event("run_started")
+            while not await self.runs():
+                await trio.sleep(0.01)
             agent.send(signal.SIGSTOP)
-            await self.give_up(address, key, freeze)
-            elsewhere = await self.pay(other, key, "a2")
-            agent.send(signal.SIGCONT)
-            answer = await self.pay(address, key, "a3")
-            self.assertThat(elsewhere.json()["error"]["code"], Equals("key_foreign"))
-            self.assertThat(answer.json()["run"], Equals(1))
-            self.assertThat(await self.runs(), Equals(1))
-
-        self.run_processes(check)
-
-    def test_agent_frozen_after_the_call_reached_the_service(self):
-        async def check(nursery, folder):
-            agent, address = await self.start(nursery, folder, delay_s=0.3)
-            key = await self.issue_key(address)
 
-            async def freeze():
-                await agent.event("run_started")
-                while not await self.runs():
-                    await trio.sleep(0.01)
-                agent.send(signal.SIGSTOP)
-
-            await self.give_up(address, key, freeze)
-            agent.send(signal.SIGCONT)
-            answer = await self.pay(address, key, "a2")
-            self.assertThat(answer.json()["run"], Equals(1))
-            self.assertThat(await self.runs(), Equals(1))
-
-        self.run_processes(check)
+        await self.give_up(address, key, freeze)
+        agent.send(signal.SIGCONT)
+        answer = await self.pay(address, key, "a2")
+        self.assertThat(answer.json()["run"], Equals(1))
+        self.assertThat(await self.runs(), Equals(1))
 
 
 class TestPausedHolder(ProcessTestCase):
     """Guards against an order by an agent that was frozen past its lease."""
 
-    def test_frozen_holder_takes_a_new_slot_before_it_orders(self):
-        async def check(nursery, folder):
-            addresses = await start_standin(nursery, folder, ENGINE)
-            agent, address = await start_agent_process(
-                nursery,
-                folder,
-                addresses,
-                kind="engine",
-                more="[rollout]\nlease_s = 1.0\npoll_s = 0.05\n",
+    @served()
+    async def test_frozen_holder_takes_a_new_slot_before_it_orders(
+        self, nursery, folder
+    ):
+        addresses = await start_standin(nursery, folder, ENGINE)
+        agent, address = await start_agent_process(
+            nursery,
+            folder,
+            addresses,
+            kind="engine",
+            more="[rollout]\nlease_s = 1.0\npoll_s = 0.05\n",
+        )
+        async with trio.open_nursery() as callers:
+            callers.start_soon(partial(chat, address, max_tokens=400))
+            await agent.event("request_started")
+            await put_record(
+                addresses[-1],
+                "models/assistant",
+                model="assistant",
+                weights_version="v2",
+                min_in_service=0,
             )
-            async with trio.open_nursery() as callers:
-                callers.start_soon(partial(chat, address, max_tokens=400))
-                await agent.event("request_started")
-                await put_record(
-                    addresses[-1],
-                    "models/assistant",
-                    model="assistant",
-                    weights_version="v2",
-                    min_in_service=0,
-                )
-                await agent.event("out_of_service")
-                agent.send(signal.SIGSTOP)
-                await trio.sleep(1.5)  # longer than the lease
-                agent.send(signal.SIGCONT)
-            failed = await agent.event("rollout_failed")
-            done = await agent.event("order_done")
-            self.assertTrue("may have expired" in failed.fields["error"])
-            names = [each.name for each in agent.events]
-            order = names.index("rollout_failed") < names.index("order_done")
-            self.assertTrue(order)
-            self.assertTrue(int(done.fields["fencing"]) > 0)
-
-        self.run_processes(check)
+            await agent.event("out_of_service")
+            agent.send(signal.SIGSTOP)
+            await trio.sleep(1.5)  # longer than the lease
+            agent.send(signal.SIGCONT)
+        failed = await agent.event("rollout_failed")
+        done = await agent.event("order_done")
+        self.assertTrue("may have expired" in failed.fields["error"])
+        names = [each.name for each in agent.events]
+        order = names.index("rollout_failed") < names.index("order_done")
+        self.assertTrue(order)
+        self.assertTrue(int(done.fields["fencing"]) > 0)
--- a/tests/agent/test_agent_service.py
+++ b/tests/agent/test_agent_service.py
@@ -16,7 +16,7 @@
     start_service,
     until,
 )
-from support import AsyncTestCase
+from support import AsyncTestCase, served
 
 
 async def issue_key(address, account="teatro"):
@@ -71,71 +71,69 @@
             nursery.start_soon(submit, "a2")
         return key, answers
 
-    def test_duplicates_join_and_get_one_outcome(self):
-        async def check(address, agent, service):
-            key, answers = await self.submit_twice_at_once(address, agent, service)
-            answers.append(await return_coat(address, key, "a3"))
-            self.assertThat([a.json()["run"] for a in answers], Equals([1, 1, 1]))
-            self.assertThat(service.runs["coat-17"], Equals(1))
-
-        self.serve(check, delay_s=0.02)
-
-    def test_without_the_table_duplicates_run_twice(self):
-        async def check(address, agent, service):
-            key = await issue_key(address)
-            for attempt_id in ("a1", "a2"):
-                agent._service.runs.table = OutcomeTable(OutcomeLimits())
-                await return_coat(address, key, attempt_id)
-            self.assertThat(service.runs["coat-17"], Equals(2))
-
-        self.serve(check)
-
-    def test_call_without_a_key_is_refused_unless_repeatable(self):
-        async def check(address, agent, service):
-            refused = await return_coat(address, "")
-            self.assertThat(summary(refused), Equals(("key_required", "not-run")))
-            record = make_record("services/counter", route="counter", repeatable=True)
-            agent.context.store.merge([record])
-            answer = await return_coat(address, "")
-            self.assertThat(summary(answer), Equals(("ok", "ran")))
-
-        self.serve(check)
-
-    def test_foreign_expired_and_reused_keys_are_may_have_run_and_do_not_run(self):
-        async def check(address, agent, service):
-            key = await issue_key(address)
-            found = [
-                summary(await return_coat(address, "order-1")),
-                summary(await return_coat(address, key, client_account="museo")),
-            ]
+    @served(delay_s=0.02)
+    async def test_duplicates_join_and_get_one_outcome(self, address, agent, service):
+        key, answers = await self.submit_twice_at_once(address, agent, service)
+        answers.append(await return_coat(address, key, "a3"))
+        self.assertThat([a.json()["run"] for a in answers], Equals([1, 1, 1]))
+        self.assertThat(service.runs["coat-17"], Equals(1))
+
+    @served()
+    async def test_without_the_table_duplicates_run_twice(
+        self, address, agent, service
+    ):
+        key = await issue_key(address)
+        for attempt_id in ("a1", "a2"):
+            agent._service.runs.table = OutcomeTable(OutcomeLimits())
+            await return_coat(address, key, attempt_id)
+        self.assertThat(service.runs["coat-17"], Equals(2))
+
+    @served()
+    async def test_call_without_a_key_is_refused_unless_repeatable(
+        self, address, agent, service
+    ):
+        refused = await return_coat(address, "")
+        self.assertThat(summary(refused), Equals(("key_required", "not-run")))
+        record = make_record("services/counter", route="counter", repeatable=True)
+        agent.context.store.merge([record])
+        answer = await return_coat(address, "")
+        self.assertThat(summary(answer), Equals(("ok", "ran")))
+
+    @served()
+    async def test_foreign_expired_and_reused_keys_are_may_have_run_and_do_not_run(
+        self, address, agent, service
+    ):
+        key = await issue_key(address)
+        found = [
+            summary(await return_coat(address, "order-1")),
+            summary(await return_coat(address, key, client_account="museo")),
+        ]
+        await return_coat(address, key)
+        found.append(summary(await return_coat(address, key, body=b"other")))
+        agent._service._issuer.lifetime_s = 0.0
+        found.append(summary(await return_coat(address, key)))
+        codes = ["key_foreign", "key_foreign", "key_reused", "key_expired"]
+        self.assertThat(found, Equals([(c, "may-have-run") for c in codes]))
+        self.assertThat(service.runs["coat-17"], Equals(1))
+
+    @served(fault="cut_after")
+    async def test_service_that_cuts_after_running_is_unknown_and_not_repeated(
+        self, address, agent, service
+    ):
+        key = await issue_key(address)
+        found = [summary(await return_coat(address, key)) for _ in range(2)]
+        self.assertThat(found, Equals([("outcome_unknown", "may-have-run")] * 2))
+        self.assertThat(service.runs["coat-17"], Equals(1))
+
+    @served(fault="cut_after")
+    async def test_without_unknown_outcomes_a_cut_call_runs_twice(
+        self, address, agent, service
+    ):
+        self.patch(OutcomeTable, "fail", lambda table, ident, now: forget(table))
+        key = await issue_key(address)
+        for _ in range(2):
             await return_coat(address, key)
-            found.append(summary(await return_coat(address, key, body=b"other")))
-            agent._service._issuer.lifetime_s = 0.0
-            found.append(summary(await return_coat(address, key)))
-            codes = ["key_foreign", "key_foreign", "key_reused", "key_expired"]
-            self.assertThat(found, Equals([(c, "may-have-run") for c in codes]))
-            self.assertThat(service.runs["coat-17"], Equals(1))
-
-        self.serve(check)
-
-    def test_service_that_cuts_after_running_is_unknown_and_not_repeated(self):
-        async def check(address, agent, service):
-            key = await issue_key(address)
-            found = [summary(await return_coat(address, key)) for _ in range(2)]
-            self.assertThat(found, Equals([("outcome_unknown", "may-have-run")] * 2))
-            self.assertThat(service.runs["coat-17"], Equals(1))
-
-        self.serve(check, fault="cut_after")
-
-    def test_without_unknown_outcomes_a_cut_call_runs_twice(self):
-        async def check(address, agent, service):
-            self.patch(OutcomeTable, "fail", lambda table, ident, now: forget(table))
-            key = await issue_key(address)
-            for _ in range(2):
-                await return_coat(address, key)
-            self.assertThat(service.runs["coat-17"], Equals(2))
-
-        self.serve(check, fault="cut_after")
+        self.assertThat(service.runs["coat-17"], Equals(2))
 
     async def call_before_and_after_a_restart(self, address, agent, service, issuer):
         key = await issue_key(address)
@@ -149,96 +147,92 @@
             nursery.cancel_scope.cancel()
         return answer, service.runs["coat-17"]
 
-    def test_restarted_agent_does_not_run_a_former_key(self):
-        async def check(address, agent, service):
-            parts = (address, agent, service, None)
-            answer, runs = await self.call_before_and_after_a_restart(*parts)
-            expected = ("key_former_incarnation", "may-have-run")
-            self.assertThat(summary(answer), Equals(expected))
-            self.assertThat(runs, Equals(1))
-
-        self.serve(check)
-
-    def test_with_a_secret_that_outlives_the_agent_the_key_runs_twice(self):
-        async def check(address, agent, service):
-            parts = (address, agent, service, agent._service._issuer)
-            _, runs = await self.call_before_and_after_a_restart(*parts)
-            self.assertThat(runs, Equals(2))
-
-        self.serve(check)
-
-    def test_run_goes_on_when_the_caller_is_gone(self):
-        async def check(address, agent, service):
-            key = await issue_key(address)
-            with trio.move_on_after(0.05):
-                await return_coat(address, key)
-            answer = await return_coat(address, key, "a2")
-            self.assertThat(answer.json()["run"], Equals(1))
-
-        self.serve(check, delay_s=0.2)
-
-    def test_key_refused_because_of_leaving_is_fenced(self):
-        async def check(address, agent, service):
-            key = await issue_key(address)
-            for generation, leaving in ((1, True), (2, False)):
-                record = make_record("backends/palermo-1", generation, leaving=leaving)
-                agent.context.store.merge([record])
-                answer = await return_coat(address, key)
-                self.assertThat(answer.headers["foxtail-verdict"], Equals("not-run"))
-            self.assertThat(service.runs["coat-17"], Equals(0))
-
-        self.serve(check)
-
-    def test_without_the_fence_a_refused_key_runs_later(self):
-        async def check(address, agent, service):
-            self.patch(OutcomeTable, "fence", lambda *args: None)
-            key = await issue_key(address)
-            agent.stop()
-            refused = await return_coat(address, key)
-            agent.context.stopping = False
+    @served()
+    async def test_restarted_agent_does_not_run_a_former_key(
+        self, address, agent, service
+    ):
+        parts = (address, agent, service, None)
+        answer, runs = await self.call_before_and_after_a_restart(*parts)
+        expected = ("key_former_incarnation", "may-have-run")
+        self.assertThat(summary(answer), Equals(expected))
+        self.assertThat(runs, Equals(1))
+
+    @served()
+    async def test_with_a_secret_that_outlives_the_agent_the_key_runs_twice(
+        self, address, agent, service
+    ):
+        parts = (address, agent, service, agent._service._issuer)
+        _, runs = await self.call_before_and_after_a_restart(*parts)
+        self.assertThat(runs, Equals(2))
+
+    @served(delay_s=0.2)
+    async def test_run_goes_on_when_the_caller_is_gone(self, address, agent, service):
+        key = await issue_key(address)
+        with trio.move_on_after(0.05):
             await return_coat(address, key)
-            self.assertThat(refused.headers["foxtail-verdict"], Equals("not-run"))
-            self.assertThat(service.runs["coat-17"], Equals(1))
-
-        self.serve(check)
+        answer = await return_coat(address, key, "a2")
+        self.assertThat(answer.json()["run"], Equals(1))
 
-    def test_leaving_agent_still_gives_the_outcome_of_a_used_key(self):
-        async def check(address, agent, service):
-            key = await issue_key(address)
-            await return_coat(address, key)
-            agent.stop()
+    @served()
+    async def test_key_refused_because_of_leaving_is_fenced(
+        self, address, agent, service
+    ):
+        key = await issue_key(address)
+        for generation, leaving in ((1, True), (2, False)):
+            record = make_record("backends/palermo-1", generation, leaving=leaving)
+            agent.context.store.merge([record])
             answer = await return_coat(address, key)
-            self.assertThat(answer.json()["run"], Equals(1))
-
-        self.serve(check)
-
-    def test_key_refused_by_the_queue_never_runs(self):
-        async def check(address, agent, service):
-            key = await issue_key(address)
-            found = [summary(await return_coat(address, key, deadline_ms=0))]
-            found.append(summary(await return_coat(address, key)))
-            expected = [("deadline", "not-run"), ("key_fenced", "not-run")]
-            self.assertThat(found, Equals(expected))
-            self.assertThat(service.runs["coat-17"], Equals(0))
-
-        self.serve(check)
-
-    def test_request_cut_at_any_byte_runs_at_most_once(self):
-        async def check(address, agent, service):
-            fields = make_attempt().to_headers() | {BUSINESS_KEY: "coat-17"}
-            key = await issue_key(address)
-            fields |= {"idempotency-key": key, "content-length": "2", "host": "a"}
-            lines = [f"{name}: {value}" for name, value in fields.items() if value]
-            head = "POST /services/counter/return HTTP/1.1\r\n" + "\r\n".join(lines)
-            data = head.encode() + b"\r\n\r\n{}"
-            for end in range(0, len(data) + 1, 7):
-                with contextlib.suppress(ClientError, trio.BrokenResourceError):
-                    stream = await trio.open_tcp_stream(address.host, address.port)
-                    await stream.send_all(data[:end])
-                    await trio.aclose_forcefully(stream)
-            await until(lambda: agent.active() == 0)
-            answer = await return_coat(address, key, "a2")
-            self.assertThat(answer.json()["run"], Equals(1))
-            self.assertThat(service.runs["coat-17"], Equals(1))
-
-        self.serve(check)
+            self.assertThat(answer.headers["foxtail-verdict"], Equals("not-run"))
+        self.assertThat(service.runs["coat-17"], Equals(0))
+
+    @served()
+    async def test_without_the_fence_a_refused_key_runs_later(
+        self, address, agent, service
+    ):
+        self.patch(OutcomeTable, "fence", lambda *args: None)
+        key = await issue_key(address)
+        agent.stop()
+        refused = await return_coat(address, key)
+        agent.context.stopping = False
+        await return_coat(address, key)
+        self.assertThat(refused.headers["foxtail-verdict"], Equals("not-run"))
+        self.assertThat(service.runs["coat-17"], Equals(1))
+
+    @served()
+    async def test_leaving_agent_still_gives_the_outcome_of_a_used_key(
+        self, address, agent, service
+    ):
+        key = await issue_key(address)
+        await return_coat(address, key)
+        agent.stop()
+        answer = await return_coat(address, key)
+        self.assertThat(answer.json()["run"], Equals(1))
+
+    @served()
+    async def test_key_refused_by_the_queue_never_runs(self, address, agent, service):
+        key = await issue_key(address)
+        found = [summary(await return_coat(address, key, deadline_ms=0))]
+        found.append(summary(await return_coat(address, key)))
+        expected = [("deadline", "not-run"), ("key_fenced", "not-run")]
+        self.assertThat(found, Equals(expected))
+        self.assertThat(service.runs["coat-17"], Equals(0))
+
+    @served()
+    async def test_request_cut_at_any_byte_runs_at_most_once(
+        self, address, agent, service
+    ):
+        fields = make_attempt().to_headers() | {BUSINESS_KEY: "coat-17"}
+        key = await issue_key(address)
+        fields |= {"idempotency-key": key, "content-length": "2", "host": "a"}
+        lines = [f"{name}: {value}" for name, value in fields.items() if value]
+        head = "POST /services/counter/return HTTP/1.1\r\n" + "\r\n".join(lines)
+        data = head.encode() + b"\r\n\r\n{}"
+        for end in range(0, len(data) + 1, 7):
+            with contextlib.suppress(ClientError, trio.BrokenResourceError):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                await stream.send_all(data[:end])
+                await trio.aclose_forcefully(stream)
+        await until(lambda: agent.active() == 0)
+        answer = await return_coat(address, key, "a2")
+        self.assertThat(answer.json()["run"], Equals(1))
+        self.assertThat(service.runs["coat-17"], Equals(1))
--- a/tests/agent/test_agent_transfer.py
+++ b/tests/agent/test_agent_transfer.py
@@ -19,7 +19,7 @@
     start_engine,
     until,
 )
-from support import AsyncTestCase
+from support import AsyncTestCase, run_trio
 
 COSTS = TransferCosts(recompute_s_per_block=0.01, import_s_per_block=0.001, call_s=0.05)
 
@@ -80,16 +80,12 @@
         self.assertThat(answer.text(), Equals(whole))
         return answer.headers["foxtail-cached-tokens"]
 
-    def test_hot_blocks_are_imported_by_another_engine(self):
-        async def main():
-            cached = await self.send_to_second(kv_store=True)
-            self.assertThat(cached, Equals("48"))
+    @run_trio
+    async def test_hot_blocks_are_imported_by_another_engine(self):
+        cached = await self.send_to_second(kv_store=True)
+        self.assertThat(cached, Equals("48"))
 
-        self.run_async(main)
-
-    def test_without_the_store_they_are_recomputed(self):
-        async def main():
-            cached = await self.send_to_second(kv_store=False)
-            self.assertThat(cached, Equals("0"))
-
-        self.run_async(main)
+    @run_trio
+    async def test_without_the_store_they_are_recomputed(self):
+        cached = await self.send_to_second(kv_store=False)
+        self.assertThat(cached, Equals("0"))
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -29,7 +29,7 @@
     start_engine,
     until,
 )
-from support import AsyncTestCase
+from support import AsyncTestCase, run_trio, served
 
 FAST = RolloutSettings(poll_s=0.05, retry_s=0.01, lease_s=5.0)
 
@@ -105,26 +105,22 @@
     def versions(self):
         return [each["version"] for each in self.engine.orders.executed]
 
-    def test_order_is_given_under_a_slot_that_is_released(self):
-        async def check():
-            await self.driver().step()
-            self.assertThat(self.engine.version, Equals("v2"))
-            self.assertThat(await self.slots().holders(), Equals(()))
-            self.assertThat(await self.driver().step(), Equals(False))
-
-        self.serve(check)
-
-    def test_two_slots_and_rising_fencing_numbers(self):
-        async def check():
-            first = await self.slots("a").acquire()
-            second = await self.slots("b").acquire()
-            third = await self.slots("c").acquire()
-            self.assertTrue(first.fencing < second.fencing)
-            self.assertThat(third, Equals(None))
-            ahead = await self.slots("b").ahead_of(second)
-            self.assertThat(ahead, Equals({"a"}))
-
-        self.serve(check)
+    @served()
+    async def test_order_is_given_under_a_slot_that_is_released(self):
+        await self.driver().step()
+        self.assertThat(self.engine.version, Equals("v2"))
+        self.assertThat(await self.slots().holders(), Equals(()))
+        self.assertThat(await self.driver().step(), Equals(False))
+
+    @served()
+    async def test_two_slots_and_rising_fencing_numbers(self):
+        first = await self.slots("a").acquire()
+        second = await self.slots("b").acquire()
+        third = await self.slots("c").acquire()
+        self.assertTrue(first.fencing < second.fencing)
+        self.assertThat(third, Equals(None))
+        ahead = await self.slots("b").ahead_of(second)
+        self.assertThat(ahead, Equals({"a"}))
 
     async def pause_past_the_lease(self):
         """The holder pauses between its drain and its order; another one loads."""
@@ -138,97 +134,83 @@
         self.target.pause = pause
         await self.driver().step()
 
-    def test_paused_holder_gives_no_order_once_its_lease_may_have_lapsed(self):
-        async def check():
-            try:
-                await self.pause_past_the_lease()
-            except SlotLostError:
-                pass
-            else:
-                self.fail("an order was given")
-            self.assertThat(self.versions(), Equals(["v3"]))
-
-        self.serve(check, checks_fencing=False)
-
-    def test_without_the_lease_check_an_engine_that_ignores_the_number_obeys(self):
-        async def check():
-            self.patch(HeldSlot, "check", lambda held, now: None)
+    @served(checks_fencing=False)
+    async def test_paused_holder_gives_no_order_once_its_lease_may_have_lapsed(self):
+        try:
             await self.pause_past_the_lease()
-            self.assertThat(self.versions(), Equals(["v3", "v2"]))
-
-        self.serve(check, checks_fencing=False)
-
-    def test_without_the_lease_check_an_engine_that_checks_rejects(self):
-        async def check():
-            self.patch(HeldSlot, "check", lambda held, now: None)
-            try:
-                await self.pause_past_the_lease()
-            except EngineError as exc:
-                self.assertThat(exc.status, Equals(409))
-            self.assertThat(self.versions(), Equals(["v3"]))
-
-        self.serve(check, checks_fencing=True)
-
-    def test_lost_order_and_lost_reply_are_repeated_and_loaded_once(self):
-        async def check():
-            self.engine.orders.lose_orders = 1
-            self.engine.orders.lose_replies = 1
+        except SlotLostError:
+            pass
+        else:
+            self.fail("an order was given")
+        self.assertThat(self.versions(), Equals(["v3"]))
+
+    @served(checks_fencing=False)
+    async def test_without_the_lease_check_an_engine_that_ignores_the_number_obeys(
+        self,
+    ):
+        self.patch(HeldSlot, "check", lambda held, now: None)
+        await self.pause_past_the_lease()
+        self.assertThat(self.versions(), Equals(["v3", "v2"]))
+
+    @served(checks_fencing=True)
+    async def test_without_the_lease_check_an_engine_that_checks_rejects(self):
+        self.patch(HeldSlot, "check", lambda held, now: None)
+        try:
+            await self.pause_past_the_lease()
+        except EngineError as exc:
+            self.assertThat(exc.status, Equals(409))
+        self.assertThat(self.versions(), Equals(["v3"]))
+
+    @served()
+    async def test_lost_order_and_lost_reply_are_repeated_and_loaded_once(self):
+        self.engine.orders.lose_orders = 1
+        self.engine.orders.lose_replies = 1
+        await self.driver().step()
+        self.assertThat(self.engine.version, Equals("v2"))
+        self.assertThat(self.weights.loads, Equals(1))
+
+    @served()
+    async def test_slot_whose_answer_was_lost_is_recognised(self):
+        txn = self.store.txn
+
+        async def lose(*args, **kwargs):
+            self.platform.faults.lose_answers = 1
+            return await txn(*args, **kwargs)
+
+        self.store.txn = lose
+        held = await self.slots().acquire()
+        item = self.platform.get(held.key)
+        self.assertThat(item.mod_revision, Equals(held.fencing))
+
+    @served()
+    async def test_platform_outage_gives_no_order(self):
+        self.platform.faults.outage = "refuse"
+        try:
             await self.driver().step()
-            self.assertThat(self.engine.version, Equals("v2"))
-            self.assertThat(self.weights.loads, Equals(1))
-
-        self.serve(check)
-
-    def test_slot_whose_answer_was_lost_is_recognised(self):
-        async def check():
-            txn = self.store.txn
-
-            async def lose(*args, **kwargs):
-                self.platform.faults.lose_answers = 1
-                return await txn(*args, **kwargs)
-
-            self.store.txn = lose
-            held = await self.slots().acquire()
-            item = self.platform.get(held.key)
-            self.assertThat(item.mod_revision, Equals(held.fencing))
-
-        self.serve(check)
-
-    def test_platform_outage_gives_no_order(self):
-        async def check():
-            self.platform.faults.outage = "refuse"
-            try:
-                await self.driver().step()
-            except PlatformError:
-                pass
-            else:
-                self.fail("a step succeeded without the platform")
-            self.assertThat(self.versions(), Equals([]))
-
-        self.serve(check)
-
-    def test_too_few_others_keep_the_server_in_service(self):
-        async def check():
-            wanted = DesiredState(weights_version="v2", min_in_service=2)
-            self.target = Target(wanted, others=1)
-            self.assertThat(await self.driver().step(), Equals(False))
-            self.assertThat(self.versions(), Equals([]))
-
-        self.serve(check)
-
-    def test_adapters_and_role(self):
-        async def check():
-            wanted = DesiredState(
-                weights_version="v2", adapters=("coats", "trips"), role="prefill"
-            )
-            self.target = Target(wanted)
-            driver = self.driver()
-            while await driver.step():
-                pass
-            self.assertThat(self.engine.adapters, Equals({"coats", "trips"}))
-            self.assertThat(self.engine.role, Equals("prefill"))
-
-        self.serve(check)
+        except PlatformError:
+            pass
+        else:
+            self.fail("a step succeeded without the platform")
+        self.assertThat(self.versions(), Equals([]))
+
+    @served()
+    async def test_too_few_others_keep_the_server_in_service(self):
+        wanted = DesiredState(weights_version="v2", min_in_service=2)
+        self.target = Target(wanted, others=1)
+        self.assertThat(await self.driver().step(), Equals(False))
+        self.assertThat(self.versions(), Equals([]))
+
+    @served()
+    async def test_adapters_and_role(self):
+        wanted = DesiredState(
+            weights_version="v2", adapters=("coats", "trips"), role="prefill"
+        )
+        self.target = Target(wanted)
+        driver = self.driver()
+        while await driver.step():
+            pass
+        self.assertThat(self.engine.adapters, Equals({"coats", "trips"}))
+        self.assertThat(self.engine.role, Equals("prefill"))
 
 
 class TestFleet(AsyncTestCase):
@@ -286,28 +268,22 @@
             nursery.cancel_scope.cancel()
         return lowest
 
-    def test_two_load_at_once_and_enough_stay_in_service(self):
-        async def main():
-            lowest = await self.change(2, self.MINIMUM)
-            self.assertThat(lowest, Equals(self.MINIMUM))
-            self.assertThat(self.weights.peak, Equals(2))
-
-        self.run_async(main)
-
-    def test_minimum_in_service_is_stricter_than_the_slots(self):
-        async def main():
-            lowest = await self.change(2, 3)
-            self.assertThat(lowest, Equals(3))
-
-        self.run_async(main)
-
-    def test_without_slots_and_minimum_all_load_at_once(self):
-        async def main():
-            lowest = await self.change(self.SERVERS, 0)
-            self.assertTrue(lowest < self.MINIMUM)
-            self.assertTrue(self.weights.peak > 2)
-
-        self.run_async(main)
+    @run_trio
+    async def test_two_load_at_once_and_enough_stay_in_service(self):
+        lowest = await self.change(2, self.MINIMUM)
+        self.assertThat(lowest, Equals(self.MINIMUM))
+        self.assertThat(self.weights.peak, Equals(2))
+
+    @run_trio
+    async def test_minimum_in_service_is_stricter_than_the_slots(self):
+        lowest = await self.change(2, 3)
+        self.assertThat(lowest, Equals(3))
+
+    @run_trio
+    async def test_without_slots_and_minimum_all_load_at_once(self):
+        lowest = await self.change(self.SERVERS, 0)
+        self.assertTrue(lowest < self.MINIMUM)
+        self.assertTrue(self.weights.peak > 2)
 
 
 def make_vm_record(name, listen, admin):
--- a/tests/standin/test_engine_standin.py
+++ b/tests/standin/test_engine_standin.py
@@ -8,29 +8,27 @@
 from foxtailcourse.standin._lines import parse_vm
 from foxtailcourse.standin._slots import PrioritySlots
 from standins import call, start_engine
-from support import AsyncTestCase
+from support import AsyncTestCase, run_trio
 
 
 class TestEngineStandin(AsyncTestCase):
     """Guards the stand-in's own behaviour, which other tests rely on."""
 
-    def test_urgent_request_gets_the_next_slot(self):
-        async def main():
-            slots, order = PrioritySlots(1), []
-
-            async def run(name, priority):
-                async with slots.hold(priority):
-                    order.append(name)
-                    await trio.lowlevel.checkpoint()
+    @run_trio
+    async def test_urgent_request_gets_the_next_slot(self):
+        slots, order = PrioritySlots(1), []
 
-            async with trio.open_nursery() as nursery, slots.hold(0):
-                for name, priority in (("long", 1), ("short", 0)):
-                    nursery.start_soon(run, name, priority)
-                while slots.waiting < 2:
-                    await trio.lowlevel.checkpoint()
-            self.assertThat(order, Equals(["short", "long"]))
+        async def run(name, priority):
+            async with slots.hold(priority):
+                order.append(name)
+                await trio.lowlevel.checkpoint()
 
-        self.run_async(main)
+        async with trio.open_nursery() as nursery, slots.hold(0):
+            for name, priority in (("long", 1), ("short", 0)):
+                nursery.start_soon(run, name, priority)
+            while slots.waiting < 2:
+                await trio.lowlevel.checkpoint()
+        self.assertThat(order, Equals(["short", "long"]))
 
     def test_cache_evicts_the_least_recently_used_block(self):
         cache = BlockCache(2)
@@ -60,19 +58,17 @@
 
         self.run_async(main)
 
-    def test_weight_store_counts_loads_at_once(self):
-        async def main():
-            store = WeightStoreStandin(0.01)
-            async with trio.open_nursery() as nursery:
-                address = await nursery.start(serve_handler, store.handle)
-                async with trio.open_nursery() as loads:
-                    for version in range(3):
-                        target = f"/weights/m/v{version}"
-                        loads.start_soon(call, address, "GET", target)
-                nursery.cancel_scope.cancel()
-            self.assertThat((store.loads, store.peak), Equals((3, 3)))
-
-        self.run_async(main)
+    @run_trio
+    async def test_weight_store_counts_loads_at_once(self):
+        store = WeightStoreStandin(0.01)
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(serve_handler, store.handle)
+            async with trio.open_nursery() as loads:
+                for version in range(3):
+                    target = f"/weights/m/v{version}"
+                    loads.start_soon(call, address, "GET", target)
+            nursery.cancel_scope.cancel()
+        self.assertThat((store.loads, store.peak), Equals((3, 3)))
 
     def test_incomplete_vm_line_is_refused(self):
         self.assertRaises(ValueError, parse_vm, "vm=a role=agent")
