--- a/tests/support.py
+++ b/tests/support.py
@@ -30,17 +30,33 @@
         self.fail(f"expected {kind}")
 
 
-def run_with(method: str) -> Callable[[Callable[..., Awaitable[None]]], Callable]:
+AsyncTest = Callable[..., Awaitable[None]]
+
+
+def run_with(
+    method: str, *args: object, **options: object
+) -> Callable[[AsyncTest], Callable]:
     """Turn a coroutine test into a test that a method of its class runs.
 
-    The method takes a coroutine function and passes it what the test works on.
+    The method takes a coroutine function, which it passes what the test works on, and
+    the further arguments.
     """
 
-    def decorate(test: Callable[..., Awaitable[None]]) -> Callable:
+    def decorate(test: AsyncTest) -> Callable:
         @functools.wraps(test)
         def run(self: testtools.TestCase) -> None:
-            getattr(self, method)(functools.partial(test, self))
+            getattr(self, method)(functools.partial(test, self), *args, **options)
 
         return run
 
     return decorate
+
+
+def served(*args: object, **options: object) -> Callable[[AsyncTest], Callable]:
+    """Pass a coroutine test to the case's ``serve`` with these arguments."""
+    return run_with("serve", *args, **options)
+
+
+def run_trio(test: AsyncTest) -> Callable:
+    """Run a coroutine test under trio."""
+    return run_with("run_async")(test)
