--- a/src/foxtailcourse/emulator/_agent.py
+++ b/src/foxtailcourse/emulator/_agent.py
@@ -6,11 +6,11 @@
 
 import attrs
 
+from foxtailcourse.cache import BlockIndex
 from foxtailcourse.emulator._engine import (
     EngineCallbacks,
     EngineModel,
     Job,
-    leading,
 )
 from foxtailcourse.emulator._timeline import Timeline
 from foxtailcourse.emulator._workload import Request
@@ -21,6 +21,7 @@
 NETWORK_S = 0.0015
 TICK_S = 0.25
 EVENT_GAP_PROBABILITY = 0.01
+INDEX_BLOCKS_PER_CACHED, INDEX_STALE_S = 4, 15.0
 PRIORITY = {RequestClass.SHORT: 0, RequestClass.LONG: 1}
 
 
@@ -38,38 +39,51 @@
 
 
 class LateIndex:
-    """The agent's belief about the cache, from cache events that arrive late.
+    """The agent's block index, fed with events that arrive late or not at all.
 
-    A lost batch of events empties the belief, as the agent does on a gap.
+    Parameters
+    ----------
+    engine : EngineModel
+        The engine whose events it takes.
+    rng : random.Random
+        Source of lost events.
     """
 
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._held: set[bytes] = set()
-        self._pending: list[tuple[list[bytes], list[bytes]]] = []
+    def __init__(self, engine: EngineModel, rng: random.Random) -> None:
+        self._engine, self._rng = engine, rng
+        capacity = engine.cfg.cache_blocks * INDEX_BLOCKS_PER_CACHED
+        self._index = BlockIndex(capacity, INDEX_STALE_S)
+        self._pending: list[tuple[int, bool, list[bytes]]] = []
+        self._last_seq = 0
 
-    def matched(self, keys: tuple[bytes, ...]) -> int:
+    def matched(self, keys: tuple[bytes, ...], now: float) -> int:
         """Return the number of leading keys believed held."""
-        return leading(keys, self._held)
+        return self._index.match(keys, now)
 
     def event(self, stored: list[bytes], evicted: list[bytes], now: float) -> None:
-        """Take an event that :meth:`deliver` makes visible."""
-        self._pending.append((stored, evicted))
+        """Take events that :meth:`deliver` makes visible."""
+        for is_stored, keys in ((True, stored), (False, evicted)):
+            self._last_seq += 1
+            self._pending.append((self._last_seq, is_stored, keys))
 
-    def deliver(self) -> None:
+    def deliver(self, now: float) -> None:
         """Apply the events since the last call, or lose them."""
         pending, self._pending = self._pending, []
+        incarnation = self._engine.incarnation
+        self._index.heard(incarnation, now)
         if pending and self._rng.random() < EVENT_GAP_PROBABILITY:
-            self._held.clear()
             return
-        for stored, evicted in pending:
-            self._held.update(stored)
-            self._held.difference_update(evicted)
+        for seq, stored, keys in pending:
+            self._index.apply(incarnation, seq, stored, keys, now)
 
-    def clear(self) -> None:
-        """Forget everything after a restart of the engine."""
-        self._held.clear()
+    def replied(self, job: Job, now: float) -> None:
+        """Learn from the reply of the engine."""
+        self._index.replied(self._engine.incarnation, job.keys, job.matched, now)
+
+    def restart(self) -> None:
+        """Start the event sequence of a new incarnation."""
         self._pending.clear()
+        self._last_seq = 0
 
 
 class AgentModel:
@@ -95,13 +109,15 @@
         rng: random.Random,
     ) -> None:
         self.engine, self.queue = engine, queue
-        self.index = LateIndex(rng)
+        self.index = LateIndex(engine, rng)
         self.down = False
         self.pending: Counter[bytes] = Counter()
         self.on_service: Callable[[Job, float], None] = lambda job, now: None
         self._timeline = timeline
         self._attempts: dict[str, AttemptState] = {}
         self._reported_running = 0
+        self._waiting_long: dict[str, tuple[str, float]] = {}
+        self._long_work: dict[str, tuple[float, float]] = {}
         engine.callbacks = EngineCallbacks(
             first_token=self._first_token, done=self._done, changed=self.index.event
         )
@@ -122,22 +138,11 @@
         The account's waiting work is served at its share of the slots among the
         accounts that have long requests waiting.
         """
-        work_s: dict[str, float] = {}
-        shares: dict[str, float] = {}
-        running, cfg = self.engine.jobs, self.engine.cfg
-        for attempt_id, attempt in self._attempts.items():
-            req = attempt.request
-            if req.request_class is RequestClass.LONG and attempt_id not in running:
-                token_s = 1.0 / cfg.decode_tokens_per_s
-                own_s = req.prompt.tokens / cfg.prefill_tokens_per_s
-                own_s += req.prompt.max_tokens * token_s
-                name = req.prompt.salt
-                work_s[name] = work_s.get(name, 0.0) + own_s
-                shares[name] = req.share
-        if salt not in work_s:
+        if salt not in self._long_work:
             return 0.0
-        part = shares[salt] / sum(shares.values())
-        return work_s[salt] / part / cfg.slots
+        active = sum(share for _, share in self._long_work.values())
+        work_s, share = self._long_work[salt]
+        return work_s * active / share / self.engine.cfg.slots
 
     def offer(self, attempt: AttemptState, now: float) -> None:
         """Take an attempt or refuse it."""
@@ -145,7 +150,7 @@
             self._refuse(attempt, now)
             return
         req = attempt.request
-        matched = self.index.matched(req.prompt.keys)
+        matched = self.index.matched(req.prompt.keys, now)
         uncached = req.prompt.tokens - matched * self.engine.cfg.block_tokens
         queued = QueuedRequest(
             attempt_id=attempt.attempt_id,
@@ -161,12 +166,14 @@
             self._refuse(attempt, now)
             return
         self._attempts[attempt.attempt_id] = attempt
+        if req.request_class is RequestClass.LONG:
+            self._add_long(attempt)
         self.pending.update(req.prompt.keys[: req.prefix_blocks])
         self._pump(now)
 
     def tick(self, now: float) -> None:
         """Take late reports of the engine and expire requests."""
-        self.index.deliver()
+        self.index.deliver(now)
         self._reported_running = len(self.engine.jobs)
         self._pump(now)
 
@@ -174,7 +181,7 @@
         """Crash the engine: running requests break, waiting ones are refused."""
         lost = self.engine.crash(now)
         self.down = True
-        self.index.clear()
+        self.index.restart()
         for job in lost:
             self.queue.finish(job.attempt_id, 0, now)
             attempt = self._forget(job.attempt_id)
@@ -196,6 +203,23 @@
             refused=refused,
         )
 
+    def _add_long(self, attempt: AttemptState) -> None:
+        prompt, cfg = attempt.request.prompt, self.engine.cfg
+        own_s = prompt.tokens / cfg.prefill_tokens_per_s
+        own_s += prompt.max_tokens / cfg.decode_tokens_per_s
+        self._waiting_long[attempt.attempt_id] = prompt.salt, own_s
+        held_s, _ = self._long_work.get(prompt.salt, (0.0, 0.0))
+        self._long_work[prompt.salt] = held_s + own_s, attempt.request.share
+
+    def _drop_long(self, attempt_id: str) -> None:
+        salt, own_s = self._waiting_long.pop(attempt_id, ("", 0.0))
+        if not salt:
+            return
+        held_s, share = self._long_work[salt]
+        self._long_work[salt] = held_s - own_s, share
+        if held_s - own_s < own_s / 1_000:
+            del self._long_work[salt]
+
     def _restart(self, now: float) -> None:
         self.down = False
 
@@ -206,6 +230,7 @@
             self._refuse(self._forget(expired.attempt_id), now)
         while (queued := self.queue.take(now)) is not None:
             req = self._attempts[queued.attempt_id].request
+            self._drop_long(queued.attempt_id)
             job = Job(
                 attempt_id=queued.attempt_id,
                 client_account=req.client_account,
@@ -219,6 +244,7 @@
 
     def _first_token(self, job: Job, now: float) -> None:
         attempt = self._attempts[job.attempt_id]
+        self.index.replied(job, now)
         note = getattr(self.queue, "first_token", None)
         if note is not None:
             note(job.attempt_id, now)
@@ -234,6 +260,7 @@
 
     def _forget(self, attempt_id: str) -> AttemptState:
         attempt = self._attempts.pop(attempt_id)
+        self._drop_long(attempt_id)
         req = attempt.request
         for key in req.prompt.keys[: req.prefix_blocks]:
             self.pending[key] -= 1
@@ -242,6 +269,6 @@
         return attempt
 
     def _refuse(self, attempt: AttemptState, now: float) -> None:
-        matched = self.index.matched(attempt.request.prompt.keys)
+        matched = self.index.matched(attempt.request.prompt.keys, now)
         reply = self.reply(matched, True, now)
         self._timeline.at(now + NETWORK_S, attempt.on_refused, attempt, reply)
