--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -23,7 +23,7 @@
 from foxtailcourse.http import ConnectionPool, HttpError, RequestOptions
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.protocol import Attempt, Reply, Verdict
-from foxtailcourse.routing import Placement, ServerReply
+from foxtailcourse.routing import Choice, Placement, ServerReply
 from foxtailcourse.sharing import RetryBudget
 
 RETRY_AFTER_MS = 1000
@@ -157,11 +157,7 @@
         now = trio.current_time()
         if tries.made >= self.cfg.max_attempts:
             return None
-        view = self.store.view
-        usable = self.servers.usable(view, call.serves, now)
-        if tries.avoid:
-            usable = tuple(each for each in usable if each not in tries.avoid)
-        target = self._best(call, usable, version, now)
+        target = self._best(call, tries.avoid, version, now)
         if target is None:
             return None
         if not tries.made:
@@ -185,28 +181,38 @@
         return self.retries.allow_retry(account, now, deadline)
 
     def _best(
-        self, call: Call, usable: tuple[str, ...], version: str | None, now: float
+        self, call: Call, avoid: set[str], version: str | None, now: float
     ) -> Target | None:
-        groups: dict[str, tuple[str, ...]] = {}
-        versions = [self.servers.version(vm, call.desired_version) for vm in usable]
-        if len(set(versions)) == 1:
-            groups[versions[0]] = usable
-        else:
-            for vm, each in zip(usable, versions, strict=True):
-                groups[each] = (*groups.get(each, ()), vm)
-        best = None
+        view = self.store.view
+        groups = self.servers.groups(view, call.serves, call.desired_version, now)
+        best: tuple[Choice, str] | None = None
         for each, servers in groups.items():
             if version is not None and each != version:
                 continue
-            ranked = self.placement.rank(
-                call.prompt(each), servers, call.request_class, now
-            )
-            if ranked and (best is None or ranked[0].cost_s < best[0].cost_s):
-                best = (ranked[0], each)
+            choice = self._choose(call, each, servers, avoid, now)
+            if choice and (best is None or choice.cost_s < best[0].cost_s):
+                best = (choice, each)
         if best is None:
             return None
         choice, served = best
-        return Target(vm=self.store.view.vms[choice.backend_server], version=served)
+        return Target(vm=view.vms[choice.backend_server], version=served)
+
+    def _choose(
+        self,
+        call: Call,
+        version: str,
+        servers: tuple[str, ...],
+        avoid: set[str],
+        now: float,
+    ) -> Choice | None:
+        prompt = call.prompt(version)
+        ranked = self.placement.rank(prompt, servers, call.request_class, now)
+        left = [each for each in ranked if each.backend_server not in avoid]
+        if not left and avoid:
+            # All candidates were tried; only then the rest of the fleet is ranked.
+            others = tuple(each for each in servers if each not in avoid)
+            left = self.placement.rank(prompt, others, call.request_class, now)
+        return left[0] if left else None
 
     @asynccontextmanager
     async def attempt(
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -198,7 +198,8 @@
         )
         data = error.body().decode("utf-8")
         await exchange.send(format_sse(SseEvent(data, event="error")))
-        exchange.abort()
+        # The server closes the connection without a clean end.
+        raise error
 
 
 async def respond_whole(
