--- a/src/foxtailcourse/routing/_placement.py
+++ b/src/foxtailcourse/routing/_placement.py
@@ -7,7 +7,12 @@
 from foxtailcourse.routing._fleets import Fleet, Fleets
 from foxtailcourse.routing._holders import MAX_SERVERS, Holders, Prefix, drop_oldest
 from foxtailcourse.routing._levels import home_level, tracked_levels
-from foxtailcourse.routing._open import OpenAttempts, PromptId, prompt_id
+from foxtailcourse.routing._open import (
+    OpenAttempt,
+    OpenAttempts,
+    PromptId,
+    prompt_id,
+)
 from foxtailcourse.routing._settings import PlacementSettings
 from foxtailcourse.routing._types import Choice, Prompt, ServerReply
 from foxtailcourse.routing._views import LOST_S, REFUSED_S, ServerView
@@ -95,6 +100,7 @@
         if reply.refused:
             if short:
                 view.avoid(now + REFUSED_S)
+                self._take_back_use(prompt, server, attempt)
             return
         # A long request waits so long that its age when sent says nothing.
         if short and attempt is not None:
@@ -208,6 +214,19 @@
             return max(belief, PENDING_BELIEF)
         return belief
 
+    def _take_back_use(
+        self, prompt: Prompt, server: str, attempt: OpenAttempt | None
+    ) -> None:
+        """Undo what ``sent`` noted for a short attempt that did not run."""
+        if attempt is None:
+            return
+        ages = dict(attempt.believed)
+        for level in tracked_levels(prompt.levels):
+            prefix = self._holders.get(prompt.keys[level - 1])
+            if prefix is not None:
+                before = attempt.sent_at - ages[level] if level in ages else None
+                prefix.take_back(server, attempt.sent_at, before)
+
     def _no_longer_pending(self, prompt: Prompt, server: str) -> None:
         for level in tracked_levels(prompt.levels):
             prefix = self._holders.get(prompt.keys[level - 1])
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -273,6 +273,21 @@
         after = policy._matched(prompt, other, SHORT, 0, 2.0)
         self.assertThat(after, Equals(0.0))
 
+    def test_a_refused_request_leaves_no_belief(self):
+        policy, prompt = PrefixPlacement(), make_prompt("p")
+        policy.rank(prompt, FLEET, SHORT, 0.0)
+        policy.sent(prompt, FLEET[0], 0.0)
+        self.assertThat(policy._matched(prompt, FLEET[0], SHORT, 0, 0.0), Equals(15.0))
+        policy.replied(prompt, answer(FLEET[0], refused=True), 1.0)
+        self.assertThat(policy._matched(prompt, FLEET[0], SHORT, 0, 1.0), Equals(0.0))
+
+    def test_a_reply_without_an_incarnation_empties_nothing(self):
+        policy, prompt = PrefixPlacement(), make_prompt("p")
+        serve(policy, prompt, 0.0, server=FLEET[0])
+        serve(policy, make_prompt("q"), 0.0, server=FLEET[0], incarnation="")
+        matched = policy._matched(prompt, FLEET[0], SHORT, 0, 0.0)
+        self.assertThat(matched, Equals(15.0))
+
     def test_a_lost_server_is_avoided_and_returns(self):
         policy, prompt = PrefixPlacement(), make_prompt("p")
         home = serve(policy, prompt, 0.0)
