--- a/src/foxtailcourse/emulator/_workload.py
+++ b/src/foxtailcourse/emulator/_workload.py
@@ -37,6 +37,8 @@
         Levels of the prefix that long requests share.
     short_tokens, long_tokens : tuple of int
         Least and most generated tokens.
+    reserved_short_slots, adapt_long_slots : int, bool
+        Limits of the queues; see ``QueueLimits``.
     short_load, long_load : float
         Offered work as a part of the fleet's capacity, each by its own binding
         resource and with all prefixes cached.
@@ -65,7 +67,8 @@
     long_deadline_s: float = 30.0
     recompute_weight: float = 4.0
     long_recompute_weight: float = 128.0
-    reserved_short_slots: int = 6
+    reserved_short_slots: int = 2
+    adapt_long_slots: bool = True
     duration_s: float = 180.0
     warm_up_s: float = 10.0
     crash_at: float = 60.0
@@ -112,6 +115,7 @@
     recompute_weight=8.0,
     long_recompute_weight=96.0,
     reserved_short_slots=5,
+    adapt_long_slots=False,
 )
 DEPLOYMENTS = {each.name: each for each in (GUARDAROBA, ARDENNES)}
 
