Fail the share bound when no account ever waited

Cause: a run in which a queue refused 95% of all requests printed an infinite least share, which is no JSON and passed the bound. Change: the least share is 0 then.

--- a/src/foxtailcourse/emulator/_measure.py
+++ b/src/foxtailcourse/emulator/_measure.py
@@ -1,6 +1,5 @@
 """What one run of the emulator is judged by."""
 
-import math
 from collections import Counter, defaultdict
 from typing import Any
 
@@ -65,8 +64,12 @@
 
     @property
     def least_share(self) -> float:
-        """Least ratio of received to contracted service of any client account."""
-        return min(self.shares().values(), default=math.inf)
+        """Least ratio of received to contracted service of any client account.
+
+        It is 0 if no account ever waited: in an overload that means that work was
+        refused which should have waited.
+        """
+        return min(self.shares().values(), default=0.0)
 
     def shares(self) -> dict[str, float]:
         """Return the ratio of received to contracted service by client account."""
