--- a/tests/sharing/test_fair.py
+++ b/tests/sharing/test_fair.py
@@ -21,6 +21,7 @@
 
 from foxtailcourse.sharing import FifoQueue, Refusal
 from foxtailcourse.sharing._flows import FlowQueue
+from foxtailcourse.sharing.baselines import AgentBucketQueue, DeficitRoundRobinQueue
 
 SHARES = {"a": 1.0, "b": 2.0, "c": 5.0}
 steps = st.lists(
@@ -245,6 +246,26 @@
         self.assertThat(part(report=False), Equals(0.5))
 
 
+class TestBaselines(testtools.TestCase):
+    """Guards against a comparison with a baseline that does less work."""
+
+    def test_round_robin_works_as_hard_and_buckets_lend_nothing(self):
+        shares = dict.fromkeys("abcdefgh", 1.0)
+        used = {}
+        for queue in (DeficitRoundRobinQueue(8, 5.0), AgentBucketQueue(8, shares)):
+            outcomes = run(queue, backlog("a", SHORT, 400), 15.0, again=None)
+            used[type(queue)] = service_s(outcomes, 0.0, 15.0) / (8 * 15.0)
+        self.assertThat(used[DeficitRoundRobinQueue], GreaterThan(0.99))
+        self.assertThat(used[AgentBucketQueue], LessThan(0.2))
+
+    def test_round_robin_shares_by_weight(self):
+        queue = DeficitRoundRobinQueue(8, 5.0)
+        arrivals = backlog("a", SHORT, 20, 1.0) + backlog("b", SHORT, 20, 3.0)
+        outcomes = run(queue, arrivals, 200.0)
+        part = service_s(outcomes, 0.0, 200.0, "b") / (8 * 200.0)
+        self.assertThat(abs(part - 0.75), LessThan(0.05))
+
+
 class KeepsCredit(FlowQueue):
     """Lets an account start from virtual time 0 after an idle time."""
 
