Derive the reference pages from the code

Cause: events, metrics, error codes and settings had no page, and pages written by hand go stale. Ruled out: docstrings at each call; the meaning would stand in many places. Change: a catalogue of meanings, pages rendered from it and from the declared settings, and a test that the catalogue names exactly what the source uses.

--- /dev/null
+++ b/scripts/render_reference.py
@@ -0,0 +1,174 @@
+"""Write the reference pages that are derived from the code.
+
+``docs/settings.md`` comes from the declared settings; ``docs/events.md``,
+``docs/metrics.md`` and ``docs/refusals.md`` from the catalogue, which must name
+exactly what the source uses. With ``--check`` nothing is written and the exit status
+says whether the pages and the catalogue are up to date.
+"""
+
+import ast
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from foxtailcourse.agent.run import SECTIONS as AGENT_SECTIONS
+from foxtailcourse.entry.run import SECTIONS as ENTRY_SECTIONS
+from foxtailcourse.observe import catalogue
+from foxtailcourse.process import ProcessSettings
+from foxtailcourse.settings import render_reference
+from foxtailcourse.standin.run import SECTIONS as STANDIN_SECTIONS
+
+ROOT = Path(__file__).resolve().parent.parent
+SOURCE = ROOT / "src" / "foxtailcourse"
+PROGRAMS = {
+    "foxtail-entry": ENTRY_SECTIONS,
+    "foxtail-agent": AGENT_SECTIONS,
+    "foxtail-standin": STANDIN_SECTIONS,
+}
+# Where the name stands in a call: the position of the argument.
+EVENT_CALLS = {"emit": 0, "_pause": 0}
+METRIC_CALLS = {"count": 0, "gauge": 0, "observe_s": 0}
+ATTEMPT_CALLS = {"AttemptBroken": 0}
+CODE_CALLS = {
+    "HttpError": 1,
+    "refusal": 2,
+    "_unknown": 0,
+    "Refusal": 0,
+    "_refuse": 0,
+}
+NOT_FOR_CALLERS = ("standin", "emulator", "ctl")
+
+
+def _calls(tree: ast.AST, positions: dict[str, int]) -> Iterator[str]:
+    """Yield the constant text at the given position of each named call."""
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Call):
+            continue
+        name = getattr(node.func, "attr", getattr(node.func, "id", ""))
+        if name not in positions:
+            continue
+        keywords = {each.arg: each.value for each in node.keywords}
+        value = keywords.get("code") if positions is CODE_CALLS else None
+        if value is None and len(node.args) > positions[name]:
+            value = node.args[positions[name]]
+        if value is not None:
+            yield from _texts(value)
+
+
+def _texts(value: ast.expr) -> Iterator[str]:
+    if isinstance(value, ast.Constant) and isinstance(value.value, str):
+        yield value.value
+    elif isinstance(value, ast.IfExp):
+        yield from _texts(value.body)
+        yield from _texts(value.orelse)
+
+
+def used_names() -> dict[str, set[str]]:
+    """Return the names that the source uses, by kind."""
+    events: set[str] = set()
+    metrics: set[str] = set()
+    codes: set[str] = set()
+    attempts: set[str] = set()
+    for path in sorted(SOURCE.rglob("*.py")):
+        tree = ast.parse(path.read_text(encoding="utf-8"))
+        events |= set(_calls(tree, EVENT_CALLS))
+        found = _calls(tree, METRIC_CALLS)
+        metrics |= {each for each in found if each.startswith("foxtail")}
+        if path.relative_to(SOURCE).parts[0] not in NOT_FOR_CALLERS:
+            codes |= set(_calls(tree, CODE_CALLS))
+            attempts |= set(_calls(tree, ATTEMPT_CALLS))
+    return {
+        "event": events,
+        "metric": metrics,
+        "error code": codes,
+        "attempt code": attempts,
+    }
+
+
+def _table(title: str, intro: str, head: str, rows: dict[str, str]) -> str:
+    lines = [f"# {title}", "", intro, "", f"| {head} | meaning |", "| --- | --- |"]
+    lines += [f"| `{name}` | {rows[name]} |" for name in sorted(rows)]
+    return "\n".join(lines) + "\n"
+
+
+def render_pages() -> dict[str, str]:
+    """Return the text of each derived page by its path below the root."""
+    settings = [
+        "# Settings",
+        "",
+        "Derived from the declarations by `scripts/render_reference.py`. `--check` of",
+        "each program validates a file and reports every problem at once; `--sample`",
+        "prints a commented file.",
+        "",
+    ]
+    for program, sections in PROGRAMS.items():
+        settings += [f"## {program}", ""]
+        settings.append(render_reference((ProcessSettings, *sections)))
+    return {
+        "docs/settings.md": "\n".join(settings),
+        "docs/events.md": _table(
+            "Log events",
+            "Each line of the log is one event in key=value pairs: `clock`, `process`, "
+            "`event`, then its fields. `foxtailctl timeline` merges them.",
+            "event",
+            catalogue.EVENTS,
+        )
+        + _table(
+            "Codes of broken attempts",
+            "The field `code` of `attempt_broken`. The caller sees the outcome of all "
+            "attempts together, not these codes.",
+            "code",
+            catalogue.ATTEMPT_CODES,
+        ).replace("# Codes", "\n## Codes", 1),
+        "docs/metrics.md": _table(
+            "Metrics",
+            "Served in the Prometheus text format at `/metrics` of `admin_listen`.",
+            "metric",
+            catalogue.METRICS,
+        ),
+        "docs/refusals.md": _table(
+            "Error codes",
+            "The field `error.code` of an error answer. The header `foxtail-verdict` "
+            "says whether the request may have run; with `not-run` it did not and will "
+            "not because of this submission. `retry-after` and "
+            "`foxtail-retry-after-ms` say when to come back; a refusal is final and is "
+            "sent at once.",
+            "code",
+            catalogue.ERROR_CODES,
+        ),
+    }
+
+
+def problems() -> list[str]:
+    """Return what is out of date, one sentence each."""
+    found = []
+    used = used_names()
+    listed = {
+        "event": set(catalogue.EVENTS),
+        "metric": set(catalogue.METRICS),
+        "error code": set(catalogue.ERROR_CODES),
+        "attempt code": set(catalogue.ATTEMPT_CODES),
+    }
+    for kind, names in listed.items():
+        found += [f"{kind} {each} has no meaning" for each in used[kind] - names]
+        unused = names - used[kind] - catalogue.RUN_TIME_NAMES
+        found += [f"{kind} {each} is not used" for each in unused]
+    for path, text in render_pages().items():
+        page = ROOT / path
+        if not page.exists() or page.read_text(encoding="utf-8") != text:
+            found.append(f"{path} is out of date; run scripts/render_reference.py")
+    return sorted(found)
+
+
+def main() -> None:
+    """Write the pages, or check them with ``--check``."""
+    if "--check" not in sys.argv[1:]:
+        for path, text in render_pages().items():
+            (ROOT / path).write_text(text, encoding="utf-8")
+    found = problems()
+    print("\n".join(found) or "reference pages are up to date")
+    sys.exit(1 if found else 0)
+
+
+if __name__ == "__main__":
+    main()
