Make the queue's slots settings; order the time line test by messages only

The time line test compared the order of an agent's log line with one of the entry that no message orders; it failed once on a busy machine.

--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -1,5 +1,6 @@
 """The agent: the only path to one backend server."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -32,7 +33,6 @@
 MAX_SERVICE_BODY_BYTES = 8 * 1024 * 1024
 # 256 prefix keys alone take 5.5 KB of one request's header fields.
 MAX_HEADER_BYTES = 64 * 1024
-RESERVED_SHORT_SLOTS = 2
 
 
 class Agent:
@@ -192,9 +192,13 @@
 
 
 def _make_queue(cfg: AgentSettings) -> FairQueue:
+    # Long requests must be able to reach their floor.
+    long_slots = max(1, math.ceil(cfg.long_floor * cfg.slots))
     limits = QueueLimits(
         slots=cfg.slots,
-        reserved_short_slots=min(RESERVED_SHORT_SLOTS, cfg.slots - 1),
+        reserved_short_slots=min(cfg.reserved_short_slots, cfg.slots - long_slots),
+        adapt_long_slots=cfg.adapt_long_slots,
+        long_floor=cfg.long_floor,
         max_waiting=cfg.queue_limit,
     )
     if cfg.kind == "service":
--- a/tests/ctl/test_timeline_processes.py
+++ b/tests/ctl/test_timeline_processes.py
@@ -5,22 +5,21 @@
 
 import pytest
 import trio
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Contains, Equals, LessThan
 
 from fleet_case import SLOW_ENGINE, FleetTestCase
 
 pytestmark = pytest.mark.processes
-EVENTS_OF_A_CONTINUED_STREAM = [
-    ("foxtail-entry", "request_admitted"),
-    ("foxtail-entry", "attempt_sent"),
-    ("foxtail-entry", "attempt_broken"),
-    ("foxtail-entry", "attempt_ended"),
-    ("foxtail-entry", "attempt_sent"),
-    ("foxtail-agent", "request_started"),
-    ("foxtail-agent", "request_ended"),
-    ("foxtail-entry", "attempt_ended"),
-    ("foxtail-entry", "request_answered"),
+ENTRY_EVENTS = [
+    "request_admitted",
+    "attempt_sent",
+    "attempt_broken",
+    "attempt_ended",
+    "attempt_sent",
+    "attempt_ended",
+    "request_answered",
 ]
+AGENT_EVENTS = ["request_started", "request_ended"]
 
 
 async def run_timeline(fleet, *options):
@@ -60,6 +59,15 @@
         done = await run_timeline(fleet, "--request", request_id, "--json")
         events = json.loads(done.stdout)["events"]
         shown = [(e["process"].partition("/")[0], e["name"]) for e in events]
-        self.assertThat(shown, Equals(EVENTS_OF_A_CONTINUED_STREAM))
+        by_entry = [name for process, name in shown if process == "foxtail-entry"]
+        by_agent = [name for process, name in shown if process == "foxtail-agent"]
+        self.assertThat(by_entry, Equals(ENTRY_EVENTS))
+        self.assertThat(by_agent, Equals(AGENT_EVENTS))
+        # The agent may log its end after the entry has the last event, so only the
+        # messages order the two processes.
+        started = shown.index(("foxtail-agent", "request_started"))
+        entry_places = [i for i, each in enumerate(shown) if "entry" in each[0]]
+        self.assertThat(entry_places[4], LessThan(started))
+        self.assertThat(started, LessThan(entry_places[5]))
         page = await run_timeline(fleet, "--request", request_id, "--format", "html")
         self.assertThat(page.stdout, Contains("attempt_broken"))
