Continue all streams of a lost backend server

Cause: a continuation drew on the retry budget (3 saved up for each account), so with 24 streams of one account only a few were continued; and it carried the deadline of the first token, so an agent refused it once a stream had run longer than that. Ruled out: a larger budget; it would also let failing first attempts retry more. Change: the first continuation of a stream is free, later ones draw on the budget, and each gets the contract's deadline anew.

--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -46,6 +46,8 @@
     ----------
     made : int
         Number of attempts.
+    continued : int
+        Those that continued a stream.
     avoid : set of str
         VMs that are not to be tried again.
     failures : list of AttemptError
@@ -53,6 +55,7 @@
     """
 
     made: int = 0
+    continued: int = 0
     avoid: set[str] = attrs.field(factory=set)
     failures: list[AttemptError] = attrs.field(factory=list)
 
@@ -162,23 +165,37 @@
             return None
         if not tries.made:
             self.first_attempt(call)
-        elif not self.may_retry(call, continued=version is not None):
+        elif version is not None:
+            if not self._may_continue(call, tries):
+                return None
+        elif not self.may_retry(call):
             return None
         tries.made += 1
         return target
 
+    def _may_continue(self, call: Call, tries: Tries) -> bool:
+        """Whether a stream that has begun may be continued; renews its deadline.
+
+        The first continuation is free of the retry budget, so that all streams of a
+        lost backend server complete; that at most doubles the attempts of a fleet
+        whose streams begin and then fail. The deadline was for the first token, and
+        an agent would refuse a request whose deadline has passed.
+        """
+        now = trio.current_time()
+        limit_s = call.contract.deadline_ms(call.request_class) / 1000
+        call.deadline = max(call.deadline, now + limit_s)
+        tries.continued += 1
+        return tries.continued == 1 or self.may_retry(call)
+
     def first_attempt(self, call: Call) -> None:
         """Note a first attempt for the retry budget."""
         account = call.contract.client_account
         self.retries.first_attempt(account, trio.current_time())
 
-    def may_retry(self, call: Call, *, continued: bool = False) -> bool:
+    def may_retry(self, call: Call) -> bool:
         """Spend one retry if the budget and the deadline allow it."""
-        now = trio.current_time()
-        # A stream that has begun met its deadline with the first token.
-        deadline = now + 1.0 if continued else call.deadline
         account = call.contract.client_account
-        return self.retries.allow_retry(account, now, deadline)
+        return self.retries.allow_retry(account, trio.current_time(), call.deadline)
 
     def _best(
         self, call: Call, avoid: set[str], version: str | None, now: float
--- /dev/null
+++ b/tests/entry/test_continuation.py
@@ -0,0 +1,92 @@
+import trio
+from test_streams import is_complete, is_marked_broken, read_cut
+from testtools.matchers import Equals, GreaterThan, HasLength
+
+from entry_support import FakeAgent, running_entry, serve_whole
+from support import AsyncTestCase
+
+SHORT_DEADLINE_MS = 300
+STREAMS = 24
+TOKENS = 8
+
+
+class TestContinuation(AsyncTestCase):
+    """Guards streams against limits that are meant for requests not yet answered."""
+
+    def run_entry(self, check, script, **options):
+        async def main():
+            agents = [FakeAgent(f"w{i}", script=script) for i in range(3)]
+            async with running_entry(agents, **options) as entry:
+                await check(entry, agents)
+
+        self.run_async(main)
+
+    def test_continuation_gets_a_deadline_of_its_own(self):
+        """A stream outlives its first-token deadline; the agent refuses a past one."""
+
+        async def cut_after_the_deadline(agent, exchange, attempt):
+            if attempt.resume_from:
+                await serve_whole(agent, exchange, attempt)
+                return
+            await agent.start(exchange, attempt)
+            await agent.tokens(exchange, range(3))
+            await trio.sleep(1.5 * SHORT_DEADLINE_MS / 1000)
+            exchange.abort()
+
+        async def check(entry, agents):
+            _, _, body = await entry.chat(max_tokens=TOKENS)
+            self.assertTrue(is_complete(body, TOKENS))
+            continued = [a for each in agents for a in each.attempts if a.resume_from]
+            self.assertThat(continued, HasLength(1))
+            self.assertThat(continued[0].deadline_ms, GreaterThan(0))
+
+        contract = {"short_deadline_ms": SHORT_DEADLINE_MS}
+        self.run_entry(check, cut_after_the_deadline, contract=contract)
+
+    def test_all_streams_of_a_lost_backend_server_are_continued(self):
+        """The retry budget of 3 must not decide which started streams complete."""
+
+        async def cut_first(agent, exchange, attempt):
+            if attempt.resume_from:
+                await serve_whole(agent, exchange, attempt)
+                return
+            await agent.start(exchange, attempt)
+            await agent.tokens(exchange, range(3))
+            exchange.abort()
+
+        async def check(entry, agents):
+            whole = await self.ask_many(entry, is_complete)
+            self.assertThat(whole, Equals(STREAMS))
+
+        self.run_entry(check, cut_first)
+
+    def test_streams_that_break_again_draw_on_the_retry_budget(self):
+        """A fleet that fails after each start must not get unbounded attempts."""
+
+        async def cut_always(agent, exchange, attempt):
+            await agent.start(exchange, attempt)
+            first = attempt.resume_from
+            await agent.tokens(exchange, range(first, first + 1))
+            exchange.abort()
+
+        async def check(entry, agents):
+            marked = await self.ask_many(entry, lambda body, _: is_marked_broken(body))
+            self.assertThat(marked, Equals(STREAMS))
+            attempts = sum(len(each.attempts) for each in agents)
+            # One free continuation each, and at most 3 retries saved up by the account
+            # plus a tenth of the first attempts.
+            allowed = 2 * STREAMS + 3 + STREAMS // 10 + 1
+            self.assertTrue(attempts <= allowed, f"{attempts} attempts")
+
+        self.run_entry(check, cut_always)
+
+    async def ask_many(self, entry, accepted):
+        bodies = []
+
+        async def ask():
+            bodies.append(await read_cut(entry, TOKENS))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(STREAMS):
+                nursery.start_soon(ask)
+        return sum(bool(accepted(body, TOKENS)) for body in bodies)
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -251,13 +251,13 @@
         self.stream(flood, checked, n_agents=1, send_timeout_s=0.1)
 
 
-async def read_cut(entry):
+async def read_cut(entry, max_tokens=5):
     """Return the body of a stream, whole or cut."""
     value = {
         "model": "guide",
         "messages": [{"role": "user", "content": "ciao"}],
         "stream": True,
-        "max_tokens": 5,
+        "max_tokens": max_tokens,
     }
     body = b""
     try:
