Ask a server again with the weights version that it told

Cause: the entry corrected its idea of a server's weights version only after the first failure of a request. If a loading server had refused first, the server of the older version was avoided after its refusal, and the request was refused although that server was in service.

Ruled out: the agents' check of the version, which is right, and the number of attempts, of which two were left.

Change: each server may be asked again once after it told another version. max_attempts and the retry budget bound the attempts as before.

Conclusion: the refusal is gone in the deterministic test. In the process test of a crash during a change, requests are still refused not-run once an account's retry budget is spent by its continued streams.

--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -48,12 +48,15 @@
         Number of attempts.
     avoid : set of str
         VMs that are not to be tried again.
+    corrected : set of str
+        VMs that have told that they serve another weights version than expected.
     failures : list of AttemptError
         In order.
     """
 
     made: int = 0
     avoid: set[str] = attrs.field(factory=set)
+    corrected: set[str] = attrs.field(factory=set)
     failures: list[AttemptError] = attrs.field(factory=list)
 
     @property
@@ -328,9 +331,11 @@
         if isinstance(exc, AttemptRefused) and not exc.elsewhere:
             return False
         served = self.servers.version(target.vm.vm, target.version)
-        if served != target.version and len(tries.failures) == 1:
+        if served != target.version and target.vm.vm not in tries.corrected:
             # The reply told which version the server has; the next attempt sends
-            # the keys of that version.
+            # the keys of that version. During a change of weights this server may be
+            # the only one in service, whatever the attempts before it met.
+            tries.corrected.add(target.vm.vm)
             return True
         tries.avoid.add(target.vm.vm)
         return True
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -1,7 +1,9 @@
+from functools import partial
+
 import msgspec
 from testtools.matchers import Contains, Equals
 
-from entry_support import FakeAgent, record, running_entry
+from entry_support import FakeAgent, record, running_entry, serve_whole
 from support import AsyncTestCase
 
 CHAT = "/v1/chat/completions"
@@ -104,3 +106,35 @@
             self.assertThat(agent.attempts, Equals([]))
 
         self.run_async(main)
+
+
+async def refuse_loading(agent, exchange, attempt):
+    await agent.refuse(exchange, attempt, "loading", 503)
+
+
+async def refuse_other_version(agent, exchange, attempt):
+    if attempt.weights_version not in ("", agent.version):
+        await agent.refuse(exchange, attempt, "weights_version", 503)
+        return
+    await serve_whole(agent, exchange, attempt)
+
+
+class TestWeightsChange(AsyncTestCase):
+    """Guards against a refusal while a server of the older version is in service."""
+
+    def test_server_in_service_is_found_after_one_that_loads(self):
+        """Either order of the two servers is the first choice of one of the runs."""
+
+        async def main(loading, serving):
+            agents = [
+                FakeAgent(loading, script=refuse_loading),
+                FakeAgent(serving, script=refuse_other_version),
+            ]
+            async with running_entry(agents) as entry:
+                body = {"model": "guide", "weights_version": "v2"}
+                entry.store.merge([record("models/guide", body, 2)])
+                status, _, _ = await entry.chat()
+                self.assertThat(status, Equals(200))
+
+        for names in (("a", "b"), ("b", "a")):
+            self.run_async(partial(main, *names))
