--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -153,6 +153,8 @@
         Further options of the stand-ins' engines and services.
     process_options, entry_options, platform_options : str
         Further lines of the ``[process]``, ``[entry]`` and ``[platform]`` sections.
+    weight_load_s : float or None
+        Time of one load from a weight store; None for engines that load at once.
     """
 
     def __init__(
@@ -165,11 +167,13 @@
         process_options="drain_grace_s = 0.3",
         entry_options="",
         platform_options="vm_list_poll_s = 0.2",
+        weight_load_s=None,
     ):
         self.folder = Path(folder)
         self.servers = {each.vm: each for each in servers}
         self.backends = {e.vm: free_address() for e in servers if e.role == "agent"}
         self.platform = free_address()
+        self.weights = None if weight_load_s is None else free_address()
         self.pool = ConnectionPool()
         self.programs = {}
         self._engine_options = engine_options
@@ -177,6 +181,7 @@
         self._process_options = process_options
         self._entry_options = entry_options
         self._platform_options = platform_options
+        self._weight_load_s = weight_load_s
         self._generations = {}
 
     def entries(self):
@@ -331,6 +336,10 @@
                 options = f"model={each.serves} block_tokens={BLOCK_TOKENS}"
                 options = f"{options} {self._engine_options}"
                 engines.append(f"    {address} {options}")
+        weights = []
+        if self.weights is not None:
+            weights.append(f"weight_store = {self.weights}")
+            weights.append(f"weight_load_s = {self._weight_load_s}")
         return "\n".join(
             [
                 "[process]",
@@ -339,6 +348,7 @@
                 f"admin_listen = {free_address()}",
                 "[standin]",
                 f"platform = {self.platform}",
+                *weights,
                 "engines =",
                 *engines,
                 "services =",
--- a/scripts/traffic.py
+++ b/scripts/traffic.py
@@ -113,6 +113,8 @@
         self.seen = {}
         self.returned = Counter()
         self.unknown = set()
+        # A change of weights adds the versions that answers may come from.
+        self.versions = ("v1",)
         self._prefixes = set()
         accounts = list(ACCOUNTS)
         self._accounts = self.rng.choices(accounts, ACCOUNTS.values(), k=4096)
@@ -203,11 +205,15 @@
             return
         if texts is None:
             seen.broken += 1
-        elif "".join(texts) != answer_text(prompt, max_tokens, "v1"):
+        elif "".join(texts) not in self._whole(prompt, max_tokens):
             seen.wrong.append(f"{name}: a clean end with a wrong text")
         else:
             seen.ok += 1
 
+    def _whole(self, prompt, max_tokens):
+        """Return the right answers; each is of one weights version."""
+        return [answer_text(prompt, max_tokens, each) for each in self.versions]
+
     def _repeated_tokens(self, account, messages):
         prefix, tokens, repeated = account, 0, 0
         for message in messages:
--- /dev/null
+++ b/tests/invariants/test_isolation.py
@@ -0,0 +1,115 @@
+import random
+
+import msgspec
+import pytest
+import trio
+from testtools.matchers import Equals
+from traffic import words
+
+from fleet_case import HELLO, SLOW_ENGINE, FleetTestCase
+from foxtailcourse.http import RequestOptions
+
+pytestmark = pytest.mark.processes
+SMALL = {"entries": 1, "assistants": 1, "counters": 0, "availability": 0}
+LONG_PROMPT = [{"role": "user", "content": words("the same for all", 400)}]
+FUZZ_SEED, FUZZ_CONNECTIONS = 7, 400
+VALID = (
+    b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n"
+    b"authorization: Bearer demo-key-teatro\r\ncontent-type: application/json\r\n"
+    b"content-length: 76\r\n\r\n"
+    b'{"model":"assistant","max_tokens":2,"messages":[{"role":"user","content":1}]}'
+)
+
+
+class TestAccounts(FleetTestCase):
+    """Guards invariant 1: byte-identical prompts of two client accounts."""
+
+    def cached(self, second, check):
+        async def run(fleet, callers, nursery):
+            await callers.ask("first", "teatro", LONG_PROMPT, 4)
+            await callers.ask("second", second, LONG_PROMPT, 4)
+            seen = callers.kind("second")
+            self.assertThat((seen.ok, seen.wrong), Equals((1, [])))
+            check(seen.cached_tokens)
+
+        self.run_fleet(run, layout=SMALL)
+
+    def test_other_account_gets_no_cached_tokens(self):
+        self.cached("museo", lambda tokens: self.assertThat(tokens, Equals(0)))
+
+    def test_same_account_gets_them(self):
+        """The switch: without a second account the blocks are served from cache."""
+        self.cached("teatro", lambda tokens: self.assertTrue(tokens > 0))
+
+
+class TestCallerGone(FleetTestCase):
+    """Guards against callers that are gone but hold slots of an engine."""
+
+    def test_caller_gone_in_a_stream_frees_the_slot(self):
+        async def check(fleet, callers, nursery):
+            body = {"model": "assistant", "messages": HELLO, "stream": True}
+            body["max_tokens"] = 4000  # 40 s at the engine
+            engine = fleet.backends["assistant-1"]
+            async with callers.pool.request(
+                callers.entries[0],
+                "POST",
+                "/v1/chat/completions",
+                headers=callers.fields("teatro"),
+                body=msgspec.json.encode(body),
+                options=RequestOptions(reuse=False),
+            ) as response:
+                self.assertThat(response.status, Equals(200))
+                async for _ in response.iter_chunks():
+                    break
+                load = await fleet.get(engine, "/load")
+                self.assertThat(load["running"], Equals(1))
+            await fleet.wait_status("assistant-1", lambda s: s["running"] == 0)
+            while (await fleet.get(engine, "/load"))["running"]:
+                await trio.sleep(0.01)
+            await callers.ask("after", "teatro", HELLO, 4)
+            self.assertThat(callers.kind("after").ok, Equals(1))
+
+        self.run_fleet(check, layout=SMALL, engine_options=SLOW_ENGINE)
+
+
+class TestRawBytes(FleetTestCase):
+    """Guards the entry's listener against input that ends or blocks it."""
+
+    def mutate(self, rng):
+        """Return random bytes, or a valid request that is altered or cut."""
+        if rng.random() < 0.3:
+            return rng.randbytes(rng.randrange(1, 2000))
+        data = bytearray(VALID)
+        for _ in range(rng.randrange(1, 6)):
+            at = rng.randrange(len(data))
+            data[at : at + rng.randrange(3)] = rng.randbytes(rng.randrange(3))
+        return bytes(data[: rng.randrange(1, len(data) + 1)])
+
+    def test_seeded_noise_leaves_the_entry_serving(self):
+        async def check(fleet, callers, nursery):
+            rng, address = random.Random(FUZZ_SEED), callers.entries[0]
+            inputs = [self.mutate(rng) for _ in range(FUZZ_CONNECTIONS)]
+            limit = trio.CapacityLimiter(16)
+
+            async def send(data):
+                async with limit:
+                    stream = await trio.open_tcp_stream(address.host, address.port)
+                    async with stream:
+                        try:
+                            await stream.send_all(data)
+                            await stream.send_eof()
+                            async for _ in stream:
+                                pass
+                        except trio.BrokenResourceError:
+                            pass  # the entry closes before it has read everything
+
+            async with trio.open_nursery() as sending:
+                for data in inputs:
+                    sending.start_soon(send, data)
+            await fleet.wait_status("entry-1", lambda s: s["active"] == 0)
+            events = {each.name for each in fleet.programs["entry-1"].events}
+            self.assertTrue("handler_error" not in events, events)
+            await callers.ask("after", "teatro", HELLO, 4)
+            self.assertThat(callers.kind("after").ok, Equals(1))
+
+        self.run_fleet(check, layout=SMALL)
