Test the bearer key comparison and the bounds of the HTTP server

Cause: no test covered the comparison of whole key hashes, the limit of connections, a chunked body over the limit, a slow header or an idle connection.

Change: tests only. The limit of connections and the comparison each have a test with the mechanism removed or widened.

--- /dev/null
+++ b/tests/entry/test_auth.py
@@ -0,0 +1,62 @@
+import hashlib
+from unittest import mock
+
+import testtools
+from testtools.matchers import Equals
+
+from entry_support import CONTRACT, KEY, record
+from foxtailcourse.config import ConfigStore
+from foxtailcourse.entry import _auth
+from foxtailcourse.entry._auth import INDEX_CHARS, Authenticator
+from foxtailcourse.http import HttpError
+
+
+class TestAuthenticator(testtools.TestCase):
+    """Guards bearer keys: only their hashes count, and whole hashes are compared."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = ConfigStore()
+        self.digest = hashlib.sha256(KEY.encode()).hexdigest()
+
+    def put(self, *hashes, account="teatro", generation=1):
+        body = CONTRACT | {"client_account": account, "key_sha256": list(hashes)}
+        self.store.merge([record(f"contracts/{account}", body, generation)])
+
+    def find(self, field, auth=None):
+        try:
+            found = (auth or Authenticator()).contract(self.store.view, field)
+        except HttpError as exc:
+            return exc.status
+        return found.client_account
+
+    def test_record_that_holds_the_key_itself_admits_nobody(self):
+        self.put(KEY)
+        self.assertThat(self.find(f"Bearer {KEY}"), Equals(401))
+
+    def test_equal_index_characters_are_not_enough(self):
+        near = self.digest[:INDEX_CHARS] + "0" * (64 - INDEX_CHARS)
+        self.put(near)
+        with mock.patch.object(
+            _auth.hmac, "compare_digest", wraps=_auth.hmac.compare_digest
+        ) as compare:
+            self.assertThat(self.find(f"Bearer {KEY}"), Equals(401))
+        compare.assert_called_once_with(near, self.digest)
+
+    def test_without_the_whole_comparison_a_foreign_key_is_accepted(self):
+        """Shows that the test above depends on the comparison."""
+        self.put(self.digest[:INDEX_CHARS] + "0" * (64 - INDEX_CHARS))
+        with mock.patch.object(_auth.hmac, "compare_digest", lambda one, other: True):
+            self.assertThat(self.find(f"Bearer {KEY}"), Equals("teatro"))
+
+    def test_removed_key_is_refused_with_the_next_view(self):
+        auth = Authenticator()
+        self.put(self.digest)
+        self.assertThat(self.find(f"Bearer {KEY}", auth), Equals("teatro"))
+        self.put("0" * 64, generation=2)
+        self.assertThat(self.find(f"Bearer {KEY}", auth), Equals(401))
+
+    def test_other_schemes_are_refused(self):
+        self.put(self.digest)
+        for field in ("", KEY, f"Basic {KEY}", "Bearer", f"Bearer {self.digest}"):
+            self.assertThat(self.find(field), Equals(401), field)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -30,9 +30,7 @@
     await exchange.respond(200, exchange.body)
 
 
-class TestHttpServer(AsyncTestCase):
-    """Guards the boundary where malformed or slow peers meet the server."""
-
+class ServerTestCase(AsyncTestCase):
     def serve(self, check, **limits):
         async def main():
             server = HttpServer(answer, HttpLimits(**limits), lambda e, exc: None)
@@ -54,6 +52,10 @@
                 answered += piece
         return answered
 
+
+class TestHttpServer(ServerTestCase):
+    """Guards the boundary where malformed or slow peers meet the server."""
+
     def test_connection_is_kept_for_the_next_request(self):
         async def check(address, server):
             pool = ConnectionPool()
@@ -155,3 +157,67 @@
                 await response.read()
 
         self.serve(check)
+
+
+class TestBoundedPeers(ServerTestCase):
+    """Guards a server's memory and connections against peers that take too much."""
+
+    HANG = b"GET /hang HTTP/1.1\r\nhost: a\r\n\r\n"
+    ASK = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+
+    async def ask_beside_hanging(self, address, server):
+        """Ask while one connection hangs; return whether it is answered meanwhile."""
+        answered = trio.Event()
+
+        async def ask():
+            found = await self.exchange_raw(address, self.ASK)
+            self.assertThat(found, StartsWith(b"HTTP/1.1 200"))
+            answered.set()
+
+        async with trio.open_nursery() as nursery:
+            hanging = await trio.open_tcp_stream(address.host, address.port)
+            await hanging.send_all(self.HANG)
+            while server.active == 0:
+                await trio.sleep(0.001)
+            nursery.start_soon(ask)
+            with trio.move_on_after(0.2):
+                await answered.wait()
+            beside = answered.is_set()
+            await hanging.aclose()
+        return beside
+
+    def test_connection_over_the_limit_waits_for_its_turn(self):
+        async def check(address, server):
+            self.assertFalse(await self.ask_beside_hanging(address, server))
+
+        self.serve(check, max_connections=1)
+
+    def test_with_a_higher_limit_it_does_not_wait(self):
+        async def check(address, server):
+            self.assertTrue(await self.ask_beside_hanging(address, server))
+
+        self.serve(check, max_connections=2)
+
+    def test_body_without_a_length_is_cut_at_the_limit(self):
+        async def check(address, server):
+            data = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            data += b"100\r\n" + b"x" * 256 + b"\r\n"
+            data += b"300\r\n" + b"x" * 768 + b"\r\n"
+            answered = await self.exchange_raw(address, data)
+            self.assertThat(answered, StartsWith(b"HTTP/1.1 413"))
+
+        self.serve(check, max_body_bytes=1000)
+
+    def test_slow_header_is_timed_out(self):
+        async def check(address, server):
+            answered = await self.exchange_raw(address, b"GET / HTTP/1.1\r\nhos")
+            self.assertThat(answered, StartsWith(b"HTTP/1.1 408"))
+
+        self.serve(check, receive_timeout_s=0.05)
+
+    def test_idle_connection_is_closed(self):
+        async def check(address, server):
+            answered = await self.exchange_raw(address, b"")
+            self.assertThat(answered, Equals(b""))
+
+        self.serve(check, idle_timeout_s=0.05)
