Shed at the entry what all candidates just refused

Cause: an account far above its share had each of its requests refused by several agents in turn; the table that remembers refusals was measured but not used by the entry. The idea is from Tatbul, Cetintemel and Zdonik, Staying FIT (VLDB 2007).

--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -1,7 +1,7 @@
 """Attempts of repeatable requests: candidates, order and limits."""
 
 import secrets
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 
 import attrs
@@ -24,10 +24,11 @@
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.protocol import Attempt, Reply, Verdict
 from foxtailcourse.routing import Choice, Placement, ServerReply
-from foxtailcourse.sharing import RetryBudget
+from foxtailcourse.sharing import FeasibilityTable, Refusal, RetryBudget
 
 RETRY_AFTER_MS = 1000
 HEAD_MARGIN_S = 1.0
+CAPACITY_CODES = frozenset({"deadline", "queue_full", "account_queue_full"})
 
 
 @attrs.frozen(kw_only=True)
@@ -54,6 +55,8 @@
         VMs that have told that they serve another weights version than expected.
     failures : list of AttemptError
         In order.
+    shed : Refusal or None
+        Set if no candidate was worth an attempt.
     """
 
     made: int = 0
@@ -61,6 +64,7 @@
     avoid: set[str] = attrs.field(factory=set)
     corrected: set[str] = attrs.field(factory=set)
     failures: list[AttemptError] = attrs.field(factory=list)
+    shed: Refusal | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -89,6 +93,13 @@
                 verdict=verdict,
                 retry_after_ms=RETRY_AFTER_MS,
             )
+        if self.shed is not None:
+            return HttpError(
+                503,
+                self.shed.code,
+                "all candidates just refused requests of this client account and class",
+                retry_after_ms=self.shed.retry_after_ms,
+            )
         return HttpError(
             503,
             "no_backend_server",
@@ -137,6 +148,7 @@
         self.metrics = metrics
         self.servers = ServerDirectory()
         self.retries = RetryBudget()
+        self.feasibility = FeasibilityTable(cfg.refusal_memory_s)
         self.probes = LivenessProbes(pool, cfg.probe_after_s, cfg.probe_timeout_s)
 
     def saw_reply(self, reply: Reply) -> None:
@@ -163,7 +175,12 @@
         now = trio.current_time()
         if tries.made >= self.cfg.max_attempts:
             return None
-        target = self._best(call, tries.avoid, version, now)
+        if version is not None:
+            # The deadline was for the first token; an agent would refuse a request
+            # whose deadline has passed.
+            limit_s = call.contract.deadline_ms(call.request_class) / 1000
+            call.deadline = max(call.deadline, now + limit_s)
+        target = self._best(call, tries, version, now)
         if target is None:
             return None
         if not tries.made:
@@ -177,16 +194,12 @@
         return target
 
     def _may_continue(self, call: Call, tries: Tries) -> bool:
-        """Whether a stream that has begun may be continued; renews its deadline.
+        """Whether a stream that has begun may be continued.
 
         The first continuation is free of the retry budget, so that all streams of a
         lost backend server complete; that at most doubles the attempts of a fleet
-        whose streams begin and then fail. The deadline was for the first token, and
-        an agent would refuse a request whose deadline has passed.
+        whose streams begin and then fail.
         """
-        now = trio.current_time()
-        limit_s = call.contract.deadline_ms(call.request_class) / 1000
-        call.deadline = max(call.deadline, now + limit_s)
         tries.continued += 1
         return tries.continued == 1 or self.may_retry(call)
 
@@ -201,7 +214,7 @@
         return self.retries.allow_retry(account, trio.current_time(), call.deadline)
 
     def _best(
-        self, call: Call, avoid: set[str], version: str | None, now: float
+        self, call: Call, tries: Tries, version: str | None, now: float
     ) -> Target | None:
         view = self.store.view
         groups = self.servers.groups(view, call.serves, call.desired_version, now)
@@ -209,7 +222,7 @@
         for each, servers in groups.items():
             if version is not None and each != version:
                 continue
-            choice = self._choose(call, each, servers, avoid, now)
+            choice = self._choose(call, each, servers, tries, now)
             if choice and (best is None or choice.cost_s < best[0].cost_s):
                 best = (choice, each)
         if best is None:
@@ -222,17 +235,38 @@
         call: Call,
         version: str,
         servers: tuple[str, ...],
-        avoid: set[str],
+        tries: Tries,
         now: float,
     ) -> Choice | None:
-        prompt = call.prompt(version)
+        prompt, avoid = call.prompt(version), tries.avoid
         ranked = self.placement.rank(prompt, servers, call.request_class, now)
         left = [each for each in ranked if each.backend_server not in avoid]
         if not left and avoid:
             # All candidates were tried; only then the rest of the fleet is ranked.
             others = tuple(each for each in servers if each not in avoid)
             left = self.placement.rank(prompt, others, call.request_class, now)
-        return left[0] if left else None
+        return self._first_feasible(call, left, tries, now)
+
+    def _first_feasible(
+        self, call: Call, ranked: Sequence[Choice], tries: Tries, now: float
+    ) -> Choice | None:
+        """Return the best candidate that did not just refuse such a request.
+
+        An account above its share is then refused here instead of by each candidate
+        in turn. Only its own refusals count, so others lose nothing.
+        """
+        feasible = self.feasibility.feasible(
+            [each.backend_server for each in ranked],
+            call.contract.client_account,
+            call.request_class,
+            max(0.0, call.deadline - now),
+            now,
+        )
+        if isinstance(feasible, Refusal):
+            tries.shed = feasible
+            return None
+        kept = (each for each in ranked if each.backend_server in feasible)
+        return next(kept, None)
 
     @asynccontextmanager
     async def attempt(
@@ -342,11 +376,21 @@
             reason=exc.message,
         )
 
-    def note_failure(self, tries: Tries, target: Target, exc: AttemptError) -> bool:
+    def note_failure(
+        self, call: Call, tries: Tries, target: Target, exc: AttemptError
+    ) -> bool:
         """Take note of a failed attempt; return whether another may be made."""
         tries.failures.append(exc)
         if isinstance(exc, AttemptRefused) and not exc.elsewhere:
             return False
+        if exc.code in CAPACITY_CODES and isinstance(exc, AttemptRefused):
+            self.feasibility.refused(
+                target.vm.vm,
+                call.contract.client_account,
+                call.request_class,
+                exc.reply.retry_after_ms,
+                trio.current_time(),
+            )
         served = self.servers.version(target.vm.vm, target.version)
         if served != target.version and target.vm.vm not in tries.corrected:
             # The reply told which version the server has; the next attempt sends
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -85,7 +85,7 @@
                 ) as (_, answer):
                     body = await answer.response.read()
             except AttemptError as exc:
-                if not self._dispatcher.note_failure(tries, target, exc):
+                if not self._dispatcher.note_failure(call, tries, target, exc):
                     break
                 continue
             return answer, body
@@ -109,7 +109,7 @@
             try:
                 await self._stream_once(exchange, call, target, delivery)
             except AttemptError as exc:
-                if not self._dispatcher.note_failure(tries, target, exc):
+                if not self._dispatcher.note_failure(call, tries, target, exc):
                     break
                 continue
             await exchange.send(DONE)
--- /dev/null
+++ b/tests/entry/test_shedding.py
@@ -0,0 +1,64 @@
+import hashlib
+
+from testtools.matchers import Equals, GreaterThan
+
+from entry_support import CONTRACT, FakeAgent, record, running_entry
+from foxtailcourse.protocol import Verdict
+from support import AsyncTestCase
+
+OTHER_KEY = "secret-museo"
+LATER_MS = 60_000
+
+
+async def refuse_for_capacity(agent, exchange, attempt):
+    fields = agent.reply(attempt, Verdict.NOT_RUN, retry_after_ms=LATER_MS)
+    error = {"error": {"message": "busy", "code": "deadline"}}
+    await exchange.respond_json(503, error, fields)
+
+
+class TestShedding(AsyncTestCase):
+    """Guards busy backend servers against requests that they just refused."""
+
+    def run_entry(self, check, **settings):
+        async def main():
+            agents = [FakeAgent(f"w{i}", script=refuse_for_capacity) for i in range(3)]
+            async with running_entry(agents, **settings) as entry:
+                body = CONTRACT | {
+                    "client_account": "museo",
+                    "key_sha256": [hashlib.sha256(OTHER_KEY.encode()).hexdigest()],
+                }
+                entry.store.merge([record("contracts/museo", body)])
+                await check(entry, lambda: sum(len(a.attempts) for a in agents))
+
+        self.run_async(main)
+
+    def test_second_request_is_refused_without_an_attempt(self):
+        async def check(entry, count):
+            await entry.chat()
+            first = count()
+            self.assertThat(first, Equals(3))
+            status, headers, body = await entry.chat()
+            self.assertThat((status, count()), Equals((503, first)))
+            self.assertThat(headers["foxtail-verdict"], Equals("not-run"))
+            self.assertThat(int(headers["foxtail-retry-after-ms"]), GreaterThan(0))
+            self.assertIn(b"no_capacity", body)
+
+        self.run_entry(check, refusal_memory_s=LATER_MS / 1000)
+
+    def test_another_account_is_still_sent(self):
+        async def check(entry, count):
+            await entry.chat()
+            first = count()
+            await entry.chat(key=OTHER_KEY)
+            self.assertThat(count(), GreaterThan(first))
+
+        self.run_entry(check, refusal_memory_s=LATER_MS / 1000)
+
+    def test_without_the_memory_each_request_is_sent(self):
+        async def check(entry, count):
+            await entry.chat()
+            first = count()
+            await entry.chat()
+            self.assertThat(count(), GreaterThan(first))
+
+        self.run_entry(check, refusal_memory_s=0.0)
