Handle tokens that arrive together as one piece

Cause: a profile of a streamed token shows h11 events, cancel scopes and sends, each paid once for every chunk even when several chunks were read at once. The client yielded each h11 Data event as its own piece, so the entry's batches never had more than one event, and the agent sent each token alone.

Change: the client yields all body bytes that h11 holds as one piece and reads only when it holds none, so nothing waits for more. The agent checks and sends the tokens of a piece together; good tokens before a fault are still delivered first. The server writes directly and opens a timeout only for what the system does not take at once.

Checks of order, contiguity, completeness, weights version and incarnation are made for each token as before.

One scope for a whole response, with a moving deadline, cannot be opened where the entry waits for the head, since the scopes would not nest.

--- a/src/foxtailcourse/agent/_chat.py
+++ b/src/foxtailcourse/agent/_chat.py
@@ -195,10 +195,16 @@
         fields = self._head(request, relay, Verdict.MAY_HAVE_RUN)
         fields["content-type"] = "text/event-stream"
         await exchange.start_stream(200, fields)
-        async with aclosing(relay.tokens()) as tokens:
-            async for token in tokens:
-                event = SseEvent(token.data, id=str(relay.count - 1))
-                await exchange.send(format_sse(event))
+        async with aclosing(relay.batches()) as batches:
+            async for batch in batches:
+                first = relay.count - len(batch)
+                # One write for all chunks that arrived together.
+                await exchange.send(
+                    b"".join(
+                        format_sse(SseEvent(token.data, id=str(number)))
+                        for number, token in enumerate(batch, first)
+                    )
+                )
         end = {"count": relay.count, "attempt_id": request.attempt.attempt_id}
         data = msgspec.json.encode(end).decode()
         await exchange.send(format_sse(SseEvent(data, event="end")))
@@ -208,10 +214,10 @@
         self, exchange: Exchange, request: _Started, relay: "_Relay"
     ) -> None:
         texts, reason = [], ""
-        async with aclosing(relay.tokens()) as tokens:
-            async for token in tokens:
-                texts.append(token.text)
-                reason = token.finish_reason
+        async with aclosing(relay.batches()) as batches:
+            async for batch in batches:
+                texts += [token.text for token in batch]
+                reason = batch[-1].finish_reason
         message = {"role": "assistant", "content": "".join(texts)}
         usage = {
             "prompt_tokens": request.attempt.prompt_tokens,
@@ -299,19 +305,39 @@
         self._first = first
         self._slot = slot
 
-    async def tokens(self) -> AsyncGenerator[EngineToken, None]:
-        """Yield the chunks; raises EngineError on a broken or mixed stream."""
-        last: EngineToken | None = None
-        async with aclosing(self.stream.tokens()) as tokens:
-            async for token in tokens:
-                self._check(token)
-                self.count += 1
-                self._slot.generated(self.count - self._first)
-                last = token
-                yield token
-        if last is not None and not last.finish_reason:
+    async def batches(self) -> AsyncGenerator[list[EngineToken], None]:
+        """Yield the chunks that arrived together; ``count`` includes those yielded.
+
+        Raises
+        ------
+        EngineError
+            After the last good chunk of a broken or mixed stream.
+        """
+        reason: str | None = None
+        async with aclosing(self.stream.batches()) as batches:
+            async for batch in batches:
+                good, failure = self._checked(batch)
+                if good:
+                    self.count += len(good)
+                    self._slot.generated(self.count - self._first)
+                    reason = good[-1].finish_reason
+                    yield good
+                if failure is not None:
+                    raise failure
+        if reason == "":
             raise EngineError("engine stream ended without a finish reason")
 
+    def _checked(
+        self, batch: list[EngineToken]
+    ) -> tuple[list[EngineToken], EngineError | None]:
+        """Return the chunks before the first bad one, and what is wrong with that."""
+        for number, token in enumerate(batch):
+            try:
+                self._check(token)
+            except EngineError as exc:
+                return batch[:number], exc
+        return batch, None
+
     def _check(self, token: EngineToken) -> None:
         if token.weights_version not in ("", self.stream.weights_version):
             raise WeightsChangedError("the engine's weights changed in the stream")
--- a/src/foxtailcourse/engine/_http.py
+++ b/src/foxtailcourse/engine/_http.py
@@ -43,6 +43,9 @@
     system_fingerprint: str = ""
 
 
+_DECODE_CHUNK = msgspec.json.Decoder(_Chunk).decode
+
+
 class _Event(msgspec.Struct):
     seq: int
     incarnation: str
@@ -61,34 +64,50 @@
 
     def __init__(self, response: ClientResponse) -> None:
         self._response = response
+        self._finished = False
         fields = response.headers
         self.incarnation = fields.get("x-engine-incarnation", "")
         self.weights_version = fields.get("x-weights-version", "")
         cached = fields.get("x-cached-tokens", "0")
         self.cached_tokens = int(cached) if cached.isascii() and cached.isdigit() else 0
 
-    async def tokens(self) -> AsyncGenerator[EngineToken, None]:
-        """Yield the chunks; raises EngineError unless the end is a clean one."""
-        parser, finished = SseParser(), False
+    async def batches(self) -> AsyncGenerator[list[EngineToken], None]:
+        """Yield the chunks of each piece; raises EngineError unless it ends cleanly."""
+        parser = SseParser()
         try:
             async with aclosing(self._response.iter_chunks()) as pieces:
                 async for piece in pieces:
-                    for event in parser.feed(piece):
-                        if event.data == DONE:
-                            finished = True
-                        elif finished:
-                            raise EngineError("engine sent a chunk after the end")
-                        else:
-                            yield _token(event.data)
+                    good, failure = self._take(parser, piece)
+                    if good:
+                        yield good
+                    if failure is not None:
+                        raise failure
         except (ClientError, SseError) as exc:
             raise EngineError(f"engine stream broke: {exc}") from exc
-        if not finished:
+        if not self._finished:
             raise EngineError("engine stream ended without [DONE]")
 
+    def _take(
+        self, parser: SseParser, piece: bytes
+    ) -> tuple[list[EngineToken], SseError | EngineError | None]:
+        """Return the chunks that a piece completes, and what is wrong after them."""
+        good: list[EngineToken] = []
+        try:
+            for event in parser.feed(piece):
+                if event.data == DONE:
+                    self._finished = True
+                elif self._finished:
+                    raise EngineError("engine sent a chunk after the end")
+                else:
+                    good.append(_token(event.data))
+        except (SseError, EngineError) as exc:
+            return good, exc
+        return good, None
+
 
 def _token(data: str) -> EngineToken:
     try:
-        chunk = msgspec.json.decode(data, type=_Chunk)
+        chunk = _DECODE_CHUNK(data)
     except msgspec.DecodeError as exc:
         raise EngineError(f"engine chunk is malformed: {exc}") from exc
     choice = chunk.choices[0] if chunk.choices else _Choice()
--- a/src/foxtailcourse/engine/_types.py
+++ b/src/foxtailcourse/engine/_types.py
@@ -80,8 +80,14 @@
     weights_version: str
     cached_tokens: int
 
-    def tokens(self) -> AsyncGenerator[EngineToken, None]:
-        """Yield the chunks; raises EngineError unless the end is a clean one."""
+    def batches(self) -> AsyncGenerator[list[EngineToken], None]:
+        """Yield the chunks in groups that arrived together, never an empty one.
+
+        Raises
+        ------
+        EngineError
+            After the last good chunk, unless the end is a clean one.
+        """
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -72,9 +72,35 @@
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            with trio.fail_after(timeout_s):
-                data = await self.stream.receive_some(READ_BYTES)
-            self.h11.receive_data(data)
+            await self.receive(timeout_s)
+
+    async def receive(self, timeout_s: float) -> None:
+        """Read once; raises TooSlowError when nothing arrives in time."""
+        with trio.fail_after(timeout_s):
+            data = await self.stream.receive_some(READ_BYTES)
+        self.h11.receive_data(data)
+
+    def take_body(self) -> tuple[bytes, bool]:
+        """Return the body bytes that have arrived, and whether the body has ended.
+
+        Raises
+        ------
+        ClientError
+            If what follows the body read so far is neither body nor its end.
+        """
+        pieces: list[bytes] = []
+        try:
+            while isinstance(event := self.h11.next_event(), h11.Data):
+                pieces.append(bytes(event.data))
+        except h11.RemoteProtocolError:
+            # What arrived before the fault is delivered first; h11 raises again when
+            # it is asked for the next event.
+            if not pieces:
+                raise
+            return b"".join(pieces), False
+        if event is h11.NEED_DATA or isinstance(event, h11.EndOfMessage):
+            return b"".join(pieces), event is not h11.NEED_DATA
+        raise ClientError("response was cut", Verdict.MAY_HAVE_RUN)
 
 
 class ClientResponse:
@@ -92,15 +118,19 @@
         }
 
     async def iter_chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yield the body in pieces; raises ClientError if it is cut."""
+        """Yield the body in pieces; raises ClientError if it is cut.
+
+        A piece is all that has arrived, so that a loaded reader handles several chunks
+        at once; no piece waits for more.
+        """
         try:
-            while True:
-                event = await self._conn.next_event(self._options.idle_timeout_s)
-                if isinstance(event, h11.EndOfMessage):
-                    return
-                if not isinstance(event, h11.Data):
-                    raise ClientError("response was cut", Verdict.MAY_HAVE_RUN)
-                yield bytes(event.data)
+            ended = False
+            while not ended:
+                piece, ended = self._conn.take_body()
+                if piece:
+                    yield piece
+                elif not ended:
+                    await self._conn.receive(self._options.idle_timeout_s)
         except _FAILURES as exc:
             raise ClientError(
                 f"response was cut: {exc!r}", Verdict.MAY_HAVE_RUN
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server: one task for each connection."""
 
+import os
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -68,8 +69,8 @@
         head["content-type"] = content_type
         head["content-length"] = str(len(body))
         self.started = True
-        await self._conn.send(self._response(status, head), h11.Data(data=body))
-        await self._conn.send(h11.EndOfMessage())
+        response = self._response(status, head)
+        await self._conn.send(response, h11.Data(data=body), h11.EndOfMessage())
 
     async def respond_json(
         self, status: int, value: object, fields: Mapping[str, str] | None = None
@@ -107,6 +108,36 @@
         self._conn.broken = True
 
 
+def send_ready(stream: trio.SocketStream, data: bytes) -> int:
+    """Send what the system takes at once, without a checkpoint.
+
+    A checkpoint and a timeout cost more than the send itself, and most pieces fit into
+    the send buffer. The caller must still reach a checkpoint between sends, which each
+    read from a peer does.
+
+    Returns
+    -------
+    int
+        Number of bytes sent.
+
+    Raises
+    ------
+    trio.BrokenResourceError
+        If the peer has closed the connection.
+    trio.ClosedResourceError
+        If the stream is closed.
+    """
+    handle = stream.socket.fileno()
+    if handle < 0:
+        raise trio.ClosedResourceError("stream is closed")
+    try:
+        return os.write(handle, data)
+    except BlockingIOError:
+        return 0
+    except OSError as exc:
+        raise trio.BrokenResourceError(f"socket connection broken: {exc}") from exc
+
+
 _PEER_FAILURES = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -150,8 +181,10 @@
         """Send events; a caller too slow to take them breaks the connection."""
         data = b"".join(self.h11.send(event) or b"" for event in events)
         try:
-            with trio.fail_after(self.limits.send_timeout_s):
-                await self.stream.send_all(data)
+            unsent = data[send_ready(self.stream, data) :]
+            if unsent:
+                with trio.fail_after(self.limits.send_timeout_s):
+                    await self.stream.send_all(unsent)
         except (trio.TooSlowError, trio.BrokenResourceError):
             self.broken = True
             raise
