Send head and first events, and last event and end, in one write

Cause: each streamed response took four or more sends at the entry; the head and the first events, and the last piece and the end, are known together.

Change: start_stream and end_stream take a piece. The agent's head still leaves before the first token, so nothing is held back.

--- a/src/foxtailcourse/agent/_chat.py
+++ b/src/foxtailcourse/agent/_chat.py
@@ -207,8 +207,7 @@
                 )
         end = {"count": relay.count, "attempt_id": request.attempt.attempt_id}
         data = msgspec.json.encode(end).decode()
-        await exchange.send(format_sse(SseEvent(data, event="end")))
-        await exchange.end_stream()
+        await exchange.end_stream(format_sse(SseEvent(data, event="end")))
 
     async def _whole(
         self, exchange: Exchange, request: _Started, relay: "_Relay"
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -112,8 +112,7 @@
                 if not self._dispatcher.note_failure(tries, target, exc):
                     break
                 continue
-            await exchange.send(DONE)
-            await exchange.end_stream()
+            await exchange.end_stream(DONE)
             return
         if not delivery.started:
             raise tries.error()
@@ -157,20 +156,27 @@
             async for piece in pieces:
                 good, failure = _checked_events(parser, checker, piece)
                 if good:
-                    if not delivery.started:
-                        await self._start(exchange, call, answer, delivery)
                     # Counted before they are sent, so that no later attempt can send
                     # them a second time to a caller that got a part of them.
                     for _, text in good:
                         delivery.deliver(text)
                     # One write for all events of a piece: a loaded entry reads more
                     # events at once and then spends less on each.
-                    await exchange.send(b"".join(format_sse(each) for each, _ in good))
+                    data = b"".join(format_sse(each) for each, _ in good)
+                    if delivery.started:
+                        await exchange.send(data)
+                    else:
+                        await self._start(exchange, call, answer, delivery, data)
                 if failure is not None:
                     raise failure
 
     async def _start(
-        self, exchange: Exchange, call: Call, answer: Answer, delivery: Delivery
+        self,
+        exchange: Exchange,
+        call: Call,
+        answer: Answer,
+        delivery: Delivery,
+        data: bytes,
     ) -> None:
         delivery.started = True
         delivery.version = answer.reply.weights_version
@@ -183,7 +189,7 @@
         )
         fields = answer_fields(call, answer.reply)
         fields |= {"content-type": EVENT_STREAM, "cache-control": "no-store"}
-        await exchange.start_stream(answer.response.status, fields)
+        await exchange.start_stream(answer.response.status, fields, data)
 
     async def _end_broken(
         self, exchange: Exchange, call: Call, tries: Tries, delivery: Delivery
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -82,18 +82,20 @@
         """Send an error answer."""
         await self.respond(exc.status, exc.body(), exc.headers())
 
-    async def start_stream(self, status: int, fields: Mapping[str, str]) -> None:
-        """Send the head of a response whose body follows in pieces."""
+    async def start_stream(
+        self, status: int, fields: Mapping[str, str], piece: bytes = b""
+    ) -> None:
+        """Send the head of a streamed response, and its first piece if there is one."""
         self.started = True
-        await self._conn.send(self._response(status, fields))
+        await self._conn.send(self._response(status, fields), *_body(piece))
 
     async def send(self, piece: bytes) -> None:
         """Send one piece of a streamed body."""
         await self._conn.send(h11.Data(data=piece))
 
-    async def end_stream(self) -> None:
-        """End a streamed body."""
-        await self._conn.send(h11.EndOfMessage())
+    async def end_stream(self, piece: bytes = b"") -> None:
+        """Send the last piece, if there is one, and the end of a streamed body."""
+        await self._conn.send(*_body(piece), h11.EndOfMessage())
 
     def close_after(self) -> None:
         """Tell the peer that the connection ends with this response."""
@@ -153,6 +155,10 @@
     return h11.Response(status_code=status, headers=encoded)
 
 
+def _body(piece: bytes) -> list[h11.Event]:
+    return [h11.Data(data=piece)] if piece else []
+
+
 def _header(value: str) -> bytes:
     clean = "".join(c if " " <= c <= "~" else "?" for c in value)
     return clean.strip().encode("ascii")
