--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -151,8 +151,8 @@
         The VMs.
     engine_options, service_options : str
         Further options of the stand-ins' engines and services.
-    process_options, entry_options : str
-        Further lines of the ``[process]`` and ``[entry]`` sections.
+    process_options, entry_options, platform_options : str
+        Further lines of the ``[process]``, ``[entry]`` and ``[platform]`` sections.
     """
 
     def __init__(
@@ -164,6 +164,7 @@
         service_options="",
         process_options="drain_grace_s = 0.3",
         entry_options="",
+        platform_options="vm_list_poll_s = 0.2",
     ):
         self.folder = Path(folder)
         self.servers = {each.vm: each for each in servers}
@@ -175,6 +176,7 @@
         self._service_options = service_options
         self._process_options = process_options
         self._entry_options = entry_options
+        self._platform_options = platform_options
         self._generations = {}
 
     def entries(self):
@@ -356,7 +358,7 @@
             f"key_value = {self.platform}",
             f"vm_list = {self.platform}",
             f"control_listen = {server.control}",
-            "vm_list_poll_s = 0.2",
+            self._platform_options,
             "peers = " + ", ".join(str(e.control) for e in self.peers_of(server)),
         ]
 
