Move the sharing simulations to the emulator; keep one response type

Cause: simulations and baselines stood in the package of the product's decisions, and the answer of a plain service was declared twice and copied field by field. Ruled out: a third module for the type; the engine adapter already owns it. Change: emulator.sharing holds baselines, exchange, fleet and simulation; the outcome table keeps the adapter's ServiceResponse.

--- a/scripts/measure_agent.py
+++ b/scripts/measure_agent.py
@@ -7,8 +7,8 @@
 import tracemalloc
 
 from foxtailcourse.cache import BlockIndex
+from foxtailcourse.engine import ServiceResponse
 from foxtailcourse.idempotency import (
-    KeptResponse,
     KeyIssuer,
     OutcomeLimits,
     OutcomeTable,
@@ -47,7 +47,7 @@
 def fill_outcomes(entries, body=b""):
     """Return a table of finished keys without a response body."""
     issuer, table = KeyIssuer("a", 600.0, entries), OutcomeTable(OutcomeLimits())
-    response = KeptResponse(status=200, content_type="text/plain", body=body)
+    response = ServiceResponse(status=200, content_type="text/plain", body=body)
     for _ in range(entries):
         key = issuer.check(issuer.issue("teatro", 0.0), "teatro", 0.0)
         table.begin(key.ident, key.ident, key.expires_at, 0.0)
--- a/src/foxtailcourse/agent/_runs.py
+++ b/src/foxtailcourse/agent/_runs.py
@@ -7,12 +7,11 @@
 
 from foxtailcourse.agent._context import AgentContext
 from foxtailcourse.agent._scheduler import RefusedError
-from foxtailcourse.engine import ServiceClient, ServiceRequest
+from foxtailcourse.engine import ServiceClient, ServiceRequest, ServiceResponse
 from foxtailcourse.http import ClientError, HttpError
 from foxtailcourse.idempotency import (
     Decision,
     IssuedKey,
-    KeptResponse,
     KeyState,
     OutcomeTable,
 )
@@ -26,14 +25,14 @@
 
     Parameters
     ----------
-    response : KeptResponse or None
+    response : ServiceResponse or None
         The service's whole response.
     refusal : HttpError or None
         Set if the call did not reach the service.
     """
 
     ended: trio.Event = attrs.field(factory=trio.Event)
-    response: KeptResponse | None = None
+    response: ServiceResponse | None = None
     refusal: HttpError | None = None
 
 
@@ -64,7 +63,7 @@
         key: IssuedKey,
         request: ServiceRequest,
         queued: QueuedRequest,
-    ) -> KeptResponse:
+    ) -> ServiceResponse:
         """Return the outcome of a key's one run; raises HttpError without one."""
         context = self._context
         if key.state is not KeyState.VALID:
@@ -90,7 +89,7 @@
             self._fence(key, fingerprint)
             raise self._context.refuse_new_work(attempt.attempt_id)
 
-    async def _wait(self, attempt: Attempt, run: _Run) -> KeptResponse:
+    async def _wait(self, attempt: Attempt, run: _Run) -> ServiceResponse:
         await run.ended.wait()
         if run.refusal is not None:
             raise self._refusal(attempt, run.refusal)
@@ -100,7 +99,7 @@
 
     def _settled(
         self, attempt: Attempt, key: IssuedKey, decision: Decision
-    ) -> KeptResponse:
+    ) -> ServiceResponse:
         response = self.table.response(key.ident)
         if decision is Decision.KEPT and response is not None:
             return response
@@ -145,12 +144,7 @@
         try:
             async with context.scheduler.start(queued):
                 context.events.emit("run_started", ident=key.ident.hex())
-                response = await self._service.call(request)
-            run.response = KeptResponse(
-                status=response.status,
-                content_type=response.content_type,
-                body=response.body,
-            )
+                run.response = await self._service.call(request)
             self.table.finish(key.ident, run.response, context.now())
         except RefusedError as exc:
             run.refusal = HttpError(
--- a/src/foxtailcourse/agent/_service.py
+++ b/src/foxtailcourse/agent/_service.py
@@ -8,10 +8,9 @@
 from foxtailcourse.agent._runs import KeyedRuns
 from foxtailcourse.agent._scheduler import RefusedError
 from foxtailcourse.config import ServiceRoute
-from foxtailcourse.engine import ServiceClient, ServiceRequest
+from foxtailcourse.engine import ServiceClient, ServiceRequest, ServiceResponse
 from foxtailcourse.http import ClientError, Exchange
 from foxtailcourse.idempotency import (
-    KeptResponse,
     KeyIssuer,
     KeyLimitError,
     OutcomeTable,
@@ -123,14 +122,14 @@
 
     async def _repeatable(
         self, attempt: Attempt, request: ServiceRequest
-    ) -> KeptResponse:
+    ) -> ServiceResponse:
         """Run a call that ends with its caller."""
         context = self._context
         if not context.takes_new_work:
             raise context.refuse_new_work(attempt.attempt_id)
         try:
             async with context.scheduler.start(self._queued(attempt)):
-                response = await self._service.call(request)
+                return await self._service.call(request)
         except RefusedError as exc:
             raise context.refusal(
                 attempt.attempt_id,
@@ -143,11 +142,6 @@
             raise context.refusal(
                 attempt.attempt_id, 503, "service_failed", str(exc), verdict=exc.verdict
             ) from exc
-        return KeptResponse(
-            status=response.status,
-            content_type=response.content_type,
-            body=response.body,
-        )
 
     def _queued(self, attempt: Attempt) -> QueuedRequest:
         """Return a call as the queue sees it: one unit of the service's time."""
--- a/src/foxtailcourse/idempotency/_outcomes.py
+++ b/src/foxtailcourse/idempotency/_outcomes.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from foxtailcourse.engine import ServiceResponse
+
 
 class Decision(enum.Enum):
     """What to do with a call that shows a valid key.
@@ -32,25 +34,6 @@
     MISMATCH = "mismatch"
 
 
-@attrs.frozen(kw_only=True)
-class KeptResponse:
-    """The whole response of a service.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    content_type : str
-        Type of the body.
-    body : bytes
-        The whole body.
-    """
-
-    status: int
-    content_type: str
-    body: bytes
-
-
 @attrs.frozen(kw_only=True)
 class OutcomeLimits:
     """Bounds of an outcome table.
@@ -79,7 +62,7 @@
     state: _State
     fingerprint: bytes
     expires_at: float
-    response: KeptResponse | None = None
+    response: ServiceResponse | None = None
 
 
 class OutcomeTable:
@@ -146,12 +129,12 @@
         kept = held.state is _State.DONE and held.response is not None
         return Decision.KEPT if kept else Decision.UNKNOWN
 
-    def response(self, ident: bytes) -> KeptResponse | None:
+    def response(self, ident: bytes) -> ServiceResponse | None:
         """Return the kept response of a key."""
         held = self._outcomes.get(ident)
         return held.response if held is not None else None
 
-    def finish(self, ident: bytes, response: KeptResponse, now: float) -> None:
+    def finish(self, ident: bytes, response: ServiceResponse, now: float) -> None:
         """Note the whole response of a running key."""
         held = self._running(ident)
         held.state = _State.DONE
--- a/tests/idempotency/test_outcomes.py
+++ b/tests/idempotency/test_outcomes.py
@@ -3,9 +3,9 @@
 import testtools
 from testtools.matchers import Equals
 
+from foxtailcourse.engine import ServiceResponse
 from foxtailcourse.idempotency import (
     Decision,
-    KeptResponse,
     KeyIssuer,
     KeyLimitError,
     KeyState,
@@ -18,7 +18,7 @@
 
 
 def make_response(size=10):
-    return KeptResponse(status=200, content_type="text/plain", body=b"x" * size)
+    return ServiceResponse(status=200, content_type="text/plain", body=b"x" * size)
 
 
 class TestKeyIssuer(testtools.TestCase):
--- a/tests/sharing/sharing_support.py
+++ b/tests/sharing/sharing_support.py
@@ -3,9 +3,9 @@
 import itertools
 from collections import defaultdict
 
+from foxtailcourse.emulator.sharing.simulation import BackendSimulation
 from foxtailcourse.protocol import RequestClass
 from foxtailcourse.sharing import FairQueue, QueuedRequest, QueueLimits, ServiceRates
-from foxtailcourse.sharing.simulation import BackendSimulation
 
 SHORT, LONG = RequestClass.SHORT, RequestClass.LONG
 FAR = 1e9
--- a/tests/sharing/test_fair.py
+++ b/tests/sharing/test_fair.py
@@ -19,9 +19,12 @@
 )
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from foxtailcourse.emulator.sharing.baselines import (
+    AgentBucketQueue,
+    DeficitRoundRobinQueue,
+)
 from foxtailcourse.sharing import FifoQueue, Refusal
 from foxtailcourse.sharing._flows import FlowQueue
-from foxtailcourse.sharing.baselines import AgentBucketQueue, DeficitRoundRobinQueue
 
 SHARES = {"a": 1.0, "b": 2.0, "c": 5.0}
 steps = st.lists(
--- a/tests/sharing/test_fleet.py
+++ b/tests/sharing/test_fleet.py
@@ -6,8 +6,8 @@
 from sharing_support import SHORT, request
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from foxtailcourse.emulator.sharing.fleet import Fleet, FleetOptions, Shedding
 from foxtailcourse.sharing import FeasibilityTable, RetryBudget
-from foxtailcourse.sharing.fleet import Fleet, FleetOptions, Shedding
 
 
 def attempts_and_answers(rates, account="", **options):
--- a/tests/sharing/test_limits.py
+++ b/tests/sharing/test_limits.py
@@ -6,9 +6,9 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from foxtailcourse.config import Contract
+from foxtailcourse.emulator.sharing.exchange import ExchangeSimulation
 from foxtailcourse.sharing import AccountLimiter, Grant, Refusal, RetryBudget, _slices
 from foxtailcourse.sharing._slices import SliceTable
-from foxtailcourse.sharing.exchange import ExchangeSimulation
 
 checked = settings(derandomize=True, deadline=None, max_examples=25)
 RATE, BURST_S, PERIOD_S, MAX_DELAY_S = 40.0, 1.0, 1.0, 0.5
--- a/tests/sharing/test_prediction.py
+++ b/tests/sharing/test_prediction.py
@@ -15,13 +15,13 @@
 )
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from foxtailcourse.emulator.sharing.simulation import BackendSimulation
 from foxtailcourse.sharing import (
     Admission,
     FairQueue,
     QueueLimits,
     ServiceRates,
 )
-from foxtailcourse.sharing.simulation import BackendSimulation
 
 
 class TestEarlyRefusal(testtools.TestCase):
