Bound the request bodies of all connections together

Ruled out: a smaller body limit; it would refuse requests that a contract allows, and only divide the sum.

--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -10,10 +10,11 @@
 import trio
 
 from foxtailcourse.http._errors import HttpError
-from foxtailcourse.http._limits import HttpLimits
+from foxtailcourse.http._limits import ByteBudget, HttpLimits
 from foxtailcourse.protocol import Verdict
 
 READ_BYTES = 65536
+BUSY_RETRY_MS = 500
 LISTEN_BACKLOG = 1024
 
 
@@ -167,9 +168,13 @@
 class _Connection:
     """One connection from a peer."""
 
-    def __init__(self, stream: trio.SocketStream, limits: HttpLimits) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, limits: HttpLimits, budget: ByteBudget
+    ) -> None:
         self.stream = stream
         self.limits = limits
+        self._budget = budget
+        self._held = 0
         self.h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -236,14 +241,26 @@
         while True:
             event = await self.next_event()
             if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self.limits.max_body_bytes:
+                if len(body) + len(event.data) > self.limits.max_body_bytes:
                     raise self._too_large()
+                self._hold(len(event.data))
+                body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             else:
                 raise h11.RemoteProtocolError("connection closed within a request")
 
+    def _hold(self, amount: int) -> None:
+        if not self._budget.take(amount):
+            message = "the process holds too many request bodies"
+            raise HttpError(503, "server_busy", message, retry_after_ms=BUSY_RETRY_MS)
+        self._held += amount
+
+    def release(self) -> None:
+        """Give back what the body of the current request held."""
+        self._budget.give_back(self._held)
+        self._held = 0
+
     def _too_large(self) -> HttpError:
         limit = self.limits.max_body_bytes
         return HttpError(413, "body_too_large", f"body exceeds {limit} bytes")
@@ -297,6 +314,7 @@
     ) -> None:
         self._handler = handler
         self._limits = limits
+        self._budget = ByteBudget(limits.max_buffered_bytes)
         self._on_error = on_error
         self._slots = trio.CapacityLimiter(limits.max_connections)
         self._draining = trio.Event()
@@ -327,7 +345,7 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         async with self._slots, stream:
-            conn = _Connection(stream, self._limits)
+            conn = _Connection(stream, self._limits, self._budget)
             conn.late = self._draining.is_set()
             try:
                 while await self._serve_one(conn):
@@ -336,6 +354,9 @@
                     await stream.send_eof()
             except* _PEER_FAILURES:
                 pass
+            finally:
+                # A request that was cut while it was read was never handled.
+                conn.release()
 
     async def _read(self, conn: _Connection) -> Exchange | None:
         """Read a request; an idle connection ends when draining begins.
@@ -380,6 +401,7 @@
             await self._handle(conn, exchange)
         finally:
             self.active -= 1
+            conn.release()
         if conn.broken or self._draining.is_set():
             return False
         if conn.h11.our_state is not h11.DONE or conn.h11.their_state is not h11.DONE:
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -141,6 +141,7 @@
     "queue_full": "the backend server's queue is full",
     "request_timeout": "the request was sent too slowly",
     "requests_rate": "`requests_per_s` of the contract is used up",
+    "server_busy": "the process holds as many request bodies as it may",
     "service_failed": "the plain service failed; the call may have run",
     "service_unreachable": "the plain service takes no connection; nothing ran",
     "stream_broken": "in the last event of a stream that could not be completed",
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -221,3 +221,46 @@
             self.assertThat(answered, Equals(b""))
 
         self.serve(check, idle_timeout_s=0.05)
+
+    def test_bodies_of_all_connections_are_bounded_together(self):
+        """Many connections with allowed bodies must not add up without a bound."""
+        body = b"x" * 600
+        held = b"POST /hang HTTP/1.1\r\nhost: a\r\ncontent-length: 600\r\n\r\n" + body
+
+        async def check(address, server):
+            pool = ConnectionPool()
+            hanging = await trio.open_tcp_stream(address.host, address.port)
+            await hanging.send_all(held)
+            while server.active == 0:
+                await trio.sleep(0.001)
+            async with pool.request(address, "POST", "/", body=body) as response:
+                self.assertThat(response.status, Equals(503))
+                self.assertThat(response.headers["foxtail-verdict"], Equals("not-run"))
+                await response.read()
+            await hanging.aclose()
+            while server.active:
+                await trio.sleep(0.001)
+            async with pool.request(address, "POST", "/", body=body) as response:
+                self.assertThat(response.status, Equals(200))
+                await response.read()
+            await pool.aclose()
+
+        self.serve(check, max_buffered_bytes=1000)
+
+    def test_a_cut_request_gives_back_what_it_held(self):
+        part = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 600\r\n\r\n" + b"x" * 500
+
+        async def check(address, server):
+            for _ in range(5):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                await stream.send_all(part)
+                await stream.aclose()
+            pool = ConnectionPool()
+            status = 503
+            while status != 200:
+                async with pool.request(address, "POST", "/", body=b"y" * 600) as each:
+                    status = each.status
+                    await each.read()
+            await pool.aclose()
+
+        self.serve(check, max_buffered_bytes=1000)
