Cut connections at every byte, not at every seventh

Cause: a boundary between two fields could lie between the sampled positions. Change: 1,000 positions between entry and agents, and each byte of a keyed call.

--- a/tests/agent/test_agent_service.py
+++ b/tests/agent/test_agent_service.py
@@ -227,7 +227,7 @@
         lines = [f"{name}: {value}" for name, value in fields.items() if value]
         head = "POST /services/counter/return HTTP/1.1\r\n" + "\r\n".join(lines)
         data = head.encode() + b"\r\n\r\n{}"
-        for end in range(0, len(data) + 1, 7):
+        for end in range(len(data) + 1):
             with contextlib.suppress(ClientError, trio.BrokenResourceError):
                 stream = await trio.open_tcp_stream(address.host, address.port)
                 await stream.send_all(data[:end])
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -1,4 +1,5 @@
 import contextlib
+import functools
 import random
 
 import msgspec
@@ -189,11 +190,13 @@
                     self.assertTrue(is_complete(body, 2), (limit, body))
                 nursery.cancel_scope.cancel()
 
-        async def main():
-            for limit in range(0, 1000, 7):
+        async def check_from(first):
+            for limit in range(first, first + 100):
                 await check_at(limit)
 
-        self.run_async(main)
+        # Each hundred has the time limit of a test for itself.
+        for first in range(0, 1000, 100):
+            self.run_async(functools.partial(check_from, first))
 
     def test_caller_gone_cancels_the_attempt(self):
         gone = trio.Event()
