--- a/src/foxtailcourse/entry/_attempts.py
+++ b/src/foxtailcourse/entry/_attempts.py
@@ -4,14 +4,14 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 
-import attrs
 import trio
 
-from foxtailcourse.config import ConfigStore, Vm
+from foxtailcourse.config import ConfigStore
 from foxtailcourse.entry._call import Call
 from foxtailcourse.entry._probe import LivenessProbes
 from foxtailcourse.entry._servers import ServerDirectory
 from foxtailcourse.entry._settings import EntrySettings
+from foxtailcourse.entry._tries import Target, Tries
 from foxtailcourse.entry._upstream import (
     Answer,
     AttemptBroken,
@@ -20,94 +20,16 @@
     Outgoing,
     open_attempt,
 )
-from foxtailcourse.http import ConnectionPool, HttpError, RequestOptions
+from foxtailcourse.http import ConnectionPool, RequestOptions
 from foxtailcourse.observe import EventLog, Metrics
-from foxtailcourse.protocol import Attempt, Reply, Verdict
+from foxtailcourse.protocol import Attempt, Reply
 from foxtailcourse.routing import Choice, Placement, ServerReply
 from foxtailcourse.sharing import FeasibilityTable, Refusal, RetryBudget
 
-RETRY_AFTER_MS = 1000
 HEAD_MARGIN_S = 1.0
 CAPACITY_CODES = frozenset({"deadline", "queue_full", "account_queue_full"})
 
 
-@attrs.frozen(kw_only=True)
-class Target:
-    """A backend server and the weights version it is expected to serve."""
-
-    vm: Vm
-    version: str
-
-
-@attrs.define
-class Tries:
-    """What the attempts of one request have shown so far.
-
-    Parameters
-    ----------
-    made : int
-        Number of attempts.
-    continued : int
-        Those that continued a stream.
-    avoid : set of str
-        VMs that are not to be tried again.
-    corrected : set of str
-        VMs that have told that they serve another weights version than expected.
-    failures : list of AttemptError
-        In order.
-    shed : Refusal or None
-        Set if no candidate was worth an attempt.
-    """
-
-    made: int = 0
-    continued: int = 0
-    avoid: set[str] = attrs.field(factory=set)
-    corrected: set[str] = attrs.field(factory=set)
-    failures: list[AttemptError] = attrs.field(factory=list)
-    shed: Refusal | None = None
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether any attempt may have run."""
-        return any(each.verdict is not Verdict.NOT_RUN for each in self.failures)
-
-    def error(self) -> HttpError:
-        """Return the answer to a request that no attempt has served."""
-        refused = [each for each in self.failures if isinstance(each, AttemptRefused)]
-        verdict = Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
-        if refused:
-            last = refused[-1]
-            waits = [each.reply.retry_after_ms for each in refused]
-            return HttpError(
-                last.status,
-                last.code,
-                last.message,
-                verdict=verdict,
-                retry_after_ms=min(waits) if last.elsewhere else 0,
-            )
-        if self.failures:
-            return HttpError(
-                502 if self.may_have_run else 503,
-                "backend_failed" if self.may_have_run else "backend_unreachable",
-                "no backend server completed the request",
-                verdict=verdict,
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-        if self.shed is not None:
-            return HttpError(
-                503,
-                self.shed.code,
-                "all candidates just refused requests of this client account and class",
-                retry_after_ms=self.shed.retry_after_ms,
-            )
-        return HttpError(
-            503,
-            "no_backend_server",
-            "no backend server is in service",
-            retry_after_ms=RETRY_AFTER_MS,
-        )
-
-
 class Dispatcher:
     """Chooses backend servers and sends attempts to them.
 
--- a/src/foxtailcourse/entry/_once.py
+++ b/src/foxtailcourse/entry/_once.py
@@ -5,10 +5,11 @@
 import trio
 
 from foxtailcourse.config import Vm
-from foxtailcourse.entry._attempts import Dispatcher, Target
+from foxtailcourse.entry._attempts import Dispatcher
 from foxtailcourse.entry._call import Call
 from foxtailcourse.entry._claims import Claims
 from foxtailcourse.entry._relay import Relay, respond_whole
+from foxtailcourse.entry._tries import Target
 from foxtailcourse.entry._upstream import AttemptBroken, AttemptRefused, Outgoing
 from foxtailcourse.http import Exchange, HttpError, RequestOptions
 from foxtailcourse.idempotency import issuing_agent
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -5,7 +5,7 @@
 import msgspec
 import trio
 
-from foxtailcourse.entry._attempts import Dispatcher, Target, Tries
+from foxtailcourse.entry._attempts import Dispatcher
 from foxtailcourse.entry._call import Call
 from foxtailcourse.entry._stream import (
     Delivery,
@@ -13,6 +13,7 @@
     StreamError,
     chunk_text,
 )
+from foxtailcourse.entry._tries import Target, Tries
 from foxtailcourse.entry._upstream import (
     Answer,
     AttemptBroken,
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -1,146 +1,15 @@
 """HTTP/1.1 server: one task for each connection."""
 
-import os
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
-from urllib.parse import parse_qs, unquote, urlsplit
+from collections.abc import Awaitable, Callable
 
 import h11
-import msgspec
 import trio
 
 from foxtailcourse.http._errors import HttpError
+from foxtailcourse.http._exchange import Connection, Exchange
 from foxtailcourse.http._limits import ByteBudget, HttpLimits
 from foxtailcourse.protocol import Verdict
 
-READ_BYTES = 65536
-BUSY_RETRY_MS = 500
-LISTEN_BACKLOG = 1024
-
-
-class Exchange:
-    """One request and the means to answer it.
-
-    Parameters
-    ----------
-    conn : _Connection
-        The connection that the request came on.
-    request : h11.Request
-        The request line and header fields.
-    """
-
-    def __init__(self, conn: "_Connection", request: h11.Request) -> None:
-        self._conn = conn
-        self.method = request.method.decode("ascii")
-        self.target = request.target.decode("ascii")
-        try:
-            split = urlsplit(self.target)
-        except ValueError as exc:
-            raise HttpError(400, "malformed_target", "bad request target") from exc
-        self.path = unquote(split.path)
-        self.query = {k: v[-1] for k, v in parse_qs(split.query).items()}
-        self.headers: dict[str, str] = {}
-        for name, value in request.headers:
-            key = name.decode("ascii")
-            if key in self.headers and key.startswith(("foxtail-", "authorization")):
-                raise HttpError(400, "duplicate_header", f"header {key} is repeated")
-            self.headers[key] = value.decode("latin-1")
-        self.started = False
-        self._closing = False
-        self.body = b""
-
-    def json(self) -> object:
-        """Return the decoded JSON body; raises HttpError if it is malformed."""
-        try:
-            return msgspec.json.decode(self.body)
-        except (msgspec.DecodeError, RecursionError) as exc:
-            reason = f"body is not valid JSON: {exc}"
-            raise HttpError(400, "malformed_json", reason) from exc
-
-    async def respond(
-        self,
-        status: int,
-        body: bytes,
-        fields: Mapping[str, str] | None = None,
-        *,
-        content_type: str = "application/json",
-    ) -> None:
-        """Send a whole response."""
-        head = dict(fields or {})
-        head["content-type"] = content_type
-        head["content-length"] = str(len(body))
-        self.started = True
-        response = self._response(status, head)
-        await self._conn.send(response, h11.Data(data=body), h11.EndOfMessage())
-
-    async def respond_json(
-        self, status: int, value: object, fields: Mapping[str, str] | None = None
-    ) -> None:
-        """Send a value as a whole JSON response."""
-        await self.respond(status, msgspec.json.encode(value), fields)
-
-    async def respond_error(self, exc: HttpError) -> None:
-        """Send an error answer."""
-        await self.respond(exc.status, exc.body(), exc.headers())
-
-    async def start_stream(
-        self, status: int, fields: Mapping[str, str], piece: bytes = b""
-    ) -> None:
-        """Send the head of a streamed response, and its first piece if there is one."""
-        self.started = True
-        await self._conn.send(self._response(status, fields), *_body(piece))
-
-    async def send(self, piece: bytes) -> None:
-        """Send one piece of a streamed body."""
-        await self._conn.send(h11.Data(data=piece))
-
-    async def end_stream(self, piece: bytes = b"") -> None:
-        """Send the last piece, if there is one, and the end of a streamed body."""
-        await self._conn.send(*_body(piece), h11.EndOfMessage())
-
-    def close_after(self) -> None:
-        """Tell the peer that the connection ends with this response."""
-        self._closing = True
-
-    def _response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
-        closing = {"connection": "close"} if self._closing else {}
-        return _response(status, {**fields, **closing})
-
-    def abort(self) -> None:
-        """Close the connection after the handler returns, without a clean end."""
-        self._conn.broken = True
-
-
-def send_ready(stream: trio.SocketStream, data: bytes) -> int:
-    """Send what the system takes at once, without a checkpoint.
-
-    A checkpoint and a timeout cost more than the send itself, and most pieces fit into
-    the send buffer. The caller must still reach a checkpoint between sends, which each
-    read from a peer does.
-
-    Returns
-    -------
-    int
-        Number of bytes sent.
-
-    Raises
-    ------
-    trio.BrokenResourceError
-        If the peer has closed the connection.
-    trio.ClosedResourceError
-        If the stream is closed.
-    """
-    handle = stream.socket.fileno()
-    if handle < 0:
-        raise trio.ClosedResourceError("stream is closed")
-    try:
-        return os.write(handle, data)
-    except BlockingIOError:
-        return 0
-    except OSError as exc:
-        raise trio.BrokenResourceError(f"socket connection broken: {exc}") from exc
-
-
 _PEER_FAILURES = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -151,148 +20,6 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
-def _response(status: int, fields: Mapping[str, str]) -> h11.Response:
-    encoded = [(name.encode("ascii"), _header(value)) for name, value in fields.items()]
-    return h11.Response(status_code=status, headers=encoded)
-
-
-def _body(piece: bytes) -> list[h11.Event]:
-    return [h11.Data(data=piece)] if piece else []
-
-
-def _header(value: str) -> bytes:
-    clean = "".join(c if " " <= c <= "~" else "?" for c in value)
-    return clean.strip().encode("ascii")
-
-
-class _Connection:
-    """One connection from a peer."""
-
-    def __init__(
-        self, stream: trio.SocketStream, limits: HttpLimits, budget: ByteBudget
-    ) -> None:
-        self.stream = stream
-        self.limits = limits
-        self._budget = budget
-        self._held = 0
-        self.h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
-        self.broken = False
-        self.late = False
-        self.served = 0
-
-    @property
-    def idle(self) -> bool:
-        """Whether no byte of a request has arrived."""
-        arrived = self.h11.trailing_data[0] or self.stream.socket.is_readable()
-        return self.h11.their_state is h11.IDLE and not arrived
-
-    async def send(self, *events: h11.Event) -> None:
-        """Send events; a caller too slow to take them breaks the connection."""
-        data = b"".join(self.h11.send(event) or b"" for event in events)
-        try:
-            unsent = data[send_ready(self.stream, data) :]
-            if unsent:
-                with trio.fail_after(self.limits.send_timeout_s):
-                    await self.stream.send_all(unsent)
-        except (trio.TooSlowError, trio.BrokenResourceError):
-            self.broken = True
-            raise
-
-    async def next_event(self) -> Any:
-        """Return the next h11 event of the peer, reading as needed."""
-        while True:
-            event = self.h11.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self.h11.receive_data(await self.stream.receive_some(READ_BYTES))
-
-    async def read_request(self) -> Exchange | None:
-        """Return the next whole request, or None when the peer has closed."""
-        if not self.h11.trailing_data[0] and not await self._wait_for_bytes():
-            return None
-        with trio.fail_after(self.limits.receive_timeout_s):
-            event = await self.next_event()
-            if not isinstance(event, h11.Request):
-                return None
-            exchange = Exchange(self, event)
-            exchange.body = await self._read_body(event)
-            return exchange
-
-    async def _wait_for_bytes(self) -> bool:
-        """Wait for a request to begin; False if the peer closed or stayed idle."""
-        with trio.move_on_after(self.limits.idle_timeout_s):
-            data = await self.stream.receive_some(READ_BYTES)
-            if data:
-                self.h11.receive_data(data)
-            return bool(data)
-        return False
-
-    async def _read_body(self, request: h11.Request) -> bytes:
-        headers = dict(request.headers)
-        length = headers.get(b"content-length", b"0")
-        if int(length) > self.limits.max_body_bytes:
-            raise self._too_large()
-        if self.h11.they_are_waiting_for_100_continue:
-            informational = h11.InformationalResponse(status_code=100, headers=[])
-            await self.send(informational)
-        body = bytearray()
-        while True:
-            event = await self.next_event()
-            if isinstance(event, h11.Data):
-                if len(body) + len(event.data) > self.limits.max_body_bytes:
-                    raise self._too_large()
-                self._hold(len(event.data))
-                body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            else:
-                raise h11.RemoteProtocolError("connection closed within a request")
-
-    def _hold(self, amount: int) -> None:
-        if not self._budget.take(amount):
-            message = "the process holds too many request bodies"
-            raise HttpError(503, "server_busy", message, retry_after_ms=BUSY_RETRY_MS)
-        self._held += amount
-
-    def release(self) -> None:
-        """Give back what the body of the current request held."""
-        self._budget.give_back(self._held)
-        self._held = 0
-
-    def _too_large(self) -> HttpError:
-        limit = self.limits.max_body_bytes
-        return HttpError(413, "body_too_large", f"body exceeds {limit} bytes")
-
-    async def watch_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancel a handler when its caller has closed the connection."""
-        try:
-            while True:
-                data = await self.stream.receive_some(READ_BYTES)
-                if not data:
-                    break
-                # A pipelined request waits in h11 until this response is sent.
-                self.h11.receive_data(data)
-                if len(self.h11.trailing_data[0]) > self.limits.max_header_bytes:
-                    break
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
-        self.broken = True
-        scope.cancel()
-
-    async def answer_error(self, exc: HttpError) -> None:
-        if self.h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
-            return
-        fields = exc.headers()
-        fields["content-type"] = "application/json"
-        fields["content-length"] = str(len(exc.body()))
-        fields["connection"] = "close"
-        head = _response(exc.status, fields)
-        with trio.CancelScope(shield=True):
-            await self.send(head, h11.Data(data=exc.body()), h11.EndOfMessage())
-
-
 class HttpServer:
     """Serves a handler on TCP listeners.
 
@@ -345,7 +72,7 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         async with self._slots, stream:
-            conn = _Connection(stream, self._limits, self._budget)
+            conn = Connection(stream, self._limits, self._budget)
             conn.late = self._draining.is_set()
             try:
                 while await self._serve_one(conn):
@@ -358,7 +85,7 @@
                 # A request that was cut while it was read was never handled.
                 conn.release()
 
-    async def _read(self, conn: _Connection) -> Exchange | None:
+    async def _read(self, conn: Connection) -> Exchange | None:
         """Read a request; an idle connection ends when draining begins.
 
         One that is accepted later still gets to make its first request.
@@ -377,7 +104,7 @@
             nursery.cancel_scope.cancel()
         return result
 
-    async def _serve_one(self, conn: _Connection) -> bool:
+    async def _serve_one(self, conn: Connection) -> bool:
         """Serve one request; return whether the connection can be used again."""
         try:
             exchange = await _unwrap(self._read, conn)
@@ -409,13 +136,13 @@
         conn.h11.start_next_cycle()
         return True
 
-    async def _handle(self, conn: _Connection, exchange: Exchange) -> None:
+    async def _handle(self, conn: Connection, exchange: Exchange) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(conn.watch_disconnect, nursery.cancel_scope)
             await self._call_handler(conn, exchange)
             nursery.cancel_scope.cancel()
 
-    async def _call_handler(self, conn: _Connection, exchange: Exchange) -> None:
+    async def _call_handler(self, conn: Connection, exchange: Exchange) -> None:
         try:
             await self._handler(exchange)
         except HttpError as exc:
@@ -438,7 +165,7 @@
 
 
 async def _unwrap(
-    read: Callable[[_Connection], Awaitable[Exchange | None]], conn: _Connection
+    read: Callable[[Connection], Awaitable[Exchange | None]], conn: Connection
 ) -> Exchange | None:
     """Raise the first error of a nursery in place of its group."""
     try:
