--- /dev/null
+++ b/src/foxtailcourse/fleet/__init__.py
@@ -0,0 +1,25 @@
+"""The fleet that requests are sent to: configuration, accounts, backend servers."""
+
+from foxtailcourse.fleet._types import (
+    Account,
+    Backend,
+    BackendServer,
+    Configuration,
+    Route,
+    RouteKind,
+    Service,
+)
+from foxtailcourse.fleet._view import Belief, FleetView, NamedWeights
+
+__all__ = [
+    "Account",
+    "Backend",
+    "BackendServer",
+    "Belief",
+    "Configuration",
+    "FleetView",
+    "NamedWeights",
+    "Route",
+    "RouteKind",
+    "Service",
+]
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -14,6 +14,9 @@
 from foxtailcourse.settings import Address
 
 READ_BYTES = 65536
+# A request up to this size fits into the send buffer of a fresh connection.
+SMALL_REQUEST_BYTES = 8192
+FIRST_ERROR_STATUS = 400
 MAX_IDLE_CONNECTIONS = 16
 IDLE_CONNECTION_S = 30.0
 
@@ -50,6 +53,8 @@
     reuse : bool
         Whether a kept connection may serve the request. A request that must not be
         repeated takes a fresh one, since a kept one may already be closed.
+    keep : bool
+        Whether the connection may be kept for later requests.
     max_body_bytes : int
         Bound on a response read with ``read``.
     """
@@ -58,6 +63,7 @@
     idle_timeout_s: float = 30.0
     head_timeout_s: float = 0.0
     reuse: bool = True
+    keep: bool = True
     max_body_bytes: int = 32 * 1024 * 1024
 
 
@@ -66,6 +72,8 @@
     stream: trio.SocketStream
     h11: h11.Connection
     idle_since: float = 0.0
+    # False once a request was answered before all of it was sent.
+    request_sent: bool = True
 
     async def next_event(self, timeout_s: float) -> Any:
         while True:
@@ -197,7 +205,10 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(conn.stream)
             raise
-        await self._release(address, conn)
+        if options.keep:
+            await self._release(address, conn)
+        else:
+            await trio.aclose_forcefully(conn.stream)
 
     async def _connect(self, address: Address, options: RequestOptions) -> _Conn:
         idle = self._idle.get(address)
@@ -244,16 +255,13 @@
         data = conn.h11.send(request) or b""
         data += conn.h11.send(h11.Data(data=body)) or b""
         data += conn.h11.send(h11.EndOfMessage()) or b""
+        timeout_s = options.head_timeout_s or options.idle_timeout_s
         try:
-            with trio.fail_after(options.idle_timeout_s):
-                await conn.stream.send_all(data)
-            timeout_s = options.head_timeout_s or options.idle_timeout_s
-            while True:
-                event = await conn.next_event(timeout_s)
-                if isinstance(event, h11.Response):
-                    return event
-                if not isinstance(event, h11.InformationalResponse):
-                    raise ClientError(f"{address} closed", Verdict.MAY_HAVE_RUN)
+            if len(data) <= SMALL_REQUEST_BYTES:
+                with trio.fail_after(options.idle_timeout_s):
+                    await conn.stream.send_all(data)
+                return await _read_head(conn, address, timeout_s)
+            return await _exchange_large(conn, address, data, timeout_s)
         except _FAILURES as exc:
             message = f"no response from {address}: {exc!r}"
             raise ClientError(message, Verdict.MAY_HAVE_RUN) from exc
@@ -261,7 +269,7 @@
     async def _release(self, address: Address, conn: _Conn) -> None:
         idle = self._idle.setdefault(address, deque())
         done = conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
-        if not done or len(idle) >= MAX_IDLE_CONNECTIONS:
+        if not done or not conn.request_sent or len(idle) >= MAX_IDLE_CONNECTIONS:
             await trio.aclose_forcefully(conn.stream)
             return
         conn.h11.start_next_cycle()
@@ -273,3 +281,44 @@
         for idle in self._idle.values():
             while idle:
                 await trio.aclose_forcefully(idle.pop().stream)
+
+
+async def _read_head(conn: _Conn, address: Address, timeout_s: float) -> h11.Response:
+    while True:
+        event = await conn.next_event(timeout_s)
+        if isinstance(event, h11.Response):
+            return event
+        if not isinstance(event, h11.InformationalResponse):
+            raise ClientError(f"{address} closed", Verdict.MAY_HAVE_RUN)
+
+
+async def _exchange_large(
+    conn: _Conn, address: Address, data: bytes, timeout_s: float
+) -> h11.Response:
+    """Send a request while reading, as a server may answer before it has it all.
+
+    A server that answers early may stop reading; the answer then decides, not the
+    failure to send the rest.
+    """
+    failure: list[Exception] = []
+
+    async def send() -> None:
+        conn.request_sent = False
+        try:
+            await conn.stream.send_all(data)
+            conn.request_sent = True
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            failure.append(exc)
+
+    head: h11.Response | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        try:
+            head = await _read_head(conn, address, timeout_s)
+        except (*_FAILURES, ClientError) as exc:
+            failure.append(exc)
+        if head is None or head.status_code >= FIRST_ERROR_STATUS:
+            nursery.cancel_scope.cancel()
+    if head is None:
+        raise failure[-1]
+    return head
--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -37,6 +37,7 @@
             raise HttpError(400, "malformed_target", "bad request target") from exc
         self.path = unquote(split.path)
         self.query = {k: v[-1] for k, v in parse_qs(split.query).items()}
+        self.raw_headers = tuple(request.headers)
         self.headers: dict[str, str] = {}
         for name, value in request.headers:
             key = name.decode("ascii")
--- /dev/null
+++ b/src/foxtailcourse/ingress/_app.py
@@ -0,0 +1,307 @@
+"""The entry on the platform: listeners, followers, orders and planned stop."""
+
+import random
+import signal
+from contextlib import AsyncExitStack
+
+import trio
+
+from foxtailcourse.fleet import BackendServer, Belief, Configuration, FleetView
+from foxtailcourse.http import ConnectionPool, Exchange, HttpLimits, HttpServer
+from foxtailcourse.ingress._attempt import Attempts
+from foxtailcourse.ingress._budget import RetryBudget
+from foxtailcourse.ingress._cache_feed import CacheFeed
+from foxtailcourse.ingress._cache_index import HeldParts
+from foxtailcourse.ingress._candidates import CandidateFilter
+from foxtailcourse.ingress._clock import boot_seconds
+from foxtailcourse.ingress._dispatch import Dispatcher
+from foxtailcourse.ingress._follow import PrefixFollower
+from foxtailcourse.ingress._handler import IngressHandler
+from foxtailcourse.ingress._lease import EntryLease
+from foxtailcourse.ingress._loads import ServerLoads
+from foxtailcourse.ingress._rollout import Rollout
+from foxtailcourse.ingress._settings import IngressSettings
+from foxtailcourse.ingress._shared import SHARED_PREFIX, SharedKeys
+from foxtailcourse.platform import (
+    OPERATOR_PREFIX,
+    SERVERS_PREFIX,
+    KeyValueClient,
+    PlatformError,
+    RecordSink,
+    ServerClient,
+)
+from foxtailcourse.process import AdminServer, Daemon, Readiness
+from foxtailcourse.settings import Address
+
+# A key must not be served past the platform's bound; a watch may miss a second of news
+# before it is cut, and reading a request takes a moment.
+KEY_AGE_MARGIN_S = 1.3
+# The load balancer asks every second and waits for two misses.
+BALANCER_NOTICE_S = 2.3
+# Time before the end of a stop in which nothing is started any more.
+STOP_MARGIN_S = 0.4
+READY_LIMITS = HttpLimits(max_connections=50, max_body_bytes=1024)
+SERVER_CALL_TIMEOUT_S = 0.5
+FORGET_PERIOD_S = 5.0
+
+
+class IngressApp:
+    """The parts of one entry on the platform.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        Settings, log, metrics and stop signal of the process.
+    cfg : IngressSettings
+        Settings of the ingress.
+    """
+
+    def __init__(self, daemon: Daemon, cfg: IngressSettings) -> None:
+        self._daemon = daemon
+        self._cfg = cfg
+        self._events, self._metrics = daemon.events, daemon.metrics
+        self._rng = random.Random()
+        self._pool = ConnectionPool()
+        self._view = FleetView()
+        self._loads = ServerLoads()
+        self._held: dict[str, HeldParts] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._draining = False
+        self._store = KeyValueClient(self._pool, cfg.store, cfg.call_timeout_s)
+        self._client = ServerClient(self._pool, SERVER_CALL_TIMEOUT_S)
+        self._shared = SharedKeys(self._view)
+        self._lease = EntryLease(
+            self._store,
+            daemon.cfg.vm,
+            cfg.lease_ms / 1000,
+            self._shared,
+            boot_seconds,
+            self._rng,
+            self._events,
+        )
+        sink = RecordSink(
+            configuration=self._take_configuration,
+            weights=self._take_weights,
+            server=self._take_server,
+            unreadable=self._note_unreadable,
+        )
+        self._operator = self._follower(
+            OPERATOR_PREFIX, sink.take, self._view.configuration_belief
+        )
+        self._servers = self._follower(
+            SERVERS_PREFIX, sink.take, self._view.servers_belief
+        )
+        self._peers = self._follower(SHARED_PREFIX, self._shared.take, Belief())
+        self._refresh_lock = trio.Lock()
+        self._handler = IngressHandler(
+            view=self._view,
+            dispatcher=self._dispatcher(),
+            refresh=self._refresh,
+            key_age_limit_s=cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S,
+            clock=boot_seconds,
+            rng=self._rng,
+            events=self._events,
+            metrics=self._metrics,
+        )
+        self._server = HttpServer(
+            self._handler.handle, cfg.http_limits(), self._on_error
+        )
+
+    def _follower(self, prefix: str, take, belief: Belief) -> PrefixFollower:
+        return PrefixFollower(
+            self._store,
+            prefix,
+            self._cfg.watch_wait_s,
+            take,
+            belief,
+            self._events,
+            self._metrics,
+        )
+
+    def _dispatcher(self) -> Dispatcher:
+        weights_limit_s = self._cfg.weights_ms / 1000
+        return Dispatcher(
+            view=self._view,
+            candidates=CandidateFilter(
+                self._view, self._loads, self._held, weights_limit_s
+            ),
+            attempts=Attempts(self._pool, self._cfg.connect_timeout_s, boot_seconds),
+            budget_for=self._budget,
+            clock=boot_seconds,
+            rng=self._rng,
+            events=self._events,
+            metrics=self._metrics,
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            cfg = self._cfg
+            self._budgets[service] = RetryBudget(
+                cfg.retry_ratio, cfg.retry_extra, cfg.retry_window_s
+            )
+        return self._budgets[service]
+
+    # News from the store
+
+    def _take_configuration(self, configuration: Configuration, revision: int) -> None:
+        if self._view.apply_configuration(configuration, revision):
+            self._events.emit(
+                "configuration_applied",
+                version=configuration.version,
+                revision=revision,
+                routes=sum(len(each) for each in configuration.routes.values()),
+                keys=len(configuration.accounts),
+            )
+
+    def _take_weights(self, model: str, version: int) -> None:
+        if self._view.name_weights(model, version, boot_seconds()):
+            self._events.emit("weights_named", model=model, version=version)
+
+    def _take_server(self, server_id: str, server: BackendServer | None) -> None:
+        known = self._view.servers.get(server_id)
+        if server == known:
+            return
+        if server is None:
+            del self._view.servers[server_id]
+            self._events.emit("server_gone", server=server_id)
+            return
+        self._view.servers[server_id] = server
+        self._events.emit(
+            "server_registered",
+            server=server_id,
+            service=server.service,
+            address=server.address,
+            leaving=server.leaving,
+            weights=",".join(f"{k}:{v}" for k, v in server.weights.items()) or None,
+        )
+
+    def _note_unreadable(self, reason: str) -> None:
+        self._metrics.count("foxtail_ingress_unreadable_records_total")
+        self._events.emit("record_unreadable", reason=reason)
+
+    async def _refresh(self, max_age_s: float) -> None:
+        """Read the configuration again if it is older; callers share one reading."""
+        async with self._refresh_lock:
+            if self._view.configuration_belief.age(boot_seconds()) <= max_age_s:
+                return
+            try:
+                await self._operator.scan()
+            except PlatformError as exc:
+                self._events.emit("refresh_failed", error=exc)
+
+    # Life of the process
+
+    def readiness(self) -> Readiness:
+        """Whether the load balancer should send connections here."""
+        if self._draining:
+            return Readiness(False, "stopping")
+        if self._view.configuration is None:
+            return Readiness(False, "no configuration")
+        age_s = self._view.configuration_belief.age(boot_seconds())
+        if age_s > self._cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S:
+            return Readiness(False, "configuration is stale")
+        return Readiness(True)
+
+    def status(self) -> dict[str, object]:
+        """Return what ``/status`` shows."""
+        now = boot_seconds()
+        return {
+            "vm": self._daemon.cfg.vm,
+            "configuration_revision": self._view.configuration_revision,
+            "configuration_age_s": round(self._view.configuration_belief.age(now), 3),
+            "servers_age_s": round(self._view.servers_belief.age(now), 3),
+            "servers": sorted(self._view.servers),
+            "entries": sorted(self._view.entries),
+            "gives_orders": self._lease.may_order(now),
+            "active": self._server.active,
+            "draining": self._draining,
+        }
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        admin = AdminServer(self._events, self._metrics, self.readiness, self.status)
+        ready = HttpServer(self._answer_ready, READY_LIMITS, self._on_error)
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self._pool.aclose)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            await nursery.start(admin.serve, self._daemon.cfg.admin_listen)
+            await nursery.start(self._listen, ready, self._cfg.ready_listen)
+            closed = trio.Event()
+            await nursery.start(self._listen, self._server, self._cfg.listen, closed)
+            for follower in (self._operator, self._servers, self._peers):
+                nursery.start_soon(follower.run)
+            nursery.start_soon(self._lease.run)
+            nursery.start_soon(self._rollout().run)
+            nursery.start_soon(
+                CacheFeed(self._view, self._held, self._client, self._events).run
+            )
+            nursery.start_soon(self._forget)
+            nursery.start_soon(self._watch_reload)
+            self._events.emit("entry_listening", port=self._cfg.listen.port)
+            await self._daemon.stopping.wait()
+            await self._stop(closed)
+            nursery.cancel_scope.cancel()
+
+    def _rollout(self) -> Rollout:
+        return Rollout(
+            self._view,
+            self._lease,
+            self._store,
+            self._client,
+            self._loads,
+            self._daemon.cfg.vm,
+            boot_seconds,
+            self._events,
+            self._metrics,
+        )
+
+    async def _listen(
+        self,
+        server: HttpServer,
+        address: Address,
+        closed: trio.Event | None = None,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        await server.serve(listeners, task_status=task_status)
+        if closed is not None:
+            closed.set()
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        state = self.readiness()
+        await exchange.respond(200 if state.ready else 503, state.reason.encode())
+
+    async def _forget(self) -> None:
+        while True:
+            await trio.sleep(FORGET_PERIOD_S)
+            servers = self._view.servers.values()
+            self._loads.forget_all_but({(e.id, e.started_ms) for e in servers})
+
+    async def _watch_reload(self) -> None:
+        with trio.open_signal_receiver(signal.SIGHUP) as received:
+            async for _ in received:
+                self._events.emit("settings_changed")
+
+    async def _stop(self, closed: trio.Event) -> None:
+        """Finish all requests, after the load balancer has had time to notice."""
+        started = boot_seconds()
+        self._draining = self._handler.draining = True
+        self._events.emit("drain_started", active=self._server.active)
+        await self._lease.release()
+        await trio.sleep(max(0.0, BALANCER_NOTICE_S - (boot_seconds() - started)))
+        self._server.stop_accepting()
+        self._server.drain()
+        left_s = self._cfg.stop_s - (boot_seconds() - started) - STOP_MARGIN_S
+        with trio.move_on_after(max(0.0, left_s)):
+            await closed.wait()
+        self._events.emit("drain_ended", active=self._server.active)
+
+    def _on_error(self, exchange: Exchange, exc: Exception) -> None:
+        self._metrics.count("foxtail_ingress_requests_total", outcome="internal")
+        self._events.emit("request_failed", path=exchange.path, error=repr(exc))
+
+
+async def serve(daemon: Daemon, cfg: IngressSettings) -> None:
+    """Run the entry; the main function of the daemon."""
+    await IngressApp(daemon, cfg).run()
--- /dev/null
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -0,0 +1,245 @@
+"""One attempt at one backend server."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import attrs
+import trio
+
+from foxtailcourse.fleet import RouteKind
+from foxtailcourse.http import (
+    ClientError,
+    ClientResponse,
+    ConnectionPool,
+    RequestOptions,
+)
+from foxtailcourse.ingress._events import EventSplitter
+from foxtailcourse.ingress._job import Answer, AttemptError, Job
+from foxtailcourse.ingress._placement import Choice
+from foxtailcourse.platform import (
+    REFUSED_STATUSES,
+    AnswerHead,
+    AttemptHeaders,
+    answer_headers,
+    decode_answer,
+    encode_attempt,
+)
+from foxtailcourse.protocol import Verdict
+from foxtailcourse.settings import Address
+
+# Share of a request's estimated reading that is left once its first event arrived.
+DECODE_SHARE = 0.05
+FIRST_FAILURE_STATUS = 500
+EVENT_STREAM = "text/event-stream"
+# A server that refused a request is spared new ones for this long.
+REFUSAL_PAUSE_S = 0.15
+# An idempotent request is tried elsewhere when a server is silent for this many times
+# the route's target, and at least this long.
+SILENCE_TARGETS = 2.5
+SHORTEST_SILENCE_S = 0.6
+
+
+@attrs.define
+class Attempts:
+    """Makes attempts and passes their answers on.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Makes the connections.
+    connect_timeout_s : float
+        Longest time to connect.
+    clock : callable
+        Returns seconds since boot.
+    """
+
+    pool: ConnectionPool
+    connect_timeout_s: float
+    clock: Callable[[], float]
+
+    async def make(
+        self, job: Job, choice: Choice, store: Address | None
+    ) -> Answer | None:
+        """Send a request to a server.
+
+        Returns
+        -------
+        Answer or None
+            The whole answer, or None if it was streamed to the caller.
+
+        Raises
+        ------
+        AttemptError
+            If there is no answer that the caller may have.
+        """
+        server, load = choice.candidate.server, choice.candidate.load
+        now = self.clock()
+        fields = encode_attempt(
+            job.request,
+            _attempt_headers(job, choice, store, job.deadline - now),
+            len(job.exchange.body),
+        )
+        with _counted(choice) as first_event:
+            try:
+                async with self.pool.request(
+                    server.address,
+                    job.exchange.method,
+                    job.exchange.target,
+                    headers=fields,
+                    body=job.exchange.body,
+                    options=self._options(job, now),
+                ) as response:
+                    answer = await self._receive(job, choice, response, first_event)
+            except ClientError as exc:
+                raise self._failure(job, choice, exc) from exc
+        load.succeeded(self.clock())
+        return answer
+
+    def _options(self, job: Job, now: float) -> RequestOptions:
+        left_s = max(0.05, job.deadline - now)
+        silence_s = left_s
+        if job.route.idempotent and len(job.sent_to) + 1 < job.route.attempts:
+            target_s = SILENCE_TARGETS * job.route.target_latency_s
+            silence_s = min(left_s, max(SHORTEST_SILENCE_S, target_s))
+        return RequestOptions(
+            connect_timeout_s=min(self.connect_timeout_s, left_s),
+            idle_timeout_s=silence_s,
+            reuse=False,
+            keep=False,
+        )
+
+    def _failure(self, job: Job, choice: Choice, exc: ClientError) -> AttemptError:
+        load, now = choice.candidate.load, self.clock()
+        if exc.verdict is Verdict.NOT_RUN:
+            job.unreachable.add(choice.candidate.server.id)
+            load.unreachable(now)
+            return AttemptError("unreachable", Verdict.NOT_RUN)
+        job.sent_to.append(choice.candidate.server.id)
+        if isinstance(exc.__cause__, trio.TooSlowError):
+            load.unreachable(now)
+            return AttemptError("silent", Verdict.MAY_HAVE_RUN)
+        load.failed(now)
+        return AttemptError("broken_off", Verdict.MAY_HAVE_RUN)
+
+    async def _receive(
+        self,
+        job: Job,
+        choice: Choice,
+        response: ClientResponse,
+        first_event: Callable[[], None],
+    ) -> Answer | None:
+        head = decode_answer(response.status, response.headers)
+        if head.request_id and head.request_id != job.request.id:
+            raise self._rejected(job, choice, "foreign_answer", Verdict.MAY_HAVE_RUN)
+        if head.not_executed:
+            raise self._not_executed(job, choice, head)
+        kind = response.headers.get("content-type", "")
+        if (
+            job.route.kind is RouteKind.STREAM
+            and head.status == 200
+            and kind.startswith(EVENT_STREAM)
+        ):
+            self._check_success(job, choice, head)
+            await self._relay(job, response, first_event)
+            job.sent_to.append(choice.candidate.server.id)
+            return None
+        answer = Answer(
+            status=head.status,
+            headers=answer_headers(response.headers),
+            body=await response.read(),
+        )
+        if head.status < 300:
+            self._check_success(job, choice, head)
+        elif head.status in REFUSED_STATUSES:
+            # The caller would take it for a promise that the request has not run.
+            raise self._rejected(job, choice, "refused_after_run", Verdict.MAY_HAVE_RUN)
+        elif head.status >= FIRST_FAILURE_STATUS:
+            failure = self._rejected(job, choice, "server_error", Verdict.MAY_HAVE_RUN)
+            failure.answer = answer if head.signed else None
+            raise failure
+        job.sent_to.append(choice.candidate.server.id)
+        return answer
+
+    def _check_success(self, job: Job, choice: Choice, head: AnswerHead) -> None:
+        if not head.signed or head.encoded:
+            raise self._rejected(job, choice, "spoiled_answer", Verdict.MAY_HAVE_RUN)
+
+    def _rejected(
+        self, job: Job, choice: Choice, reason: str, verdict: Verdict
+    ) -> AttemptError:
+        job.sent_to.append(choice.candidate.server.id)
+        choice.candidate.load.failed(self.clock())
+        return AttemptError(reason, verdict)
+
+    def _not_executed(self, job: Job, choice: Choice, head: AnswerHead) -> AttemptError:
+        job.sent_to.append(choice.candidate.server.id)
+        choice.candidate.load.refused(self.clock(), REFUSAL_PAUSE_S)
+        reason = "misdirected" if head.status == 421 else "not_executed"
+        return AttemptError(reason, Verdict.NOT_RUN)
+
+    async def _relay(
+        self, job: Job, response: ClientResponse, first_event: Callable[[], None]
+    ) -> None:
+        """Pass events on as they arrive; a break after the first raises AttemptError."""
+        exchange = job.exchange
+        splitter = EventSplitter(job.last_event_id)
+        async for piece in response.iter_chunks():
+            whole = splitter.feed(piece)
+            if not whole:
+                continue
+            first_event()
+            if job.first_event_at is None:
+                job.first_event_at = self.clock()
+            if exchange.started:
+                await exchange.send(whole)
+            else:
+                fields = answer_headers(response.headers)
+                await exchange.start_stream(response.status, fields, whole)
+            job.last_event_id = splitter.last_id
+        if not exchange.started:
+            fields = answer_headers(response.headers)
+            await exchange.start_stream(response.status, fields)
+        await exchange.end_stream(splitter.end())
+
+
+@contextmanager
+def _counted(choice: Choice) -> Iterator[Callable[[], None]]:
+    """Count a request in its server's load; yields what to call at its first event."""
+    load = choice.candidate.load
+    left = choice.tokens_to_read
+    load.in_flight += 1
+    load.prefill_tokens += left
+
+    def first_event() -> None:
+        nonlocal left
+        if left > DECODE_SHARE * choice.tokens_to_read:
+            load.prefill_tokens -= left - DECODE_SHARE * choice.tokens_to_read
+            left = DECODE_SHARE * choice.tokens_to_read
+
+    try:
+        yield first_event
+    finally:
+        load.in_flight -= 1
+        load.prefill_tokens = max(0.0, load.prefill_tokens - left)
+
+
+def _attempt_headers(
+    job: Job, choice: Choice, store: Address | None, remaining_s: float
+) -> AttemptHeaders:
+    server = choice.candidate.server
+    prompt = job.prompt
+    if prompt is None:
+        return AttemptHeaders(
+            instance=server.id, remaining_s=remaining_s, account=job.account_name
+        )
+    return AttemptHeaders(
+        instance=server.id,
+        remaining_s=remaining_s,
+        account=job.account_name,
+        weights_version=server.weights.get(job.request.model),
+        salt=choice.candidate.salt,
+        priority=job.priority(),
+        fetch_from=choice.fetch_from,
+        save_to=store if prompt.is_long else None,
+        last_event_id=job.last_event_id,
+    )
--- /dev/null
+++ b/src/foxtailcourse/ingress/_cache_index.py
@@ -0,0 +1,66 @@
+"""Which backend server holds which parts of prompts, as far as is known."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from foxtailcourse.platform import CacheEvents, PromptPart
+
+# A part counts as held if this share of its tokens is.
+WHOLE_PART_SHARE = 0.99
+# An entry that no event confirmed is believed for this long.
+EXPECTED_PART_S = 1.5
+
+
+@attrs.define
+class HeldParts:
+    """Parts that one cache holds, by salt and part.
+
+    Events come late, so a part that was just sent counts as held before its event.
+    """
+
+    epoch: int | None = None
+    position: int = 0
+    _tokens: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    _expected: dict[tuple[str, str], tuple[int, float]] = attrs.field(factory=dict)
+
+    def apply(self, news: CacheEvents) -> None:
+        """Take events; a restart or a gap empties the index."""
+        if news.epoch != self.epoch or news.lost:
+            self._tokens.clear()
+            if news.epoch != self.epoch:
+                self._expected.clear()
+        self.epoch, self.position = news.epoch, news.next
+        for event in news.events:
+            key = (event.salt, event.part)
+            if event.tokens > 0:
+                self._tokens[key] = event.tokens
+            else:
+                self._tokens.pop(key, None)
+
+    def clear(self) -> None:
+        """Forget everything, as the cache may have changed unseen."""
+        self._tokens.clear()
+        self.epoch, self.position = None, 0
+
+    def expect(self, salt: str, parts: Sequence[PromptPart], now: float) -> None:
+        """Note that a request is about to make the cache hold its parts."""
+        for part in parts:
+            self._expected[salt, part.id] = (part.tokens, now + EXPECTED_PART_S)
+        if len(self._expected) > 4096:
+            self._expected = {k: v for k, v in self._expected.items() if v[1] > now}
+
+    def covered(self, salt: str, parts: Sequence[PromptPart], now: float) -> int:
+        """Return how many tokens from the start of a prompt are held."""
+        total = 0
+        for part in parts:
+            key = (salt, part.id)
+            held = self._tokens.get(key, 0)
+            expected, until = self._expected.get(key, (0, 0.0))
+            if until > now:
+                held = max(held, expected)
+            held = min(held, part.tokens)
+            total += held
+            if held < part.tokens * WHOLE_PART_SHARE:
+                break
+        return total
--- /dev/null
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -0,0 +1,122 @@
+"""Which backend servers may take an attempt, before cost is considered.
+
+Answers leaving, crashed and loading servers: none of them gets work while another can
+take it, and weights that have been replaced for too long are not used at all.
+"""
+
+from collections.abc import Collection
+
+import attrs
+
+from foxtailcourse.fleet import Account, BackendServer, FleetView
+from foxtailcourse.ingress._cache_index import HeldParts
+from foxtailcourse.ingress._loads import ServerLoads
+from foxtailcourse.ingress._placement import Candidate
+
+# Old weights are no longer used this long before the platform's bound.
+OLD_WEIGHTS_MARGIN_S = 2.0
+# Part of a server's connection limit that the entries use together.
+USED_CONNECTIONS = 0.85
+UNKNOWN_ENTRIES = 8
+
+
+@attrs.frozen(kw_only=True)
+class Selection:
+    """Candidates of one attempt, or why there are none."""
+
+    candidates: tuple[Candidate, ...]
+    reason: str = ""
+
+
+@attrs.define
+class CandidateFilter:
+    """Selects candidates.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet.
+    loads : ServerLoads
+        Loads of the backend servers.
+    held : dict of str to HeldParts
+        Cache index by backend server.
+    weights_limit_s : float
+        Time after which old weights must not be used.
+    """
+
+    view: FleetView
+    loads: ServerLoads
+    held: dict[str, HeldParts]
+    weights_limit_s: float
+
+    def select(
+        self,
+        service: str,
+        model: str,
+        account: Account | None,
+        tried: Collection[str],
+        now: float,
+    ) -> Selection:
+        """Return the servers that may take the next attempt."""
+        serving = [
+            each
+            for each in self.view.serving(service)
+            if not model or model in each.weights
+        ]
+        if not serving:
+            return Selection(candidates=(), reason="no_server")
+        current = [each for each in serving if self._weights_usable(each, model, now)]
+        if not current:
+            return Selection(candidates=(), reason="old_weights")
+        untried = [each for each in current if each.id not in tried]
+        if not untried:
+            return Selection(candidates=(), reason="all_tried")
+        room = [each for each in untried if self._has_room(each)]
+        if not room:
+            return Selection(candidates=(), reason="connection_limit")
+        idle = [each for each in room if each.id not in self.view.loading]
+        if not idle:
+            return Selection(candidates=(), reason="loading_weights")
+        sound = [
+            each
+            for each in idle
+            if self.loads.of(each.id, each.started_ms).suspended_until <= now
+        ]
+        found = tuple(self._candidate(each, model, account) for each in sound or idle)
+        return Selection(candidates=found)
+
+    def _weights_usable(self, server: BackendServer, model: str, now: float) -> bool:
+        wanted = self.view.weights.get(model)
+        if wanted is None or server.weights.get(model, 0) >= wanted.version:
+            return True
+        limit_s = self.weights_limit_s - OLD_WEIGHTS_MARGIN_S
+        return now - wanted.known_since < limit_s
+
+    def _has_room(self, server: BackendServer) -> bool:
+        configuration = self.view.configuration
+        service = configuration.services.get(server.service) if configuration else None
+        if service is None or service.connection_limit <= 0:
+            return True
+        entries = len(self.view.entries) or UNKNOWN_ENTRIES
+        limit = max(1.0, USED_CONNECTIONS * service.connection_limit / entries)
+        return self.loads.of(server.id, server.started_ms).in_flight < limit
+
+    def _candidate(
+        self, server: BackendServer, model: str, account: Account | None
+    ) -> Candidate:
+        wanted = self.view.weights.get(model)
+        version = server.weights.get(model, 0)
+        return Candidate(
+            server=server,
+            load=self.loads.of(server.id, server.started_ms),
+            held=self.held.setdefault(server.id, HeldParts()),
+            salt=cache_salt(version, account) if model else "",
+            old_weights=wanted is not None and version < wanted.version,
+        )
+
+
+def cache_salt(version: int, account: Account | None) -> str:
+    """Return the salt that separates weights versions and isolated accounts."""
+    if account is not None and account.isolated:
+        return f"{version}/{account.name}"
+    return str(version)
--- /dev/null
+++ b/src/foxtailcourse/ingress/_dispatch.py
@@ -0,0 +1,165 @@
+"""Attempts of one request: where to send it, when to repeat it, when to give up."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from foxtailcourse.fleet import FleetView
+from foxtailcourse.ingress._attempt import Attempts
+from foxtailcourse.ingress._budget import RetryBudget
+from foxtailcourse.ingress._candidates import CandidateFilter
+from foxtailcourse.ingress._job import Answer, AttemptError, Job, RefusedError
+from foxtailcourse.ingress._placement import (
+    STORE_HELD_S,
+    Choice,
+    choose_for_prompt,
+    choose_plain,
+)
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.protocol import Verdict
+from foxtailcourse.settings import Address
+
+# Less time than this is not worth another attempt.
+SHORTEST_ATTEMPT_S = 0.03
+# When to come back after a refusal, by its reason; loads of weights take seconds, but
+# another server is free sooner.
+RETRY_AFTER_S = {
+    "no_server": 0.5,
+    "old_weights": 0.5,
+    "loading_weights": 0.4,
+    "connection_limit": 0.3,
+    "all_tried": 0.15,
+}
+DEFAULT_RETRY_AFTER_S = 0.15
+
+
+@attrs.define(kw_only=True)
+class Dispatcher:
+    """Sends requests to backend servers until one answers or none may be tried.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet.
+    candidates : CandidateFilter
+        Selects the servers that may take an attempt.
+    attempts : Attempts
+        Makes attempts.
+    budget_for : callable
+        Returns the retry budget of a service.
+    clock : callable
+        Returns seconds since boot.
+    rng : random.Random
+        Spreads equal choices.
+    events : EventLog
+        Told of each attempt that failed.
+    metrics : Metrics
+        Counts attempts.
+    """
+
+    view: FleetView
+    candidates: CandidateFilter
+    attempts: Attempts
+    budget_for: Callable[[str], RetryBudget]
+    clock: Callable[[], float]
+    rng: random.Random
+    events: EventLog
+    metrics: Metrics
+    _stored: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
+
+    async def run(self, job: Job) -> Answer | None:
+        """Return the answer, or None if it was streamed.
+
+        Raises
+        ------
+        RefusedError
+            If the request has not run and is not tried further.
+        AttemptError
+            If the last attempt failed and the request may have run.
+        """
+        self.budget_for(job.service).note_request(self.clock())
+        while True:
+            choice = self._choose(job)
+            try:
+                answer = await self._attempt(job, choice)
+            except AttemptError as exc:
+                self._note_failure(job, choice, exc)
+                if exc.verdict is not Verdict.NOT_RUN:
+                    job.verdict = Verdict.MAY_HAVE_RUN
+                if not self._may_repeat(job, exc):
+                    self._give_up(job, exc)
+                continue
+            self.metrics.count("foxtail_ingress_attempts_total", outcome="answered")
+            return answer
+
+    async def _attempt(self, job: Job, choice: Choice) -> Answer | None:
+        prompt = job.prompt
+        store = self._store()
+        if prompt is not None:
+            now = self.clock()
+            candidate = choice.candidate
+            candidate.held.expect(candidate.salt, prompt.parts[:-1], now)
+            if prompt.is_long and store is not None:
+                self._stored[candidate.salt, prompt.largest_part.id] = now
+        return await self.attempts.make(job, choice, store)
+
+    def _store(self) -> Address | None:
+        configuration = self.view.configuration
+        return configuration.cache_store() if configuration else None
+
+    def _choose(self, job: Job) -> Choice:
+        now = self.clock()
+        tried = {*job.sent_to, *job.unreachable}
+        selection = self.candidates.select(
+            job.service, job.request.model, job.account, tried, now
+        )
+        if not selection.candidates:
+            if job.verdict is Verdict.NOT_RUN:
+                raise RefusedError(
+                    selection.reason, self._retry_after(selection.reason)
+                )
+            raise AttemptError(selection.reason, job.verdict)
+        prompt = job.prompt
+        if prompt is None:
+            return choose_plain(selection.candidates, now, self.rng.random())
+        salt = selection.candidates[0].salt
+        stored_at = self._stored.get((salt, prompt.largest_part.id))
+        holds = stored_at is not None and now - stored_at < STORE_HELD_S
+        return choose_for_prompt(
+            selection.candidates, prompt, self._store(), holds, now
+        )
+
+    def _may_repeat(self, job: Job, exc: AttemptError) -> bool:
+        now = self.clock()
+        if job.deadline - now < SHORTEST_ATTEMPT_S:
+            return False
+        if exc.verdict is not Verdict.NOT_RUN and not job.route.idempotent:
+            return False
+        if exc.reason == "unreachable":
+            return True
+        if len(job.sent_to) >= job.route.attempts:
+            return False
+        return self.budget_for(job.service).take(now, len(self.view.entries))
+
+    def _give_up(self, job: Job, exc: AttemptError) -> None:
+        if job.verdict is Verdict.NOT_RUN:
+            raise RefusedError(exc.reason, self._retry_after(exc.reason)) from exc
+        raise exc
+
+    def _retry_after(self, reason: str) -> float:
+        base_s = RETRY_AFTER_S.get(reason, DEFAULT_RETRY_AFTER_S)
+        return base_s * self.rng.uniform(0.75, 1.25)
+
+    def _note_failure(self, job: Job, choice: Choice, exc: AttemptError) -> None:
+        self.metrics.count("foxtail_ingress_attempts_total", outcome=exc.reason)
+        self.events.emit(
+            "attempt_failed",
+            request_id=job.request.id,
+            server=choice.candidate.server.id,
+            reason=exc.reason,
+            verdict=exc.verdict.value,
+            attempt=len(job.sent_to),
+            age_ms=int((self.clock() - job.started) * 1000),
+            last_event=job.last_event_id or None,
+        )
--- /dev/null
+++ b/src/foxtailcourse/ingress/_follow.py
@@ -0,0 +1,127 @@
+"""Follows prefixes of the platform's store and confirms how current they are."""
+
+from collections.abc import Callable
+
+import trio
+
+from foxtailcourse.fleet import Belief
+from foxtailcourse.ingress._clock import boot_seconds
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.platform import KeyValueStore, PlatformError, RevisionGoneError
+
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.5
+Take = Callable[[str, bytes | None, int], None]
+
+
+class PrefixFollower:
+    """Keeps one prefix of the store up to date.
+
+    Each answer confirms what was true when its call was sent; an answer lost on the
+    way confirms nothing. After a failure the prefix is read again in full, since a
+    connection that went silent may have hidden changes.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The store.
+    prefix : str
+        Start of the followed keys.
+    wait_s : float
+        Wait of one watch.
+    take : callable
+        Takes a key, its value (None once removed) and the revision of the change.
+    belief : Belief
+        Told how current the prefix is.
+    events : EventLog
+        Told when the store is lost and regained.
+    metrics : Metrics
+        Counts failures.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        wait_s: float,
+        take: Take,
+        belief: Belief,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._wait_s = wait_s
+        self._take = take
+        self._belief = belief
+        self._events = events
+        self._metrics = metrics
+        self._keys: set[str] = set()
+        self._scans = trio.Lock()
+        self._lost = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            try:
+                revision = await self.scan()
+                self._regained()
+                pause_s = FIRST_PAUSE_S
+                while True:
+                    revision = await self._watch(revision)
+            except RevisionGoneError as exc:
+                self._events.emit("watch_expired", prefix=self._prefix, error=exc)
+            except PlatformError as exc:
+                self._note_loss(exc)
+                await trio.sleep(pause_s)
+                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+    async def scan(self) -> int:
+        """Read the whole prefix; return the revision to watch from."""
+        async with self._scans:
+            sent_at = boot_seconds()
+            found = await self._store.range(self._prefix)
+            keys = {each.key for each in found.items}
+            for key in self._keys - keys:
+                self._take(key, None, found.revision)
+            for item in found.items:
+                self._take(item.key, item.value, item.mod_revision)
+            self._keys = keys
+            self._belief.confirm(sent_at)
+            return found.revision
+
+    async def _watch(self, after: int) -> int:
+        sent_at = boot_seconds()
+        result = await self._store.watch([self._prefix], after, self._wait_s)
+        if result.revision < after:
+            raise RevisionGoneError("the store was restored", may_have_applied=False)
+        for event in result.events:
+            if event.value is None:
+                self._keys.discard(event.key)
+            else:
+                self._keys.add(event.key)
+            self._take(event.key, event.value, event.mod_revision)
+        self._belief.confirm(sent_at)
+        return result.revision
+
+    def _note_loss(self, exc: PlatformError) -> None:
+        self._metrics.count("foxtail_ingress_store_failures_total", prefix=self._prefix)
+        if not self._lost:
+            self._lost = True
+            self._events.emit(
+                "store_lost",
+                prefix=self._prefix,
+                error=exc,
+                age_ms=_age_ms(self._belief),
+            )
+
+    def _regained(self) -> None:
+        if self._lost:
+            self._lost = False
+            self._events.emit("store_regained", prefix=self._prefix)
+
+
+def _age_ms(belief: Belief) -> int:
+    age_s = belief.age(boot_seconds())
+    return -1 if age_s == float("inf") else int(age_s * 1000)
--- /dev/null
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -0,0 +1,250 @@
+"""Front end for callers on the platform: from headers to a job, from outcome to answer."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from foxtailcourse.fleet import Account, Configuration, FleetView, Route
+from foxtailcourse.http import Exchange
+from foxtailcourse.ingress._dispatch import Dispatcher
+from foxtailcourse.ingress._job import Answer, AttemptError, Job, RefusedError
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.platform import (
+    IngressRequest,
+    RequestError,
+    decode_request,
+    refusal_headers,
+)
+
+NO_CONFIGURATION_RETRY_S = 0.5
+STALE_RETRY_S = 0.2
+# A refusal for an unknown key or route needs news at most this old.
+DENIAL_AGE_S = 0.3
+BAD_REQUEST, UNAUTHORIZED, NOT_FOUND = 400, 401, 404
+BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
+
+
+class DeniedError(Exception):
+    """The configuration does not allow the request."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+@attrs.define(kw_only=True)
+class IngressHandler:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet.
+    dispatcher : Dispatcher
+        Sends jobs to backend servers.
+    refresh : coroutine function
+        Reads the configuration again if it is older than some seconds; raises nothing.
+    key_age_limit_s : float
+        Age of the configuration beyond which keys are not accepted.
+    clock : callable
+        Returns seconds since boot.
+    rng : random.Random
+        Splits routes over services.
+    """
+
+    view: FleetView
+    dispatcher: Dispatcher
+    refresh: Callable[[float], Awaitable[None]]
+    key_age_limit_s: float
+    clock: Callable[[], float]
+    rng: random.Random
+    events: EventLog
+    metrics: Metrics
+    draining: bool = False
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        started = self.clock()
+        if self.draining:
+            # The caller's next request then goes to another entry.
+            exchange.close_after()
+        try:
+            request = decode_request(exchange.target, exchange.raw_headers)
+        except RequestError as exc:
+            self._note("malformed", exchange, "", reason=str(exc))
+            await exchange.respond(BAD_REQUEST, str(exc).encode())
+            return
+        try:
+            job = await self._admit(exchange, request, started)
+        except DeniedError as exc:
+            self._note("denied", exchange, request.id, reason=exc.reason)
+            await self._answer_own(exchange, request, exc.status, exc.reason)
+        except RefusedError as exc:
+            await self._refuse(exchange, request, exc)
+        else:
+            await self._serve(job)
+
+    async def _serve(self, job: Job) -> None:
+        exchange, request = job.exchange, job.request
+        outcome = "answered"
+        left_s = max(0.0, job.deadline - self.clock())
+        with trio.move_on_after(left_s) as scope:
+            try:
+                answer = await self.dispatcher.run(job)
+                if answer is not None:
+                    await self._pass_on(exchange, answer)
+            except RefusedError as exc:
+                await self._refuse(exchange, request, exc)
+                return
+            except AttemptError as exc:
+                outcome = exc.reason
+                await self._fail(job, exc)
+        if scope.cancelled_caught:
+            outcome = "timed_out"
+            await self._time_out(job)
+        self._note_done(job, outcome)
+
+    async def _admit(
+        self, exchange: Exchange, request: IngressRequest, started: float
+    ) -> Job:
+        route, account = await self._allowed(request)
+        limits = [route.timeout_s]
+        if request.deadline_s is not None:
+            limits.append(request.deadline_s)
+        weights = [each.weight for each in route.backends]
+        backend = self.rng.choices(route.backends, weights)[0]
+        return Job(
+            exchange=exchange,
+            request=request,
+            route=route,
+            account=account,
+            service=backend.service,
+            started=started,
+            deadline=started + min(limits),
+            last_event_id=request.last_event_id,
+        )
+
+    async def _allowed(self, request: IngressRequest) -> tuple[Route, Account | None]:
+        """Return the route and the account; raises DeniedError or RefusedError."""
+        try:
+            return self._look_up(request)
+        except DeniedError:
+            # Newer news may allow it, so the denial must rest on recent ones.
+            await self.refresh(DENIAL_AGE_S)
+            if self.view.configuration_belief.age(self.clock()) > self.key_age_limit_s:
+                raise RefusedError("configuration_stale", STALE_RETRY_S) from None
+            return self._look_up(request)
+
+    def _look_up(self, request: IngressRequest) -> tuple[Route, Account | None]:
+        configuration = self.view.configuration
+        if configuration is None:
+            raise RefusedError("no_configuration", NO_CONFIGURATION_RETRY_S)
+        route = configuration.route(request.host, request.path)
+        if route is None:
+            raise DeniedError(NOT_FOUND, "no_route")
+        if route.public or not configuration.keys_required:
+            return route, self._account(configuration, request)
+        if self.view.configuration_belief.age(self.clock()) > self.key_age_limit_s:
+            raise RefusedError("keys_stale", STALE_RETRY_S)
+        account = configuration.accounts.get(request.key)
+        if account is None:
+            raise DeniedError(UNAUTHORIZED, "unknown_key")
+        return route, account
+
+    def _account(
+        self, configuration: Configuration, request: IngressRequest
+    ) -> Account | None:
+        if self.view.configuration_belief.age(self.clock()) > self.key_age_limit_s:
+            return None
+        return configuration.accounts.get(request.key)
+
+    async def _pass_on(self, exchange: Exchange, answer: Answer) -> None:
+        kind = answer.headers.pop("content-type", "application/octet-stream")
+        await exchange.respond(
+            answer.status, answer.body, answer.headers, content_type=kind
+        )
+
+    async def _fail(self, job: Job, exc: AttemptError) -> None:
+        if job.exchange.started:
+            job.exchange.abort()
+        elif exc.answer is not None:
+            await self._pass_on(job.exchange, exc.answer)
+        else:
+            await self._answer_own(job.exchange, job.request, BAD_GATEWAY, exc.reason)
+
+    async def _time_out(self, job: Job) -> None:
+        if job.exchange.started:
+            job.exchange.abort()
+            return
+        await self._answer_own(job.exchange, job.request, GATEWAY_TIMEOUT, "timed_out")
+
+    async def _refuse(
+        self, exchange: Exchange, request: IngressRequest, exc: RefusedError
+    ) -> None:
+        self.metrics.count("foxtail_ingress_refusals_total", reason=exc.reason)
+        age_s = self.view.configuration_belief.age(self.clock())
+        self._note(
+            "refused",
+            exchange,
+            request.id,
+            reason=exc.reason,
+            retry_after_ms=int(exc.retry_after_s * 1000),
+            configuration_age_ms=-1 if age_s == float("inf") else int(age_s * 1000),
+        )
+        if exc.reason in {"keys_stale", "no_configuration", "configuration_stale"}:
+            # Another entry may know more.
+            exchange.close_after()
+        await self._answer_own(
+            exchange, request, UNAVAILABLE, exc.reason, exc.retry_after_s
+        )
+
+    async def _answer_own(
+        self,
+        exchange: Exchange,
+        request: IngressRequest,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        self.metrics.count("foxtail_ingress_requests_total", outcome=reason)
+        fields = refusal_headers(request.id, retry_after_s)
+        await exchange.respond(
+            status, reason.encode(), fields, content_type="text/plain"
+        )
+
+    def _note(
+        self, name: str, exchange: Exchange, request_id: str, **fields: object
+    ) -> None:
+        self.events.emit(
+            f"request_{name}",
+            request_id=request_id or None,
+            path=exchange.path,
+            revision=self.view.configuration_revision,
+            **fields,
+        )
+
+    def _note_done(self, job: Job, outcome: str) -> None:
+        now = self.clock()
+        self.metrics.count("foxtail_ingress_requests_total", outcome=outcome)
+        self.metrics.observe_s(
+            "foxtail_ingress_duration_seconds",
+            now - job.started,
+            kind=job.route.kind.value,
+        )
+        first = job.first_event_at
+        self.events.emit(
+            "request_done",
+            request_id=job.request.id,
+            route=job.route.name,
+            client_account=job.account_name or None,
+            outcome=outcome,
+            verdict=job.verdict.value if outcome != "answered" else "ran",
+            servers=",".join(job.sent_to) or None,
+            first_event_ms=None if first is None else int((first - job.started) * 1000),
+            duration_ms=int((now - job.started) * 1000),
+            prompt_tokens=job.request.prompt_tokens or None,
+            revision=self.view.configuration_revision,
+        )
--- /dev/null
+++ b/src/foxtailcourse/ingress/_job.py
@@ -0,0 +1,110 @@
+"""One caller's request while it is being answered."""
+
+import attrs
+
+from foxtailcourse.fleet import Account, Route
+from foxtailcourse.http import Exchange
+from foxtailcourse.ingress._placement import Prompt
+from foxtailcourse.platform import IngressRequest
+from foxtailcourse.protocol import Verdict
+
+
+@attrs.define(kw_only=True)
+class Job:
+    """A request with what its route and account allow.
+
+    Parameters
+    ----------
+    service : str
+        Service that the request is sent to.
+    started : float
+        When it was read, in seconds since boot.
+    deadline : float
+        When it must have its final answer.
+    sent_to : list of str
+        Backend servers that were sent any byte of it.
+    verdict : Verdict
+        Whether it may have run.
+    last_event_id : str
+        Last event passed to the caller.
+    """
+
+    exchange: Exchange
+    request: IngressRequest
+    route: Route
+    account: Account | None
+    service: str
+    started: float
+    deadline: float
+    sent_to: list[str] = attrs.field(factory=list)
+    unreachable: set[str] = attrs.field(factory=set)
+    verdict: Verdict = Verdict.NOT_RUN
+    last_event_id: str = ""
+    first_event_at: float | None = None
+
+    @property
+    def prompt(self) -> Prompt | None:
+        """The prompt, if the request has one."""
+        if not self.request.model or not self.request.parts:
+            return None
+        return Prompt(parts=self.request.parts, tokens=self.request.prompt_tokens)
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account, empty without one."""
+        return self.account.name if self.account else ""
+
+    def priority(self) -> int:
+        """Return the rank among a server's requests, 0 to 9; the account's first."""
+        rank = min(2, self.route.priority)
+        if self.account is not None:
+            rank += 3 * self.account.priority
+        return max(0, min(9, rank))
+
+
+class AttemptError(Exception):
+    """An attempt did not bring an answer that the caller may have.
+
+    Parameters
+    ----------
+    reason : str
+        Short code for logs and metrics.
+    verdict : Verdict
+        Whether the request may have run in this attempt.
+    answer : Answer or None
+        The server's own failure, to be passed on if nothing better follows.
+    """
+
+    def __init__(
+        self, reason: str, verdict: Verdict, answer: "Answer | None" = None
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.verdict = verdict
+        self.answer = answer
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A backend server's whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class RefusedError(Exception):
+    """The request is refused and has not run.
+
+    Parameters
+    ----------
+    reason : str
+        Short code for logs and metrics.
+    retry_after_s : float
+        When to come back, in seconds.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -0,0 +1,132 @@
+"""The lease of one entry in the platform's store, and the right to give orders."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from foxtailcourse.ingress._shared import ENTRIES_PREFIX, ORDERS_KEY, SharedKeys
+from foxtailcourse.observe import EventLog
+from foxtailcourse.platform import KeyValueStore, LeaseLostError, PlatformError, Put
+
+# Renewals in each time to live, so that one lost answer does not end the lease.
+RENEWALS_PER_TTL = 4
+PAUSE_S = 0.3
+# The right ends this long before the lease, which covers an order on its way.
+ORDER_MARGIN_S = 0.5
+
+
+class EntryLease:
+    """Holds a lease, registers the entry with it and competes for the orders.
+
+    The right to give orders counts from before the call that renewed the lease, so it
+    ends before the lease does, also when the VM was suspended.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The store.
+    vm : str
+        Name of this VM.
+    ttl_s : float
+        Time to live of the lease; also the pause before a new holder's first order.
+    shared : SharedKeys
+        What is known of the current holder.
+    clock : callable
+        Returns seconds since boot.
+    rng : random.Random
+        Spreads the entries' tries.
+    events : EventLog
+        Told of leases and rights won and lost.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        vm: str,
+        ttl_s: float,
+        shared: SharedKeys,
+        clock: Callable[[], float],
+        rng: random.Random,
+        events: EventLog,
+    ) -> None:
+        self._store = store
+        self._vm = vm
+        self._ttl_s = ttl_s
+        self._shared = shared
+        self._clock = clock
+        self._rng = rng
+        self._events = events
+        self._valid_until = float("-inf")
+        self._orders_from = float("inf")
+        self.lease = ""
+        self.fence = 0
+
+    def may_order(self, now: float) -> bool:
+        """Whether this entry may give orders at a time."""
+        return (
+            self.fence > 0
+            and now >= self._orders_from
+            and now < self._valid_until - ORDER_MARGIN_S
+        )
+
+    async def run(self) -> None:
+        """Keep the lease and compete until cancelled."""
+        while True:
+            try:
+                if not self.lease:
+                    await self._grant()
+                await self._renew()
+                if not self.fence and not self._shared.orders_holder:
+                    await self._acquire()
+            except LeaseLostError:
+                self._lose("lease_lapsed")
+                continue
+            except PlatformError as exc:
+                if self._clock() > self._valid_until:
+                    self._lose(str(exc))
+                await trio.sleep(PAUSE_S * self._rng.uniform(0.5, 1.5))
+                continue
+            pause_s = self._ttl_s / RENEWALS_PER_TTL
+            await trio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+
+    async def release(self) -> None:
+        """End the lease, so that another entry can take over at once."""
+        lease, self.lease, self.fence = self.lease, "", 0
+        if lease:
+            try:
+                await self._store.lease_revoke(lease)
+            except PlatformError as exc:
+                self._events.emit("lease_release_failed", error=exc)
+
+    def give_up_orders(self, reason: str) -> None:
+        """Stop giving orders: a server has seen a newer holder."""
+        self._lose(reason)
+
+    async def _grant(self) -> None:
+        sent_at = self._clock()
+        lease = await self._store.lease_grant(self._ttl_s)
+        await self._store.txn(
+            {}, [Put(key=ENTRIES_PREFIX + self._vm, value=b"1", lease=lease)]
+        )
+        self.lease, self._valid_until = lease, sent_at + self._ttl_s
+        self._events.emit("lease_granted", lease=lease)
+
+    async def _renew(self) -> None:
+        sent_at = self._clock()
+        await self._store.lease_keepalive(self.lease)
+        self._valid_until = sent_at + self._ttl_s
+
+    async def _acquire(self) -> None:
+        put = Put(key=ORDERS_KEY, value=self._vm.encode(), lease=self.lease)
+        done = await self._store.txn({ORDERS_KEY: 0}, [put])
+        if done.succeeded:
+            self.fence = done.revision
+            self._orders_from = self._clock() + self._ttl_s
+            self._events.emit("orders_acquired", fence=self.fence)
+
+    def _lose(self, reason: str) -> None:
+        if self.fence:
+            self._events.emit("orders_lost", fence=self.fence, reason=reason)
+        self.lease, self.fence = "", 0
+        self._valid_until, self._orders_from = float("-inf"), float("inf")
--- /dev/null
+++ b/src/foxtailcourse/ingress/_loads.py
@@ -0,0 +1,83 @@
+"""What this entry knows of each backend server's load and health from its own requests."""
+
+import attrs
+
+FIRST_SUSPENSION_S = 0.4
+LONGEST_SUSPENSION_S = 3.0
+# Weight of the newest outcome in the failure rate.
+FAILURE_WEIGHT = 0.2
+# A failure rate halves in this time without outcomes, so that a server is tried again.
+FAILURE_HALF_LIFE_S = 3.0
+
+
+@attrs.define
+class ServerLoad:
+    """Load and health of one backend server.
+
+    Parameters
+    ----------
+    in_flight : int
+        Requests sent and not finished.
+    prefill_tokens : float
+        Prompt tokens that it has still to read for them.
+    """
+
+    in_flight: int = 0
+    prefill_tokens: float = 0.0
+    suspended_until: float = 0.0
+    _failures_in_row: int = 0
+    _failure_rate: float = 0.0
+    _rated_at: float = 0.0
+
+    def failure_rate(self, now: float) -> float:
+        """Return the decayed share of failed requests."""
+        return self._failure_rate * 0.5 ** (
+            (now - self._rated_at) / FAILURE_HALF_LIFE_S
+        )
+
+    def succeeded(self, now: float) -> None:
+        """Note an answer."""
+        self._rate(now, 0.0)
+        self._failures_in_row = 0
+        self.suspended_until = 0.0
+
+    def failed(self, now: float) -> None:
+        """Note a request that the server broke off or answered with its own error."""
+        self._rate(now, 1.0)
+
+    def unreachable(self, now: float) -> None:
+        """Note that no connection could be made, or that nothing was answered."""
+        self._rate(now, 1.0)
+        pause_s = FIRST_SUSPENSION_S * 2**self._failures_in_row
+        self.suspended_until = now + min(pause_s, LONGEST_SUSPENSION_S)
+        self._failures_in_row = min(self._failures_in_row + 1, 8)
+
+    def refused(self, now: float, pause_s: float) -> None:
+        """Note that the server did not take a request."""
+        self.suspended_until = max(self.suspended_until, now + pause_s)
+
+    def _rate(self, now: float, outcome: float) -> None:
+        kept = self.failure_rate(now) * (1 - FAILURE_WEIGHT)
+        self._failure_rate = kept + FAILURE_WEIGHT * outcome
+        self._rated_at = now
+
+
+class ServerLoads:
+    """The loads of all backend servers, by server and start."""
+
+    def __init__(self) -> None:
+        self._loads: dict[tuple[str, int], ServerLoad] = {}
+
+    def of(self, server_id: str, started_ms: int) -> ServerLoad:
+        """Return the load of one start of a backend server."""
+        return self._loads.setdefault((server_id, started_ms), ServerLoad())
+
+    def forget_all_but(self, known: set[tuple[str, int]]) -> None:
+        """Drop idle servers that are no longer registered."""
+        gone = [
+            key
+            for key, load in self._loads.items()
+            if key not in known and load.in_flight == 0
+        ]
+        for key in gone:
+            del self._loads[key]
--- /dev/null
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -0,0 +1,209 @@
+"""Brings backend servers to the weights that operators name.
+
+Answers a named version: a bounded part of a model's servers loads at once, so that the
+others carry the load, and no order is given on a belief that may be out of date.
+"""
+
+import math
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from foxtailcourse.fleet import BackendServer, FleetView
+from foxtailcourse.ingress._lease import EntryLease
+from foxtailcourse.ingress._loads import ServerLoads
+from foxtailcourse.ingress._shared import LOADING_PREFIX
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.platform import (
+    KeyValueStore,
+    LoadOrder,
+    OrderOutcome,
+    PlatformError,
+    Put,
+    ServerCallError,
+    ServerClient,
+)
+
+# Part of a model's servers that load at once; more load slower and leave too few.
+LOADING_SHARE = 0.38
+FEWEST_LOADING = 2
+TICK_S = 0.1
+# Entries hear of a load this long before the order, and stop sending requests.
+ANNOUNCE_S = 0.15
+# A load is looked into again when the server's registration has not changed by then.
+RECHECK_S = 2.5
+FAILED_PAUSE_S = 1.0
+
+
+@attrs.frozen
+class Load:
+    """A backend server that should load weights."""
+
+    server: BackendServer
+    model: str
+    version: int
+
+
+def next_loads(view: FleetView, busy: set[str], loads: ServerLoads) -> list[Load]:
+    """Return the loads to start now.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet.
+    busy : set of str
+        Backend servers that are loading or were tried a moment ago.
+    loads : ServerLoads
+        Servers with little to do go first.
+    """
+    found: list[Load] = []
+    for model, wanted in view.weights.items():
+        servers = [each for each in view.servers.values() if model in each.weights]
+        behind = [
+            each
+            for each in servers
+            if each.weights[model] < wanted.version and not each.leaving
+        ]
+        running = sum(each.id in busy for each in servers)
+        at_once = max(FEWEST_LOADING, math.ceil(LOADING_SHARE * len(servers)))
+        idle = sorted(
+            (each for each in behind if each.id not in busy),
+            key=lambda each: loads.of(each.id, each.started_ms).in_flight,
+        )
+        room = max(0, at_once - running)
+        found += [Load(each, model, wanted.version) for each in idle[:room]]
+    return found
+
+
+class Rollout:
+    """Gives orders while this entry holds the right to.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet.
+    lease : EntryLease
+        The right to give orders.
+    store : KeyValueStore
+        Where loads are announced.
+    client : ServerClient
+        Makes the calls to backend servers.
+    vm : str
+        Name of this VM.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        lease: EntryLease,
+        store: KeyValueStore,
+        client: ServerClient,
+        loads: ServerLoads,
+        vm: str,
+        clock: Callable[[], float],
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._view = view
+        self._lease = lease
+        self._store = store
+        self._client = client
+        self._loads = loads
+        self._vm = vm
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._busy: set[str] = set()
+
+    async def run(self) -> None:
+        """Start loads until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                if self._lease.may_order(self._clock()):
+                    for load in next_loads(self._view, self._busy, self._loads):
+                        self._busy.add(load.server.id)
+                        nursery.start_soon(self._carry_out, load)
+                await trio.sleep(TICK_S)
+
+    async def _carry_out(self, load: Load) -> None:
+        server_id = load.server.id
+        try:
+            await self._announce(server_id)
+            await trio.sleep(ANNOUNCE_S)
+            while self._lease.may_order(self._clock()) and self._behind(load):
+                outcome = await self._order(load)
+                if outcome is OrderOutcome.FENCED:
+                    self._lease.give_up_orders("fenced")
+                    return
+                await self._wait(load, outcome)
+        finally:
+            with trio.CancelScope(shield=True), trio.move_on_after(1):
+                await self._withdraw(server_id)
+            self._busy.discard(server_id)
+
+    def _behind(self, load: Load) -> bool:
+        server = self._view.servers.get(load.server.id)
+        if server is None or server.leaving:
+            return False
+        return server.weights.get(load.model, 0) < load.version
+
+    async def _order(self, load: Load) -> OrderOutcome:
+        server = load.server
+        try:
+            report = await self._client.report(server.address)
+        except ServerCallError as exc:
+            self._events.emit("report_failed", server=server.id, error=exc)
+            return OrderOutcome.UNKNOWN
+        if report.weights.get(load.model, 0) >= load.version:
+            return OrderOutcome.ALREADY_DONE
+        if report.busy:
+            return OrderOutcome.BUSY
+        now = self._clock()
+        # The report may have taken long; the right must still hold.
+        if not self._lease.may_order(now):
+            return OrderOutcome.REFUSED
+        outcome = await self._client.load(
+            server.address,
+            LoadOrder(
+                instance=server.id,
+                model=load.model,
+                version=load.version,
+                accepted_orders=report.accepted_orders,
+                holder=self._vm,
+                fence=self._lease.fence,
+            ),
+        )
+        self._metrics.count("foxtail_ingress_orders_total", outcome=outcome.value)
+        self._events.emit(
+            "order_given",
+            server=server.id,
+            model=load.model,
+            version=load.version,
+            fence=self._lease.fence,
+            accepted_orders=report.accepted_orders,
+            outcome=outcome.value,
+        )
+        return outcome
+
+    async def _wait(self, load: Load, outcome: OrderOutcome) -> None:
+        """Wait until the server registers the version, or it is time to look again."""
+        accepted = outcome in {OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_DONE}
+        limit_s = RECHECK_S if accepted else FAILED_PAUSE_S
+        with trio.move_on_after(limit_s):
+            while self._behind(load):
+                await trio.sleep(TICK_S / 2)
+
+    async def _announce(self, server_id: str) -> None:
+        put = Put(key=LOADING_PREFIX + server_id, value=b"1", lease=self._lease.lease)
+        try:
+            await self._store.txn({}, [put])
+        except PlatformError as exc:
+            # Entries then learn of the load from the server's refusals.
+            self._events.emit("announce_failed", server=server_id, error=exc)
+
+    async def _withdraw(self, server_id: str) -> None:
+        try:
+            await self._store.txn({}, delete=[LOADING_PREFIX + server_id])
+        except PlatformError as exc:
+            self._events.emit("withdraw_failed", server=server_id, error=exc)
--- /dev/null
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -0,0 +1,110 @@
+"""Settings of the platform's ingress."""
+
+from foxtailcourse.http import HttpLimits
+from foxtailcourse.settings import Address, section, setting
+
+
+@section("ingress")
+class IngressSettings:
+    """Listeners, the platform's store and the bounds that it sets."""
+
+    listen: Address = setting(Address, description="Address for callers' requests.")
+    ready_listen: Address = setting(
+        Address, description="Address where the load balancer asks for readiness."
+    )
+    store: Address = setting(Address, description="Address of the platform's store.")
+    revocation_ms: int = setting(
+        int,
+        5000,
+        description="Time after which a removed key must not be served, as the "
+        "platform bounds it.",
+        unit="ms",
+        minimum=1000,
+    )
+    configuration_ms: int = setting(
+        int,
+        2000,
+        description="Time after which a configuration must be in force, as the "
+        "platform bounds it.",
+        unit="ms",
+        minimum=100,
+    )
+    lease_ms: int = setting(
+        int,
+        3000,
+        description="Time between orders of two holders, as the platform bounds it.",
+        unit="ms",
+        minimum=1000,
+    )
+    weights_ms: int = setting(
+        int,
+        15000,
+        description="Time after which old weights must not be used, as the platform "
+        "bounds it.",
+        unit="ms",
+        minimum=1000,
+    )
+    stop_s: float = setting(
+        float,
+        8.0,
+        description="Time between SIGTERM and SIGKILL, as the platform bounds it.",
+        unit="seconds",
+        minimum=1,
+    )
+    retry_ratio: float = setting(
+        float,
+        0.2,
+        description="Repeats of requests to a service for each of its requests, over "
+        "all entries, as the platform bounds it.",
+        minimum=0,
+    )
+    retry_extra: int = setting(
+        int,
+        50,
+        description="Repeats in each window beside the ratio, over all entries, as "
+        "the platform bounds it.",
+        minimum=0,
+    )
+    retry_window_s: float = setting(
+        float,
+        10.0,
+        description="Window of the bounds on repeats.",
+        unit="seconds",
+        minimum=1,
+    )
+    watch_wait_s: float = setting(
+        float,
+        1.0,
+        description="Wait of one watch of the store; a watch without news also "
+        "confirms that the held records are current.",
+        unit="seconds",
+        minimum=0.1,
+        maximum=30,
+    )
+    call_timeout_s: float = setting(
+        float,
+        0.8,
+        description="Longest wait for an answer of the store beyond a watch's wait.",
+        unit="seconds",
+        minimum=0.05,
+    )
+    connect_timeout_s: float = setting(
+        float,
+        0.3,
+        description="Longest time to connect to a backend server.",
+        unit="seconds",
+        minimum=0.01,
+    )
+    prefill_tokens_per_ms: float = setting(
+        float,
+        60.0,
+        description="Prompt tokens that a backend server reads in a millisecond.",
+        minimum=0.001,
+    )
+    max_connections: int = setting(
+        int, 3000, description="Callers' connections served at once.", minimum=1
+    )
+
+    def http_limits(self) -> HttpLimits:
+        """Return the limits of the callers' listener."""
+        return HttpLimits(max_connections=self.max_connections, send_timeout_s=5.0)
--- /dev/null
+++ b/src/foxtailcourse/ingress/run.py
@@ -0,0 +1,16 @@
+"""Entry point of ``foxtail-ingress``."""
+
+from foxtailcourse.ingress._app import serve
+from foxtailcourse.ingress._settings import IngressSettings
+from foxtailcourse.process import start_daemon
+
+SECTIONS = (IngressSettings,)
+
+
+def main() -> None:
+    """Run the program."""
+    start_daemon("foxtail-ingress", SECTIONS, serve)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/foxtailcourse/platform/_client.py
+++ b/src/foxtailcourse/platform/_client.py
@@ -1,13 +1,16 @@
 """Adapters to the platform's HTTP services."""
 
+import os
 from collections.abc import Mapping, Sequence
-from typing import Any, TypeVar
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
 from foxtailcourse.http import ClientError, ConnectionPool, RequestOptions
 from foxtailcourse.platform._types import (
+    KeyEvent,
+    KeyValue,
     LeaseLostError,
     PlatformError,
     Put,
@@ -23,8 +26,11 @@
 T = TypeVar("T")
 
 DEFAULT_TIMEOUT_S = 2.0
+KV_CALLS = "/foxtailcourse/kv-"
 NOT_MODIFIED_STATUS = 304
+OK_STATUSES = frozenset({200, 204})
 LEASE_LOST_STATUS = 404
+CONDITION_FAILED_STATUS = 412
 REVISION_GONE_STATUS = 410
 NOT_APPLIED_STATUSES = frozenset({400, 404, 410, 413, 429, 503})
 
@@ -33,8 +39,70 @@
     """The answer still has the revision that the caller knows."""
 
 
+class _ConditionFailedError(Exception):
+    """A compared key has another revision; carries the compared items."""
+
+    def __init__(self, items: "list[_Item]") -> None:
+        super().__init__("a compared key has changed")
+        self.items = items
+
+
+class _Item(msgspec.Struct):
+    """A key or a change of it, as the service writes it."""
+
+    key: str
+    revision: int = 0
+    # Base64 text; absent for a removed key.
+    value: bytes | None = None
+    lease: int = 0
+    removed: bool = False
+
+    def decode(self) -> KeyValue:
+        """Return the key as the project names it."""
+        lease = str(self.lease) if self.lease else ""
+        return KeyValue(
+            key=self.key,
+            value=self.value or b"",
+            mod_revision=self.revision,
+            lease=lease,
+        )
+
+    def decode_event(self) -> KeyEvent:
+        """Return the change as the project names it."""
+        value = None if self.removed else self.value
+        return KeyEvent(key=self.key, value=value, mod_revision=self.revision)
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item]
+    # Revision of the store when the page was read.
+    asOf: int  # noqa: N815
+    hasMore: bool = False  # noqa: N815
+
+
+class _Changes(msgspec.Struct):
+    events: list[_Item]
+    asOf: int  # noqa: N815
+
+
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item] = []
+
+
 class _Lease(msgspec.Struct):
-    lease: str
+    lease: int
+
+
+class _Renewed(msgspec.Struct):
+    ttlMs: int = 0  # noqa: N815
+
+
+class _Nothing(msgspec.Struct):
+    pass
 
 
 class _Service:
@@ -61,12 +129,15 @@
             idle_timeout_s=self._timeout_s + wait_s,
         )
         body = b"" if value is None else msgspec.json.encode(value)
+        fields = dict(headers or {})
+        if body:
+            fields["content-type"] = "application/json"
         try:
             async with self._pool.request(
                 self._address,
                 method,
                 target,
-                headers=headers,
+                headers=fields,
                 body=body,
                 options=options,
             ) as response:
@@ -78,16 +149,22 @@
             ) from exc
         if status == NOT_MODIFIED_STATUS:
             raise _NotModifiedError
-        if status != 200:
+        if status == CONDITION_FAILED_STATUS:
+            raise _ConditionFailedError(_decode(_Conflict, data).items)
+        if status not in OK_STATUSES:
             raise _status_error(f"{method} {target}", status, data)
         try:
-            return msgspec.json.decode(data, type=answer)
+            return _decode(answer, data)
         except (msgspec.DecodeError, RecursionError) as exc:
             raise PlatformError(
                 f"{method} {target}: malformed answer: {exc}", may_have_applied=True
             ) from exc
 
 
+def _decode(answer: type[T], data: bytes) -> T:
+    return msgspec.json.decode(data or b"{}", type=answer)
+
+
 def _status_error(call: str, status: int, data: bytes) -> PlatformError:
     text = data[:200].decode("utf-8", "replace")
     message = f"{call}: status {status}: {text}"
@@ -121,9 +198,26 @@
         self._service = _Service(pool, address, timeout_s)
 
     async def range(self, *prefixes: str) -> RangeResult:
-        """Return all keys that start with one of the prefixes."""
-        query = urlencode([("prefix", each) for each in prefixes])
-        return await self._service.call(RangeResult, "GET", f"/kv/range?{query}")
+        """Return all keys that start with one of the prefixes.
+
+        Pages are not a snapshot: a watch that goes on from ``revision`` shows each
+        change made since the first page was read.
+        """
+        items: list[KeyValue] = []
+        revision = 0
+        for prefix in prefixes or ("",):
+            after = ""
+            while True:
+                query = {"pathPrefix": prefix} | ({"after": after} if after else {})
+                page = await self._service.call(
+                    _Page, "GET", f"{KV_CALLS}range?{urlencode(query)}"
+                )
+                revision = min(revision, page.asOf) if revision else page.asOf
+                items += [each.decode() for each in page.items]
+                if not page.hasMore or not page.items:
+                    break
+                after = page.items[-1].key
+        return RangeResult(revision=revision, items=tuple(items))
 
     async def txn(
         self,
@@ -132,32 +226,58 @@
         delete: Sequence[str] = (),
     ) -> TxnResult:
         """Write if each key of ``compare`` has the given ``mod_revision``."""
-        value: dict[str, Any] = {"compare": dict(compare), "put": list(put)}
-        value["delete"] = list(delete)
-        return await self._service.call(TxnResult, "POST", "/kv/txn", value)
+        value = {
+            "precondition": [{"key": k, "revision": v} for k, v in compare.items()],
+            "puts": [
+                {"key": each.key, "value": each.value, "lease": int(each.lease or 0)}
+                for each in put
+            ],
+            "remove": list(delete),
+        }
+        try:
+            done = await self._service.call(_Written, "POST", f"{KV_CALLS}txn", value)
+        except _ConditionFailedError as exc:
+            current = tuple(e.decode() for e in exc.items if e.revision)
+            revision = max((e.mod_revision for e in current), default=0)
+            return TxnResult(succeeded=False, revision=revision, current=current)
+        return TxnResult(succeeded=True, revision=done.revision)
 
     async def lease_grant(self, ttl_s: float) -> str:
         """Return the identifier of a new lease."""
-        value = {"ttl_ms": int(ttl_s * 1000)}
-        return (await self._service.call(_Lease, "POST", "/kv/lease", value)).lease
+        value = {"ttlMs": int(ttl_s * 1000)}
+        granted = await self._service.call(_Lease, "POST", f"{KV_CALLS}lease", value)
+        return str(granted.lease)
 
     async def lease_keepalive(self, lease: str) -> None:
         """Extend a lease by its time to live; raises LeaseLostError."""
-        value = {"lease": lease}
-        await self._service.call(_Lease, "POST", "/kv/lease/keepalive", value)
+        await self._service.call(_Renewed, "POST", f"{KV_CALLS}keep/{lease}")
 
     async def lease_revoke(self, lease: str) -> None:
         """End a lease and delete its keys."""
-        await self._service.call(_Lease, "POST", "/kv/lease/revoke", {"lease": lease})
+        await self._service.call(_Nothing, "DELETE", f"{KV_CALLS}lease-end/{lease}")
 
     async def watch(
         self, prefixes: Sequence[str], after: int, wait_s: float
     ) -> WatchResult:
-        """Wait at most ``wait_s`` for changes after a revision."""
-        query = [("prefix", each) for each in prefixes]
-        query += [("after", str(after)), ("wait_ms", str(int(wait_s * 1000)))]
-        target = f"/kv/watch?{urlencode(query)}"
-        return await self._service.call(WatchResult, "GET", target, wait_s=wait_s)
+        """Wait at most ``wait_s`` for changes after a revision.
+
+        The service watches one prefix a call; several are watched by what they have
+        in common, and changes of other keys are left out.
+        """
+        common = os.path.commonprefix(list(prefixes))
+        query = {
+            "pathPrefix": common,
+            "after": str(after),
+            "waitMs": str(int(wait_s * 1000)),
+        }
+        target = f"{KV_CALLS}watch?{urlencode(query)}"
+        answer = await self._service.call(_Changes, "GET", target, wait_s=wait_s)
+        events = tuple(
+            each.decode_event()
+            for each in answer.events
+            if each.key.startswith(tuple(prefixes))
+        )
+        return WatchResult(revision=answer.asOf, events=events)
 
 
 class VmListClient:
--- /dev/null
+++ b/src/foxtailcourse/platform/_records.py
@@ -0,0 +1,231 @@
+"""Records that operators and backend servers keep in the store, decoded once."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+
+from foxtailcourse.fleet import (
+    Account,
+    Backend,
+    BackendServer,
+    Configuration,
+    Route,
+    RouteKind,
+    Service,
+)
+from foxtailcourse.settings import parse_address
+
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+WEIGHTS_PREFIX = "op/version/"
+SERVERS_PREFIX = "servers/"
+LEAVING_STATE = "draining"
+KNOWN_STATES = frozenset({"ready", LEAVING_STATE})
+ROUTE_KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class RecordError(ValueError):
+    """A record cannot be read."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    service: str = ""
+    # Services with their shares of the requests; absent where there is one service.
+    traffic_split: list[_Split] = []
+
+    def decode(self) -> Route:
+        split = self.traffic_split or [_Split(self.service, 1.0)]
+        return Route(
+            name=self.name,
+            host=self.host.lower(),
+            path_prefix=self.path_prefix,
+            kind=ROUTE_KINDS.get(self.kind, RouteKind.UNSAFE),
+            timeout_s=self.timeout_ms / 1000,
+            target_latency_s=self.target_latency_ms / 1000,
+            priority=self.priority,
+            attempts=max(1, self.attempts),
+            public=self.public,
+            resumable=self.resumable,
+            backends=tuple(
+                Backend(service=each.service, weight=each.weight) for each in split
+            ),
+        )
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    # Concurrent calls of the cache events, despite its general name.
+    max_concurrent: int = 0
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    connection_limit: int = 0
+    engine: _Engine | None = None
+    kv_store_address: str = ""
+
+    def decode(self) -> Service:
+        store = parse_address(self.kv_store_address) if self.kv_store_address else None
+        return Service(
+            name=self.name,
+            connection_limit=self.connection_limit,
+            cache_store=store,
+            event_subscribers=self.engine.max_concurrent if self.engine else 0,
+            runs_models=self.engine is not None,
+        )
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str]
+    priority: int = 0
+    isolated: bool = False
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    tenants: list[_Tenant] | None = None
+
+
+class _Model(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    models: list[_Model] = []
+    born: int = 0
+
+
+class _Weights(msgspec.Struct):
+    model: str
+    version: int
+
+
+def _decode(kind: Any, value: bytes, key: str) -> Any:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise RecordError(f"{key}: {exc}") from exc
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Return the configuration in a record; raises RecordError."""
+    raw = _decode(_Configuration, value, CONFIGURATION_KEY)
+    by_host: dict[str, list[Route]] = {}
+    for each in raw.routes:
+        by_host.setdefault(each.host.lower(), []).append(each.decode())
+    routes = {
+        host: tuple(sorted(found, key=lambda route: -len(route.path_prefix)))
+        for host, found in by_host.items()
+    }
+    accounts = {
+        key: Account(
+            name=tenant.name, priority=tenant.priority, isolated=tenant.isolated
+        )
+        for tenant in raw.tenants or ()
+        for key in tenant.api_keys
+    }
+    try:
+        services = {each.name: each.decode() for each in raw.services}
+    except ValueError as exc:
+        raise RecordError(f"{CONFIGURATION_KEY}: {exc}") from exc
+    return Configuration(
+        version=raw.version,
+        routes=routes,
+        services=services,
+        accounts=accounts,
+        keys_required=raw.tenants is not None,
+    )
+
+
+def decode_server(key: str, value: bytes) -> BackendServer:
+    """Return the backend server that registered a key; raises RecordError."""
+    raw = _decode(_Server, value, key)
+    if raw.state not in KNOWN_STATES:
+        raise RecordError(f"{key}: unknown state {raw.state!r}")
+    try:
+        address = parse_address(raw.address)
+    except ValueError as exc:
+        raise RecordError(f"{key}: {exc}") from exc
+    return BackendServer(
+        id=key.removeprefix(SERVERS_PREFIX),
+        service=raw.service,
+        address=address,
+        failure_domain=raw.zone,
+        slots=raw.slots,
+        leaving=raw.state == LEAVING_STATE,
+        weights={each.name: each.version for each in raw.models},
+        started_ms=raw.born,
+    )
+
+
+def decode_weights(key: str, value: bytes) -> tuple[str, int]:
+    """Return the model and the version that operators want; raises RecordError."""
+    raw = _decode(_Weights, value, key)
+    return raw.model, raw.version
+
+
+@attrs.frozen(kw_only=True)
+class RecordSink:
+    """Where decoded records go.
+
+    Parameters
+    ----------
+    configuration : callable
+        Takes a configuration and the revision at which it was written.
+    weights : callable
+        Takes a model and the version wanted of it.
+    server : callable
+        Takes the identifier of a backend server and what it registered, or None
+        once it is gone.
+    unreadable : callable
+        Takes the reason why a record cannot be read.
+    """
+
+    configuration: Callable[[Configuration, int], None]
+    weights: Callable[[str, int], None]
+    server: Callable[[str, BackendServer | None], None]
+    unreadable: Callable[[str], None]
+
+    def take(self, key: str, value: bytes | None, revision: int) -> None:
+        """Decode one key of the store and pass it on."""
+        try:
+            if key == CONFIGURATION_KEY and value is not None:
+                self.configuration(decode_configuration(value), revision)
+            elif key.startswith(WEIGHTS_PREFIX) and value is not None:
+                self.weights(*decode_weights(key, value))
+            elif key.startswith(SERVERS_PREFIX):
+                server = None if value is None else decode_server(key, value)
+                self.server(key.removeprefix(SERVERS_PREFIX), server)
+        except RecordError as exc:
+            self.unreadable(str(exc))
+            if key.startswith(SERVERS_PREFIX):
+                self.server(key.removeprefix(SERVERS_PREFIX), None)
--- a/src/foxtailcourse/standin/_platform.py
+++ b/src/foxtailcourse/standin/_platform.py
@@ -5,7 +5,6 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
 import attrs
 import msgspec
@@ -17,7 +16,9 @@
 
 MAX_VALUE_BYTES = 1_000_000
 KEPT_EVENTS = 100_000
-MAX_WAIT_S = 60.0
+MAX_WAIT_S = 30.0
+MAX_TXN_ENTRIES = 32
+PAGE_ITEMS = 500
 
 
 class Faults(msgspec.Struct, kw_only=True):
@@ -45,15 +46,33 @@
     vm_list_lag_ms: int = 0
 
 
+class _ConditionFailedError(Exception):
+    """A compared key has another revision."""
+
+    def __init__(self, items: list[dict[str, Any]]) -> None:
+        super().__init__("a compared key has changed")
+        self.items = items
+
+
+class _Condition(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Put(msgspec.Struct):
+    key: str
+    value: bytes
+    lease: int = 0
+
+
 class _Txn(msgspec.Struct):
-    compare: dict[str, int] = {}
-    put: list[Put] = []
-    delete: list[str] = []
+    precondition: list[_Condition] = []
+    puts: list[_Put] = []
+    remove: list[str] = []
 
 
 class _LeaseRequest(msgspec.Struct):
-    lease: str = ""
-    ttl_ms: int = 0
+    ttlMs: int  # noqa: N815
 
 
 @attrs.define
@@ -150,7 +169,7 @@
             self.set_vms(msgspec.convert(exchange.json(), list[Vm]))
             await exchange.respond_json(200, {"revision": self._listings[-1][1]})
             return
-        operation = self._operations().get(name)
+        operation = self._operation(name)
         if operation is None:
             raise HttpError(404, "unknown_path", f"no such call {name}")
         await self._outage()
@@ -159,21 +178,28 @@
             answer = await operation(exchange)
         except msgspec.ValidationError as exc:
             raise HttpError(400, "malformed_request", str(exc)) from exc
+        except _ConditionFailedError as exc:
+            await exchange.respond_json(412, {"items": exc.items})
+            return
         if exchange.method == "POST" and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             exchange.abort()
             return
         await exchange.respond_json(200, answer)
 
-    def _operations(self) -> dict[str, Callable[[Exchange], Any]]:
-        return {
-            "GET /kv/range": self._range,
-            "POST /kv/txn": self._txn,
-            "POST /kv/lease": self._lease_grant,
-            "POST /kv/lease/keepalive": self._lease_keepalive,
-            "POST /kv/lease/revoke": self._lease_revoke,
-            "GET /kv/watch": self._watch,
+    def _operation(self, name: str) -> Callable[[Exchange], Any] | None:
+        exact = {
+            "GET /foxtailcourse/kv-key": self._key,
+            "GET /foxtailcourse/kv-range": self._range,
+            "POST /foxtailcourse/kv-txn": self._txn,
+            "POST /foxtailcourse/kv-lease": self._lease_grant,
+            "GET /foxtailcourse/kv-watch": self._watch,
         }
+        if name.startswith("POST /foxtailcourse/kv-keep/"):
+            return self._lease_keepalive
+        if name.startswith("DELETE /foxtailcourse/kv-lease-end/"):
+            return self._lease_revoke
+        return exact.get(name)
 
     async def _outage(self) -> None:
         if self.faults.slow_ms:
@@ -212,65 +238,85 @@
             return
         await exchange.respond_json(200, {"revision": revision, "vms": vms})
 
+    async def _key(self, exchange: Exchange) -> dict[str, Any]:
+        item = self._items.get(exchange.query.get("key", ""))
+        if item is None:
+            raise HttpError(404, "unknown_key", "no such key")
+        return _item(item) | {"asOf": self.revision}
+
     async def _range(self, exchange: Exchange) -> dict[str, Any]:
-        prefixes = _prefixes(exchange)
-        items = [v for k, v in sorted(self._items.items()) if k.startswith(prefixes)]
-        return {"revision": self.revision, "items": items}
+        prefix, after = (
+            exchange.query.get("pathPrefix", ""),
+            exchange.query.get("after", ""),
+        )
+        keys = [k for k in sorted(self._items) if k.startswith(prefix) and k > after]
+        page = [_item(self._items[each]) for each in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return {"asOf": self.revision, "items": page, "hasMore": more}
 
     async def _txn(self, exchange: Exchange) -> dict[str, Any]:
         txn = msgspec.convert(exchange.json(), _Txn)
-        for put in txn.put:
+        entries = len(txn.precondition) + len(txn.puts) + len(txn.remove)
+        if entries > MAX_TXN_ENTRIES:
+            raise HttpError(400, "too_many_entries", f"{entries} entries")
+        puts = [
+            Put(key=each.key, value=each.value, lease=str(each.lease or ""))
+            for each in txn.puts
+        ]
+        for put in puts:
             if len(put.value) > MAX_VALUE_BYTES:
                 raise HttpError(413, "value_too_large", f"{put.key} exceeds 1 MB")
             if put.lease and put.lease not in self._leases:
                 raise HttpError(404, "lease_lost", f"no lease {put.lease}")
-        held = {key: self._items.get(key) for key in txn.compare}
-        for key, item in held.items():
-            if (item.mod_revision if item else 0) != txn.compare[key]:
-                current = [each for each in held.values() if each is not None]
-                return {
-                    "succeeded": False,
-                    "revision": self.revision,
-                    "current": current,
-                }
-        self._apply(txn.put, txn.delete)
-        return {"succeeded": True, "revision": self.revision, "current": []}
+        held = {each.key: self._items.get(each.key) for each in txn.precondition}
+        for each in txn.precondition:
+            item = held[each.key]
+            if (item.mod_revision if item else 0) != each.revision:
+                raise _ConditionFailedError(
+                    [
+                        _item(item) if item else {"key": key, "revision": 0}
+                        for key, item in held.items()
+                    ]
+                )
+        self._apply(puts, txn.remove)
+        return {"revision": self.revision}
 
     async def _lease_grant(self, exchange: Exchange) -> dict[str, Any]:
         request = msgspec.convert(exchange.json(), _LeaseRequest)
-        ttl_s = request.ttl_ms / 1000
-        lease = secrets.token_hex(8)
-        self._leases[lease] = _Lease(ttl_s, self._clock() + ttl_s)
-        return {"lease": lease}
+        ttl_s = request.ttlMs / 1000
+        lease = secrets.randbelow(2**48) + 1
+        self._leases[str(lease)] = _Lease(ttl_s, self._clock() + ttl_s)
+        return {"lease": lease, "ttlMs": request.ttlMs}
 
     async def _lease_keepalive(self, exchange: Exchange) -> dict[str, Any]:
-        request = msgspec.convert(exchange.json(), _LeaseRequest)
-        lease = self._leases.get(request.lease)
-        if lease is None:
-            raise HttpError(404, "lease_lost", f"no lease {request.lease}")
+        lease = self._leases[self._known_lease(exchange)]
         lease.expires_at = self._clock() + lease.ttl_s
-        return {"lease": request.lease}
+        return {"ttlMs": int(lease.ttl_s * 1000)}
 
     async def _lease_revoke(self, exchange: Exchange) -> dict[str, Any]:
-        request = msgspec.convert(exchange.json(), _LeaseRequest)
-        if request.lease not in self._leases:
-            raise HttpError(404, "lease_lost", f"no lease {request.lease}")
-        self._end_lease(request.lease)
-        return {"lease": request.lease}
+        self._end_lease(self._known_lease(exchange))
+        return {}
+
+    def _known_lease(self, exchange: Exchange) -> str:
+        name = exchange.path.rpartition("/")[2]
+        if name not in self._leases:
+            raise HttpError(404, "lease_lost", f"no lease {name}")
+        return name
 
     async def _watch(self, exchange: Exchange) -> dict[str, Any]:
-        prefixes = _prefixes(exchange)
+        prefix = exchange.query.get("pathPrefix", "")
         after = _count(exchange, "after")
-        wait_s = min(_count(exchange, "wait_ms") / 1000, MAX_WAIT_S)
+        wait_s = min(_count(exchange, "waitMs") / 1000, MAX_WAIT_S)
         restores = self._restores
         with trio.move_on_after(wait_s):
-            while self.revision >= after and not self._events(prefixes, after):
+            while self.revision >= after and not self._events(prefix, after):
                 await self._wait_change()
                 await self._outage()
                 if self._restores != restores:
                     # A restore restarts the service, which ends waiting calls.
                     raise HttpError(503, "restarted", "the service was restored")
-        return {"revision": self.revision, "events": self._events(prefixes, after)}
+        events = [_change(each) for each in self._events(prefix, after)]
+        return {"asOf": self.revision, "events": events}
 
     async def _wait_change(self) -> None:
         expiries = [each.expires_at for each in self._leases.values()]
@@ -279,14 +325,14 @@
             await self._changed.wait()
         self._expire()
 
-    def _events(self, prefixes: tuple[str, ...], after: int) -> list[KeyEvent]:
+    def _events(self, prefix: str, after: int) -> list[KeyEvent]:
         if after < self._compacted:
             raise HttpError(410, "compacted", f"revision {after} is no longer kept")
         found = []
         for event in reversed(self._log):
             if event.mod_revision <= after:
                 break
-            if event.key.startswith(prefixes):
+            if event.key.startswith(prefix):
                 found.append(event)
         return found[::-1]
 
@@ -328,9 +374,19 @@
             self._apply([], keys)
 
 
-def _prefixes(exchange: Exchange) -> tuple[str, ...]:
-    query = parse_qs(urlsplit(exchange.target).query, keep_blank_values=True)
-    return tuple(query.get("prefix", [""]))
+def _item(item: KeyValue) -> dict[str, Any]:
+    return {
+        "key": item.key,
+        "value": item.value,
+        "revision": item.mod_revision,
+        "lease": int(item.lease or 0),
+    }
+
+
+def _change(event: KeyEvent) -> dict[str, Any]:
+    if event.value is None:
+        return {"key": event.key, "revision": event.mod_revision, "removed": True}
+    return {"key": event.key, "value": event.value, "revision": event.mod_revision}
 
 
 def _count(exchange: Exchange, name: str) -> int:
--- a/tests/config/test_faults.py
+++ b/tests/config/test_faults.py
@@ -118,8 +118,10 @@
         with mock.patch.object(_platform, "KEPT_EVENTS", 2):
             for number in range(5):
                 running.platform.put(f"slots/{number}", b"x")
-            scans = running.platform.calls["GET /kv/range"]
-            await wait_until(lambda: running.platform.calls["GET /kv/range"] > scans)
+            scans = running.platform.calls["GET /foxtailcourse/kv-range"]
+            await wait_until(
+                lambda: running.platform.calls["GET /foxtailcourse/kv-range"] > scans
+            )
             running.platform.seed([contract(2, 2.0)])
             await running.all_have(2.0)
         self.assertThat(process.share(), Equals(2.0))
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -67,7 +67,9 @@
     def test_start_during_an_outage_becomes_ready_afterwards(self):
         async def check(running):
             process = await running.start("a")
-            await wait_until(lambda: running.platform.calls["GET /kv/range"] > 2)
+            await wait_until(
+                lambda: running.platform.calls["GET /foxtailcourse/kv-range"] > 2
+            )
             self.assertFalse(process.follower.ready)
             running.platform.faults.outage = "off"
             await process.follower.wait_ready()
@@ -108,9 +110,11 @@
 
         async def check(running):
             await self.restore(running)
-            scans = running.platform.calls["GET /kv/range"]
+            scans = running.platform.calls["GET /foxtailcourse/kv-range"]
             await wait_until(
-                lambda: running.platform.calls["GET /kv/range"] > scans + 3
+                lambda: (
+                    running.platform.calls["GET /foxtailcourse/kv-range"] > scans + 3
+                )
             )
             self.assertThat(self.platform_generation(running), Equals(1))
 
--- a/tests/ctl/test_operator.py
+++ b/tests/ctl/test_operator.py
@@ -196,7 +196,9 @@
     @run_with("with_operator")
     async def test_outage_that_ends_delays_an_apply(self, running, operator):
         async def end():
-            await wait_until(lambda: running.platform.calls["POST /kv/txn"] > 1)
+            await wait_until(
+                lambda: running.platform.calls["POST /foxtailcourse/kv-txn"] > 1
+            )
             running.platform.faults.outage = "off"
 
         async with trio.open_nursery() as nursery:
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -97,7 +97,7 @@
     @run_with("with_client")
     async def test_restore_ends_a_waiting_watch(self, platform, client, now):
         async def restore():
-            while platform.calls["GET /kv/watch"] == 0:
+            while platform.calls["GET /foxtailcourse/kv-watch"] == 0:
                 await trio.sleep(0.002)
             platform.restore(platform.revision)
 
