--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -97,7 +97,7 @@
         first = len(self.events)
         self.process = await trio.lowlevel.open_process(
             [sys.executable, "-m", self._module, "--config", str(self._path)],
-            stderr=subprocess.PIPE,
+            stdout=subprocess.PIPE,
             env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
         )
         nursery.start_soon(self._read, self.process)
@@ -106,7 +106,7 @@
     async def _read(self, process):
         buffer = b""
         try:
-            async for piece in process.stderr:
+            async for piece in process.stdout:
                 *lines, buffer = (buffer + piece).split(b"\n")
                 for line in lines:
                     text = line.decode("utf-8", "replace")
--- a/scripts/render_reference.py
+++ b/scripts/render_reference.py
@@ -13,6 +13,7 @@
 
 from foxtailcourse.agent.run import SECTIONS as AGENT_SECTIONS
 from foxtailcourse.entry.run import SECTIONS as ENTRY_SECTIONS
+from foxtailcourse.ingress.run import SECTIONS as INGRESS_SECTIONS
 from foxtailcourse.observe import catalogue
 from foxtailcourse.process import ProcessSettings
 from foxtailcourse.settings import render_reference
@@ -22,11 +23,12 @@
 SOURCE = ROOT / "src" / "foxtailcourse"
 PROGRAMS = {
     "foxtail-entry": ENTRY_SECTIONS,
+    "foxtail-ingress": INGRESS_SECTIONS,
     "foxtail-agent": AGENT_SECTIONS,
     "foxtail-standin": STANDIN_SECTIONS,
 }
 # Where the name stands in a call: the position of the argument.
-EVENT_CALLS = {"emit": 0, "_pause": 0}
+EVENT_CALLS = {"emit": 0, "_emit": 0, "_pause": 0}
 METRIC_CALLS = {"count": 0, "gauge": 0, "observe_s": 0}
 ATTEMPT_CALLS = {"AttemptBroken": 0}
 CODE_CALLS = {
--- a/scripts/render_samples.py
+++ b/scripts/render_samples.py
@@ -6,7 +6,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SAMPLES = ROOT / "samples"
-PROGRAMS = ("entry", "agent", "standin")
+PROGRAMS = ("entry", "ingress", "agent", "standin")
 
 
 def render(program):
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -180,7 +180,7 @@
     async def _relay(
         self, job: Job, response: ClientResponse, first_event: Callable[[], None]
     ) -> None:
-        """Pass events on as they arrive; a break after the first raises AttemptError."""
+        """Pass events on as they arrive."""
         exchange = job.exchange
         splitter = EventSplitter(job.last_event_id)
         async for piece in response.iter_chunks():
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -1,4 +1,4 @@
-"""Front end for callers on the platform: from headers to a job, from outcome to answer."""
+"""Front end for callers on the platform."""
 
 import random
 from collections.abc import Awaitable, Callable
@@ -74,13 +74,13 @@
         try:
             request = decode_request(exchange.target, exchange.raw_headers)
         except RequestError as exc:
-            self._note("malformed", exchange, "", reason=str(exc))
+            self._emit("request_malformed", exchange, "", reason=str(exc))
             await exchange.respond(BAD_REQUEST, str(exc).encode())
             return
         try:
             job = await self._admit(exchange, request, started)
         except DeniedError as exc:
-            self._note("denied", exchange, request.id, reason=exc.reason)
+            self._emit("request_denied", exchange, request.id, reason=exc.reason)
             await self._answer_own(exchange, request, exc.status, exc.reason)
         except RefusedError as exc:
             await self._refuse(exchange, request, exc)
@@ -186,8 +186,8 @@
     ) -> None:
         self.metrics.count("foxtail_ingress_refusals_total", reason=exc.reason)
         age_s = self.view.configuration_belief.age(self.clock())
-        self._note(
-            "refused",
+        self._emit(
+            "request_refused",
             exchange,
             request.id,
             reason=exc.reason,
@@ -215,11 +215,11 @@
             status, reason.encode(), fields, content_type="text/plain"
         )
 
-    def _note(
+    def _emit(
         self, name: str, exchange: Exchange, request_id: str, **fields: object
     ) -> None:
         self.events.emit(
-            f"request_{name}",
+            name,
             request_id=request_id or None,
             path=exchange.path,
             revision=self.view.configuration_revision,
--- a/src/foxtailcourse/ingress/_loads.py
+++ b/src/foxtailcourse/ingress/_loads.py
@@ -1,4 +1,4 @@
-"""What this entry knows of each backend server's load and health from its own requests."""
+"""Load and health of backend servers, from this entry's own requests."""
 
 import attrs
 
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -1,7 +1,8 @@
 """Chooses the backend server of one attempt.
 
-Answers two loads: plain services, where the least busy server is taken, and prompts with
-long shared parts, where reading a part again is weighed against waiting behind others.
+Answers two loads: plain services, where the least busy server is taken, and prompts
+with long shared parts, where reading a part again is weighed against waiting behind
+others.
 """
 
 import hashlib
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -191,7 +191,7 @@
         accepted = outcome in {OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_DONE}
         limit_s = RECHECK_S if accepted else FAILED_PAUSE_S
         with trio.move_on_after(limit_s):
-            while self._behind(load):
+            while self._behind(load):  # noqa: ASYNC110 - others change it
                 await trio.sleep(TICK_S / 2)
 
     async def _announce(self, server_id: str) -> None:
--- a/src/foxtailcourse/ingress/_shared.py
+++ b/src/foxtailcourse/ingress/_shared.py
@@ -1,8 +1,8 @@
 """Keys that the entries share in the platform's store.
 
 ``ingress/entries/<vm>`` says that an entry runs, ``ingress/orders`` names the one that
-gives orders to backend servers, ``ingress/loading/<server>`` says that a server is about
-to load weights. All are bound to a lease of their writer.
+gives orders to backend servers, ``ingress/loading/<server>`` says that a server is
+about to load weights. All are bound to a lease of their writer.
 """
 
 from foxtailcourse.fleet import FleetView
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -10,9 +10,12 @@
 EVENTS = {
     "admin_error": "a request to `admin_listen` failed in the process",
     "agent_listening": "the agent accepts connections on `port`",
+    "announce_failed": "a load of weights could not be announced to the other entries",
     "attempt_broken": "an attempt gave no whole answer; `code` is in the table below",
-    "attempt_ended": "an attempt ended; `result` is `whole`, `refused`, `cancelled` "
-    "or the code of its failure",
+    "attempt_ended": "an attempt ended; `result` is `whole`, `refused`, `cancelled`"
+    " or the code of its failure",
+    "attempt_failed": "an attempt at `server` gave no answer that the caller may "
+    "have, for `reason`",
     "attempt_sent": "the entry sends an attempt to `backend_server`; `resume_from` "
     "tokens were already delivered",
     "blocks_exported": "hot blocks were exported to the KV-cache store",
@@ -23,6 +26,8 @@
     "config_changed": "a newer configuration record is in force in this process",
     "config_ready": "the process holds a configuration, from `source`",
     "config_role": "the process watches the platform, or follows a process that does",
+    "configuration_applied": "a newer configuration of the platform is in force in "
+    "this entry",
     "drain_ended": "the drain ended with `active` requests left",
     "drain_started": "the process is no longer ready but still serves requests",
     "engine_incarnation": "the engine lost its cache; the block index was dropped",
@@ -35,21 +40,37 @@
     "import_failed": "an import from the KV-cache store failed; blocks are recomputed",
     "in_service": "the agent takes work again after loading weights",
     "key_fenced": "an idempotency key was refused and will never run",
+    "lease_granted": "the entry holds a new lease in the platform's store",
+    "lease_release_failed": "the lease could not be ended at a stop; it lapses by "
+    "itself",
     "order_done": "an engine carried out an order",
     "order_failed": "an order to the engine failed or its outcome is unknown",
+    "order_given": "a backend server was ordered to load weights, with `outcome`",
+    "orders_acquired": "this entry gives the orders from one lease time on, with "
+    "`fence`",
+    "orders_lost": "this entry no longer gives orders, for `reason`",
     "out_of_service": "the agent takes no work while its engine loads weights",
     "peer_failed": "a peer could not be asked for its configuration",
     "platform_failed": "a call to the key-value service failed",
     "platform_went_back": "the key-value service shows an older state than before",
     "process_ready": "the process holds a configuration and listens",
+    "process_started": "the process has read its settings",
     "process_stopped": "the process ends",
-    "record_malformed": "a configuration record cannot be read; the former one stays "
-    "in force",
+    "record_malformed": "a configuration record cannot be read; the former one "
+    "stays in force",
+    "record_unreadable": "a record of the platform cannot be read; it is taken as "
+    "absent",
     "record_written_back": "a record that the platform had lost was written back",
+    "refresh_failed": "the configuration could not be read again before a denial",
+    "report_failed": "a backend server gave no report before an order",
     "request_admitted": "a request passed authentication and the contract's limits",
     "request_answered": "the caller got the whole answer",
+    "request_denied": "the configuration does not allow the request, for `reason`",
+    "request_done": "a request that was sent to a backend server has ended, with "
+    "`outcome`",
     "request_ended": "the agent finished a request",
     "request_failed": "a request failed by a fault of the entry",
+    "request_malformed": "a header of the request cannot be read",
     "request_refused": "a request was refused; `code` is on the page of error codes",
     "request_started": "the engine started a request",
     "rollout_failed": "a weights move failed and is tried again",
@@ -57,24 +78,36 @@
     "run_ended": "the run of an idempotency key ended",
     "run_failed": "the run of an idempotency key failed by a fault of the agent",
     "run_started": "the one run of an idempotency key was sent to the service",
+    "server_gone": "a backend server is no longer registered",
+    "server_registered": "a backend server registered, or changed what it says of "
+    "itself",
+    "settings_changed": "SIGHUP said that the settings file has changed",
     "standin_listening": "a stand-in accepts connections on `address`",
     "stop_announced": "the configuration announces the stop of this VM",
     "stop_requested": "the process got SIGTERM or SIGINT",
+    "store_lost": "the platform's store does not answer for `prefix`; what is held "
+    "is `age_ms` old",
+    "store_regained": "the platform's store answers again for `prefix`",
     "stream_broken": "a stream ended with an explicit error",
     "vm_list_failed": "the VM list could not be read",
     "vm_list_malformed": "an entry of the VM list cannot be read and is left out",
+    "watch_expired": "the store no longer keeps the history of `prefix`, which is "
+    "read again",
+    "weights_named": "operators want another version of a model's weights",
     "weights_version": "the engine serves another weights version",
+    "withdraw_failed": "the announcement of a load could not be removed; it ends "
+    "with the lease",
     "write_back_failed": "a record could not be written back",
 }
 
 METRICS = {
-    "foxtail_agent_blocks_total": "blocks exported to and imported from the KV-cache "
-    "store",
+    "foxtail_agent_blocks_total": "blocks exported to and imported from the KV-"
+    "cache store",
     "foxtail_agent_cache_events_total": "cache events of the engine by kind",
     "foxtail_agent_refusals_total": "requests refused by the agent, by `code`",
     "foxtail_config_changes_total": "configuration records taken",
-    "foxtail_config_failures_total": "failed calls to the platform and to peers, by "
-    "`kind`",
+    "foxtail_config_failures_total": "failed calls to the platform and to peers, by"
+    " `kind`",
     "foxtail_entry_attempts_total": "attempts by `result` and `server`",
     "foxtail_entry_cached_tokens_total": "prompt tokens served from cache, by "
     "`model`; divided by the prompt tokens this is the hit rate",
@@ -82,6 +115,16 @@
     "foxtail_entry_first_token_seconds": "time to first token by `request_class`",
     "foxtail_entry_prompt_tokens_total": "prompt tokens sent, by `model`",
     "foxtail_entry_requests_total": "requests by error `code`, `ok` if answered",
+    "foxtail_ingress_attempts_total": "attempts by `outcome`",
+    "foxtail_ingress_duration_seconds": "time to the end of a request, by `kind` of"
+    " route",
+    "foxtail_ingress_orders_total": "orders to load weights by `outcome`",
+    "foxtail_ingress_refusals_total": "requests refused before they ran, by `reason`",
+    "foxtail_ingress_requests_total": "requests by `outcome`",
+    "foxtail_ingress_store_failures_total": "failed calls to the platform's store "
+    "by `prefix`",
+    "foxtail_ingress_unreadable_records_total": "records of the platform that "
+    "cannot be read",
 }
 
 ATTEMPT_CODES = {
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -41,7 +41,7 @@
         command = [sys.executable, "-m", self._module, "--config", str(self._path)]
         self.process = await trio.lowlevel.open_process(
             command,
-            stderr=subprocess.PIPE,
+            stdout=subprocess.PIPE,
             env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
         )
         nursery.start_soon(self._read)
@@ -50,7 +50,7 @@
     async def _read(self):
         buffer = b""
         try:
-            async for piece in self.process.stderr:
+            async for piece in self.process.stdout:
                 *lines, buffer = (buffer + piece).split(b"\n")
                 for line in lines:
                     self.lines.append(line.decode())
--- a/tests/http/test_noise.py
+++ b/tests/http/test_noise.py
@@ -16,7 +16,7 @@
     b"POST /json?a=b HTTP/1.1\r\nhost: a\r\nfoxtail-class: short\r\n"
     b'content-length: 13\r\nconnection: close\r\n\r\n{"a": [1, 2]}'
 )
-BODY = b'{"revision": 1, "items": []}'
+BODY = b'{"asOf": 1, "items": []}'
 ANSWER = (
     b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
     b"content-length: %d\r\n\r\n%s" % (len(BODY), BODY)
