--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -93,6 +93,8 @@
         )
         self._peers = self._follower(SHARED_PREFIX, self._shared.take, Belief())
         self._refresh_lock = trio.Lock()
+        self.address = cfg.listen
+        self.listening = False
         self._handler = IngressHandler(
             view=self._view,
             dispatcher=self._dispatcher(),
@@ -237,7 +239,8 @@
             )
             nursery.start_soon(self._forget)
             nursery.start_soon(self._watch_reload)
-            self._events.emit("entry_listening", port=self._cfg.listen.port)
+            self.listening = True
+            self._events.emit("entry_listening", port=self.address.port)
             await self._daemon.stopping.wait()
             await self._stop(closed)
             nursery.cancel_scope.cancel()
@@ -264,6 +267,9 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        if server is self._server:
+            port = listeners[0].socket.getsockname()[1]
+            self.address = Address(address.host, port)
         await server.serve(listeners, task_status=task_status)
         if closed is not None:
             closed.set()
--- /dev/null
+++ b/tests/ingress/ingress_case.py
@@ -0,0 +1,222 @@
+"""Entries on a stand-in of the platform, all in one trio run."""
+
+import time
+from contextlib import asynccontextmanager
+
+import attrs
+import msgspec
+import trio
+
+from cluster import serve, wait_until
+from foxtailcourse.http import ClientError, ConnectionPool, RequestOptions
+from foxtailcourse.ingress import IngressApp, IngressSettings
+from foxtailcourse.observe import EventLog, HybridClock, Metrics
+from foxtailcourse.process import Daemon, ProcessSettings
+from foxtailcourse.settings import Address
+from foxtailcourse.standin._platform import PlatformStandin
+from foxtailcourse.standin._worker import WorkerStandin
+from support import AsyncTestCase
+
+LOCAL = Address("127.0.0.1", 0)
+MODEL = "guide"
+
+
+def route(name, kind="safe", **changes):
+    value = {
+        "name": name,
+        "host": "app.example",
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 200,
+        "priority": 0,
+        "service": "coats",
+        "attempts": 2,
+        "public": False,
+        "resumable": False,
+    }
+    return value | changes
+
+
+ROUTES = (
+    route("look"),
+    route("return", "unsafe", attempts=3),
+    route("open", public=True),
+    route("brief", "streaming", service="llm", attempts=1),
+    route("ask", "streaming", service="llm", resumable=True, attempts=3),
+)
+
+
+def configuration(version=1, routes=ROUTES, keys=("key-1",)):
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": list(routes),
+            "services": [
+                {"name": "coats", "connectionLimit": 100},
+                {
+                    "name": "llm",
+                    "connectionLimit": 100,
+                    "engine": {"maxConcurrent": 12},
+                },
+            ],
+            "limits": {},
+            "tenants": [
+                {"name": "teatro", "apiKeys": list(keys), "priority": 1},
+                {"name": "walled", "apiKeys": ["key-w"], "isolated": True},
+            ],
+        }
+    )
+
+
+@attrs.define
+class Reply:
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+
+
+class Fleet:
+    """A platform, backend servers and entries."""
+
+    def __init__(self, nursery):
+        self.platform = PlatformStandin()
+        self.store_address = None
+        self.workers = {}
+        self.addresses = {}
+        self.pool = ConnectionPool()
+        self._nursery = nursery
+        self._sent = 0
+
+    async def add_worker(self, worker):
+        self.workers[worker.id] = worker
+        worker.on_change = self.register
+        self.addresses[worker.id] = await self._nursery.start(self._serve, worker)
+        self.register(worker)
+
+    async def _serve(self, worker, *, task_status):
+        async with serve(worker.handle) as address:
+            task_status.started(address)
+            await trio.sleep_forever()
+
+    def register(self, worker):
+        address = str(self.addresses[worker.id])
+        key = f"servers/{worker.id}"
+        self.platform.put(key, worker.entry(address, "palermo"))
+
+    def remove(self, worker):
+        self.platform._apply([], [f"servers/{worker.id}"])
+
+    def configure(self, **options):
+        self.platform.put("op/config", configuration(**options))
+
+    def name_weights(self, version, model=MODEL):
+        value = msgspec.json.encode({"model": model, "version": version})
+        self.platform.put(f"op/version/{model}", value)
+
+    async def start_entry(self, vm="e1", **settings):
+        options = {
+            "listen": LOCAL,
+            "ready_listen": LOCAL,
+            "store": self.store_address,
+            "watch_wait_s": 0.2,
+            "call_timeout_s": 0.3,
+            "lease_ms": 1000,
+        }
+        cfg = IngressSettings(**(options | settings))
+        process = ProcessSettings(vm=vm, failure_domain="palermo", admin_listen=LOCAL)
+        log = EventLog(vm, HybridClock(time.time))
+        daemon = Daemon(process, log, Metrics(), trio.Event())
+        app = IngressApp(daemon, cfg)
+        entry = Entry(app, daemon)
+        await self._nursery.start(self._run, entry)
+        return entry
+
+    async def _run(self, entry, *, task_status):
+        with entry.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(entry.app.run)
+                await wait_until(lambda: entry.app.listening)
+                task_status.started()
+        entry.ended.set()
+
+    async def call(self, entry, name, *, key="key-1", body=b"", stream=0, **headers):
+        """Send one request to an entry and return what the caller sees."""
+        self._sent += 1
+        fields = {
+            "host": "app.example",
+            "x-foxtailcourse-request-id": f"r{self._sent}",
+            "x-foxtailcourse-deadline-ms": "2500",
+        }
+        if key:
+            fields["x-foxtailcourse-key"] = key
+        if stream:
+            fields |= {
+                "x-foxtailcourse-model": MODEL,
+                "x-foxtailcourse-token-counts": f"100,{stream}",
+                "x-foxtailcourse-prompt-prefix": "aa:60,bb:40",
+            }
+        fields |= {k.replace("_", "-"): v for k, v in headers.items()}
+        method = "POST" if body or stream else "GET"
+        options = RequestOptions(reuse=False, keep=False)
+        pieces = []
+        async with self.pool.request(
+            entry.app.address,
+            method,
+            f"/{name}/x?y=1",
+            headers=fields,
+            body=body,
+            options=options,
+        ) as response:
+            whole = True
+            try:
+                async for piece in response.iter_chunks():
+                    pieces.append(piece)
+            except ClientError:
+                whole = False
+            return Reply(response.status, response.headers, b"".join(pieces), whole)
+
+
+@attrs.define
+class Entry:
+    app: IngressApp
+    daemon: Daemon
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    ended: trio.Event = attrs.field(factory=trio.Event)
+
+    def events(self, name):
+        return [e.fields for e in self.daemon.events.recent() if e.name == name]
+
+
+class IngressCase(AsyncTestCase):
+    """Runs a fleet with two plain and two model servers and one entry."""
+
+    @asynccontextmanager
+    async def fleet(self, configured=True, **settings):
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            async with serve(fleet.platform.handler) as fleet.store_address:
+                for name in ("c1", "c2"):
+                    await fleet.add_worker(WorkerStandin(name, "coats"))
+                for name in ("m1", "m2"):
+                    await fleet.add_worker(WorkerStandin(name, "llm", {MODEL: 1}))
+                if configured:
+                    fleet.configure()
+                entry = await fleet.start_entry(**settings)
+                if configured:
+                    await wait_until(lambda: entry.app.readiness().ready)
+                    await wait_until(lambda: len(entry.app.status()["servers"]) == 4)
+                yield fleet, entry
+                nursery.cancel_scope.cancel()
+                await fleet.pool.aclose()
+
+    def runs(self, fleet):
+        return [run for worker in fleet.workers.values() for run in worker.runs]
+
+    def with_fleet(self, check, **settings):
+        async def main():
+            async with self.fleet(**settings) as (fleet, entry):
+                await check(fleet, entry)
+
+        self.run_async(main)
