--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -15,7 +15,8 @@
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._dispatch import Dispatcher
-from foxtailcourse.ingress._follow import PrefixFollower
+from foxtailcourse.ingress._exchange import LoadExchange
+from foxtailcourse.ingress._follow import PrefixFollower, Take
 from foxtailcourse.ingress._handler import IngressHandler
 from foxtailcourse.ingress._lease import EntryLease
 from foxtailcourse.ingress._loads import ServerLoads
@@ -43,6 +44,8 @@
 READY_LIMITS = HttpLimits(max_connections=50, max_body_bytes=1024)
 SERVER_CALL_TIMEOUT_S = 0.5
 FORGET_PERIOD_S = 5.0
+# Old news of the other entries is harmless, so their keys are confirmed less often.
+SHARED_WAIT_S = 5.0
 
 
 class IngressApp:
@@ -79,6 +82,15 @@
             self._rng,
             self._events,
         )
+        self._exchange = LoadExchange(
+            daemon.cfg.vm,
+            cfg.exchange_listen,
+            self._loads,
+            self._shared.peers,
+            boot_seconds,
+            self._events,
+            self._metrics,
+        )
         sink = RecordSink(
             configuration=self._take_configuration,
             weights=self._take_weights,
@@ -91,7 +103,9 @@
         self._servers = self._follower(
             SERVERS_PREFIX, sink.take, self._view.servers_belief
         )
-        self._peers = self._follower(SHARED_PREFIX, self._shared.take, Belief())
+        self._peers = self._follower(
+            SHARED_PREFIX, self._shared.take, Belief(), SHARED_WAIT_S
+        )
         self._refresh_lock = trio.Lock()
         self.address = cfg.listen
         self.listening = False
@@ -109,11 +123,13 @@
             self._handler.handle, cfg.http_limits(), self._on_error
         )
 
-    def _follower(self, prefix: str, take, belief: Belief) -> PrefixFollower:
+    def _follower(
+        self, prefix: str, take: Take, belief: Belief, wait_s: float = 0.0
+    ) -> PrefixFollower:
         return PrefixFollower(
             self._store,
             prefix,
-            self._cfg.watch_wait_s,
+            wait_s or self._cfg.watch_wait_s,
             take,
             belief,
             self._events,
@@ -127,7 +143,9 @@
             candidates=CandidateFilter(
                 self._view, self._loads, self._held, weights_limit_s
             ),
-            attempts=Attempts(self._pool, self._cfg.connect_timeout_s, boot_seconds),
+            attempts=Attempts(
+                self._pool, self._loads, self._cfg.connect_timeout_s, boot_seconds
+            ),
             budget_for=self._budget,
             clock=boot_seconds,
             rng=self._rng,
@@ -232,6 +250,9 @@
             await nursery.start(self._listen, self._server, self._cfg.listen, closed)
             for follower in (self._operator, self._servers, self._peers):
                 nursery.start_soon(follower.run)
+            await self._exchange.bind()
+            self._lease.address = str(self._exchange.address).encode()
+            nursery.start_soon(self._exchange.run)
             nursery.start_soon(self._lease.run)
             nursery.start_soon(self._rollout().run)
             nursery.start_soon(
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -15,6 +15,7 @@
 )
 from foxtailcourse.ingress._events import EventSplitter
 from foxtailcourse.ingress._job import Answer, AttemptError, Job
+from foxtailcourse.ingress._loads import ServerLoads
 from foxtailcourse.ingress._placement import Choice
 from foxtailcourse.platform import (
     REFUSED_STATUSES,
@@ -47,6 +48,8 @@
     ----------
     pool : ConnectionPool
         Makes the connections.
+    loads : ServerLoads
+        Told that loads have changed.
     connect_timeout_s : float
         Longest time to connect.
     clock : callable
@@ -54,6 +57,7 @@
     """
 
     pool: ConnectionPool
+    loads: ServerLoads
     connect_timeout_s: float
     clock: Callable[[], float]
 
@@ -79,7 +83,8 @@
             _attempt_headers(job, choice, store, job.deadline - now),
             len(job.exchange.body),
         )
-        with _counted(choice) as first_event:
+        short = job.prompt is not None and not job.prompt.is_long
+        with self._counted(choice, short) as first_event:
             try:
                 async with self.pool.request(
                     server.address,
@@ -201,26 +206,30 @@
             await exchange.start_stream(response.status, fields)
         await exchange.end_stream(splitter.end())
 
-
-@contextmanager
-def _counted(choice: Choice) -> Iterator[Callable[[], None]]:
-    """Count a request in its server's load; yields what to call at its first event."""
-    load = choice.candidate.load
-    left = choice.tokens_to_read
-    load.in_flight += 1
-    load.prefill_tokens += left
-
-    def first_event() -> None:
-        nonlocal left
-        if left > DECODE_SHARE * choice.tokens_to_read:
-            load.prefill_tokens -= left - DECODE_SHARE * choice.tokens_to_read
-            left = DECODE_SHARE * choice.tokens_to_read
-
-    try:
-        yield first_event
-    finally:
-        load.in_flight -= 1
-        load.prefill_tokens = max(0.0, load.prefill_tokens - left)
+    @contextmanager
+    def _counted(self, choice: Choice, short: bool) -> Iterator[Callable[[], None]]:
+        """Count a request in its server's load; yields what its first event calls."""
+        load = choice.candidate.load
+        left = choice.tokens_to_read
+        load.in_flight += 1
+        load.short += short
+        load.prefill_tokens += left
+        self.loads.changed.set()
+
+        def first_event() -> None:
+            nonlocal left
+            if left > DECODE_SHARE * choice.tokens_to_read:
+                load.prefill_tokens -= left - DECODE_SHARE * choice.tokens_to_read
+                left = DECODE_SHARE * choice.tokens_to_read
+                self.loads.changed.set()
+
+        try:
+            yield first_event
+        finally:
+            load.in_flight -= 1
+            load.short -= short
+            load.prefill_tokens = max(0.0, load.prefill_tokens - left)
+            self.loads.changed.set()
 
 
 def _attempt_headers(
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -18,6 +18,8 @@
 # Part of a server's connection limit that the entries use together.
 USED_CONNECTIONS = 0.85
 UNKNOWN_ENTRIES = 8
+# Even shares of a server's connections that one entry may use while others use less.
+FAIR_SHARES = 1.5
 
 
 @attrs.frozen(kw_only=True)
@@ -71,7 +73,7 @@
         untried = [each for each in current if each.id not in tried]
         if not untried:
             return Selection(candidates=(), reason="all_tried")
-        room = [each for each in untried if self._has_room(each)]
+        room = [each for each in untried if self._has_room(each, now)]
         if not room:
             return Selection(candidates=(), reason="connection_limit")
         idle = [each for each in room if each.id not in self.view.loading]
@@ -82,7 +84,9 @@
             for each in idle
             if self.loads.of(each.id, each.started_ms).suspended_until <= now
         ]
-        found = tuple(self._candidate(each, model, account) for each in sound or idle)
+        found = tuple(
+            self._candidate(each, model, account, now) for each in sound or idle
+        )
         return Selection(candidates=found)
 
     def _weights_usable(self, server: BackendServer, model: str, now: float) -> bool:
@@ -92,23 +96,29 @@
         limit_s = self.weights_limit_s - OLD_WEIGHTS_MARGIN_S
         return now - wanted.known_since < limit_s
 
-    def _has_room(self, server: BackendServer) -> bool:
+    def _has_room(self, server: BackendServer, now: float) -> bool:
         configuration = self.view.configuration
         service = configuration.services.get(server.service) if configuration else None
         if service is None or service.connection_limit <= 0:
             return True
+        limit = USED_CONNECTIONS * service.connection_limit
+        total = self.loads.total(server.id, server.started_ms, now)
+        if total.in_flight >= limit:
+            return False
         entries = len(self.view.entries) or UNKNOWN_ENTRIES
-        limit = max(1.0, USED_CONNECTIONS * service.connection_limit / entries)
-        return self.loads.of(server.id, server.started_ms).in_flight < limit
+        own = self.loads.of(server.id, server.started_ms).in_flight
+        # What other entries send may not be known, so each keeps to a share as well.
+        return own < max(1.0, FAIR_SHARES * limit / entries)
 
     def _candidate(
-        self, server: BackendServer, model: str, account: Account | None
+        self, server: BackendServer, model: str, account: Account | None, now: float
     ) -> Candidate:
         wanted = self.view.weights.get(model)
         version = server.weights.get(model, 0)
         return Candidate(
             server=server,
             load=self.loads.of(server.id, server.started_ms),
+            total=self.loads.total(server.id, server.started_ms, now),
             held=self.held.setdefault(server.id, HeldParts()),
             salt=cache_salt(version, account) if model else "",
             old_weights=wanted is not None and version < wanted.version,
--- a/src/foxtailcourse/ingress/_lease.py
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -61,6 +61,7 @@
         self._orders_from = float("inf")
         self.lease = ""
         self.fence = 0
+        self.address = b""
 
     def may_order(self, now: float) -> bool:
         """Whether this entry may give orders at a time."""
@@ -107,7 +108,7 @@
         sent_at = self._clock()
         lease = await self._store.lease_grant(self._ttl_s)
         await self._store.txn(
-            {}, [Put(key=ENTRIES_PREFIX + self._vm, value=b"1", lease=lease)]
+            {}, [Put(key=ENTRIES_PREFIX + self._vm, value=self.address, lease=lease)]
         )
         self.lease, self._valid_until = lease, sent_at + self._ttl_s
         self._events.emit("lease_granted", lease=lease)
--- a/src/foxtailcourse/ingress/_loads.py
+++ b/src/foxtailcourse/ingress/_loads.py
@@ -1,6 +1,7 @@
 """Load and health of backend servers, from this entry's own requests."""
 
 import attrs
+import trio
 
 FIRST_SUSPENSION_S = 0.4
 LONGEST_SUSPENSION_S = 3.0
@@ -8,6 +9,37 @@
 FAILURE_WEIGHT = 0.2
 # A failure rate halves in this time without outcomes, so that a server is tried again.
 FAILURE_HALF_LIFE_S = 3.0
+# What another entry told is forgotten after this time.
+REMOTE_VALID_S = 1.5
+
+
+@attrs.frozen(kw_only=True)
+class RemoteLoad:
+    """What another entry has sent to a backend server."""
+
+    prefill_tokens: float
+    in_flight: int
+    short: int
+    told_at: float
+
+
+@attrs.frozen(kw_only=True)
+class TotalLoad:
+    """Load of a backend server by all entries that are known of.
+
+    Parameters
+    ----------
+    prefill_tokens : float
+        Prompt tokens still to read.
+    in_flight : int
+        Requests sent and not finished.
+    short : int
+        Short prompts among them.
+    """
+
+    prefill_tokens: float
+    in_flight: int
+    short: int
 
 
 @attrs.define
@@ -23,6 +55,7 @@
     """
 
     in_flight: int = 0
+    short: int = 0
     prefill_tokens: float = 0.0
     suspended_until: float = 0.0
     _failures_in_row: int = 0
@@ -63,15 +96,50 @@
 
 
 class ServerLoads:
-    """The loads of all backend servers, by server and start."""
+    """The loads of all backend servers, by server and start.
+
+    ``changed`` is set when this entry's own loads change.
+    """
 
     def __init__(self) -> None:
         self._loads: dict[tuple[str, int], ServerLoad] = {}
+        self._remote: dict[str, dict[str, RemoteLoad]] = {}
+        self.changed = trio.Event()
 
     def of(self, server_id: str, started_ms: int) -> ServerLoad:
         """Return the load of one start of a backend server."""
         return self._loads.setdefault((server_id, started_ms), ServerLoad())
 
+    def own(self) -> list[tuple[str, int, int, int]]:
+        """Return this entry's loads as other entries are told them."""
+        return [
+            (server_id, int(load.prefill_tokens), load.in_flight, load.short)
+            for (server_id, _), load in self._loads.items()
+            if load.in_flight
+        ]
+
+    def take_remote(self, vm: str, told: dict[str, RemoteLoad]) -> None:
+        """Replace what another entry told of its loads."""
+        for server_id, by_vm in self._remote.items():
+            if server_id not in told:
+                by_vm.pop(vm, None)
+        for server_id, load in told.items():
+            self._remote.setdefault(server_id, {})[vm] = load
+
+    def total(self, server_id: str, started_ms: int, now: float) -> TotalLoad:
+        """Return the load by this entry and by what others told recently."""
+        own = self.of(server_id, started_ms)
+        others = [
+            each
+            for each in self._remote.get(server_id, {}).values()
+            if now - each.told_at < REMOTE_VALID_S
+        ]
+        return TotalLoad(
+            prefill_tokens=own.prefill_tokens + sum(e.prefill_tokens for e in others),
+            in_flight=own.in_flight + sum(e.in_flight for e in others),
+            short=own.short + sum(e.short for e in others),
+        )
+
     def forget_all_but(self, known: set[tuple[str, int]]) -> None:
         """Drop idle servers that are no longer registered."""
         gone = [
@@ -81,3 +149,6 @@
         ]
         for key in gone:
             del self._loads[key]
+        servers = {server_id for server_id, _ in known}
+        for server_id in self._remote.keys() - servers:
+            del self._remote[server_id]
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -6,13 +6,14 @@
 """
 
 import hashlib
+import math
 from collections.abc import Sequence
 
 import attrs
 
 from foxtailcourse.fleet import BackendServer
 from foxtailcourse.ingress._cache_index import HeldParts
-from foxtailcourse.ingress._loads import ServerLoad
+from foxtailcourse.ingress._loads import ServerLoad, TotalLoad
 from foxtailcourse.platform import PromptPart
 from foxtailcourse.settings import Address
 
@@ -33,6 +34,13 @@
 FAILURE_COST_TOKENS = 40_000.0
 # Cost of weights that were replaced, in tokens read.
 OLD_WEIGHTS_COST_TOKENS = 6_000.0
+# A long prompt goes to a reserved server only past this backlog elsewhere, and a short
+# one leaves the reserved servers past this one.
+RESERVED_COST_TOKENS = 40_000.0
+UNRESERVED_COST_TOKENS = 1_500.0
+# Short prompts in flight that one server answers well within their target.
+SHORT_PER_RESERVED_SERVER = 20
+FEWEST_SERVERS_TO_SPLIT = 3
 # How long the store is believed to hold a part after it was last saved or fetched.
 STORE_HELD_S = 60.0
 
@@ -64,7 +72,9 @@
     server : BackendServer
         The server.
     load : ServerLoad
-        What this entry knows of its load.
+        What this entry itself has sent.
+    total : TotalLoad
+        What all entries have sent.
     held : HeldParts
         What it is believed to have cached.
     salt : str
@@ -75,6 +85,7 @@
 
     server: BackendServer
     load: ServerLoad
+    total: TotalLoad
     held: HeldParts
     salt: str = ""
     old_weights: bool = False
@@ -110,7 +121,7 @@
     def cost(numbered: tuple[int, Candidate]) -> tuple[float, float]:
         index, each = numbered
         slots = max(1, each.server.slots)
-        busy = each.load.in_flight / slots + 4 * each.load.failure_rate(now)
+        busy = each.total.in_flight / slots + 4 * each.load.failure_rate(now)
         return busy, (index / len(candidates) + spread) % 1.0
 
     _, best = min(enumerate(candidates), key=cost)
@@ -138,6 +149,7 @@
         for each in candidates
     }
     home = home_of(prompt.largest_part.id, candidates)
+    reserved = reserved_for_short(candidates)
     choices = [
         _cost(each, candidates, covered, prompt, store if store_holds else None, now)
         for each in candidates
@@ -145,7 +157,10 @@
 
     def rank(choice: Choice) -> float:
         bonus = HOME_BONUS_TOKENS if choice.candidate is home else 0.0
-        return choice.cost - bonus
+        is_reserved = choice.candidate.server.id in reserved
+        if prompt.is_long:
+            return choice.cost - bonus + is_reserved * RESERVED_COST_TOKENS
+        return choice.cost - bonus + (not is_reserved) * UNRESERVED_COST_TOKENS
 
     return min(choices, key=rank)
 
@@ -174,8 +189,8 @@
             to_read -= (1 - STORE_FETCH_COST) * missing
             fetch_from = store
     cost = (
-        each.load.prefill_tokens
-        + RUNNING_COST_TOKENS * each.load.in_flight
+        each.total.prefill_tokens
+        + RUNNING_COST_TOKENS * each.total.in_flight
         + MISS_WEIGHT * to_read
         + FAILURE_COST_TOKENS * each.load.failure_rate(now)
         + (OLD_WEIGHTS_COST_TOKENS if each.old_weights else 0.0)
@@ -185,11 +200,26 @@
     )
 
 
+def reserved_for_short(candidates: Sequence[Candidate]) -> frozenset[str]:
+    """Return the servers that are kept free of long prompts while others have room.
+
+    Their number follows the short prompts in flight, so that it grows with a burst.
+    """
+    if len(candidates) < FEWEST_SERVERS_TO_SPLIT:
+        return frozenset()
+    short = sum(each.total.short for each in candidates)
+    wanted = math.ceil(short / SHORT_PER_RESERVED_SERVER)
+    count = max(1, min(wanted, len(candidates) // 2))
+    ranked = sorted(candidates, key=lambda each: _weight("short", each))
+    return frozenset(each.server.id for each in ranked[:count])
+
+
 def home_of(part_id: str, candidates: Sequence[Candidate]) -> Candidate:
     """Return the candidate that rendezvous hashing gives a part to."""
 
-    def weight(each: Candidate) -> bytes:
-        text = f"{part_id}/{each.server.id}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
+    return max(candidates, key=lambda each: _weight(part_id, each))
+
 
-    return max(candidates, key=weight)
+def _weight(name: str, candidate: Candidate) -> bytes:
+    text = f"{name}/{candidate.server.id}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -12,6 +12,9 @@
     ready_listen: Address = setting(
         Address, description="Address where the load balancer asks for readiness."
     )
+    exchange_listen: Address = setting(
+        Address, description="Address where other entries tell their loads, by UDP."
+    )
     store: Address = setting(Address, description="Address of the platform's store.")
     revocation_ms: int = setting(
         int,
--- a/src/foxtailcourse/ingress/_shared.py
+++ b/src/foxtailcourse/ingress/_shared.py
@@ -1,7 +1,8 @@
 """Keys that the entries share in the platform's store.
 
-``ingress/entries/<vm>`` says that an entry runs, ``ingress/orders`` names the one that
-gives orders to backend servers, ``ingress/loading/<server>`` says that a server is
+``ingress/entries/<vm>`` holds the address where an entry takes datagrams,
+``ingress/orders`` names the one that gives orders to backend servers,
+``ingress/loading/<server>`` says that a server is
 about to load weights. All are bound to a lease of their writer.
 """
 
@@ -24,6 +25,7 @@
 
     def __init__(self, view: FleetView) -> None:
         self._view = view
+        self.peers: dict[str, str] = {}
         self.orders_holder = ""
         self.orders_revision = 0
 
@@ -33,7 +35,12 @@
             self.orders_holder = value.decode("utf-8", "replace") if value else ""
             self.orders_revision = revision if value is not None else 0
         elif key.startswith(ENTRIES_PREFIX):
-            _note(self._view.entries, key.removeprefix(ENTRIES_PREFIX), value)
+            vm = key.removeprefix(ENTRIES_PREFIX)
+            _note(self._view.entries, vm, value)
+            if value is None:
+                self.peers.pop(vm, None)
+            else:
+                self.peers[vm] = value.decode("utf-8", "replace")
         elif key.startswith(LOADING_PREFIX):
             _note(self._view.loading, key.removeprefix(LOADING_PREFIX), value)
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -115,6 +115,8 @@
     "foxtail_entry_first_token_seconds": "time to first token by `request_class`",
     "foxtail_entry_prompt_tokens_total": "prompt tokens sent, by `model`",
     "foxtail_entry_requests_total": "requests by error `code`, `ok` if answered",
+    "foxtail_ingress_bad_datagrams_total": "datagrams of loads that cannot be read",
+    "foxtail_ingress_lost_datagrams_total": "datagrams of loads not sent, by `error`",
     "foxtail_ingress_attempts_total": "attempts by `outcome`",
     "foxtail_ingress_duration_seconds": "time to the end of a request, by `kind` of"
     " route",
--- a/tests/ingress/ingress_case.py
+++ b/tests/ingress/ingress_case.py
@@ -119,6 +119,7 @@
         options = {
             "listen": LOCAL,
             "ready_listen": LOCAL,
+            "exchange_listen": LOCAL,
             "store": self.store_address,
             "watch_wait_s": 0.2,
             "call_timeout_s": 0.3,
