Follow the KV-cache store's events; tell loaded weights at once; hand orders over sooner

Ruled out: two loads at once as the limit; a third slows all of them. Change: the store's events are followed like a server's; reports are polled during a load and its end is written to the store; the right to give orders lapses in the middle of its lease, so that the next holder waits for the rest only.

--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -177,3 +177,16 @@
     leaving: bool
     weights: Mapping[str, int]
     started_ms: int = 0
+
+    def with_newer_weights(self, known: "BackendServer") -> "BackendServer":
+        """Keep newer weights that are known of the same start.
+
+        A server registers its weights some time after it has loaded them.
+        """
+        if known.started_ms != self.started_ms:
+            return self
+        weights = {
+            model: max(version, known.weights.get(model, 0))
+            for model, version in self.weights.items()
+        }
+        return attrs.evolve(self, weights=weights)
--- a/src/foxtailcourse/fleet/_view.py
+++ b/src/foxtailcourse/fleet/_view.py
@@ -77,6 +77,17 @@
         )
         return True
 
+    def note_loaded(
+        self, server_id: str, started_ms: int, model: str, version: int
+    ) -> None:
+        """Note weights that a server reported before it registered them."""
+        server = self.servers.get(server_id)
+        if server is None or server.started_ms != started_ms:
+            return
+        if server.weights.get(model, 0) < version:
+            weights = {**server.weights, model: version}
+            self.servers[server_id] = attrs.evolve(server, weights=weights)
+
     def serving(self, service: str) -> Iterable[BackendServer]:
         """Iterate over the servers of a service that take new work."""
         for server in self.servers.values():
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -72,7 +72,7 @@
         self._draining = False
         self._store = KeyValueClient(self._pool, cfg.store, cfg.call_timeout_s)
         self._client = ServerClient(self._pool, SERVER_CALL_TIMEOUT_S)
-        self._shared = SharedKeys(self._view)
+        self._shared = SharedKeys(self._view, self._events)
         self._lease = EntryLease(
             self._store,
             daemon.cfg.vm,
@@ -179,6 +179,8 @@
 
     def _take_server(self, server_id: str, server: BackendServer | None) -> None:
         known = self._view.servers.get(server_id)
+        if server is not None and known is not None:
+            server = server.with_newer_weights(known)
         if server == known:
             return
         if server is None:
--- a/src/foxtailcourse/ingress/_cache_index.py
+++ b/src/foxtailcourse/ingress/_cache_index.py
@@ -21,6 +21,7 @@
 
     epoch: int | None = None
     position: int = 0
+    reachable: bool = False
     _tokens: dict[tuple[str, str], int] = attrs.field(factory=dict)
     _expected: dict[tuple[str, str], tuple[int, float]] = attrs.field(factory=dict)
 
@@ -31,6 +32,7 @@
             if news.epoch != self.epoch:
                 self._expected.clear()
         self.epoch, self.position = news.epoch, news.next
+        self.reachable = True
         for event in news.events:
             key = (event.salt, event.part)
             if event.tokens > 0:
@@ -42,6 +44,7 @@
         """Forget everything, as the cache may have changed unseen."""
         self._tokens.clear()
         self.epoch, self.position = None, 0
+        self.reachable = False
 
     def expect(self, salt: str, parts: Sequence[PromptPart], now: float) -> None:
         """Note that a request is about to make the cache hold its parts."""
@@ -50,8 +53,12 @@
         if len(self._expected) > 4096:
             self._expected = {k: v for k, v in self._expected.items() if v[1] > now}
 
+    def confirmed(self, salt: str, parts: Sequence[PromptPart]) -> int:
+        """Return how many tokens from the start of a prompt events have confirmed."""
+        return self.covered(salt, parts, float("inf"))
+
     def covered(self, salt: str, parts: Sequence[PromptPart], now: float) -> int:
-        """Return how many tokens from the start of a prompt are held."""
+        """Return how many tokens from the start of a prompt are held or expected."""
         total = 0
         for part in parts:
             key = (salt, part.id)
--- a/src/foxtailcourse/ingress/_dispatch.py
+++ b/src/foxtailcourse/ingress/_dispatch.py
@@ -11,14 +11,13 @@
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._job import Answer, AttemptError, Job, RefusedError
 from foxtailcourse.ingress._placement import (
-    STORE_HELD_S,
+    CacheStore,
     Choice,
     choose_for_prompt,
     choose_plain,
 )
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.protocol import Verdict
-from foxtailcourse.settings import Address
 
 # Less time than this is not worth another attempt.
 SHORTEST_ATTEMPT_S = 0.03
@@ -66,7 +65,6 @@
     rng: random.Random
     events: EventLog
     metrics: Metrics
-    _stored: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
 
     async def run(self, job: Job) -> Answer | None:
         """Return the answer, or None if it was streamed.
@@ -95,18 +93,23 @@
 
     async def _attempt(self, job: Job, choice: Choice) -> Answer | None:
         prompt = job.prompt
-        store = self._store()
         if prompt is not None:
-            now = self.clock()
             candidate = choice.candidate
-            candidate.held.expect(candidate.salt, prompt.parts[:-1], now)
-            if prompt.is_long and store is not None:
-                self._stored[candidate.salt, prompt.largest_part.id] = now
-        return await self.attempts.make(job, choice, store)
+            candidate.held.expect(candidate.salt, prompt.parts[:-1], self.clock())
+        store = self._cache_store()
+        address = store.address if store else None
+        return await self.attempts.make(job, choice, address)
 
-    def _store(self) -> Address | None:
+    def _cache_store(self) -> CacheStore | None:
+        """Return the KV-cache store while its events are within reach."""
         configuration = self.view.configuration
-        return configuration.cache_store() if configuration else None
+        address = configuration.cache_store() if configuration else None
+        if address is None:
+            return None
+        held = self.candidates.held.get(str(address))
+        if held is None or not held.reachable:
+            return None
+        return CacheStore(address=address, held=held)
 
     def _choose(self, job: Job) -> Choice:
         now = self.clock()
@@ -123,12 +126,7 @@
         prompt = job.prompt
         if prompt is None:
             return choose_plain(selection.candidates, now, self.rng.random())
-        salt = selection.candidates[0].salt
-        stored_at = self._stored.get((salt, prompt.largest_part.id))
-        holds = stored_at is not None and now - stored_at < STORE_HELD_S
-        return choose_for_prompt(
-            selection.candidates, prompt, self._store(), holds, now
-        )
+        return choose_for_prompt(selection.candidates, prompt, self._cache_store(), now)
 
     def _may_repeat(self, job: Job, exc: AttemptError) -> bool:
         now = self.clock()
--- a/src/foxtailcourse/ingress/_lease.py
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -10,10 +10,13 @@
 from foxtailcourse.platform import KeyValueStore, LeaseLostError, PlatformError, Put
 
 # Renewals in each time to live, so that one lost answer does not end the lease.
-RENEWALS_PER_TTL = 4
+RENEWALS_PER_TTL = 6
 PAUSE_S = 0.3
-# The right ends this long before the lease, which covers an order on its way.
-ORDER_MARGIN_S = 0.5
+# Part of the time to live at whose end the right has lapsed and the lease has not; a
+# new holder then waits only for the rest before its first order.
+SILENT_SHARE = 0.5
+# Covers an order that was on its way when the right ended.
+TRANSIT_S = 0.2
 
 
 class EntryLease:
@@ -29,7 +32,7 @@
     vm : str
         Name of this VM.
     ttl_s : float
-        Time to live of the lease; also the pause before a new holder's first order.
+        Time to live of the lease, and least time between orders of two holders.
     shared : SharedKeys
         What is known of the current holder.
     clock : callable
@@ -68,7 +71,7 @@
         return (
             self.fence > 0
             and now >= self._orders_from
-            and now < self._valid_until - ORDER_MARGIN_S
+            and now < self._valid_until - SILENT_SHARE * self._ttl_s
         )
 
     async def run(self) -> None:
@@ -89,7 +92,8 @@
                 await trio.sleep(PAUSE_S * self._rng.uniform(0.5, 1.5))
                 continue
             pause_s = self._ttl_s / RENEWALS_PER_TTL
-            await trio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+            with trio.move_on_after(pause_s * self._rng.uniform(0.8, 1.2)):
+                await self._shared.wait_vacant(bool(self.fence))
 
     async def release(self) -> None:
         """End the lease, so that another entry can take over at once."""
@@ -123,7 +127,8 @@
         done = await self._store.txn({ORDERS_KEY: 0}, [put])
         if done.succeeded:
             self.fence = done.revision
-            self._orders_from = self._clock() + self._ttl_s
+            pause_s = (1 - SILENT_SHARE) * self._ttl_s + TRANSIT_S
+            self._orders_from = self._clock() + pause_s
             self._events.emit("orders_acquired", fence=self.fence)
 
     def _lose(self, reason: str) -> None:
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -41,8 +41,6 @@
 # Short prompts in flight that one server answers well within their target.
 SHORT_PER_RESERVED_SERVER = 20
 FEWEST_SERVERS_TO_SPLIT = 3
-# How long the store is believed to hold a part after it was last saved or fetched.
-STORE_HELD_S = 60.0
 
 
 @attrs.frozen(kw_only=True)
@@ -57,6 +55,11 @@
         """Whether reading the prompt dominates its cost."""
         return self.tokens > LONG_PROMPT_TOKENS
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other prompts may share."""
+        return sum(each.tokens for each in self.parts[:-1])
+
     @property
     def largest_part(self) -> PromptPart:
         """The largest part that others share, or the only one."""
@@ -91,6 +94,14 @@
     old_weights: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class CacheStore:
+    """The KV-cache store and what it is known to hold."""
+
+    address: Address
+    held: HeldParts
+
+
 @attrs.frozen(kw_only=True)
 class Choice:
     """The server of an attempt.
@@ -131,18 +142,15 @@
 def choose_for_prompt(
     candidates: Sequence[Candidate],
     prompt: Prompt,
-    store: Address | None,
-    store_holds: bool,
+    store: CacheStore | None,
     now: float,
 ) -> Choice:
     """Return the server with the lowest cost for a prompt.
 
     Parameters
     ----------
-    store : Address or None
-        The KV-cache store.
-    store_holds : bool
-        Whether it is believed to hold the largest part.
+    store : CacheStore or None
+        The KV-cache store, if it can be reached.
     """
     covered = {
         each.server.id: each.held.covered(each.salt, prompt.parts, now)
@@ -151,7 +159,7 @@
     home = home_of(prompt.largest_part.id, candidates)
     reserved = reserved_for_short(candidates)
     choices = [
-        _cost(each, candidates, covered, prompt, store if store_holds else None, now)
+        _cost(each, candidates, covered[each.server.id], prompt, store, now)
         for each in candidates
     ]
 
@@ -168,26 +176,15 @@
 def _cost(
     each: Candidate,
     candidates: Sequence[Candidate],
-    covered: dict[str, int],
+    own: int,
     prompt: Prompt,
-    store: Address | None,
+    store: CacheStore | None,
     now: float,
 ) -> Choice:
-    own = covered[each.server.id]
     to_read, fetch_from = float(prompt.tokens - own), None
     if prompt.is_long:
-        best = max(
-            (c for c in candidates if c.salt == each.salt),
-            key=lambda c: covered[c.server.id],
-        )
-        gain = covered[best.server.id] - own
-        missing = prompt.largest_part.tokens - own
-        if best is not each and gain > FETCH_MIN_TOKENS:
-            to_read -= (1 - PEER_FETCH_COST) * gain
-            fetch_from = best.server.address
-        elif store is not None and missing > FETCH_MIN_TOKENS:
-            to_read -= (1 - STORE_FETCH_COST) * missing
-            fetch_from = store
+        gain, fetch_from = _best_fetch(each, candidates, own, prompt, store)
+        to_read -= gain
     cost = (
         each.total.prefill_tokens
         + RUNNING_COST_TOKENS * each.total.in_flight
@@ -200,6 +197,36 @@
     )
 
 
+def _best_fetch(
+    each: Candidate,
+    candidates: Sequence[Candidate],
+    own: int,
+    prompt: Prompt,
+    store: CacheStore | None,
+) -> tuple[float, Address | None]:
+    """Return the tokens that a fetch saves, after its cost, and its source.
+
+    Only parts that events confirmed count, as others may still be being read. A store
+    that is not known to hold anything is asked all the same: a miss costs it next to
+    nothing, and its events come late.
+    """
+    missing = prompt.shared_tokens - own
+    if missing < FETCH_MIN_TOKENS:
+        return 0.0, None
+    best_gain, source = 0.0, store.address if store else None
+    if store is not None:
+        held = store.held.confirmed(each.salt, prompt.parts)
+        best_gain = max(0.0, (1 - STORE_FETCH_COST) * (held - own))
+    for other in candidates:
+        if other is each or other.salt != each.salt:
+            continue
+        held = other.held.confirmed(other.salt, prompt.parts)
+        gain = (1 - PEER_FETCH_COST) * (held - own)
+        if held - own >= FETCH_MIN_TOKENS and gain > best_gain:
+            best_gain, source = gain, other.server.address
+    return best_gain, source
+
+
 def reserved_for_short(candidates: Sequence[Candidate]) -> frozenset[str]:
     """Return the servers that are kept free of long prompts while others have room.
 
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -8,12 +8,17 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 import trio
 
 from foxtailcourse.fleet import BackendServer, FleetView
 from foxtailcourse.ingress._lease import EntryLease
 from foxtailcourse.ingress._loads import ServerLoads
-from foxtailcourse.ingress._shared import LOADING_PREFIX
+from foxtailcourse.ingress._shared import (
+    LOADED_PREFIX,
+    LOADING_PREFIX,
+    LoadedWeights,
+)
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import (
     KeyValueStore,
@@ -28,7 +33,8 @@
 # Part of a model's servers that load at once; more load slower and leave too few.
 LOADING_SHARE = 0.38
 FEWEST_LOADING = 2
-TICK_S = 0.1
+TICK_S = 0.05
+REPORT_PERIOD_S = 0.2
 # Entries hear of a load this long before the order, and stop sending requests.
 ANNOUNCE_S = 0.15
 # A load is looked into again when the server's registration has not changed by then.
@@ -45,7 +51,9 @@
     version: int
 
 
-def next_loads(view: FleetView, busy: set[str], loads: ServerLoads) -> list[Load]:
+def next_loads(
+    view: FleetView, busy: set[str], loads: ServerLoads, now: float
+) -> list[Load]:
     """Return the loads to start now.
 
     Parameters
@@ -69,7 +77,7 @@
         at_once = max(FEWEST_LOADING, math.ceil(LOADING_SHARE * len(servers)))
         idle = sorted(
             (each for each in behind if each.id not in busy),
-            key=lambda each: loads.of(each.id, each.started_ms).in_flight,
+            key=lambda each: loads.total(each.id, each.started_ms, now).in_flight,
         )
         room = max(0, at_once - running)
         found += [Load(each, model, wanted.version) for each in idle[:room]]
@@ -120,8 +128,9 @@
         """Start loads until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                if self._lease.may_order(self._clock()):
-                    for load in next_loads(self._view, self._busy, self._loads):
+                now = self._clock()
+                if self._lease.may_order(now):
+                    for load in next_loads(self._view, self._busy, self._loads, now):
                         self._busy.add(load.server.id)
                         nursery.start_soon(self._carry_out, load)
                 await trio.sleep(TICK_S)
@@ -187,12 +196,43 @@
         return outcome
 
     async def _wait(self, load: Load, outcome: OrderOutcome) -> None:
-        """Wait until the server registers the version, or it is time to look again."""
-        accepted = outcome in {OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_DONE}
-        limit_s = RECHECK_S if accepted else FAILED_PAUSE_S
-        with trio.move_on_after(limit_s):
-            while self._behind(load):  # noqa: ASYNC110 - others change it
-                await trio.sleep(TICK_S / 2)
+        """Wait until the server has the version, or it is time to look again.
+
+        A server registers its weights with its next heartbeat; its report tells sooner.
+        """
+        if outcome is OrderOutcome.ALREADY_DONE:
+            await self._tell_loaded(load)
+            return
+        accepted = outcome is OrderOutcome.ACCEPTED
+        with trio.move_on_after(RECHECK_S if accepted else FAILED_PAUSE_S):
+            while self._behind(load):
+                await trio.sleep(REPORT_PERIOD_S)
+                if accepted and await self._reports(load):
+                    await self._tell_loaded(load)
+                    return
+
+    async def _reports(self, load: Load) -> bool:
+        try:
+            report = await self._client.report(load.server.address)
+        except ServerCallError as exc:
+            self._events.emit("report_failed", server=load.server.id, error=exc)
+            return False
+        return report.weights.get(load.model, 0) >= load.version
+
+    async def _tell_loaded(self, load: Load) -> None:
+        server = load.server
+        loaded = LoadedWeights(server.started_ms, load.model, load.version)
+        self._view.note_loaded(server.id, server.started_ms, load.model, load.version)
+        put = Put(
+            key=LOADED_PREFIX + server.id,
+            value=msgspec.json.encode(loaded),
+            lease=self._lease.lease,
+        )
+        try:
+            await self._store.txn({}, [put], [LOADING_PREFIX + server.id])
+        except PlatformError as exc:
+            # The other entries then learn of it when the server registers.
+            self._events.emit("announce_failed", server=server.id, error=exc)
 
     async def _announce(self, server_id: str) -> None:
         put = Put(key=LOADING_PREFIX + server_id, value=b"1", lease=self._lease.lease)
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -20,6 +20,8 @@
     "tokens were already delivered",
     "blocks_exported": "hot blocks were exported to the KV-cache store",
     "blocks_imported": "blocks were imported from the KV-cache store",
+    "cache_feed_lost": "the cache events of a server or of the KV-cache store are out "
+    "of reach; its cache counts as unknown",
     "cache_events_irregular": "cache events were lost or out of order; the block "
     "index was dropped",
     "cancel_failed": "the engine could not be told that a completion is not read",
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -346,12 +346,13 @@
         first = entry.app._lease.fence
         second = await f.start_entry("e2")
         entry.scope.cancel()
+        last_order_possible = trio.current_time()
         await wait_until(lambda: second.app._lease.fence)
-        acquired = trio.current_time()
         self.assertTrue(second.app._lease.fence > first)
         f.name_weights(2)
         await wait_until(lambda: f.workers["m1"].orders or f.workers["m2"].orders)
-        self.assertTrue(trio.current_time() - acquired >= 0.95)
+        lease_s = 1.0
+        self.assertTrue(trio.current_time() - last_order_possible >= lease_s)
 
     @run_with("with_fleet")
     async def test_fenced_holder_gives_no_further_orders(self, f, entry):
