Take changed settings and the operators' limits on callers without a restart

Cause: SIGHUP was only logged, and the listener kept its own limits whatever the configuration said; h11 also accepts a header over its limit that arrives at once. Change: the settings file is read again at SIGHUP and every three seconds, a bad file is refused with the former settings in force; limits of a configuration hold for new connections; a header over the limit is answered 431. Measured: test_limits_of_the_configuration_are_kept failed with 200 != 431 before.

--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -108,6 +108,26 @@
     isolated: bool
 
 
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """What a caller may send and how long it may take; None where not bounded.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int or None
+        Largest header and body of a request.
+    header_s : float or None
+        Longest time to send a header, in seconds.
+    idle_s : float or None
+        Longest time that a connection stays idle, in seconds.
+    """
+
+    header_bytes: int | None = None
+    body_bytes: int | None = None
+    header_s: float | None = None
+    idle_s: float | None = None
+
+
 @attrs.frozen(kw_only=True)
 class Configuration:
     """One version of the operators' configuration.
@@ -124,6 +144,8 @@
         Client accounts by key.
     keys_required : bool
         Whether routes that are not public need a key.
+    limits : CallerLimits
+        Bounds on callers.
     """
 
     version: int
@@ -131,6 +153,7 @@
     services: Mapping[str, Service]
     accounts: Mapping[str, Account]
     keys_required: bool
+    limits: CallerLimits = CallerLimits()
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or None."""
--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -14,6 +14,8 @@
 
 READ_BYTES = 65536
 BUSY_RETRY_MS = 500
+# ": " and the end of the line.
+FIELD_OVERHEAD_BYTES = 4
 
 
 class Exchange:
@@ -205,10 +207,23 @@
             event = await self.next_event()
             if not isinstance(event, h11.Request):
                 return None
+            self._check_header(event)
             exchange = Exchange(self, event)
             exchange.body = await self._read_body(event)
             return exchange
 
+    def _check_header(self, request: h11.Request) -> None:
+        """Refuse a header over the limit, which h11 accepts if it arrives at once."""
+        size = len(request.target) + len(request.method)
+        size += sum(
+            len(name) + len(value) + FIELD_OVERHEAD_BYTES
+            for name, value in request.headers
+        )
+        if size > self.limits.max_header_bytes:
+            limit = self.limits.max_header_bytes
+            message = f"header exceeds {limit} bytes"
+            raise HttpError(431, "header_too_large", message)
+
     async def _wait_for_bytes(self) -> bool:
         """Wait for a request to begin; False if the peer closed or stayed idle."""
         with trio.move_on_after(self.limits.idle_timeout_s):
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -48,6 +48,13 @@
         self._accepting = trio.CancelScope()
         self.active = 0
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Apply other bounds on peers to connections accepted from now on.
+
+        The number of connections and the buffered bytes stay as they were.
+        """
+        self._limits = limits
+
     async def serve(
         self,
         listeners: list[trio.SocketListener],
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -6,7 +6,13 @@
 
 import trio
 
-from foxtailcourse.fleet import BackendServer, Belief, Configuration, FleetView
+from foxtailcourse.fleet import (
+    BackendServer,
+    Belief,
+    CallerLimits,
+    Configuration,
+    FleetView,
+)
 from foxtailcourse.http import ConnectionPool, Exchange, HttpLimits, HttpServer
 from foxtailcourse.ingress._attempt import Attempts
 from foxtailcourse.ingress._budget import RetryBudget
@@ -32,7 +38,7 @@
     ServerClient,
 )
 from foxtailcourse.process import AdminServer, Daemon, Readiness
-from foxtailcourse.settings import Address
+from foxtailcourse.settings import Address, SettingsErrors, declarations
 
 # A key must not be served past the platform's bound; a watch may miss a second of news
 # before it is cut, and reading a request takes a moment.
@@ -44,6 +50,8 @@
 READY_LIMITS = HttpLimits(max_connections=50, max_body_bytes=1024)
 SERVER_CALL_TIMEOUT_S = 0.5
 FORGET_PERIOD_S = 5.0
+# The settings file may change without a signal; reading it is cheap.
+RELOAD_PERIOD_S = 3.0
 # Old news of the other entries is harmless, so their keys are confirmed less often.
 SHARED_WAIT_S = 5.0
 
@@ -109,9 +117,10 @@
         self._refresh_lock = trio.Lock()
         self.address = cfg.listen
         self.listening = False
+        self._dispatch = self._dispatcher()
         self._handler = IngressHandler(
             view=self._view,
-            dispatcher=self._dispatcher(),
+            dispatcher=self._dispatch,
             refresh=self._refresh,
             key_age_limit_s=cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S,
             clock=boot_seconds,
@@ -120,7 +129,7 @@
             metrics=self._metrics,
         )
         self._server = HttpServer(
-            self._handler.handle, cfg.http_limits(), self._on_error
+            self._handler.handle, cfg.http_limits(CallerLimits()), self._on_error
         )
 
     def _follower(
@@ -165,6 +174,7 @@
 
     def _take_configuration(self, configuration: Configuration, revision: int) -> None:
         if self._view.apply_configuration(configuration, revision):
+            self._server.set_limits(self._cfg.http_limits(configuration.limits))
             self._events.emit(
                 "configuration_applied",
                 version=configuration.version,
@@ -308,9 +318,40 @@
             self._loads.forget_all_but({(e.id, e.started_ms) for e in servers})
 
     async def _watch_reload(self) -> None:
+        """Take changed settings at SIGHUP, and when the file changes without one."""
         with trio.open_signal_receiver(signal.SIGHUP) as received:
-            async for _ in received:
-                self._events.emit("settings_changed")
+            while True:
+                with trio.move_on_after(RELOAD_PERIOD_S):
+                    async for _ in received:
+                        self._events.emit("reload_requested")
+                        break
+                self._reload()
+
+    def _reload(self) -> None:
+        try:
+            cfg = self._daemon.reload(IngressSettings)
+        except SettingsErrors as problems:
+            for problem in problems.exceptions:
+                self._events.emit("settings_refused", error=problem)
+            return
+        if cfg is None or cfg == self._cfg:
+            return
+        names = declarations(IngressSettings)
+        changed = [
+            each for each in names if getattr(cfg, each) != getattr(self._cfg, each)
+        ]
+        self._cfg = cfg
+        self._apply_bounds()
+        self._events.emit("settings_changed", keys=",".join(changed))
+
+    def _apply_bounds(self) -> None:
+        """Pass the platform's bounds on to the parts that keep them."""
+        cfg = self._cfg
+        self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
+        self._dispatch.candidates.weights_limit_s = cfg.weights_ms / 1000
+        for budget in self._budgets.values():
+            budget.ratio, budget.extra = cfg.retry_ratio, cfg.retry_extra
+            budget.window_s = cfg.retry_window_s
 
     async def _stop(self, closed: trio.Event) -> None:
         """Finish all requests, after the load balancer has had time to notice."""
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -1,8 +1,12 @@
 """Settings of the platform's ingress."""
 
+from foxtailcourse.fleet import CallerLimits
 from foxtailcourse.http import HttpLimits
 from foxtailcourse.settings import Address, section, setting
 
+# A caller that takes nothing of its answer for this long has most likely gone.
+SEND_TIMEOUT_S = 5.0
+
 
 @section("ingress")
 class IngressSettings:
@@ -108,6 +112,13 @@
         int, 3000, description="Callers' connections served at once.", minimum=1
     )
 
-    def http_limits(self) -> HttpLimits:
-        """Return the limits of the callers' listener."""
-        return HttpLimits(max_connections=self.max_connections, send_timeout_s=5.0)
+    def http_limits(self, bounds: CallerLimits) -> HttpLimits:
+        """Return the limits of the callers' listener under a configuration."""
+        usual = HttpLimits()
+        return HttpLimits(
+            max_connections=self.max_connections,
+            max_header_bytes=bounds.header_bytes or usual.max_header_bytes,
+            max_body_bytes=bounds.body_bytes or usual.max_body_bytes,
+            idle_timeout_s=bounds.idle_s or usual.idle_timeout_s,
+            send_timeout_s=SEND_TIMEOUT_S,
+        )
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -83,7 +83,10 @@
     "server_gone": "a backend server is no longer registered",
     "server_registered": "a backend server registered, or changed what it says of "
     "itself",
-    "settings_changed": "SIGHUP said that the settings file has changed",
+    "reload_requested": "SIGHUP said that the settings file has changed",
+    "settings_changed": "the settings named in `keys` have changed and are in force",
+    "settings_refused": "the changed settings file cannot be used; the former settings "
+    "stay in force",
     "standin_listening": "a stand-in accepts connections on `address`",
     "stop_announced": "the configuration announces the stop of this VM",
     "stop_requested": "the process got SIGTERM or SIGINT",
@@ -159,6 +162,7 @@
     "engine_stream_broken": "the engine's stream ended without its end",
     "forbidden_model": "the contract does not include the model",
     "forbidden_route": "the contract does not include the route",
+    "header_too_large": "the request's header exceeds the entry's bound",
     "idempotency_key_required": "the route must not run twice and needs a key",
     "internal_error": "a fault of the process; the request may have run",
     "invalid_api_key": "no contract accepts the bearer key",
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -10,6 +10,7 @@
     Account,
     Backend,
     BackendServer,
+    CallerLimits,
     Configuration,
     Route,
     RouteKind,
@@ -102,11 +103,31 @@
     isolated: bool = False
 
 
+class _Limits(msgspec.Struct, rename="camel", frozen=True):
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    header_timeout_ms: float | None = None
+    idle_timeout_ms: float | None = None
+
+    def decode(self) -> CallerLimits:
+        return CallerLimits(
+            header_bytes=self.max_header_bytes,
+            body_bytes=self.max_body_bytes,
+            header_s=_seconds(self.header_timeout_ms),
+            idle_s=_seconds(self.idle_timeout_ms),
+        )
+
+
+def _seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / 1000
+
+
 class _Configuration(msgspec.Struct, rename="camel"):
     version: int
     routes: list[_Route]
     services: list[_Service] = []
     tenants: list[_Tenant] | None = None
+    limits: _Limits = _Limits()
 
 
 class _Model(msgspec.Struct):
@@ -163,6 +184,7 @@
         services=services,
         accounts=accounts,
         keys_required=raw.tenants is not None,
+        limits=raw.limits.decode(),
     )
 
 
--- a/tests/ingress/ingress_case.py
+++ b/tests/ingress/ingress_case.py
@@ -47,7 +47,7 @@
 )
 
 
-def configuration(version=1, routes=ROUTES, keys=("key-1",)):
+def configuration(version=1, routes=ROUTES, keys=("key-1",), limits=None):
     return msgspec.json.encode(
         {
             "version": version,
@@ -60,7 +60,7 @@
                     "engine": {"maxConcurrent": 12},
                 },
             ],
-            "limits": {},
+            "limits": limits or {},
             "tenants": [
                 {"name": "teatro", "apiKeys": list(keys), "priority": 1},
                 {"name": "walled", "apiKeys": ["key-w"], "isolated": True},
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -1,9 +1,16 @@
+import re
+import tempfile
+from pathlib import Path
+
 import msgspec
 import trio
 from ingress_case import MODEL, IngressCase, configuration, route
 from testtools.matchers import Contains, Equals, LessThan
 
 from cluster import wait_until
+from foxtailcourse.ingress import IngressSettings
+from foxtailcourse.process import ProcessSettings
+from foxtailcourse.settings import declarations
 from foxtailcourse.standin._worker import WorkerFaults, stream_event
 from support import run_with
 
@@ -367,14 +374,46 @@
 class TestSettings(IngressCase):
     """Guards the file that the platform fills in."""
 
-    def test_template_names_only_known_settings(self):
-        import re
-        from pathlib import Path
+    @run_with("with_fleet")
+    async def test_changed_file_is_in_force_and_a_bad_one_is_refused(self, f, entry):
+        cfg = entry.app._cfg
+        lines = [
+            "[process]\nvm = e1\nfailure_domain = p\nadmin_listen = 127.0.0.1:0",
+            f"[ingress]\nlisten = {cfg.listen}\nready_listen = {cfg.ready_listen}",
+            f"exchange_listen = {cfg.exchange_listen}\nstore = {cfg.store}",
+            "revocation_ms = 9000\nretry_ratio = 0.5\n",
+        ]
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "ingress.ini"
+        path.write_text("\n".join(lines), encoding="utf-8")
+        entry.daemon.path = path
+        entry.daemon._sections = (ProcessSettings, IngressSettings)
+        await f.call(entry, "look")
+        entry.app._reload()
+        self.assertThat(entry.app._handler.key_age_limit_s, Equals(7.7))
+        budgets = entry.app._budgets.values()
+        self.assertThat([each.ratio for each in budgets], Equals([0.5]))
+        path.write_text("[ingress]\nretry_ratio = much\n", encoding="utf-8")
+        entry.app._reload()
+        self.assertTrue(entry.events("settings_refused"))
+        self.assertThat(entry.app._handler.key_age_limit_s, Equals(7.7))
 
-        from foxtailcourse.ingress import IngressSettings
-        from foxtailcourse.process import ProcessSettings
-        from foxtailcourse.settings import declarations
+    @run_with("with_fleet")
+    async def test_limits_of_the_configuration_are_kept(self, f, entry):
+        limits = {"maxBodyBytes": 100, "maxHeaderBytes": 600}
+        f.configure(version=2, limits=limits)
+        await wait_until(lambda: entry.app._server._limits.max_body_bytes == 100)
+        self.assertThat(
+            (await f.call(entry, "look", body=b"x" * 100)).status, Equals(200)
+        )
+        self.assertThat(
+            (await f.call(entry, "look", body=b"x" * 101)).status, Equals(413)
+        )
+        reply = await f.call(entry, "look", x_long="y" * 700)
+        self.assertThat(reply.status, Equals(431))
 
+    def test_template_names_only_known_settings(self):
         text = Path("deploy/ingress.ini").read_text(encoding="utf-8")
         keys = set(re.findall(r"^(\w+) =", text, re.MULTILINE))
         known = {*declarations(ProcessSettings), *declarations(IngressSettings)}
