Share cache events, loads of weights and loads by datagram

Ruled out: a longer watch alone, as each change of a key still wakes every entry. Change: six entries read the events of a cache and two of them tell the rest; the holder of the orders tells loads by datagram and writes nothing to the store; loads are told when they change by a long prompt, else with their renewal; a watch without news confirms its whole wait, less the second for which the store may be deaf.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -21,7 +21,7 @@
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._dispatch import Dispatcher
-from foxtailcourse.ingress._exchange import LoadExchange
+from foxtailcourse.ingress._exchange import PeerExchange
 from foxtailcourse.ingress._follow import PrefixFollower, Take
 from foxtailcourse.ingress._handler import IngressHandler
 from foxtailcourse.ingress._lease import EntryLease
@@ -40,9 +40,8 @@
 from foxtailcourse.process import AdminServer, Daemon, Readiness
 from foxtailcourse.settings import Address, SettingsErrors, declarations
 
-# A key must not be served past the platform's bound; a watch may miss a second of news
-# before it is cut, and reading a request takes a moment.
-KEY_AGE_MARGIN_S = 1.3
+# A key must not be served past the platform's bound; reading a request takes a moment.
+KEY_AGE_MARGIN_S = 0.3
 # The load balancer asks every second and waits for two misses.
 BALANCER_NOTICE_S = 2.3
 # Time before the end of a stop in which nothing is started any more.
@@ -54,6 +53,8 @@
 RELOAD_PERIOD_S = 3.0
 # Old news of the other entries is harmless, so their keys are confirmed less often.
 SHARED_WAIT_S = 5.0
+# Servers change their entries in groups, which one call then brings.
+SERVERS_PAUSE_S = 0.08
 
 
 class IngressApp:
@@ -80,7 +81,7 @@
         self._draining = False
         self._store = KeyValueClient(self._pool, cfg.store, cfg.call_timeout_s)
         self._client = ServerClient(self._pool, SERVER_CALL_TIMEOUT_S)
-        self._shared = SharedKeys(self._view, self._events)
+        self._shared = SharedKeys(self._view)
         self._lease = EntryLease(
             self._store,
             daemon.cfg.vm,
@@ -90,15 +91,37 @@
             self._rng,
             self._events,
         )
-        self._exchange = LoadExchange(
+        self._exchange = PeerExchange(
             daemon.cfg.vm,
             cfg.exchange_listen,
             self._loads,
+            self._view,
             self._shared.peers,
             boot_seconds,
             self._events,
             self._metrics,
         )
+        self._feed = CacheFeed(
+            self._view,
+            self._held,
+            self._client,
+            self._exchange.tell_cache,
+            daemon.cfg.vm,
+            self._events,
+        )
+        self._rollout = Rollout(
+            self._view,
+            self._lease,
+            self._exchange.tell_weights,
+            self._client,
+            self._loads,
+            daemon.cfg.vm,
+            boot_seconds,
+            self._events,
+            self._metrics,
+        )
+        self._exchange.take_cache = self._feed.take_told
+        self._exchange.weights_to_tell = self._rollout.weights_to_tell
         sink = RecordSink(
             configuration=self._take_configuration,
             weights=self._take_weights,
@@ -109,10 +132,10 @@
             OPERATOR_PREFIX, sink.take, self._view.configuration_belief
         )
         self._servers = self._follower(
-            SERVERS_PREFIX, sink.take, self._view.servers_belief
+            SERVERS_PREFIX, sink.take, self._view.servers_belief, SERVERS_PAUSE_S
         )
         self._peers = self._follower(
-            SHARED_PREFIX, self._shared.take, Belief(), SHARED_WAIT_S
+            SHARED_PREFIX, self._shared.take, Belief(), 0.0, SHARED_WAIT_S
         )
         self._refresh_lock = trio.Lock()
         self.address = cfg.listen
@@ -133,12 +156,18 @@
         )
 
     def _follower(
-        self, prefix: str, take: Take, belief: Belief, wait_s: float = 0.0
+        self,
+        prefix: str,
+        take: Take,
+        belief: Belief,
+        pause_s: float = 0.0,
+        wait_s: float = 0.0,
     ) -> PrefixFollower:
         return PrefixFollower(
             self._store,
             prefix,
             wait_s or self._cfg.watch_wait_s,
+            pause_s,
             take,
             belief,
             self._events,
@@ -266,10 +295,8 @@
             self._lease.address = str(self._exchange.address).encode()
             nursery.start_soon(self._exchange.run)
             nursery.start_soon(self._lease.run)
-            nursery.start_soon(self._rollout().run)
-            nursery.start_soon(
-                CacheFeed(self._view, self._held, self._client, self._events).run
-            )
+            nursery.start_soon(self._rollout.run)
+            nursery.start_soon(self._feed.run)
             nursery.start_soon(self._forget)
             nursery.start_soon(self._watch_reload)
             self.listening = True
@@ -278,19 +305,6 @@
             await self._stop(closed)
             nursery.cancel_scope.cancel()
 
-    def _rollout(self) -> Rollout:
-        return Rollout(
-            self._view,
-            self._lease,
-            self._store,
-            self._client,
-            self._loads,
-            self._daemon.cfg.vm,
-            boot_seconds,
-            self._events,
-            self._metrics,
-        )
-
     async def _listen(
         self,
         server: HttpServer,
--- a/src/foxtailcourse/ingress/_cache_feed.py
+++ b/src/foxtailcourse/ingress/_cache_feed.py
@@ -1,10 +1,14 @@
 """Follows the cache events of backend servers."""
 
+import hashlib
+from collections.abc import Awaitable, Callable
+
 import attrs
 import trio
 
 from foxtailcourse.fleet import FleetView
 from foxtailcourse.ingress._cache_index import HeldParts
+from foxtailcourse.ingress._messages import Cache
 from foxtailcourse.observe import EventLog
 from foxtailcourse.platform import (
     ServerCallError,
@@ -17,6 +21,11 @@
 PAUSE_S = 0.5
 FULL_PAUSE_S = 5.0
 TICK_S = 0.3
+# Entries that read the events of one cache, well within the concurrent calls that it
+# holds, and those among them that tell the rest; two, as either may fail.
+READERS = 6
+TELLERS = 2
+Tell = Callable[[str, int, list[tuple[str, str, int]], set[str]], Awaitable[None]]
 
 
 @attrs.frozen
@@ -28,6 +37,40 @@
     address: Address
 
 
+@attrs.frozen
+class Followers:
+    """Entries that read the events of one cache.
+
+    Parameters
+    ----------
+    reading : tuple of str
+        Entries that read them; the first ones tell the others.
+    others : set of str
+        Entries that are told.
+    """
+
+    reading: tuple[str, ...]
+    others: set[str]
+
+    def follows(self, vm: str) -> bool:
+        """Whether an entry reads the events itself."""
+        return vm in self.reading
+
+    def tells(self, vm: str) -> bool:
+        """Whether an entry passes the events on."""
+        return vm in self.reading[:TELLERS]
+
+
+def choose_followers(source: str, entries: set[str]) -> Followers:
+    """Return who reads the events of a cache; all entries agree without a message."""
+
+    def weight(vm: str) -> bytes:
+        return hashlib.blake2b(f"{source}/{vm}".encode(), digest_size=8).digest()
+
+    ranked = sorted(entries, key=weight)
+    return Followers(tuple(ranked[:READERS]), set(ranked[READERS:]))
+
+
 class CacheFeed:
     """Keeps the cache index of each model server up to date.
 
@@ -39,6 +82,10 @@
         The index, by backend server, and by address for the KV-cache store.
     client : ServerClient
         Makes the calls.
+    tell : coroutine function
+        Tells events of a cache to other entries.
+    vm : str
+        Name of this VM.
     """
 
     def __init__(
@@ -46,11 +93,15 @@
         view: FleetView,
         held: dict[str, HeldParts],
         client: ServerClient,
+        tell: Tell,
+        vm: str,
         events: EventLog,
     ) -> None:
         self._view = view
         self._held = held
         self._client = client
+        self._tell = tell
+        self._vm = vm
         self._events = events
         self._followed: set[CacheSource] = set()
 
@@ -77,23 +128,46 @@
         return sources
 
     async def _follow(self, source: CacheSource) -> None:
+        """Keep the index of one cache, by its events or by what others tell."""
         held = HeldParts()
         self._held[source.name] = held
         while source in self._sources():
-            try:
-                held.apply(
-                    await self._client.cache_events(
-                        source.address, held.position, EVENTS_WAIT_S
-                    )
-                )
-            except SubscribersExceededError:
-                await trio.sleep(FULL_PAUSE_S)
-            except ServerCallError as exc:
-                if held.reachable:
-                    self._events.emit("cache_feed_lost", source=source.name, error=exc)
-                # Nothing is known of the cache while its events are out of reach.
-                held.clear()
+            if self._followers(source.name).follows(self._vm):
+                await self._read(source, held)
+            elif held.epoch is None:
+                # Others tell changes only, so the start is read once.
+                await self._read(source, held)
+            else:
                 await trio.sleep(PAUSE_S)
         self._followed.discard(source)
         if self._held.get(source.name) is held:
             del self._held[source.name]
+
+    async def _read(self, source: CacheSource, held: HeldParts) -> None:
+        try:
+            news = await self._client.cache_events(
+                source.address, held.position, EVENTS_WAIT_S
+            )
+        except SubscribersExceededError:
+            await trio.sleep(FULL_PAUSE_S)
+        except ServerCallError as exc:
+            if held.reachable:
+                self._events.emit("cache_feed_lost", source=source.name, error=exc)
+            # Nothing is known of the cache while its events are out of reach.
+            held.clear()
+            await trio.sleep(PAUSE_S)
+        else:
+            held.apply(news)
+            followers = self._followers(source.name)
+            if followers.tells(self._vm) and news.events:
+                rows = [(each.salt, each.part, each.tokens) for each in news.events]
+                await self._tell(source.name, news.epoch, rows, followers.others)
+
+    def take_told(self, told: Cache) -> None:
+        """Take events that another entry follows for this one."""
+        held = self._held.get(told.source)
+        if held is not None and not self._followers(told.source).follows(self._vm):
+            held.apply_told(told.epoch, told.rows)
+
+    def _followers(self, source: str) -> Followers:
+        return choose_followers(source, self._view.entries | {self._vm})
--- a/src/foxtailcourse/ingress/_cache_index.py
+++ b/src/foxtailcourse/ingress/_cache_index.py
@@ -1,6 +1,6 @@
 """Which backend server holds which parts of prompts, as far as is known."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -26,19 +26,28 @@
     _expected: dict[tuple[str, str], tuple[int, float]] = attrs.field(factory=dict)
 
     def apply(self, news: CacheEvents) -> None:
-        """Take events; a restart or a gap empties the index."""
+        """Take events of the cache itself; a restart or a gap empties the index."""
         if news.epoch != self.epoch or news.lost:
             self._tokens.clear()
             if news.epoch != self.epoch:
                 self._expected.clear()
         self.epoch, self.position = news.epoch, news.next
         self.reachable = True
-        for event in news.events:
-            key = (event.salt, event.part)
-            if event.tokens > 0:
-                self._tokens[key] = event.tokens
+        self._note((each.salt, each.part, each.tokens) for each in news.events)
+
+    def apply_told(self, epoch: int, rows: Iterable[tuple[str, str, int]]) -> None:
+        """Take events that another entry tells; some of them never arrive."""
+        if epoch != self.epoch:
+            self._tokens.clear()
+        self.epoch, self.reachable = epoch, True
+        self._note(rows)
+
+    def _note(self, rows: Iterable[tuple[str, str, int]]) -> None:
+        for salt, part, tokens in rows:
+            if tokens > 0:
+                self._tokens[salt, part] = tokens
             else:
-                self._tokens.pop(key, None)
+                self._tokens.pop((salt, part), None)
 
     def clear(self) -> None:
         """Forget everything, as the cache may have changed unseen."""
--- a/src/foxtailcourse/ingress/_dispatch.py
+++ b/src/foxtailcourse/ingress/_dispatch.py
@@ -79,6 +79,8 @@
         self.budget_for(job.service).note_request(self.clock())
         while True:
             choice = self._choose(job)
+            job.choice = choice
+            job.queued_tokens = int(choice.candidate.total.prefill_tokens)
             try:
                 answer = await self._attempt(job, choice)
             except AttemptError as exc:
--- a/src/foxtailcourse/ingress/_exchange.py
+++ b/src/foxtailcourse/ingress/_exchange.py
@@ -1,48 +1,46 @@
-"""Entries tell each other by datagram what they have sent to which backend server.
+"""Entries tell each other what they have sent, loaded and seen cached.
 
 Answers the load of several entries before the same servers: without it, an entry sends
-a short prompt to a server that another entry has just given a long one. A lost datagram
-is made good by the next, and what is not renewed is forgotten.
+a short prompt to a server that another entry has just given a long one. What is not
+renewed is forgotten.
 """
 
 import errno
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import msgspec
 import trio
 
+from foxtailcourse.fleet import FleetView
 from foxtailcourse.ingress._loads import RemoteLoad, ServerLoads
+from foxtailcourse.ingress._messages import (
+    MAX_DATAGRAM_BYTES,
+    Cache,
+    Loads,
+    Message,
+    Weights,
+    decode,
+    encode,
+)
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.settings import Address, parse_address
 
-# Shortest time between two datagrams to the same entries; loads change within it by
-# about one request an entry.
+# Shortest time between two reports of loads.
 SPACING_S = 0.01
-# Unchanged loads are told again in this time, well within their validity.
+# All loads are told again in this time, well within their validity.
 RENEWAL_S = 0.4
-MAX_DATAGRAM_BYTES = 1400
+# A change of this many prompt tokens on a server is told at once.
+URGENT_TOKENS = 1_500
+# What the holder of the orders told is forgotten after this time without renewal.
+WEIGHTS_VALID_S = 1.5
 MAX_RECEIVED_BYTES = 2048
-
-
-class Report(msgspec.Struct, array_like=True):
-    """Loads that one entry has put on backend servers.
-
-    Parameters
-    ----------
-    vm : str
-        The entry.
-    loads : list
-        Server, prompt tokens to read, requests in flight, short ones among them.
-    """
-
-    vm: str
-    loads: list[tuple[str, int, int, int]]
+CACHE_ROWS_PER_MESSAGE = 24
 
 
 @attrs.define
-class LoadExchange:
-    """Sends this entry's loads to the other entries and takes theirs.
+class PeerExchange:
+    """Sends this entry's news to the other entries and takes theirs.
 
     Parameters
     ----------
@@ -52,19 +50,29 @@
         Where datagrams arrive.
     loads : ServerLoads
         The loads.
+    view : FleetView
+        Told which servers load and which have loaded weights.
     peers : dict of str to str
         Addresses of the entries by VM, as they registered.
+    take_cache : callable
+        Takes cache events that another entry tells.
     """
 
     vm: str
     listen: Address
     loads: ServerLoads
+    view: FleetView
     peers: dict[str, str]
     clock: Callable[[], float]
     events: EventLog
     metrics: Metrics
+    take_cache: Callable[[Cache], None] = attrs.field(default=lambda cache: None)
+    weights_to_tell: Callable[[], Weights | None] = attrs.field(default=lambda: None)
     address: Address = attrs.field(init=False)
     _socket: trio.socket.SocketType = attrs.field(init=False)
+    _told: dict[str, tuple[int, int, int]] = attrs.field(factory=dict, init=False)
+    _fence: int = attrs.field(default=0, init=False)
+    _weights_at: float = attrs.field(default=0.0, init=False)
 
     async def bind(self) -> None:
         """Open the socket."""
@@ -77,56 +85,105 @@
         with self._socket:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
-                nursery.start_soon(self._send)
+                nursery.start_soon(self._tell_changes)
+                nursery.start_soon(self._renew)
+
+    # Receiving
 
     async def _receive(self) -> None:
         while True:
             data, _ = await self._socket.recvfrom(MAX_RECEIVED_BYTES)
             try:
-                report = msgspec.msgpack.decode(data, type=Report)
+                self.take(decode(data))
             except msgspec.DecodeError:
                 self.metrics.count("foxtail_ingress_bad_datagrams_total")
-                continue
-            if report.vm != self.vm and report.vm in self.peers:
-                self._take(report)
 
-    def _take(self, report: Report) -> None:
+    def take(self, message: Message) -> None:
+        """Take one message of another entry."""
+        if isinstance(message, Loads):
+            self._take_loads(message)
+        elif isinstance(message, Weights):
+            self.take_weights(message)
+        else:
+            self.take_cache(message)
+
+    def _take_loads(self, message: Loads) -> None:
+        if message.vm == self.vm or message.vm not in self.peers:
+            return
         now = self.clock()
-        told = {
-            server: RemoteLoad(
+        for server, tokens, running, short in message.rows:
+            load = RemoteLoad(
                 prefill_tokens=tokens, in_flight=running, short=short, told_at=now
             )
-            for server, tokens, running, short in report.loads
-        }
-        self.loads.take_remote(report.vm, told)
+            self.loads.take_remote(message.vm, server, load)
+
+    def take_weights(self, message: Weights) -> None:
+        """Take what the holder of the orders tells; an older holder is ignored."""
+        if message.fence < self._fence:
+            return
+        self._fence, self._weights_at = message.fence, self.clock()
+        self.view.loading = set(message.loading)
+        for server, started_ms, model, version in message.loaded:
+            self.view.note_loaded(server, started_ms, model, version)
+
+    # Sending
 
-    async def _send(self) -> None:
+    async def _tell_changes(self) -> None:
         while True:
             changed = self.loads.changed
-            with trio.move_on_after(RENEWAL_S):
-                await changed.wait()
+            await changed.wait()
             self.loads.changed = trio.Event()
-            await self._tell()
-            await trio.sleep(SPACING_S)
+            rows = [row for row in self.loads.own() if self._is_urgent(row)]
+            if rows:
+                await self._tell_loads(rows)
+                await trio.sleep(SPACING_S)
 
-    async def _tell(self) -> None:
-        data = self._encode()
-        for vm, text in list(self.peers.items()):
-            if vm == self.vm:
+    def _is_urgent(self, row: tuple[str, int, int, int]) -> bool:
+        told = self._told.get(row[0], (0, 0, 0))
+        return abs(row[1] - told[0]) >= URGENT_TOKENS
+
+    async def _renew(self) -> None:
+        while True:
+            await trio.sleep(RENEWAL_S)
+            if self.clock() - self._weights_at > WEIGHTS_VALID_S:
+                self.view.loading = set()
+            await self._tell_loads(self.loads.own())
+            await self.tell_weights()
+
+    async def tell_weights(self) -> None:
+        """Tell which servers load, if this entry gives the orders."""
+        weights = self.weights_to_tell()
+        if weights is not None:
+            self.take_weights(weights)
+            await self.tell(weights, self.peers)
+
+    async def _tell_loads(self, rows: list[tuple[str, int, int, int]]) -> None:
+        self._told |= {server: (a, b, c) for server, a, b, c in rows}
+        # The most loaded servers come first, should not all of them fit.
+        rows.sort(key=lambda row: -row[1])
+        message = Loads(self.vm, rows)
+        while len(encode(message)) > MAX_DATAGRAM_BYTES:
+            message = Loads(self.vm, message.rows[: len(message.rows) * 3 // 4])
+        await self.tell(message, self.peers)
+
+    async def tell_cache(
+        self, source: str, epoch: int, rows: list[tuple[str, str, int]], to: set[str]
+    ) -> None:
+        """Tell cache events to entries that do not follow the cache themselves."""
+        for start in range(0, len(rows), CACHE_ROWS_PER_MESSAGE):
+            part = rows[start : start + CACHE_ROWS_PER_MESSAGE]
+            await self.tell(Cache(source, epoch, part), to)
+
+    async def tell(self, message: Message, to: Iterable[str]) -> None:
+        """Send a message to entries; those that are not registered are left out."""
+        data = encode(message)
+        for vm in list(to):
+            if vm == self.vm or vm not in self.peers:
                 continue
             try:
-                peer = parse_address(text)
+                peer = parse_address(self.peers[vm])
                 await self._socket.sendto(data, (peer.host, peer.port))
             except (OSError, ValueError) as exc:
-                # The next datagram tells the same, so a lost one is only counted.
+                # Later messages make up for it, so a lost one is only counted.
                 name = errno.errorcode.get(getattr(exc, "errno", 0) or 0, "address")
                 self.metrics.count("foxtail_ingress_lost_datagrams_total", error=name)
-
-    def _encode(self) -> bytes:
-        """Return the report; the most loaded servers if not all of them fit."""
-        rows = sorted(self.loads.own(), key=lambda row: -row[1])
-        while True:
-            data = msgspec.msgpack.encode(Report(self.vm, rows))
-            if len(data) <= MAX_DATAGRAM_BYTES:
-                return data
-            rows = rows[: len(rows) * 3 // 4]
--- a/src/foxtailcourse/ingress/_follow.py
+++ b/src/foxtailcourse/ingress/_follow.py
@@ -11,6 +11,8 @@
 
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
+# The store may keep news from watches for this long before it cuts them.
+DEAF_WATCH_S = 1.0
 Take = Callable[[str, bytes | None, int], None]
 
 
@@ -29,6 +31,8 @@
         Start of the followed keys.
     wait_s : float
         Wait of one watch.
+    pause_s : float
+        Pause after a watch that brought news, so that the next brings more.
     take : callable
         Takes a key, its value (None once removed) and the revision of the change.
     belief : Belief
@@ -44,6 +48,7 @@
         store: KeyValueStore,
         prefix: str,
         wait_s: float,
+        pause_s: float,
         take: Take,
         belief: Belief,
         events: EventLog,
@@ -52,6 +57,7 @@
         self._store = store
         self._prefix = prefix
         self._wait_s = wait_s
+        self._pause_s = pause_s
         self._take = take
         self._belief = belief
         self._events = events
@@ -69,7 +75,10 @@
                 self._regained()
                 pause_s = FIRST_PAUSE_S
                 while True:
+                    known = revision
                     revision = await self._watch(revision)
+                    if self._pause_s and revision > known:
+                        await trio.sleep(self._pause_s)
             except RevisionGoneError as exc:
                 self._events.emit("watch_expired", prefix=self._prefix, error=exc)
             except PlatformError as exc:
@@ -102,7 +111,10 @@
             else:
                 self._keys.add(event.key)
             self._take(event.key, event.value, event.mod_revision)
-        self._belief.confirm(sent_at)
+        # A watch without news held the call for its whole wait.
+        waited_s = 0.0 if result.events else self._wait_s
+        now = boot_seconds()
+        self._belief.confirm(min(now, sent_at + waited_s) - DEAF_WATCH_S)
         return result.revision
 
     def _note_loss(self, exc: PlatformError) -> None:
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -22,6 +22,8 @@
 STALE_RETRY_S = 0.2
 # A refusal for an unknown key or route needs news at most this old.
 DENIAL_AGE_S = 0.3
+# Ages beyond this are those of news that never came.
+MAX_AGE_S = 1e6
 BAD_REQUEST, UNAUTHORIZED, NOT_FOUND = 400, 401, 404
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 
@@ -234,7 +236,8 @@
             now - job.started,
             kind=job.route.kind.value,
         )
-        first = job.first_event_at
+        first, choice = job.first_event_at, job.choice
+        age_s = self.view.servers_belief.age(now)
         self.events.emit(
             "request_done",
             request_id=job.request.id,
@@ -246,5 +249,9 @@
             first_event_ms=None if first is None else int((first - job.started) * 1000),
             duration_ms=int((now - job.started) * 1000),
             prompt_tokens=job.request.prompt_tokens or None,
+            queued_tokens=job.queued_tokens or None,
+            to_read_tokens=int(choice.tokens_to_read) if choice else None,
+            fetch_from=choice.fetch_from if choice else None,
+            servers_age_ms=int(age_s * 1000) if age_s < MAX_AGE_S else None,
             revision=self.view.configuration_revision,
         )
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -4,7 +4,7 @@
 
 from foxtailcourse.fleet import Account, Route
 from foxtailcourse.http import Exchange
-from foxtailcourse.ingress._placement import Prompt
+from foxtailcourse.ingress._placement import Choice, Prompt
 from foxtailcourse.platform import IngressRequest
 from foxtailcourse.protocol import Verdict
 
@@ -27,6 +27,10 @@
         Whether it may have run.
     last_event_id : str
         Last event passed to the caller.
+    choice : Choice or None
+        The last choice of a server.
+    queued_tokens : int
+        Prompt tokens that were ahead there when it was chosen.
     """
 
     exchange: Exchange
@@ -41,6 +45,8 @@
     verdict: Verdict = Verdict.NOT_RUN
     last_event_id: str = ""
     first_event_at: float | None = None
+    choice: Choice | None = None
+    queued_tokens: int = 0
 
     @property
     def prompt(self) -> Prompt | None:
--- a/src/foxtailcourse/ingress/_loads.py
+++ b/src/foxtailcourse/ingress/_loads.py
@@ -104,6 +104,7 @@
     def __init__(self) -> None:
         self._loads: dict[tuple[str, int], ServerLoad] = {}
         self._remote: dict[str, dict[str, RemoteLoad]] = {}
+        self._told_busy: set[str] = set()
         self.changed = trio.Event()
 
     def of(self, server_id: str, started_ms: int) -> ServerLoad:
@@ -111,20 +112,24 @@
         return self._loads.setdefault((server_id, started_ms), ServerLoad())
 
     def own(self) -> list[tuple[str, int, int, int]]:
-        """Return this entry's loads as other entries are told them."""
-        return [
-            (server_id, int(load.prefill_tokens), load.in_flight, load.short)
+        """Return this entry's loads as other entries are told them.
+
+        Servers that have become idle are told once more.
+        """
+        rows = {
+            server_id: (int(load.prefill_tokens), load.in_flight, load.short)
             for (server_id, _), load in self._loads.items()
             if load.in_flight
+        }
+        idle = self._told_busy - rows.keys()
+        self._told_busy = set(rows)
+        return [(key, *row) for key, row in rows.items()] + [
+            (key, 0, 0, 0) for key in idle
         ]
 
-    def take_remote(self, vm: str, told: dict[str, RemoteLoad]) -> None:
-        """Replace what another entry told of its loads."""
-        for server_id, by_vm in self._remote.items():
-            if server_id not in told:
-                by_vm.pop(vm, None)
-        for server_id, load in told.items():
-            self._remote.setdefault(server_id, {})[vm] = load
+    def take_remote(self, vm: str, server_id: str, load: RemoteLoad) -> None:
+        """Replace what another entry told of its load on a server."""
+        self._remote.setdefault(server_id, {})[vm] = load
 
     def total(self, server_id: str, started_ms: int, now: float) -> TotalLoad:
         """Return the load by this entry and by what others told recently."""
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -5,27 +5,19 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
-import msgspec
 import trio
 
 from foxtailcourse.fleet import BackendServer, FleetView
 from foxtailcourse.ingress._lease import EntryLease
 from foxtailcourse.ingress._loads import ServerLoads
-from foxtailcourse.ingress._shared import (
-    LOADED_PREFIX,
-    LOADING_PREFIX,
-    LoadedWeights,
-)
+from foxtailcourse.ingress._messages import Weights
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import (
-    KeyValueStore,
     LoadOrder,
     OrderOutcome,
-    PlatformError,
-    Put,
     ServerCallError,
     ServerClient,
 )
@@ -40,6 +32,8 @@
 # A load is looked into again when the server's registration has not changed by then.
 RECHECK_S = 2.5
 FAILED_PAUSE_S = 1.0
+# Loaded weights are told for this long; servers register them within a few heartbeats.
+LOADED_TOLD_S = 5.0
 
 
 @attrs.frozen
@@ -93,8 +87,8 @@
         The fleet.
     lease : EntryLease
         The right to give orders.
-    store : KeyValueStore
-        Where loads are announced.
+    announce : coroutine function
+        Tells the other entries at once what ``weights_to_tell`` returns.
     client : ServerClient
         Makes the calls to backend servers.
     vm : str
@@ -105,7 +99,7 @@
         self,
         view: FleetView,
         lease: EntryLease,
-        store: KeyValueStore,
+        announce: Callable[[], Awaitable[None]],
         client: ServerClient,
         loads: ServerLoads,
         vm: str,
@@ -115,7 +109,7 @@
     ) -> None:
         self._view = view
         self._lease = lease
-        self._store = store
+        self._announce = announce
         self._client = client
         self._loads = loads
         self._vm = vm
@@ -123,6 +117,7 @@
         self._events = events
         self._metrics = metrics
         self._busy: set[str] = set()
+        self._loaded: dict[str, tuple[float, tuple[str, int, str, int]]] = {}
 
     async def run(self) -> None:
         """Start loads until cancelled."""
@@ -138,7 +133,7 @@
     async def _carry_out(self, load: Load) -> None:
         server_id = load.server.id
         try:
-            await self._announce(server_id)
+            await self._announce()
             await trio.sleep(ANNOUNCE_S)
             while self._lease.may_order(self._clock()) and self._behind(load):
                 outcome = await self._order(load)
@@ -147,8 +142,6 @@
                     return
                 await self._wait(load, outcome)
         finally:
-            with trio.CancelScope(shield=True), trio.move_on_after(1):
-                await self._withdraw(server_id)
             self._busy.discard(server_id)
 
     def _behind(self, load: Load) -> bool:
@@ -221,29 +214,23 @@
 
     async def _tell_loaded(self, load: Load) -> None:
         server = load.server
-        loaded = LoadedWeights(server.started_ms, load.model, load.version)
         self._view.note_loaded(server.id, server.started_ms, load.model, load.version)
-        put = Put(
-            key=LOADED_PREFIX + server.id,
-            value=msgspec.json.encode(loaded),
-            lease=self._lease.lease,
+        self._loaded[server.id] = (
+            self._clock(),
+            (server.id, server.started_ms, load.model, load.version),
         )
-        try:
-            await self._store.txn({}, [put], [LOADING_PREFIX + server.id])
-        except PlatformError as exc:
-            # The other entries then learn of it when the server registers.
-            self._events.emit("announce_failed", server=server.id, error=exc)
-
-    async def _announce(self, server_id: str) -> None:
-        put = Put(key=LOADING_PREFIX + server_id, value=b"1", lease=self._lease.lease)
-        try:
-            await self._store.txn({}, [put])
-        except PlatformError as exc:
-            # Entries then learn of the load from the server's refusals.
-            self._events.emit("announce_failed", server=server_id, error=exc)
+        self._busy.discard(server.id)
+        await self._announce()
 
-    async def _withdraw(self, server_id: str) -> None:
-        try:
-            await self._store.txn({}, delete=[LOADING_PREFIX + server_id])
-        except PlatformError as exc:
-            self._events.emit("withdraw_failed", server=server_id, error=exc)
+    def weights_to_tell(self) -> Weights | None:
+        """Return what other entries should know, while this one gives the orders."""
+        if not self._lease.fence:
+            return None
+        now = self._clock()
+        self._loaded = {
+            server_id: (at, row)
+            for server_id, (at, row) in self._loaded.items()
+            if now - at < LOADED_TOLD_S
+        }
+        rows = [row for _, row in self._loaded.values()]
+        return Weights(self._lease.fence, sorted(self._busy), rows)
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -81,7 +81,7 @@
     )
     watch_wait_s: float = setting(
         float,
-        1.0,
+        1.5,
         description="Wait of one watch of the store; a watch without news also "
         "confirms that the held records are current.",
         unit="seconds",
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -10,7 +10,6 @@
 EVENTS = {
     "admin_error": "a request to `admin_listen` failed in the process",
     "agent_listening": "the agent accepts connections on `port`",
-    "announce_failed": "a load of weights could not be announced to the other entries",
     "attempt_broken": "an attempt gave no whole answer; `code` is in the table below",
     "attempt_ended": "an attempt ended; `result` is `whole`, `refused`, `cancelled`"
     " or the code of its failure",
@@ -100,8 +99,6 @@
     "read again",
     "weights_named": "operators want another version of a model's weights",
     "weights_version": "the engine serves another weights version",
-    "withdraw_failed": "the announcement of a load could not be removed; it ends "
-    "with the lease",
     "write_back_failed": "a record could not be written back",
 }
 
--- a/tests/ingress/test_lease.py
+++ b/tests/ingress/test_lease.py
@@ -62,7 +62,7 @@
 
     def holder(self, store, now, name):
         log = EventLog(name, HybridClock(time.time))
-        shared = SharedKeys(FleetView(), log)
+        shared = SharedKeys(FleetView())
         rng = random.Random(name)
         return EntryLease(store, name, TTL_S, shared, lambda: now[0], rng, log)
 
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -328,7 +328,7 @@
         orders = [o for w in ("m1", "m2") for o in f.workers[w].orders]
         self.assertThat(len({o["holder"] for o in orders}), Equals(1))
         self.assertThat(len(orders), Equals(2))
-        await wait_until(lambda: not f.platform.get("ingress/loading/m1"))
+        await wait_until(lambda: not second.app._view.loading)
         for each in (entry, second):
             reply = await f.call(each, "brief", stream=2)
             self.assertThat(reply.status, Equals(200))
@@ -391,13 +391,13 @@
         entry.daemon._sections = (ProcessSettings, IngressSettings)
         await f.call(entry, "look")
         entry.app._reload()
-        self.assertThat(entry.app._handler.key_age_limit_s, Equals(7.7))
+        self.assertThat(entry.app._handler.key_age_limit_s, Equals(8.7))
         budgets = entry.app._budgets.values()
         self.assertThat([each.ratio for each in budgets], Equals([0.5]))
         path.write_text("[ingress]\nretry_ratio = much\n", encoding="utf-8")
         entry.app._reload()
         self.assertTrue(entry.events("settings_refused"))
-        self.assertThat(entry.app._handler.key_age_limit_s, Equals(7.7))
+        self.assertThat(entry.app._handler.key_age_limit_s, Equals(8.7))
 
     @run_with("with_fleet")
     async def test_limits_of_the_configuration_are_kept(self, f, entry):
