Spread requests by own running ones; tell servers that became idle

Ruled out: the links of the smallest entries, whose median was that of the others. Change: idle servers are told from what was told before; requests in flight are estimated from this entry's own times the entries; at most a third is reserved.

--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -119,6 +119,7 @@
             server=server,
             load=self.loads.of(server.id, server.started_ms),
             total=self.loads.total(server.id, server.started_ms, now),
+            entries=len(self.view.entries) or UNKNOWN_ENTRIES,
             held=self.held.setdefault(server.id, HeldParts()),
             salt=cache_salt(version, account) if model else "",
             old_weights=wanted is not None and version < wanted.version,
--- a/src/foxtailcourse/ingress/_exchange.py
+++ b/src/foxtailcourse/ingress/_exchange.py
@@ -133,11 +133,18 @@
             changed = self.loads.changed
             await changed.wait()
             self.loads.changed = trio.Event()
-            rows = [row for row in self.loads.own() if self._is_urgent(row)]
+            rows = [row for row in self._rows() if self._is_urgent(row)]
             if rows:
                 await self._tell_loads(rows)
                 await trio.sleep(SPACING_S)
 
+    def _rows(self) -> list[tuple[str, int, int, int]]:
+        """Return all loads, and zeros where another one was told before."""
+        rows = self.loads.own()
+        busy = {row[0] for row in rows}
+        idle = [key for key, told in self._told.items() if any(told)]
+        return rows + [(key, 0, 0, 0) for key in idle if key not in busy]
+
     def _is_urgent(self, row: tuple[str, int, int, int]) -> bool:
         told = self._told.get(row[0], (0, 0, 0))
         return abs(row[1] - told[0]) >= URGENT_TOKENS
@@ -147,7 +154,7 @@
             await trio.sleep(RENEWAL_S)
             if self.clock() - self._weights_at > WEIGHTS_VALID_S:
                 self.view.loading = set()
-            await self._tell_loads(self.loads.own())
+            await self._tell_loads(self._rows())
             await self.tell_weights()
 
     async def tell_weights(self) -> None:
--- a/src/foxtailcourse/ingress/_loads.py
+++ b/src/foxtailcourse/ingress/_loads.py
@@ -104,7 +104,6 @@
     def __init__(self) -> None:
         self._loads: dict[tuple[str, int], ServerLoad] = {}
         self._remote: dict[str, dict[str, RemoteLoad]] = {}
-        self._told_busy: set[str] = set()
         self.changed = trio.Event()
 
     def of(self, server_id: str, started_ms: int) -> ServerLoad:
@@ -112,19 +111,11 @@
         return self._loads.setdefault((server_id, started_ms), ServerLoad())
 
     def own(self) -> list[tuple[str, int, int, int]]:
-        """Return this entry's loads as other entries are told them.
-
-        Servers that have become idle are told once more.
-        """
-        rows = {
-            server_id: (int(load.prefill_tokens), load.in_flight, load.short)
+        """Return this entry's loads as other entries are told them."""
+        return [
+            (server_id, int(load.prefill_tokens), load.in_flight, load.short)
             for (server_id, _), load in self._loads.items()
             if load.in_flight
-        }
-        idle = self._told_busy - rows.keys()
-        self._told_busy = set(rows)
-        return [(key, *row) for key, row in rows.items()] + [
-            (key, 0, 0, 0) for key in idle
         ]
 
     def take_remote(self, vm: str, server_id: str, load: RemoteLoad) -> None:
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -32,6 +32,8 @@
 RUNNING_COST_TOKENS = 60.0
 # Cost of a server that fails all requests, in tokens read.
 FAILURE_COST_TOKENS = 40_000.0
+# Cost of a plain server that fails all requests, in its slots.
+PLAIN_FAILURE_COST = 4.0
 # Cost of weights that were replaced, in tokens read.
 OLD_WEIGHTS_COST_TOKENS = 6_000.0
 # A long prompt goes to a reserved server only past this backlog elsewhere, and a short
@@ -41,6 +43,8 @@
 # Short prompts in flight that one server answers well within their target.
 SHORT_PER_RESERVED_SERVER = 20
 FEWEST_SERVERS_TO_SPLIT = 3
+# At most one server in so many is reserved.
+MOST_RESERVED_PART = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -77,7 +81,10 @@
     load : ServerLoad
         What this entry itself has sent.
     total : TotalLoad
-        What all entries have sent.
+        What all entries have sent. The prompt tokens are recent; the requests in flight
+        are up to a renewal old, in which many may have followed them.
+    entries : int
+        Entries that send to it.
     held : HeldParts
         What it is believed to have cached.
     salt : str
@@ -89,6 +96,7 @@
     server: BackendServer
     load: ServerLoad
     total: TotalLoad
+    entries: int
     held: HeldParts
     salt: str = ""
     old_weights: bool = False
@@ -121,7 +129,10 @@
 
 
 def choose_plain(candidates: Sequence[Candidate], now: float, spread: float) -> Choice:
-    """Return the least busy server of a service without prompts.
+    """Return the server that this entry keeps least busy, for requests without prompts.
+
+    Only own requests count: entries that followed old news of all would follow it to
+    the same server.
 
     Parameters
     ----------
@@ -132,7 +143,8 @@
     def cost(numbered: tuple[int, Candidate]) -> tuple[float, float]:
         index, each = numbered
         slots = max(1, each.server.slots)
-        busy = each.total.in_flight / slots + 4 * each.load.failure_rate(now)
+        failing = PLAIN_FAILURE_COST * each.load.failure_rate(now)
+        busy = each.load.in_flight * each.entries / slots + failing
         return busy, (index / len(candidates) + spread) % 1.0
 
     _, best = min(enumerate(candidates), key=cost)
@@ -187,7 +199,7 @@
         to_read -= gain
     cost = (
         each.total.prefill_tokens
-        + RUNNING_COST_TOKENS * each.total.in_flight
+        + RUNNING_COST_TOKENS * each.load.in_flight * each.entries
         + MISS_WEIGHT * to_read
         + FAILURE_COST_TOKENS * each.load.failure_rate(now)
         + (OLD_WEIGHTS_COST_TOKENS if each.old_weights else 0.0)
@@ -236,7 +248,7 @@
         return frozenset()
     short = sum(each.total.short for each in candidates)
     wanted = math.ceil(short / SHORT_PER_RESERVED_SERVER)
-    count = max(1, min(wanted, len(candidates) // 2))
+    count = max(1, min(wanted, len(candidates) // MOST_RESERVED_PART))
     ranked = sorted(candidates, key=lambda each: _weight("short", each))
     return frozenset(each.server.id for each in ranked[:count])
 
