--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -61,12 +61,12 @@
     """
     found: list[Load] = []
     for model, wanted in view.weights.items():
-        servers = [each for each in view.servers.values() if model in each.weights]
-        behind = [
+        servers = [
             each
-            for each in servers
-            if each.weights[model] < wanted.version and not each.leaving
+            for each in view.servers.values()
+            if model in each.weights and not each.leaving
         ]
+        behind = [each for each in servers if each.weights[model] < wanted.version]
         running = sum(each.id in busy for each in servers)
         at_once = max(FEWEST_LOADING, math.ceil(LOADING_SHARE * len(servers)))
         idle = sorted(
