--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -26,7 +26,7 @@
 LOADING_SHARE = 0.38
 FEWEST_LOADING = 2
 # Backlog for each serving server beyond which fewer load at once.
-CROWDED_TOKENS = 10_000.0
+CROWDED_TOKENS = 20_000.0
 # Time of one load with its announcement and the end of running requests, amply.
 LOAD_ROUND_S = 4.0
 TICK_S = 0.05
