--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -162,10 +162,10 @@
                 return route
         return None
 
-    def cache_store(self) -> Address | None:
-        """Return the address of the KV-cache store, or None."""
-        stores = (each.cache_store for each in self.services.values())
-        return next((each for each in stores if each is not None), None)
+    def cache_stores(self) -> tuple[Address, ...]:
+        """Return the addresses of the KV-cache stores."""
+        found = (each.cache_store for each in self.services.values())
+        return tuple(each for each in found if each is not None)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/ingress/_cache_feed.py
+++ b/src/foxtailcourse/ingress/_cache_feed.py
@@ -106,7 +106,7 @@
         self._followed: set[CacheSource] = set()
 
     async def run(self) -> None:
-        """Follow all model servers and the KV-cache store until cancelled."""
+        """Follow all model servers and the KV-cache stores until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 for source in self._sources():
@@ -122,8 +122,7 @@
             if server.weights
         }
         configuration = self._view.configuration
-        store = configuration.cache_store() if configuration else None
-        if store is not None:
+        for store in configuration.cache_stores() if configuration else ():
             sources.add(CacheSource(str(store), 0, store))
         return sources
 
--- a/src/foxtailcourse/ingress/_dispatch.py
+++ b/src/foxtailcourse/ingress/_dispatch.py
@@ -15,8 +15,10 @@
 from foxtailcourse.ingress._placement import (
     CacheStore,
     Choice,
+    Prompt,
     choose_for_prompt,
     choose_plain,
+    store_of,
 )
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.protocol import Verdict
@@ -113,24 +115,27 @@
             await trio.sleep(HOLD_CHECK_S)
 
     async def _attempt(self, job: Job, choice: Choice) -> Answer | None:
-        prompt = job.prompt
+        prompt, address = job.prompt, None
         if prompt is not None:
             candidate = choice.candidate
             candidate.held.expect(candidate.salt, prompt.parts[:-1], self.clock())
-        store = self._cache_store()
-        address = store.address if store else None
+            store = self._cache_store(prompt)
+            address = store.address if store else None
         return await self.attempts.make(job, choice, address)
 
-    def _cache_store(self) -> CacheStore | None:
-        """Return the KV-cache store while its events are within reach."""
+    def _cache_store(self, prompt: Prompt) -> CacheStore | None:
+        """Return the KV-cache store of a prompt's largest part.
+
+        A store counts only while its events are within reach. Where there are several,
+        each part has its own, so that their room adds up.
+        """
         configuration = self.view.configuration
-        address = configuration.cache_store() if configuration else None
-        if address is None:
-            return None
-        held = self.candidates.held.get(str(address))
-        if held is None or not held.reachable:
-            return None
-        return CacheStore(address=address, held=held)
+        stores = [
+            CacheStore(address=address, held=held)
+            for address in (configuration.cache_stores() if configuration else ())
+            if (held := self.candidates.held.get(str(address))) and held.reachable
+        ]
+        return store_of(prompt.largest_part.id, stores)
 
     def _choose(self, job: Job) -> Choice:
         now = self.clock()
@@ -147,7 +152,9 @@
         prompt = job.prompt
         if prompt is None:
             return choose_plain(selection.candidates, now, self.rng.random())
-        return choose_for_prompt(selection.candidates, prompt, self._cache_store(), now)
+        return choose_for_prompt(
+            selection.candidates, prompt, self._cache_store(prompt), now
+        )
 
     def _may_repeat(self, job: Job, exc: AttemptError) -> bool:
         now = self.clock()
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -249,16 +249,22 @@
     short = sum(each.total.short for each in candidates)
     wanted = math.ceil(short / SHORT_PER_RESERVED_SERVER)
     count = max(1, min(wanted, len(candidates) // MOST_RESERVED_PART))
-    ranked = sorted(candidates, key=lambda each: _weight("short", each))
+    ranked = sorted(candidates, key=lambda each: _weight("short", each.server.id))
     return frozenset(each.server.id for each in ranked[:count])
 
 
 def home_of(part_id: str, candidates: Sequence[Candidate]) -> Candidate:
     """Return the candidate that rendezvous hashing gives a part to."""
 
-    return max(candidates, key=lambda each: _weight(part_id, each))
+    return max(candidates, key=lambda each: _weight(part_id, each.server.id))
 
 
-def _weight(name: str, candidate: Candidate) -> bytes:
-    text = f"{name}/{candidate.server.id}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
+def store_of(part_id: str, stores: Sequence[CacheStore]) -> CacheStore | None:
+    """Return the KV-cache store that rendezvous hashing gives a part to, or None."""
+    return max(
+        stores, key=lambda each: _weight(part_id, str(each.address)), default=None
+    )
+
+
+def _weight(name: str, place: str) -> bytes:
+    return hashlib.blake2b(f"{name}/{place}".encode(), digest_size=8).digest()
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -25,6 +25,7 @@
     choose_for_prompt,
     choose_plain,
     reserved_for_short,
+    store_of,
 )
 from foxtailcourse.ingress._rollout import next_loads
 from foxtailcourse.platform import CacheEvent, CacheEvents, PromptPart
@@ -95,6 +96,20 @@
         self.assertThat(choice.fetch_from, Equals(STORE))
         self.assertTrue(choice.tokens_to_read < 15_000)
 
+    def test_parts_are_shared_out_over_several_stores(self):
+        stores = [
+            CacheStore(address=Address("10.0.0.9", port), held=HeldParts())
+            for port in (1, 2, 3)
+        ]
+        homes = [store_of(f"part{n}", stores).address.port for n in range(300)]
+        for port in (1, 2, 3):
+            self.assertTrue(70 < homes.count(port) < 130)
+        self.assertIs(store_of("part1", []), None)
+        # A lost store moves only its own parts.
+        left = [store_of(f"part{n}", stores[:2]).address.port for n in range(300)]
+        moved = [a for a, b in zip(homes, left, strict=True) if a != b]
+        self.assertThat(set(moved), Equals({3}))
+
     def test_nothing_is_fetched_across_versions(self):
         other = Candidate(
             server=server("s1", version=2),
