Repeat a silent request only where its server sends nothing at all

Ruled out: dark servers alone, as those fail at the connection. Change: an attempt ends for silence only if its server has sent this entry no byte for 0.6 s.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -29,6 +29,7 @@
 from foxtailcourse.ingress._rollout import Rollout
 from foxtailcourse.ingress._settings import IngressSettings
 from foxtailcourse.ingress._shared import SHARED_PREFIX, SharedKeys
+from foxtailcourse.ingress._silence import SilenceWatch
 from foxtailcourse.platform import (
     OPERATOR_PREFIX,
     SERVERS_PREFIX,
@@ -76,6 +77,7 @@
         self._pool = ConnectionPool()
         self._view = FleetView()
         self._loads = ServerLoads()
+        self._silence = SilenceWatch(boot_seconds)
         self._held: dict[str, HeldParts] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._draining = False
@@ -183,7 +185,11 @@
                 self._view, self._loads, self._held, weights_limit_s
             ),
             attempts=Attempts(
-                self._pool, self._loads, self._cfg.connect_timeout_s, boot_seconds
+                self._pool,
+                self._loads,
+                self._silence,
+                self._cfg.connect_timeout_s,
+                boot_seconds,
             ),
             budget_for=self._budget,
             clock=boot_seconds,
@@ -296,6 +302,7 @@
             self._lease.address = str(self._exchange.address).encode()
             nursery.start_soon(self._exchange.run)
             nursery.start_soon(self._lease.run)
+            nursery.start_soon(self._silence.run)
             nursery.start_soon(self._rollout.run)
             nursery.start_soon(self._feed.run)
             nursery.start_soon(self._forget)
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -17,6 +17,7 @@
 from foxtailcourse.ingress._job import Answer, AttemptError, Job
 from foxtailcourse.ingress._loads import ServerLoads
 from foxtailcourse.ingress._placement import Choice
+from foxtailcourse.ingress._silence import SilenceWatch, Watched
 from foxtailcourse.platform import (
     REFUSED_STATUSES,
     AnswerHead,
@@ -31,6 +32,7 @@
 # Share of a request's estimated reading that is left once its first event arrived.
 DECODE_SHARE = 0.05
 FIRST_FAILURE_STATUS = 500
+SHORTEST_TIMEOUT_S = 0.05
 EVENT_STREAM = "text/event-stream"
 # A server that refused a request is spared new ones for this long.
 REFUSAL_PAUSE_S = 0.15
@@ -50,6 +52,8 @@
         Makes the connections.
     loads : ServerLoads
         Told that loads have changed.
+    silence : SilenceWatch
+        Ends attempts at servers that count as gone.
     connect_timeout_s : float
         Longest time to connect.
     clock : callable
@@ -58,6 +62,7 @@
 
     pool: ConnectionPool
     loads: ServerLoads
+    silence: SilenceWatch
     connect_timeout_s: float
     clock: Callable[[], float]
 
@@ -84,34 +89,56 @@
             len(job.exchange.body),
         )
         short = job.prompt is not None and not job.prompt.is_long
-        with self._counted(choice, short) as first_event:
-            try:
-                async with self.pool.request(
-                    server.address,
-                    job.exchange.method,
-                    job.exchange.target,
-                    headers=fields,
-                    body=job.exchange.body,
-                    options=self._options(job, now),
-                ) as response:
-                    answer = await self._receive(job, choice, response, first_event)
-            except ClientError as exc:
-                raise self._failure(job, choice, exc) from exc
+        watched = Watched(load, self._silence_s(job, now), now)
+        self.silence.add(watched)
+        try:
+            with self._counted(choice, short) as first_event, watched.scope:
+                answer = await self._exchange(job, choice, fields, watched, first_event)
+        finally:
+            self.silence.remove(watched)
+        if watched.scope.cancelled_caught:
+            job.sent_to.append(server.id)
+            load.unreachable(self.clock())
+            raise AttemptError("silent", Verdict.MAY_HAVE_RUN)
         load.succeeded(self.clock())
         return answer
 
-    def _options(self, job: Job, now: float) -> RequestOptions:
-        left_s = max(0.05, job.deadline - now)
-        silence_s = left_s
-        if job.route.idempotent and len(job.sent_to) + 1 < job.route.attempts:
-            target_s = SILENCE_TARGETS * job.route.target_latency_s
-            silence_s = min(left_s, max(SHORTEST_SILENCE_S, target_s))
-        return RequestOptions(
+    async def _exchange(
+        self,
+        job: Job,
+        choice: Choice,
+        fields: dict[str, str],
+        watched: Watched,
+        first_event: Callable[[], None],
+    ) -> Answer | None:
+        left_s = max(SHORTEST_TIMEOUT_S, job.deadline - self.clock())
+        options = RequestOptions(
             connect_timeout_s=min(self.connect_timeout_s, left_s),
-            idle_timeout_s=silence_s,
+            idle_timeout_s=left_s,
             reuse=False,
             keep=False,
         )
+        try:
+            async with self.pool.request(
+                choice.candidate.server.address,
+                job.exchange.method,
+                job.exchange.target,
+                headers=fields,
+                body=job.exchange.body,
+                options=options,
+            ) as response:
+                watched.note_progress(self.clock())
+                return await self._receive(job, choice, response, watched, first_event)
+        except ClientError as exc:
+            raise self._failure(job, choice, exc) from exc
+
+    def _silence_s(self, job: Job, now: float) -> float:
+        """Return the longest silence; the time left where nothing can be repeated."""
+        left_s = max(SHORTEST_TIMEOUT_S, job.deadline - now)
+        if not job.route.idempotent or len(job.sent_to) + 1 >= job.route.attempts:
+            return left_s
+        target_s = SILENCE_TARGETS * job.route.target_latency_s
+        return min(left_s, max(SHORTEST_SILENCE_S, target_s))
 
     def _failure(self, job: Job, choice: Choice, exc: ClientError) -> AttemptError:
         load, now = choice.candidate.load, self.clock()
@@ -131,6 +158,7 @@
         job: Job,
         choice: Choice,
         response: ClientResponse,
+        watched: Watched,
         first_event: Callable[[], None],
     ) -> Answer | None:
         head = decode_answer(response.status, response.headers)
@@ -147,7 +175,7 @@
             self._check_success(job, choice, head)
             job.sent_to.append(choice.candidate.server.id)
             try:
-                await self._relay(job, response, first_event)
+                await self._relay(job, response, watched, first_event)
             except ClientError:
                 # The caller of this method notes the server once more.
                 job.sent_to.pop()
@@ -188,12 +216,17 @@
         return AttemptError(reason, Verdict.NOT_RUN)
 
     async def _relay(
-        self, job: Job, response: ClientResponse, first_event: Callable[[], None]
+        self,
+        job: Job,
+        response: ClientResponse,
+        watched: Watched,
+        first_event: Callable[[], None],
     ) -> None:
         """Pass events on as they arrive."""
         exchange = job.exchange
         splitter = EventSplitter(job.last_event_id)
         async for piece in response.iter_chunks():
+            watched.note_progress(self.clock())
             whole = splitter.feed(piece)
             if not whole:
                 continue
--- a/src/foxtailcourse/ingress/_loads.py
+++ b/src/foxtailcourse/ingress/_loads.py
@@ -58,6 +58,7 @@
     short: int = 0
     prefill_tokens: float = 0.0
     suspended_until: float = 0.0
+    progress_at: float = float("-inf")
     _failures_in_row: int = 0
     _failure_rate: float = 0.0
     _rated_at: float = 0.0
--- /dev/null
+++ b/src/foxtailcourse/ingress/_silence.py
@@ -0,0 +1,80 @@
+"""Ends attempts at servers that have fallen silent.
+
+Answers servers that vanish without a word, and servers that are merely overloaded: an
+idempotent request is tried elsewhere only if its server sends nothing at all to this
+entry, since repeating requests of a busy server multiplies the load that made it slow.
+"""
+
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from foxtailcourse.ingress._loads import ServerLoad
+
+CHECK_S = 0.1
+# A server that sent any byte within this time is busy, not gone.
+ALIVE_S = 0.6
+
+
+@attrs.define(eq=False)
+class Watched:
+    """One attempt that may be tried elsewhere.
+
+    Parameters
+    ----------
+    load : ServerLoad
+        Knows when the server last sent anything.
+    silence_s : float
+        Longest time without a byte of this attempt.
+    last_at : float
+        When its latest byte arrived, in seconds since boot.
+    scope : trio.CancelScope
+        Cancelled when the server counts as gone.
+    """
+
+    load: ServerLoad
+    silence_s: float
+    last_at: float
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    def is_silent(self, now: float) -> bool:
+        """Whether the server counts as gone."""
+        if now - self.last_at < self.silence_s:
+            return False
+        return now - self.load.progress_at >= ALIVE_S
+
+    def note_progress(self, now: float) -> None:
+        """Note that bytes arrived."""
+        self.last_at = self.load.progress_at = now
+
+
+class SilenceWatch:
+    """Looks at all watched attempts of an entry.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns seconds since boot.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._watched: set[Watched] = set()
+
+    def add(self, watched: Watched) -> None:
+        """Begin to watch an attempt."""
+        self._watched.add(watched)
+
+    def remove(self, watched: Watched) -> None:
+        """Stop watching an attempt."""
+        self._watched.discard(watched)
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            await trio.sleep(CHECK_S)
+            now = self._clock()
+            for watched in self._watched:
+                if watched.is_silent(now):
+                    watched.scope.cancel()
