--- a/src/foxtailcourse/ingress/_dispatch.py
+++ b/src/foxtailcourse/ingress/_dispatch.py
@@ -105,14 +105,13 @@
         began = self.clock()
         while True:
             choice = self._choose(job)
-            waited_s = self.clock() - began
-            time_limit_s = job.deadline - job.started
-            if job.prompt is None or not must_wait(
-                choice, job.prompt, waited_s, time_limit_s
-            ):
-                job.held_s += waited_s
+            now = self.clock()
+            age_s, limit_s = now - job.started, job.deadline - job.started
+            if job.prompt is None or not must_wait(choice, job.prompt, age_s, limit_s):
+                job.held_s += now - began
                 return choice
-            await trio.sleep(HOLD_CHECK_S)
+            # Spread, so that entries do not all find the same room at once.
+            await trio.sleep(HOLD_CHECK_S * self.rng.uniform(0.5, 1.5))
 
     async def _attempt(self, job: Job, choice: Choice) -> Answer | None:
         prompt, address = job.prompt, None
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -102,12 +102,6 @@
         unit="seconds",
         minimum=0.01,
     )
-    prefill_tokens_per_ms: float = setting(
-        float,
-        60.0,
-        description="Prompt tokens that a backend server reads in a millisecond.",
-        minimum=0.001,
-    )
     max_connections: int = setting(
         int, 3000, description="Callers' connections served at once.", minimum=1
     )
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,448 @@
+"""Randomized soak of real entries against stand-ins of the platform, with faults.
+
+The entries are processes of their own; the store and the backend servers are stand-ins
+behind loopback proxies. Everything is judged by what callers and servers saw.
+"""
+
+import argparse
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+import msgspec
+import trio
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tests" / "ingress")]
+
+from ingress_case import MODEL, configuration  # noqa: E402
+
+from cluster import serve  # noqa: E402
+from foxtailcourse.http import (  # noqa: E402
+    ClientError,
+    ConnectionPool,
+    RequestOptions,
+)
+from foxtailcourse.settings import Address  # noqa: E402
+from foxtailcourse.standin._platform import PlatformStandin  # noqa: E402
+from foxtailcourse.standin._worker import (  # noqa: E402
+    WorkerFaults,
+    WorkerStandin,
+    stream_event,
+)
+
+REVOCATION_S = 5.0
+START_S = 4.0
+SETTLE_S = 3.0
+PROMISES_NOT_RUN = {408, 421, 429, 503}
+KINDS = ("look", "return", "brief", "ask")
+REPEATABLE = {"look", "ask"}
+
+
+@attrs.define(kw_only=True)
+class Sent:
+    """One request of a caller and what came back (status 0 for no answer)."""
+
+    id: str
+    kind: str
+    key: str
+    sent_at: float
+    events: int = 0
+    status: int = 0
+    body: bytes = b""
+    whole: bool = False
+
+
+@attrs.define(kw_only=True)
+class Evidence:
+    """All that callers and servers saw."""
+
+    sent: dict[str, Sent] = attrs.field(factory=dict)
+    runs: list = attrs.field(factory=list)
+    orders: list = attrs.field(factory=list)
+    removed_keys: dict[str, float] = attrs.field(factory=dict)
+
+
+def violations(seen: Evidence) -> list[str]:
+    """Return each promise that the evidence shows to be broken."""
+    found = []
+    by_request: dict[str, list] = {}
+    for run in seen.runs:
+        by_request.setdefault(run.request_id, []).append(run)
+    for request_id, runs in by_request.items():
+        sent = seen.sent.get(request_id)
+        if sent is None:
+            found.append(f"{request_id}: ran though no caller sent it")
+            continue
+        if sent.kind not in REPEATABLE and len(runs) > 1:
+            found.append(f"{request_id}: {sent.kind} ran {len(runs)} times")
+        if sent.kind not in REPEATABLE and sent.status in PROMISES_NOT_RUN:
+            found.append(f"{request_id}: refused with {sent.status} and ran")
+        removed_at = seen.removed_keys.get(sent.key)
+        if removed_at is not None and sent.sent_at > removed_at + REVOCATION_S:
+            late_s = sent.sent_at - removed_at
+            found.append(f"{request_id}: ran {late_s:.1f} s after its key was removed")
+    for sent in seen.sent.values():
+        found += _answer_violations(sent)
+    fences: dict[str, int] = {}
+    holders: dict[int, str] = {}
+    for server, order in seen.orders:
+        fence, holder = order["fencingToken"], order["holder"]
+        if fence < fences.get(server, 0):
+            found.append(f"{server}: fence {fence} after {fences[server]}")
+        fences[server] = fence
+        if holders.setdefault(fence, holder) != holder:
+            found.append(f"fence {fence} of {holder} and {holders[fence]}")
+    return found
+
+
+def _answer_violations(sent: Sent) -> list[str]:
+    if sent.status != 200:
+        return []
+    if not sent.events:
+        right = sent.body.startswith(f"{sent.id} ".encode())
+        return [f"{sent.id}: foreign answer"] if sent.whole and not right else []
+    expected = b"".join(stream_event(sent.id, n + 1) for n in range(sent.events))
+    if sent.whole and sent.body != expected:
+        return [f"{sent.id}: stream looks complete and is not"]
+    if not expected.startswith(sent.body):
+        return [f"{sent.id}: stream has a gap or a foreign piece"]
+    return []
+
+
+class Proxy:
+    """Forwards connections of one address, or delays, cuts or silences them."""
+
+    def __init__(self, target: Address) -> None:
+        self._target = target
+        self.mode = "pass"
+        self._streams: set[trio.SocketStream] = set()
+
+    async def run(self, *, task_status) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        task_status.started(Address("127.0.0.1", listeners[0].socket.getsockname()[1]))
+        await trio.serve_listeners(self._serve, listeners)
+
+    def reset(self) -> None:
+        for stream in list(self._streams):
+            option = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+            stream.socket.close()
+        self._streams.clear()
+
+    async def _serve(self, near) -> None:
+        try:
+            far = await trio.open_tcp_stream(self._target.host, self._target.port)
+        except OSError:
+            await near.aclose()
+            return
+        self._streams |= {near, far}
+        try:
+            async with near, far, trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump, near, far, nursery.cancel_scope, "in")
+                nursery.start_soon(self._pump, far, near, nursery.cancel_scope, "out")
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass  # a cut connection is what the proxy is for
+        finally:
+            self._streams -= {near, far}
+
+    async def _pump(self, source, sink, scope, way) -> None:
+        while data := await source.receive_some(65536):
+            while self.mode == "silent" or self.mode == f"cut {way}":
+                await trio.sleep(0.05)
+            if self.mode == "delay":
+                await trio.sleep(0.1)
+            await sink.send_all(data)
+        scope.cancel()
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int, seconds: float, entries: int, folder: Path) -> None:
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.seen = Evidence()
+        self.keys = ["key-1", "key-2"]
+        self.version = 1
+        self._entries = entries
+        self._folder = folder
+        self._processes: dict[str, subprocess.Popen] = {}
+        self._addresses: dict[str, Address] = {}
+        self._store_proxies: dict[str, Proxy] = {}
+        self._server_proxies: dict[str, Proxy] = {}
+        self._pool = ConnectionPool()
+        self.plan = self._make_plan()
+
+    def _make_plan(self) -> list[tuple[float, str, str, float]]:
+        """Return (start, fault, where, duration) in order; faults overlap."""
+        entries = [f"e{n}" for n in range(self._entries)]
+        servers = ["c0", "c1", "c2", "m0", "m1", "m2"]
+        faults = {
+            "store": (["silent", "delay", "reset", "cut in", "cut out"], entries),
+            "server": (["silent", "delay", "reset", "cut out"], servers),
+            "worker": (
+                ["refuse", "fail", "lose_answer", "foreign", "unsigned", "unframed"],
+                servers,
+            ),
+            "signal": (["STOP", "KILL", "TERM", "HUP"], entries),
+            "outage": (["refuse", "silent"], ["store"]),
+            "operator": (["config", "key", "weights", "drain"], ["store"]),
+        }
+        plan, now = [], 1.0
+        while now < self.seconds:
+            kind = self.rng.choice(list(faults))
+            how, where = (self.rng.choice(each) for each in faults[kind])
+            length = self.rng.uniform(0.5, 4.0)
+            plan.append((round(now, 2), f"{kind} {how}", where, round(length, 2)))
+            now += self.rng.expovariate(1.5)
+        return plan
+
+    async def run(self) -> list[str]:
+        """Play the plan and return the broken promises."""
+        async with trio.open_nursery() as nursery:
+            self.platform = PlatformStandin()
+            async with serve(self.platform.handler) as self.store:
+                try:
+                    await self._start(nursery)
+                    await trio.sleep(START_S)
+                    for number in range(4 * self._entries):
+                        nursery.start_soon(self._client, number)
+                    await self._play(nursery)
+                    await trio.sleep(SETTLE_S)
+                finally:
+                    self._end_processes()
+                nursery.cancel_scope.cancel()
+        for worker in self.workers.values():
+            self.seen.runs += worker.runs
+            self.seen.orders += [(worker.id, order) for order in worker.orders]
+        return violations(self.seen)
+
+    async def _start(self, nursery) -> None:
+        self.workers = {}
+        for number in range(3):
+            self.workers[f"c{number}"] = WorkerStandin(f"c{number}", "coats")
+            self.workers[f"m{number}"] = WorkerStandin(f"m{number}", "llm", {MODEL: 1})
+        for worker in self.workers.values():
+            direct = await nursery.start(self._serve_worker, worker)
+            proxy = self._server_proxies[worker.id] = Proxy(direct)
+            self._addresses[worker.id] = await nursery.start(proxy.run)
+            worker.on_change = self._register
+            self._register(worker)
+        self._configure()
+        for number in range(self._entries):
+            proxy = self._store_proxies[f"e{number}"] = Proxy(self.store)
+            address = await nursery.start(proxy.run)
+            self._write_settings(f"e{number}", address)
+            self._spawn(f"e{number}")
+
+    async def _serve_worker(self, worker, *, task_status) -> None:
+        async with serve(worker.handle) as address:
+            task_status.started(address)
+            await trio.sleep_forever()
+
+    def _register(self, worker) -> None:
+        entry = worker.entry(str(self._addresses[worker.id]), "palermo")
+        self.platform.put(f"servers/{worker.id}", entry)
+
+    def _configure(self) -> None:
+        value = configuration(self.version, keys=self.keys)
+        self.platform.put("op/config", value)
+
+    def _write_settings(self, vm: str, store: Address) -> None:
+        ports = []
+        for kind in (socket.SOCK_STREAM,) * 3 + (socket.SOCK_DGRAM,):
+            with socket.socket(type=kind) as probe:
+                probe.bind(("127.0.0.1", 0))
+                ports.append(probe.getsockname()[1])
+        admin, listen, ready, exchange = (f"127.0.0.1:{port}" for port in ports)
+        self._addresses[vm] = Address("127.0.0.1", ports[1])
+        (self._folder / f"{vm}.ini").write_text(
+            f"[process]\nvm = {vm}\nfailure_domain = p\nadmin_listen = {admin}\n"
+            f"[ingress]\nlisten = {listen}\nready_listen = {ready}\nstore = {store}\n"
+            f"exchange_listen = {exchange}\nstop_s = 6\n",
+            encoding="utf-8",
+        )
+
+    def _spawn(self, vm: str) -> None:
+        command = [sys.executable, "-m", "foxtailcourse.ingress.run"]
+        command += ["--config", str(self._folder / f"{vm}.ini")]
+        env = os.environ | {"PYTHONPATH": str(ROOT / "src")}
+        with (self._folder / f"{vm}.log").open("ab") as log:
+            self._processes[vm] = subprocess.Popen(
+                command, stdout=log, stderr=log, env=env
+            )
+
+    def _end_processes(self) -> None:
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+
+    # Faults
+
+    async def _play(self, nursery) -> None:
+        began = trio.current_time()
+        for at, fault, where, length in self.plan:
+            await trio.sleep_until(began + at)
+            nursery.start_soon(self._inject, *fault.split(" ", 1), where, length)
+        await trio.sleep_until(began + self.seconds)
+
+    async def _inject(self, kind: str, how: str, where: str, length: float) -> None:
+        if kind in {"store", "server"}:
+            proxies = self._store_proxies if kind == "store" else self._server_proxies
+            await self._harm_proxy(proxies[where], how, length)
+        elif kind == "worker":
+            self.workers[where].faults = WorkerFaults(**{how: True})
+            await trio.sleep(length)
+            self.workers[where].faults = WorkerFaults()
+        elif kind == "signal":
+            await self._send_signal(where, how, length)
+        elif kind == "outage":
+            self.platform.faults.outage = how
+            self.platform._notify()
+            await trio.sleep(length)
+            self.platform.faults.outage = "off"
+            self.platform._notify()
+        else:
+            await self._operate(how, length)
+
+    async def _harm_proxy(self, proxy: Proxy, how: str, length: float) -> None:
+        if how == "reset":
+            proxy.reset()
+            return
+        proxy.mode = how
+        await trio.sleep(length)
+        proxy.mode = "pass"
+        proxy.reset()
+
+    async def _send_signal(self, vm: str, how: str, length: float) -> None:
+        process = self._processes[vm]
+        if process.poll() is not None:
+            return
+        process.send_signal(getattr(signal, f"SIG{how}"))
+        if how == "STOP":
+            await trio.sleep(length)
+            process.send_signal(signal.SIGCONT)
+        elif how != "HUP":
+            while process.poll() is None:
+                await trio.sleep(0.05)
+            if self._processes[vm] is process:
+                self._spawn(vm)
+
+    async def _operate(self, how: str, length: float) -> None:
+        if how == "key":
+            removed = self.keys.pop(0)
+            self.keys.append(f"key-{self.version + 10}")
+        if how in {"key", "config"}:
+            self.version += 1
+            self._configure()
+        if how == "key":
+            self.seen.removed_keys[removed] = trio.current_time()
+        elif how == "weights":
+            self.version += 1
+            value = msgspec.json.encode({"model": MODEL, "version": self.version})
+            self.platform.put(f"op/version/{MODEL}", value)
+        elif how == "drain":
+            worker = self.workers[self.rng.choice(["c0", "m0"])]
+            worker.draining = True
+            self._register(worker)
+            await trio.sleep(length)
+            worker.draining = False
+            self._register(worker)
+
+    # Callers
+
+    async def _client(self, number: int) -> None:
+        rng = random.Random(number)
+        count = 0
+        options = RequestOptions(connect_timeout_s=0.5, idle_timeout_s=4.0)
+        while True:
+            count += 1
+            kind = rng.choice(KINDS)
+            old = list(self.seen.removed_keys)[-1:]
+            sent = Sent(
+                id=f"q{number}-{count}",
+                kind=kind,
+                key=rng.choice(self.keys + old),
+                sent_at=trio.current_time(),
+                events=rng.randint(1, 12) if kind in {"brief", "ask"} else 0,
+            )
+            self.seen.sent[sent.id] = sent
+            vm = rng.choice([f"e{n}" for n in range(self._entries)])
+            try:
+                await self._call(sent, self._addresses[vm], options)
+            except ClientError:
+                await trio.sleep(0.05)
+            await trio.sleep(rng.expovariate(10))
+
+    async def _call(self, sent: Sent, address: Address, options) -> None:
+        fields = {
+            "host": "app.example",
+            "x-foxtailcourse-request-id": sent.id,
+            "x-foxtailcourse-deadline-ms": "2500",
+            "x-foxtailcourse-key": sent.key,
+        }
+        if sent.events:
+            fields |= {
+                "x-foxtailcourse-model": MODEL,
+                "x-foxtailcourse-token-counts": f"100,{sent.events}",
+                "x-foxtailcourse-prompt-prefix": "aa:60,bb:40",
+            }
+        async with self._pool.request(
+            address,
+            "POST",
+            f"/{sent.kind}/x",
+            headers=fields,
+            body=b"body",
+            options=options,
+        ) as response:
+            status = response.status
+            async for piece in response.iter_chunks():
+                sent.status = status
+                sent.body += piece
+            sent.status, sent.whole = status, True
+
+
+def main() -> int:
+    """Run the command line; exit 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description="Soak real entries with faults.")
+    parser.add_argument("--seed", type=int, default=1, help="First seed.")
+    parser.add_argument("--seeds", type=int, default=1, help="Seeds one after another.")
+    parser.add_argument("--minutes", type=float, default=0.5, help="Time of a seed.")
+    parser.add_argument("--processes", type=int, default=3, help="Entries.")
+    parser.add_argument("--keep", type=Path, help="Folder for logs of failed seeds.")
+    options = parser.parse_args()
+    broken = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        with tempfile.TemporaryDirectory(dir=options.keep) as folder:
+            soak = Soak(seed, options.minutes * 60, options.processes, Path(folder))
+            for at, fault, where, length in soak.plan:
+                print(f"plan seed={seed} at={at} fault={fault!r} at={where} s={length}")
+            found = trio.run(soak.run)
+            ran = len(soak.seen.runs)
+            served = sum(each.status == 200 for each in soak.seen.sent.values())
+            print(
+                f"seed={seed} requests={len(soak.seen.sent)} served={served} "
+                f"runs={ran} orders={len(soak.seen.orders)} broken={len(found)}",
+                flush=True,
+            )
+            for each in found:
+                print(f"broken seed={seed} {each}")
+            if found and options.keep:
+                os.rename(folder, options.keep / f"seed-{seed}")
+                Path(folder).mkdir()
+            broken += bool(found)
+    print(f"{options.seeds} seeds, {broken} with a broken promise")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
