--- a/src/foxtailcourse/ingress/_holdback.py
+++ b/src/foxtailcourse/ingress/_holdback.py
@@ -8,12 +8,12 @@
 from foxtailcourse.ingress._placement import Choice, Prompt
 
 # Backlog of a server at which it needs no further long prompt to stay busy.
-ENOUGH_TOKENS = 8_000.0
+ENOUGH_TOKENS = 16_000.0
 # Waiting this long doubles the backlog that a prompt accepts, so that those that have
 # waited longest go first.
 DOUBLING_S = 0.4
 # A prompt is not held past this part of its time, so that none waits for good.
-LONGEST_HOLD_SHARE = 0.2
+LONGEST_HOLD_SHARE = 0.25
 
 
 def must_wait(
