Read a cache's events from no more entries than it holds calls for

Cause: six entries read the events of each cache whatever maxConcurrent says; on a deployment with less room the rest would be refused. Change: the configuration's figure bounds the readers, of engines and of stores; unused fields are gone; tests of records and headers. Measured: test_followers_are_agreed_without_a_message, tests/platform/test_records.py.

--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -87,16 +87,13 @@
     cache_store : Address or None
         Address of the KV-cache store, if the service is one.
     event_subscribers : int
-        Concurrent event calls that a backend server holds.
-    runs_models : bool
-        Whether the backend servers run language models.
+        Concurrent event calls that a backend server or store holds; 0 if unknown.
     """
 
     name: str
     connection_limit: int = 0
     cache_store: Address | None = None
     event_subscribers: int = 0
-    runs_models: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -167,6 +164,11 @@
         found = (each.cache_store for each in self.services.values())
         return tuple(each for each in found if each is not None)
 
+    def event_subscribers(self, service: str) -> int:
+        """Return how many event calls a server of a service holds; 0 if unknown."""
+        known = self.services.get(service)
+        return known.event_subscribers if known else 0
+
 
 @attrs.frozen(kw_only=True)
 class BackendServer:
--- a/src/foxtailcourse/ingress/_cache_feed.py
+++ b/src/foxtailcourse/ingress/_cache_feed.py
@@ -35,6 +35,7 @@
     name: str
     started_ms: int
     address: Address
+    service: str
 
 
 @attrs.frozen
@@ -61,14 +62,26 @@
         return vm in self.reading[:TELLERS]
 
 
-def choose_followers(source: str, entries: set[str]) -> Followers:
-    """Return who reads the events of a cache; all entries agree without a message."""
+def choose_followers(
+    source: str, entries: set[str], readers: int = READERS
+) -> Followers:
+    """Return who reads the events of a cache; all entries agree without a message.
+
+    Parameters
+    ----------
+    source : str
+        The cache.
+    entries : set of str
+        All entries.
+    readers : int
+        Most entries that may read them.
+    """
 
     def weight(vm: str) -> bytes:
         return hashlib.blake2b(f"{source}/{vm}".encode(), digest_size=8).digest()
 
     ranked = sorted(entries, key=weight)
-    return Followers(tuple(ranked[:READERS]), set(ranked[READERS:]))
+    return Followers(tuple(ranked[:readers]), set(ranked[readers:]))
 
 
 class CacheFeed:
@@ -117,13 +130,15 @@
 
     def _sources(self) -> set[CacheSource]:
         sources = {
-            CacheSource(server.id, server.started_ms, server.address)
+            CacheSource(server.id, server.started_ms, server.address, server.service)
             for server in self._view.servers.values()
             if server.weights
         }
         configuration = self._view.configuration
-        for store in configuration.cache_stores() if configuration else ():
-            sources.add(CacheSource(str(store), 0, store))
+        for service in configuration.services.values() if configuration else ():
+            if service.cache_store is not None:
+                store = service.cache_store
+                sources.add(CacheSource(str(store), 0, store, service.name))
         return sources
 
     async def _follow(self, source: CacheSource) -> None:
@@ -131,7 +146,7 @@
         held = HeldParts()
         self._held[source.name] = held
         while source in self._sources():
-            if self._followers(source.name).follows(self._vm):
+            if self._followers(source).follows(self._vm):
                 await self._read(source, held)
             elif held.epoch is None:
                 # Others tell changes only, so the start is read once.
@@ -157,7 +172,7 @@
             await trio.sleep(PAUSE_S)
         else:
             held.apply(news)
-            followers = self._followers(source.name)
+            followers = self._followers(source)
             if followers.tells(self._vm) and news.events:
                 rows = [(each.salt, each.part, each.tokens) for each in news.events]
                 await self._tell(source.name, news.epoch, rows, followers.others)
@@ -165,8 +180,17 @@
     def take_told(self, told: Cache) -> None:
         """Take events that another entry follows for this one."""
         held = self._held.get(told.source)
-        if held is not None and not self._followers(told.source).follows(self._vm):
-            held.apply_told(told.epoch, told.rows)
-
-    def _followers(self, source: str) -> Followers:
-        return choose_followers(source, self._view.entries | {self._vm})
+        if held is None:
+            return
+        for source in self._followed:
+            if source.name == told.source and self._followers(source).follows(self._vm):
+                # What it reads itself is complete.
+                return
+        held.apply_told(told.epoch, told.rows)
+
+    def _followers(self, source: CacheSource) -> Followers:
+        configuration = self._view.configuration
+        known = configuration.event_subscribers(source.service) if configuration else 0
+        readers = min(READERS, known) if known else READERS
+        entries = self._view.entries | {self._vm}
+        return choose_followers(source.name, entries, readers)
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -84,6 +84,8 @@
     connection_limit: int = 0
     engine: _Engine | None = None
     kv_store_address: str = ""
+    # Of a KV-cache store, as of an engine.
+    max_concurrent: int = 0
 
     def decode(self) -> Service:
         store = parse_address(self.kv_store_address) if self.kv_store_address else None
@@ -91,8 +93,9 @@
             name=self.name,
             connection_limit=self.connection_limit,
             cache_store=store,
-            event_subscribers=self.engine.max_concurrent if self.engine else 0,
-            runs_models=self.engine is not None,
+            event_subscribers=(
+                self.engine.max_concurrent if self.engine else self.max_concurrent
+            ),
         )
 
 
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -221,6 +221,8 @@
             self.assertThat(len(found.reading), Equals(6))
             self.assertThat(found.others, Equals(entries - set(found.reading)))
             self.assertThat(sum(found.tells(e) for e in entries), Equals(2))
+        # A server that holds two event calls is read by two.
+        self.assertThat(len(choose_followers("s1", entries, 2).reading), Equals(2))
         few = choose_followers("s1", {"e1", "e2"})
         self.assertThat(few.others, Equals(set()))
 
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,139 @@
+import msgspec
+import testtools
+from testtools.matchers import Equals
+
+from foxtailcourse.fleet import RouteKind
+from foxtailcourse.platform import RecordSink, RequestError, decode_request
+from foxtailcourse.platform._records import decode_configuration
+
+SERVER = {
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "zone": "palermo",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "models": [{"name": "guide", "version": 3, "adapters": []}],
+    "sequence": 4,
+    "born": 1700000000000,
+}
+ROUTE = {
+    "name": "r",
+    "host": "App.Example",
+    "pathPrefix": "/a/",
+    "kind": "streaming",
+    "timeoutMs": 12000,
+    "targetLatencyMs": 1000,
+    "priority": 1,
+    "attempts": 1,
+    "public": False,
+}
+
+
+def configuration(**changes):
+    value = {"version": 7, "routes": [ROUTE], "services": [], "limits": {}} | changes
+    return decode_configuration(msgspec.json.encode(value))
+
+
+class TestServerRecords(testtools.TestCase):
+    """Guards against entries of another writer."""
+
+    def take(self, value):
+        servers, reasons = {}, []
+        sink = RecordSink(
+            configuration=lambda *args: None,
+            weights=lambda *args: None,
+            server=servers.__setitem__,
+            unreadable=reasons.append,
+        )
+        sink.take("servers/i-1", value, 5)
+        return servers["i-1"], reasons
+
+    def test_whole_entry_is_decoded(self):
+        server, reasons = self.take(msgspec.json.encode(SERVER))
+        self.assertThat(server.weights, Equals({"guide": 3}))
+        self.assertThat((server.leaving, reasons), Equals((False, [])))
+        self.assertThat(server.started_ms, Equals(1700000000000))
+
+    def test_unreadable_entries_name_no_server(self):
+        changes = [
+            {"state": "odd"},
+            {"slots": "many"},
+            {"address": "nowhere"},
+            {"address": None},
+            {"models": {"guide": 3}},
+        ]
+        for change in changes:
+            server, reasons = self.take(msgspec.json.encode(SERVER | change))
+            self.assertIs(server, None, change)
+            self.assertThat(len(reasons), Equals(1))
+        for key in ("service", "address", "zone", "slots", "state"):
+            left = {k: v for k, v in SERVER.items() if k != key}
+            self.assertIs(self.take(msgspec.json.encode(left))[0], None, key)
+        for raw in (b"", b"\xff\xfe", b"[]", b"{", b"null", b"[" * 100_000):
+            self.assertIs(self.take(raw)[0], None)
+
+
+class TestConfigurationRecords(testtools.TestCase):
+    """Guards the meaning of routes, accounts and limits."""
+
+    def test_longest_prefix_and_lower_case_host_decide(self):
+        routes = [ROUTE, ROUTE | {"name": "long", "pathPrefix": "/a/b/"}]
+        found = configuration(routes=routes)
+        self.assertThat(found.route("APP.example", "/a/b/c").name, Equals("long"))
+        self.assertThat(found.route("app.example", "/a/x").name, Equals("r"))
+        self.assertIs(found.route("app.example", "/b/"), None)
+        self.assertIs(found.route("other.example", "/a/"), None)
+
+    def test_splits_stores_and_unknown_kinds(self):
+        split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        services = [
+            {"name": "a", "engine": {"maxConcurrent": 12, "slots": 64}},
+            {"name": "k", "kvStoreAddress": "10.0.0.9:80", "maxConcurrent": 3},
+            {"name": "l", "kvStoreAddress": "10.0.0.8:80"},
+        ]
+        route = ROUTE | {"trafficSplit": split, "kind": "unheard-of"}
+        found = configuration(routes=[route], services=services)
+        (only,) = found.routes["app.example"]
+        self.assertThat([e.weight for e in only.backends], Equals([90.0, 10.0]))
+        # What is not known to be repeatable is not repeated.
+        self.assertIs(only.kind, RouteKind.UNSAFE)
+        self.assertThat(len(found.cache_stores()), Equals(2))
+        subscribers = [found.event_subscribers(e) for e in ("a", "k", "l", "none")]
+        self.assertThat(subscribers, Equals([12, 3, 0, 0]))
+
+    def test_keys_are_required_only_with_accounts(self):
+        self.assertFalse(configuration().keys_required)
+        tenants = [{"name": "t", "apiKeys": ["k1", "k2"], "isolated": True}]
+        found = configuration(tenants=tenants)
+        self.assertTrue(found.keys_required)
+        self.assertTrue(found.accounts["k2"].isolated)
+
+
+class TestRequestHeaders(testtools.TestCase):
+    """Guards what is read from callers' headers."""
+
+    def decode(self, **fields):
+        raw = [(k.replace("_", "-").encode(), v.encode()) for k, v in fields.items()]
+        return decode_request("/a/b?c=d", raw)
+
+    def test_prompt_and_deadline_are_read(self):
+        found = self.decode(
+            host="app.example:8080",
+            x_foxtailcourse_prompt_prefix="5c1e:800, 91bd:410",
+            x_foxtailcourse_token_counts="1460,80",
+            x_foxtailcourse_deadline_ms="12000",
+        )
+        self.assertThat(found.prompt_tokens, Equals(1210))
+        self.assertThat((found.host, found.path), Equals(("app.example", "/a/b")))
+        self.assertThat(found.deadline_s, Equals(12.0))
+        self.assertThat(found.max_output_tokens, Equals(80))
+
+    def test_malformed_headers_are_refused(self):
+        for name, value in (
+            ("x_foxtailcourse_deadline_ms", "-1"),
+            ("x_foxtailcourse_deadline_ms", "1e3"),
+            ("x_foxtailcourse_prompt_prefix", "5c1e"),
+            ("x_foxtailcourse_prompt_prefix", "5c1e:x"),
+        ):
+            self.assertRaises(RequestError, self.decode, **{name: value})
