--- /dev/null
+++ b/tests/ingress/test_exchange.py
@@ -0,0 +1,143 @@
+import random
+import time
+
+import trio
+from testtools.matchers import Equals
+
+from cluster import wait_until
+from foxtailcourse.fleet import BackendServer, FleetView
+from foxtailcourse.ingress._clock import boot_seconds
+from foxtailcourse.ingress._exchange import PeerExchange
+from foxtailcourse.ingress._loads import ServerLoads
+from foxtailcourse.ingress._messages import (
+    MAX_DATAGRAM_BYTES,
+    Cache,
+    Loads,
+    Weights,
+    decode,
+    encode,
+)
+from foxtailcourse.observe import EventLog, HybridClock, Metrics
+from foxtailcourse.settings import Address
+from support import AsyncTestCase
+
+LOCAL = Address("127.0.0.1", 0)
+
+
+def server(name):
+    return BackendServer(
+        id=name,
+        service="llm",
+        address=LOCAL,
+        failure_domain="p",
+        slots=8,
+        leaving=False,
+        weights={"guide": 1},
+        started_ms=5,
+    )
+
+
+class TestPeerExchange(AsyncTestCase):
+    """Guards what entries believe of each other."""
+
+    def with_entries(self, check, count=2):
+        async def main():
+            peers, entries = {}, []
+            async with trio.open_nursery() as nursery:
+                for number in range(count):
+                    view = FleetView()
+                    view.servers["s1"] = server("s1")
+                    each = PeerExchange(
+                        f"e{number}",
+                        LOCAL,
+                        ServerLoads(),
+                        view,
+                        peers,
+                        boot_seconds,
+                        EventLog("x", HybridClock(time.time)),
+                        Metrics(),
+                    )
+                    await each.bind()
+                    peers[each.vm] = str(each.address)
+                    entries.append(each)
+                    nursery.start_soon(each.run)
+                await check(*entries)
+                nursery.cancel_scope.cancel()
+
+        self.run_async(main)
+
+    def test_long_prompt_is_told_at_once_and_its_end_too(self):
+        async def check(first, second):
+            def told():
+                now = boot_seconds()
+                return second.loads.total("s1", 0, now).prefill_tokens
+
+            load = first.loads.of("s1", 0)
+            load.in_flight, load.prefill_tokens = 1, 20_000.0
+            first.loads.changed.set()
+            with trio.fail_after(0.3):
+                await wait_until(lambda: told() == 20_000)
+            load.in_flight, load.prefill_tokens = 0, 0.0
+            first.loads.changed.set()
+            with trio.fail_after(0.3):
+                await wait_until(lambda: told() == 0)
+
+        self.with_entries(check)
+
+    def test_noise_and_strangers_change_nothing(self):
+        async def check(first, second):
+            rng = random.Random(4)
+            sender = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+            target = (second.address.host, second.address.port)
+            whole = encode(Loads("stranger", [("s1", 9, 9, 9)]))
+            with sender:
+                for _ in range(300):
+                    await sender.sendto(rng.randbytes(rng.randrange(1, 200)), target)
+                    await sender.sendto(whole[: rng.randrange(len(whole))], target)
+                await sender.sendto(whole, target)
+            load = first.loads.of("s1", 0)
+            load.in_flight, load.prefill_tokens = 1, 5_000.0
+            first.loads.changed.set()
+            await wait_until(
+                lambda: second.loads.total("s1", 0, boot_seconds()).in_flight
+            )
+            total = second.loads.total("s1", 0, boot_seconds())
+            self.assertThat(total.in_flight, Equals(1))
+
+        self.with_entries(check)
+
+    def test_only_the_newest_holder_is_believed_and_not_for_long(self):
+        async def check(first, second):
+            second.take(Weights(7, ["s1"], [("s1", 5, "guide", 2)]))
+            self.assertThat(second.view.loading, Equals({"s1"}))
+            self.assertThat(second.view.servers["s1"].weights, Equals({"guide": 2}))
+            second.take(Weights(6, [], [("s1", 5, "guide", 9)]))
+            self.assertThat(second.view.servers["s1"].weights, Equals({"guide": 2}))
+            # Another start of the server has not loaded anything.
+            second.take(Weights(7, ["s1"], [("s1", 4, "guide", 3)]))
+            self.assertThat(second.view.servers["s1"].weights, Equals({"guide": 2}))
+            await wait_until(lambda: not second.view.loading)
+
+        self.with_entries(check)
+
+    def test_cache_events_reach_those_that_do_not_read_them(self):
+        async def check(first, second, third):
+            told = []
+            second.take_cache = third.take_cache = told.append
+            rows = [("1", f"part{n}" * 6, n) for n in range(100)]
+            await first.tell_cache("s1", 3, rows, {"e1"})
+            await wait_until(lambda: sum(len(each.rows) for each in told) == 100)
+            self.assertThat({(e.source, e.epoch) for e in told}, Equals({("s1", 3)}))
+
+        self.with_entries(check, count=3)
+
+    def test_messages_are_read_back_and_fit_a_datagram(self):
+        messages = [
+            Loads("e1", [("s1", 1, 2, 3)]),
+            Weights(4, ["s1"], [("s1", 5, "guide", 2)]),
+            Cache("s1", 1, [("1/account", "ab" * 8, 900)] * 24),
+        ]
+        for message in messages:
+            data = encode(message)
+            self.assertThat(decode(data), Equals(message))
+            self.assertTrue(len(data) <= MAX_DATAGRAM_BYTES, len(data))
