Go on with a stream only on the weights that it began with; keep the header's time limit

Cause (read in the landing): a resumed stream could go on at a server with another version, against the product's own promise; headerTimeoutMs of the configuration was decoded and not kept. Change: only servers with the version of the first event may go on; the limit holds for new connections. Measured: both tests fail without the change.

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -204,7 +204,8 @@
         if not self.h11.trailing_data[0] and not await self._wait_for_bytes():
             return None
         with trio.fail_after(self.limits.receive_timeout_s):
-            event = await self.next_event()
+            with trio.fail_after(self.limits.header_timeout_s):
+                event = await self.next_event()
             if not isinstance(event, h11.Request):
                 return None
             self._check_header(event)
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -233,6 +233,7 @@
             first_event()
             if job.first_event_at is None:
                 job.first_event_at = self.clock()
+                job.weights_version = job.chosen_version
             if exchange.started:
                 await exchange.send(whole)
             else:
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -58,8 +58,16 @@
         account: Account | None,
         tried: Collection[str],
         now: float,
+        *,
+        version: int | None = None,
     ) -> Selection:
-        """Return the servers that may take the next attempt."""
+        """Return the servers that may take the next attempt.
+
+        Parameters
+        ----------
+        version : int or None
+            The only version of the weights that may go on with a stream.
+        """
         serving = [
             each
             for each in self.view.serving(service)
@@ -70,6 +78,10 @@
         current = [each for each in serving if self._weights_usable(each, model, now)]
         if not current:
             return Selection(candidates=(), reason="old_weights")
+        if version is not None:
+            current = [e for e in current if e.weights.get(model) == version]
+            if not current:
+                return Selection(candidates=(), reason="other_weights")
         untried = [each for each in current if each.id not in tried]
         if not untried:
             return Selection(candidates=(), reason="all_tried")
--- a/src/foxtailcourse/ingress/_dispatch.py
+++ b/src/foxtailcourse/ingress/_dispatch.py
@@ -140,7 +140,12 @@
         now = self.clock()
         tried = {*job.sent_to, *job.unreachable}
         selection = self.candidates.select(
-            job.service, job.request.model, job.account, tried, now
+            job.service,
+            job.request.model,
+            job.account,
+            tried,
+            now,
+            version=job.weights_version,
         )
         if not selection.candidates:
             if job.verdict is Verdict.NOT_RUN:
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -27,6 +27,9 @@
         Whether it may have run.
     last_event_id : str
         Last event passed to the caller.
+    weights_version : int or None
+        Version of the weights that the caller's first event came from; a stream does
+        not go on with another one.
     choice : Choice or None
         The last choice of a server.
     queued_tokens : int
@@ -50,6 +53,7 @@
     unreachable: set[str] = attrs.field(factory=set)
     verdict: Verdict = Verdict.NOT_RUN
     last_event_id: str = ""
+    weights_version: int | None = None
     first_event_at: float | None = None
     choice: Choice | None = None
     queued_tokens: int = 0
@@ -64,6 +68,13 @@
             return None
         return Prompt(parts=self.request.parts, tokens=self.request.prompt_tokens)
 
+    @property
+    def chosen_version(self) -> int | None:
+        """Version of the weights on the last chosen server."""
+        if self.choice is None:
+            return None
+        return self.choice.candidate.server.weights.get(self.request.model)
+
     @property
     def account_name(self) -> str:
         """Name of the client account, empty without one."""
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -113,6 +113,7 @@
             max_connections=self.max_connections,
             max_header_bytes=bounds.header_bytes or usual.max_header_bytes,
             max_body_bytes=bounds.body_bytes or usual.max_body_bytes,
+            header_timeout_s=bounds.header_s or usual.header_timeout_s,
             idle_timeout_s=bounds.idle_s or usual.idle_timeout_s,
             send_timeout_s=SEND_TIMEOUT_S,
         )
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -172,6 +172,7 @@
     "no_server": "no server of the service is registered for new work",
     "not_executed": "the server said that it did not run the request",
     "old_weights": "every server still has weights that must not be used any more",
+    "other_weights": "no other server has the weights that the stream began with",
     "refused_after_run": "the server refused without saying that nothing has run",
     "server_error": "the server ran the request and failed",
     "silent": "the server sent nothing for too long",
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -236,6 +236,18 @@
         self.assertThat(reply.body, Equals(stream_body("r1", 3)))
         self.assertThat(len(self.runs(f)), Equals(1))
 
+    @run_with("with_fleet")
+    async def test_cut_stream_does_not_go_on_with_other_weights(self, f, entry):
+        f.workers["m1"].models[MODEL] = 2
+        f.register(f.workers["m1"])
+        await wait_until(lambda: entry.app._view.servers["m1"].weights[MODEL] == 2)
+        for name in ("m1", "m2"):
+            f.workers[name].faults = WorkerFaults(cut_after_events=3)
+        reply = await f.call(entry, "ask", stream=6)
+        self.assertFalse(reply.whole)
+        self.assertThat(reply.body, Equals(stream_body("r1", 3)))
+        self.assertThat(len(self.runs(f)), Equals(1))
+
     @run_with("with_fleet")
     async def test_work_stops_when_the_caller_leaves(self, f, entry):
         for worker in f.workers.values():
@@ -441,6 +453,16 @@
         reply = await f.call(entry, "look", x_long="y" * 700)
         self.assertThat(reply.status, Equals(431))
 
+    @run_with("with_fleet")
+    async def test_slow_header_is_given_up_after_the_configured_time(self, f, entry):
+        f.configure(version=2, limits={"headerTimeoutMs": 200})
+        await wait_until(lambda: entry.app._server._limits.header_timeout_s == 0.2)
+        stream = await trio.open_tcp_stream("127.0.0.1", entry.app.address.port)
+        async with stream:
+            await stream.send_all(b"GET /look/x HTTP/1.1\r\nhost: ")
+            with trio.fail_after(2.0):
+                self.assertThat(await stream.receive_some(20), Contains(b"408"))
+
     def test_template_names_only_known_settings(self):
         text = Path("deploy/ingress.ini").read_text(encoding="utf-8")
         keys = set(re.findall(r"^(\w+) =", text, re.MULTILINE))
