Do not take a slow caller for a silent server

Cause (read in the landing): the watch on silence also ran while a piece was on its way to the caller; a caller that stalls for over a second could have had its piece cut halfway and the stream gone on behind it. Change: the watch rests while bytes are passed on.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -234,16 +234,18 @@
             if job.first_event_at is None:
                 job.first_event_at = self.clock()
                 job.weights_version = job.chosen_version
-            if exchange.started:
-                await exchange.send(whole)
-            else:
-                fields = answer_headers(response.headers)
-                await exchange.start_stream(response.status, fields, whole)
+            with watched.pass_on(self.clock):
+                if exchange.started:
+                    await exchange.send(whole)
+                else:
+                    fields = answer_headers(response.headers)
+                    await exchange.start_stream(response.status, fields, whole)
             job.last_event_id = splitter.last_id
-        if not exchange.started:
-            fields = answer_headers(response.headers)
-            await exchange.start_stream(response.status, fields)
-        await exchange.end_stream(splitter.end())
+        with watched.pass_on(self.clock):
+            if not exchange.started:
+                fields = answer_headers(response.headers)
+                await exchange.start_stream(response.status, fields)
+            await exchange.end_stream(splitter.end())
         job.answered = True
 
     @contextmanager
--- a/src/foxtailcourse/ingress/_silence.py
+++ b/src/foxtailcourse/ingress/_silence.py
@@ -5,7 +5,8 @@
 entry, since repeating requests of a busy server multiplies the load that made it slow.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import attrs
 import trio
@@ -31,16 +32,32 @@
         When its latest byte arrived, in seconds since boot.
     scope : trio.CancelScope
         Cancelled when the server counts as gone.
+    passing_on : bool
+        Whether its bytes are on their way to the caller, who may be slow.
     """
 
     load: ServerLoad
     silence_s: float
     last_at: float
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    passing_on: bool = False
+
+    @contextmanager
+    def pass_on(self, clock: Callable[[], float]) -> Iterator[None]:
+        """Do not count the caller's slowness as the server's silence.
+
+        A piece that was cut off halfway would also spoil what follows it.
+        """
+        self.passing_on = True
+        try:
+            yield
+        finally:
+            self.passing_on = False
+            self.last_at = clock()
 
     def is_silent(self, now: float) -> bool:
         """Whether the server counts as gone."""
-        if now - self.last_at < self.silence_s:
+        if self.passing_on or now - self.last_at < self.silence_s:
             return False
         return now - self.load.progress_at >= ALIVE_S
 
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -28,6 +28,7 @@
     store_of,
 )
 from foxtailcourse.ingress._rollout import next_loads
+from foxtailcourse.ingress._silence import Watched
 from foxtailcourse.platform import CacheEvent, CacheEvents, PromptPart
 from foxtailcourse.settings import Address
 
@@ -373,6 +374,25 @@
         self.assertThat(count(NOW + 113), Equals(2))
 
 
+class TestSilence(testtools.TestCase):
+    """Guards streams to slow callers."""
+
+    def test_slow_caller_is_not_a_silent_server(self):
+        watched = Watched(ServerLoad(), 1.0, NOW)
+        self.assertFalse(watched.is_silent(NOW + 0.9))
+        self.assertTrue(watched.is_silent(NOW + 1.1))
+        with watched.pass_on(lambda: NOW + 5):
+            self.assertFalse(watched.is_silent(NOW + 4))
+        self.assertFalse(watched.is_silent(NOW + 5.9))
+        self.assertTrue(watched.is_silent(NOW + 6.1))
+
+    def test_busy_server_is_not_a_silent_one(self):
+        load = ServerLoad(progress_at=NOW + 1.0)
+        watched = Watched(load, 1.0, NOW)
+        self.assertFalse(watched.is_silent(NOW + 1.5))
+        self.assertTrue(watched.is_silent(NOW + 1.7))
+
+
 class TestHoldBack(testtools.TestCase):
     """Guards short prompts against long ones that could start later."""
 
