--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -1,5 +1,6 @@
 import subprocess
 import sys
+import tempfile
 
 import testtools
 from testtools.matchers import Contains, Equals
@@ -33,3 +34,21 @@
             ended = run_python("-m", "foxtailcourse.agent.run", *args)
             self.assertThat(ended.returncode, Equals(2))
             self.assertThat(ended.stderr, Contains(message))
+
+    def test_entry_checks_files_of_the_ingress_too(self):
+        good = (
+            "[process]\nvm = e1\nfailure_domain = p\nadmin_listen = 127.0.0.1:1\n"
+            "[ingress]\nlisten = 127.0.0.1:2\nready_listen = 127.0.0.1:3\n"
+            "exchange_listen = 127.0.0.1:4\nstore = 127.0.0.1:5\n"
+        )
+        for text, code, message in (
+            (good, 0, "settings are valid"),
+            (good + "lease_ms = soon\n", 2, "[ingress] lease_ms"),
+        ):
+            with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+                file.write(text)
+                file.flush()
+                args = ("--config", file.name, "--check")
+                ended = run_python("-m", "foxtailcourse.entry.run", *args)
+            self.assertThat(ended.returncode, Equals(code))
+            self.assertThat(ended.stdout + ended.stderr, Contains(message))
