Use the usual terms for the exchange between entries

Names and comments only: publish, update, overloaded in place of tell, news and crowded; the gauge of ages is foxtail_ingress_state_age_seconds. Behaviour is as before; tests pass unchanged but for the names.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -52,7 +52,7 @@
 FORGET_PERIOD_S = 5.0
 # The settings file may change without a signal; reading it is cheap.
 RELOAD_PERIOD_S = 3.0
-# Old news of the other entries is harmless, so their keys are confirmed less often.
+# A stale list of entries is harmless, so their keys are confirmed less often.
 SHARED_WAIT_S = 5.0
 # Servers change their entries in groups, which one call then brings.
 SERVERS_PAUSE_S = 0.08
@@ -107,14 +107,14 @@
             self._view,
             self._held,
             self._client,
-            self._exchange.tell_cache,
+            self._exchange.publish_cache,
             daemon.cfg.vm,
             self._events,
         )
         self._rollout = Rollout(
             self._view,
             self._lease,
-            self._exchange.tell_weights,
+            self._exchange.publish_weights,
             self._client,
             self._loads,
             daemon.cfg.vm,
@@ -123,8 +123,8 @@
             self._events,
             self._metrics,
         )
-        self._exchange.take_cache = self._feed.take_told
-        self._exchange.weights_to_tell = self._rollout.weights_to_tell
+        self._exchange.take_cache = self._feed.take_published
+        self._exchange.weights_to_publish = self._rollout.weights_to_publish
         sink = RecordSink(
             configuration=self._take_configuration,
             weights=self._take_weights,
@@ -338,16 +338,16 @@
             await trio.sleep(FORGET_PERIOD_S)
             servers = self._view.servers.values()
             self._loads.forget_all_but({(e.id, e.started_ms) for e in servers})
-            self._show_gauges()
+            self._update_gauges()
 
-    def _show_gauges(self) -> None:
+    def _update_gauges(self) -> None:
         now = boot_seconds()
         for source, belief in (
             ("configuration", self._view.configuration_belief),
             ("servers", self._view.servers_belief),
         ):
             self._metrics.gauge(
-                "foxtail_ingress_news_age_seconds", belief.age(now), source=source
+                "foxtail_ingress_state_age_seconds", belief.age(now), source=source
             )
         rows = self._loads.own()
         self._metrics.gauge("foxtail_ingress_in_flight", sum(r[2] for r in rows))
--- a/src/foxtailcourse/ingress/_cache_feed.py
+++ b/src/foxtailcourse/ingress/_cache_feed.py
@@ -22,10 +22,10 @@
 FULL_PAUSE_S = 5.0
 TICK_S = 0.3
 # Entries that read the events of one cache, well within the concurrent calls that it
-# holds, and those among them that tell the rest; two, as either may fail.
+# holds, and those among them that publish to the rest; two, as either may fail.
 READERS = 6
-TELLERS = 2
-Tell = Callable[[str, int, list[tuple[str, str, int]], set[str]], Awaitable[None]]
+PUBLISHERS = 2
+Publish = Callable[[str, int, list[tuple[str, str, int]], set[str]], Awaitable[None]]
 
 
 @attrs.frozen
@@ -45,9 +45,9 @@
     Parameters
     ----------
     reading : tuple of str
-        Entries that read them; the first ones tell the others.
+        Entries that read them; the first ones publish them.
     others : set of str
-        Entries that are told.
+        Entries that receive what is published.
     """
 
     reading: tuple[str, ...]
@@ -57,9 +57,9 @@
         """Whether an entry reads the events itself."""
         return vm in self.reading
 
-    def tells(self, vm: str) -> bool:
+    def publishes(self, vm: str) -> bool:
         """Whether an entry passes the events on."""
-        return vm in self.reading[:TELLERS]
+        return vm in self.reading[:PUBLISHERS]
 
 
 def choose_followers(
@@ -95,8 +95,8 @@
         The index, by backend server, and by address for the KV-cache store.
     client : ServerClient
         Makes the calls.
-    tell : coroutine function
-        Tells events of a cache to other entries.
+    publish : coroutine function
+        Sends events of a cache to other entries.
     vm : str
         Name of this VM.
     """
@@ -106,14 +106,14 @@
         view: FleetView,
         held: dict[str, HeldParts],
         client: ServerClient,
-        tell: Tell,
+        publish: Publish,
         vm: str,
         events: EventLog,
     ) -> None:
         self._view = view
         self._held = held
         self._client = client
-        self._tell = tell
+        self._publish = publish
         self._vm = vm
         self._events = events
         self._followed: set[CacheSource] = set()
@@ -142,14 +142,14 @@
         return sources
 
     async def _follow(self, source: CacheSource) -> None:
-        """Keep the index of one cache, by its events or by what others tell."""
+        """Keep the index of one cache, by its events or by what others publish."""
         held = HeldParts()
         self._held[source.name] = held
         while source in self._sources():
             if self._followers(source).follows(self._vm):
                 await self._read(source, held)
             elif held.epoch is None:
-                # Others tell changes only, so the start is read once.
+                # Others publish changes only, so the initial state is read once.
                 await self._read(source, held)
             else:
                 await trio.sleep(PAUSE_S)
@@ -159,7 +159,7 @@
 
     async def _read(self, source: CacheSource, held: HeldParts) -> None:
         try:
-            news = await self._client.cache_events(
+            batch = await self._client.cache_events(
                 source.address, held.position, EVENTS_WAIT_S
             )
         except SubscribersExceededError:
@@ -171,22 +171,24 @@
             held.clear()
             await trio.sleep(PAUSE_S)
         else:
-            held.apply(news)
+            held.apply(batch)
             followers = self._followers(source)
-            if followers.tells(self._vm) and news.events:
-                rows = [(each.salt, each.part, each.tokens) for each in news.events]
-                await self._tell(source.name, news.epoch, rows, followers.others)
+            if followers.publishes(self._vm) and batch.events:
+                rows = [(each.salt, each.part, each.tokens) for each in batch.events]
+                await self._publish(source.name, batch.epoch, rows, followers.others)
 
-    def take_told(self, told: Cache) -> None:
+    def take_published(self, update: Cache) -> None:
         """Take events that another entry follows for this one."""
-        held = self._held.get(told.source)
+        held = self._held.get(update.source)
         if held is None:
             return
         for source in self._followed:
-            if source.name == told.source and self._followers(source).follows(self._vm):
+            if source.name == update.source and self._followers(source).follows(
+                self._vm
+            ):
                 # What it reads itself is complete.
                 return
-        held.apply_told(told.epoch, told.rows)
+        held.apply_published(update.epoch, update.rows)
 
     def _followers(self, source: CacheSource) -> Followers:
         configuration = self._view.configuration
--- a/src/foxtailcourse/ingress/_cache_index.py
+++ b/src/foxtailcourse/ingress/_cache_index.py
@@ -25,18 +25,18 @@
     _tokens: dict[tuple[str, str], int] = attrs.field(factory=dict)
     _expected: dict[tuple[str, str], tuple[int, float]] = attrs.field(factory=dict)
 
-    def apply(self, news: CacheEvents) -> None:
+    def apply(self, batch: CacheEvents) -> None:
         """Take events of the cache itself; a restart or a gap empties the index."""
-        if news.epoch != self.epoch or news.lost:
+        if batch.epoch != self.epoch or batch.lost:
             self._tokens.clear()
-            if news.epoch != self.epoch:
+            if batch.epoch != self.epoch:
                 self._expected.clear()
-        self.epoch, self.position = news.epoch, news.next
+        self.epoch, self.position = batch.epoch, batch.next
         self.reachable = True
-        self._note((each.salt, each.part, each.tokens) for each in news.events)
+        self._note((each.salt, each.part, each.tokens) for each in batch.events)
 
-    def apply_told(self, epoch: int, rows: Iterable[tuple[str, str, int]]) -> None:
-        """Take events that another entry tells; some of them never arrive."""
+    def apply_published(self, epoch: int, rows: Iterable[tuple[str, str, int]]) -> None:
+        """Apply events that another entry published; some of them are lost."""
         if epoch != self.epoch:
             self._tokens.clear()
         self.epoch, self.reachable = epoch, True
--- a/src/foxtailcourse/ingress/_exchange.py
+++ b/src/foxtailcourse/ingress/_exchange.py
@@ -1,4 +1,4 @@
-"""Entries tell each other what they have sent, loaded and seen cached.
+"""Exchange of loads, weights and cache events between entries by datagram.
 
 Answers the load of several entries before the same servers: without it, an entry sends
 a short prompt to a server that another entry has just given a long one. What is not
@@ -28,11 +28,11 @@
 
 # Shortest time between two reports of loads.
 SPACING_S = 0.01
-# All loads are told again in this time, well within their validity.
+# All loads are published again in this time, well within their validity.
 RENEWAL_S = 0.4
-# A change of this many prompt tokens on a server is told at once.
+# A change of this many prompt tokens on a server is published at once.
 URGENT_TOKENS = 1_500
-# What the holder of the orders told is forgotten after this time without renewal.
+# State published by the holder of the orders expires after this time.
 WEIGHTS_VALID_S = 1.5
 MAX_RECEIVED_BYTES = 2048
 CACHE_ROWS_PER_MESSAGE = 24
@@ -40,7 +40,7 @@
 
 @attrs.define
 class PeerExchange:
-    """Sends this entry's news to the other entries and takes theirs.
+    """Publishes this entry's state to the other entries and receives theirs.
 
     Parameters
     ----------
@@ -55,7 +55,7 @@
     peers : dict of str to str
         Addresses of the entries by VM, as they registered.
     take_cache : callable
-        Takes cache events that another entry tells.
+        Takes cache events that another entry published.
     """
 
     vm: str
@@ -67,10 +67,10 @@
     events: EventLog
     metrics: Metrics
     take_cache: Callable[[Cache], None] = attrs.field(default=lambda cache: None)
-    weights_to_tell: Callable[[], Weights | None] = attrs.field(default=lambda: None)
+    weights_to_publish: Callable[[], Weights | None] = attrs.field(default=lambda: None)
     address: Address = attrs.field(init=False)
     _socket: trio.socket.SocketType = attrs.field(init=False)
-    _told: dict[str, tuple[int, int, int]] = attrs.field(factory=dict, init=False)
+    _published: dict[str, tuple[int, int, int]] = attrs.field(factory=dict, init=False)
     _fence: int = attrs.field(default=0, init=False)
     _weights_at: float = attrs.field(default=0.0, init=False)
 
@@ -85,7 +85,7 @@
         with self._socket:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
-                nursery.start_soon(self._tell_changes)
+                nursery.start_soon(self._publish_changes)
                 nursery.start_soon(self._renew)
 
     # Receiving
@@ -113,12 +113,12 @@
         now = self.clock()
         for server, tokens, running, short in message.rows:
             load = RemoteLoad(
-                prefill_tokens=tokens, in_flight=running, short=short, told_at=now
+                prefill_tokens=tokens, in_flight=running, short=short, received_at=now
             )
             self.loads.take_remote(message.vm, server, load)
 
     def take_weights(self, message: Weights) -> None:
-        """Take what the holder of the orders tells; an older holder is ignored."""
+        """Apply an update of the holder of the orders; an older holder is ignored."""
         if message.fence < self._fence:
             return
         self._fence, self._weights_at = message.fence, self.clock()
@@ -128,60 +128,60 @@
 
     # Sending
 
-    async def _tell_changes(self) -> None:
+    async def _publish_changes(self) -> None:
         while True:
             changed = self.loads.changed
             await changed.wait()
             self.loads.changed = trio.Event()
             rows = [row for row in self._rows() if self._is_urgent(row)]
             if rows:
-                await self._tell_loads(rows)
+                await self._publish_loads(rows)
                 await trio.sleep(SPACING_S)
 
     def _rows(self) -> list[tuple[str, int, int, int]]:
-        """Return all loads, and zeros where another one was told before."""
+        """Return all loads, and zeros where another one was published before."""
         rows = self.loads.own()
         busy = {row[0] for row in rows}
-        idle = [key for key, told in self._told.items() if any(told)]
+        idle = [key for key, row in self._published.items() if any(row)]
         return rows + [(key, 0, 0, 0) for key in idle if key not in busy]
 
     def _is_urgent(self, row: tuple[str, int, int, int]) -> bool:
-        told = self._told.get(row[0], (0, 0, 0))
-        return abs(row[1] - told[0]) >= URGENT_TOKENS
+        published = self._published.get(row[0], (0, 0, 0))
+        return abs(row[1] - published[0]) >= URGENT_TOKENS
 
     async def _renew(self) -> None:
         while True:
             await trio.sleep(RENEWAL_S)
             if self.clock() - self._weights_at > WEIGHTS_VALID_S:
                 self.view.loading = set()
-            await self._tell_loads(self._rows())
-            await self.tell_weights()
+            await self._publish_loads(self._rows())
+            await self.publish_weights()
 
-    async def tell_weights(self) -> None:
+    async def publish_weights(self) -> None:
         """Tell which servers load, if this entry gives the orders."""
-        weights = self.weights_to_tell()
+        weights = self.weights_to_publish()
         if weights is not None:
             self.take_weights(weights)
-            await self.tell(weights, self.peers)
+            await self.send(weights, self.peers)
 
-    async def _tell_loads(self, rows: list[tuple[str, int, int, int]]) -> None:
-        self._told |= {server: (a, b, c) for server, a, b, c in rows}
+    async def _publish_loads(self, rows: list[tuple[str, int, int, int]]) -> None:
+        self._published |= {server: (a, b, c) for server, a, b, c in rows}
         # The most loaded servers come first, should not all of them fit.
         rows.sort(key=lambda row: -row[1])
         message = Loads(self.vm, rows)
         while len(encode(message)) > MAX_DATAGRAM_BYTES:
             message = Loads(self.vm, message.rows[: len(message.rows) * 3 // 4])
-        await self.tell(message, self.peers)
+        await self.send(message, self.peers)
 
-    async def tell_cache(
+    async def publish_cache(
         self, source: str, epoch: int, rows: list[tuple[str, str, int]], to: set[str]
     ) -> None:
         """Tell cache events to entries that do not follow the cache themselves."""
         for start in range(0, len(rows), CACHE_ROWS_PER_MESSAGE):
             part = rows[start : start + CACHE_ROWS_PER_MESSAGE]
-            await self.tell(Cache(source, epoch, part), to)
+            await self.send(Cache(source, epoch, part), to)
 
-    async def tell(self, message: Message, to: Iterable[str]) -> None:
+    async def send(self, message: Message, to: Iterable[str]) -> None:
         """Send a message to entries; those that are not registered are left out."""
         data = encode(message)
         for vm in list(to):
--- a/src/foxtailcourse/ingress/_follow.py
+++ b/src/foxtailcourse/ingress/_follow.py
@@ -11,8 +11,8 @@
 
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
-# The store may keep news from watches for this long before it cuts them.
-DEAF_WATCH_S = 1.0
+# The store may withhold events from a watch for this long before it cuts it.
+WATCH_BLACKOUT_S = 1.0
 Take = Callable[[str, bytes | None, int], None]
 
 
@@ -32,7 +32,7 @@
     wait_s : float
         Wait of one watch.
     pause_s : float
-        Pause after a watch that brought news, so that the next brings more.
+        Pause after a watch that returned events, so that the next returns more.
     take : callable
         Takes a key, its value (None once removed) and the revision of the change.
     belief : Belief
@@ -111,10 +111,10 @@
             else:
                 self._keys.add(event.key)
             self._take(event.key, event.value, event.mod_revision)
-        # A watch without news held the call for its whole wait.
+        # A watch without events held the call for its whole wait.
         waited_s = 0.0 if result.events else self._wait_s
         now = boot_seconds()
-        self._belief.confirm(min(now, sent_at + waited_s) - DEAF_WATCH_S)
+        self._belief.confirm(min(now, sent_at + waited_s) - WATCH_BLACKOUT_S)
         return result.revision
 
     def _note_loss(self, exc: PlatformError) -> None:
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -21,12 +21,12 @@
 
 NO_CONFIGURATION_RETRY_S = 0.5
 STALE_RETRY_S = 0.2
-# A refusal for an unknown key or route needs news at most this old.
+# A denial needs a configuration that was confirmed at most this long ago.
 DENIAL_AGE_S = 0.3
 ANSWERED, REFUSED = "answered", "refused"
 # Routes beyond this many share one label, so that a large configuration adds no series.
 MAX_ROUTE_LABELS = 100
-# Ages beyond this are those of news that never came.
+# Ages beyond this belong to state that was never received.
 MAX_AGE_S = 1e6
 BAD_REQUEST, UNAUTHORIZED, NOT_FOUND = 400, 401, 404
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
@@ -152,7 +152,7 @@
         try:
             return self._look_up(request)
         except DeniedError:
-            # Newer news may allow it, so the denial must rest on recent ones.
+            # A newer configuration may allow it, so it is confirmed first.
             await self.refresh(DENIAL_AGE_S)
             if self.view.configuration_belief.age(self.clock()) > self.key_age_limit_s:
                 raise RefusedError("configuration_stale", STALE_RETRY_S) from None
--- a/src/foxtailcourse/ingress/_loads.py
+++ b/src/foxtailcourse/ingress/_loads.py
@@ -9,7 +9,7 @@
 FAILURE_WEIGHT = 0.2
 # A failure rate halves in this time without outcomes, so that a server is tried again.
 FAILURE_HALF_LIFE_S = 3.0
-# What another entry told is forgotten after this time.
+# Loads published by another entry expire after this time.
 REMOTE_VALID_S = 1.5
 
 
@@ -20,7 +20,7 @@
     prefill_tokens: float
     in_flight: int
     short: int
-    told_at: float
+    received_at: float
 
 
 @attrs.frozen(kw_only=True)
@@ -112,7 +112,7 @@
         return self._loads.setdefault((server_id, started_ms), ServerLoad())
 
     def own(self) -> list[tuple[str, int, int, int]]:
-        """Return this entry's loads as other entries are told them."""
+        """Return this entry's loads as they are published."""
         return [
             (server_id, int(load.prefill_tokens), load.in_flight, load.short)
             for (server_id, _), load in self._loads.items()
@@ -120,16 +120,16 @@
         ]
 
     def take_remote(self, vm: str, server_id: str, load: RemoteLoad) -> None:
-        """Replace what another entry told of its load on a server."""
+        """Replace the load that another entry published for a server."""
         self._remote.setdefault(server_id, {})[vm] = load
 
     def total(self, server_id: str, started_ms: int, now: float) -> TotalLoad:
-        """Return the load by this entry and by what others told recently."""
+        """Return the load by this entry and by what others published recently."""
         own = self.of(server_id, started_ms)
         others = [
             each
             for each in self._remote.get(server_id, {}).values()
-            if now - each.told_at < REMOTE_VALID_S
+            if now - each.received_at < REMOTE_VALID_S
         ]
         return TotalLoad(
             prefill_tokens=own.prefill_tokens + sum(e.prefill_tokens for e in others),
--- a/src/foxtailcourse/ingress/_messages.py
+++ b/src/foxtailcourse/ingress/_messages.py
@@ -1,7 +1,7 @@
-"""What entries tell each other by datagram.
+"""Messages between entries, one a datagram.
 
-Datagrams are lost at times, so each message is either repeated or stands for news whose
-loss costs efficiency and nothing else.
+Datagrams are lost at times, so each message is either repeated or stands for an update
+whose loss costs efficiency and nothing else.
 """
 
 import msgspec
@@ -28,7 +28,7 @@
     Parameters
     ----------
     fence : int
-        Fencing token of the holder; a higher one replaces what a lower one told.
+        Fencing token of the holder; a higher one replaces the state of a lower one.
     loading : list of str
         Backend servers that load or are about to.
     loaded : list
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -131,7 +131,7 @@
 def choose_plain(candidates: Sequence[Candidate], now: float, spread: float) -> Choice:
     """Return the server that this entry keeps least busy, for requests without prompts.
 
-    Only own requests count: entries that followed old news of all would follow it to
+    Only own requests count: entries that followed the same stale totals would all go to
     the same server.
 
     Parameters
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -26,7 +26,7 @@
 LOADING_SHARE = 0.38
 FEWEST_LOADING = 2
 # Backlog for each serving server beyond which fewer load at once.
-CROWDED_TOKENS = 20_000.0
+OVERLOAD_TOKENS = 20_000.0
 # Time of one load with its announcement and the end of running requests, amply.
 LOAD_ROUND_S = 4.0
 TICK_S = 0.05
@@ -36,8 +36,8 @@
 # A load is looked into again when the server's registration has not changed by then.
 RECHECK_S = 2.5
 FAILED_PAUSE_S = 1.0
-# Loaded weights are told for this long; servers register them within a few heartbeats.
-LOADED_TOLD_S = 5.0
+# Loaded weights are published for this long; servers register within a few heartbeats.
+LOADED_PUBLISHED_S = 5.0
 
 
 @attrs.frozen
@@ -80,7 +80,9 @@
         running = sum(each.id in busy for each in servers)
         at_once = max(FEWEST_LOADING, math.ceil(LOADING_SHARE * len(servers)))
         left_s = time_limit_s - (now - wanted.known_since)
-        if _is_crowded([each for each in servers if each.id not in busy], loads, now):
+        if _is_overloaded(
+            [each for each in servers if each.id not in busy], loads, now
+        ):
             at_once = min(at_once, _slowest_pace(len(behind), left_s))
         idle = sorted(
             (each for each in behind if each.id not in busy),
@@ -91,12 +93,14 @@
     return found
 
 
-def _is_crowded(serving: list[BackendServer], loads: ServerLoads, now: float) -> bool:
+def _is_overloaded(
+    serving: list[BackendServer], loads: ServerLoads, now: float
+) -> bool:
     """Whether the servers that do not load have more to read than they should."""
     backlog = sum(
         loads.total(each.id, each.started_ms, now).prefill_tokens for each in serving
     )
-    return backlog > CROWDED_TOKENS * max(1, len(serving))
+    return backlog > OVERLOAD_TOKENS * max(1, len(serving))
 
 
 def _slowest_pace(behind: int, left_s: float) -> int:
@@ -115,7 +119,7 @@
     lease : EntryLease
         The right to give orders.
     announce : coroutine function
-        Tells the other entries at once what ``weights_to_tell`` returns.
+        Publishes at once what ``weights_to_publish`` returns.
     client : ServerClient
         Makes the calls to backend servers.
     vm : str
@@ -224,17 +228,17 @@
     async def _wait(self, load: Load, outcome: OrderOutcome) -> None:
         """Wait until the server has the version, or it is time to look again.
 
-        A server registers its weights with its next heartbeat; its report tells sooner.
+        A server registers its weights with its next heartbeat; its report is sooner.
         """
         if outcome is OrderOutcome.ALREADY_DONE:
-            await self._tell_loaded(load)
+            await self._publish_loaded(load)
             return
         accepted = outcome is OrderOutcome.ACCEPTED
         with trio.move_on_after(RECHECK_S if accepted else FAILED_PAUSE_S):
             while self._behind(load):
                 await trio.sleep(REPORT_PERIOD_S)
                 if accepted and await self._reports(load):
-                    await self._tell_loaded(load)
+                    await self._publish_loaded(load)
                     return
 
     async def _reports(self, load: Load) -> bool:
@@ -245,7 +249,7 @@
             return False
         return report.weights.get(load.model, 0) >= load.version
 
-    async def _tell_loaded(self, load: Load) -> None:
+    async def _publish_loaded(self, load: Load) -> None:
         server = load.server
         self._view.note_loaded(server.id, server.started_ms, load.model, load.version)
         self._loaded[server.id] = (
@@ -255,7 +259,7 @@
         self._busy.discard(server.id)
         await self._announce()
 
-    def weights_to_tell(self) -> Weights | None:
+    def weights_to_publish(self) -> Weights | None:
         """Return what other entries should know, while this one gives the orders."""
         if not self._lease.fence:
             return None
@@ -263,7 +267,7 @@
         self._loaded = {
             server_id: (at, row)
             for server_id, (at, row) in self._loaded.items()
-            if now - at < LOADED_TOLD_S
+            if now - at < LOADED_PUBLISHED_S
         }
         rows = [row for _, row in self._loaded.values()]
         return Weights(self._lease.fence, sorted(self._busy), rows)
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -17,7 +17,7 @@
         Address, description="Address where the load balancer asks for readiness."
     )
     exchange_listen: Address = setting(
-        Address, description="Address where other entries tell their loads, by UDP."
+        Address, description="Address for messages of other entries, by UDP."
     )
     store: Address = setting(Address, description="Address of the platform's store.")
     revocation_ms: int = setting(
@@ -82,7 +82,7 @@
     watch_wait_s: float = setting(
         float,
         1.5,
-        description="Wait of one watch of the store; a watch without news also "
+        description="Wait of one watch of the store; a watch without events also "
         "confirms that the held records are current.",
         unit="seconds",
         minimum=0.1,
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -133,7 +133,7 @@
     "foxtail_ingress_first_event_seconds": "time to the first event of a stream, by "
     "`size` of the prompt",
     "foxtail_ingress_in_flight": "requests that this entry has sent and not finished",
-    "foxtail_ingress_news_age_seconds": "age of what the entry knows, by `source`",
+    "foxtail_ingress_state_age_seconds": "age of what the entry knows, by `source`",
     "foxtail_ingress_orders_total": "orders to load weights by `outcome`",
     "foxtail_ingress_prefill_tokens": "prompt tokens that servers have still to read "
     "for this entry",
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -221,7 +221,7 @@
             found = choose_followers(source, entries)
             self.assertThat(len(found.reading), Equals(6))
             self.assertThat(found.others, Equals(entries - set(found.reading)))
-            self.assertThat(sum(found.tells(e) for e in entries), Equals(2))
+            self.assertThat(sum(found.publishes(e) for e in entries), Equals(2))
         # A server that holds two event calls is read by two.
         self.assertThat(len(choose_followers("s1", entries, 2).reading), Equals(2))
         few = choose_followers("s1", {"e1", "e2"})
@@ -264,7 +264,7 @@
 
     def test_news_of_others_lapse_and_an_idle_server_is_told(self):
         loads = ServerLoads()
-        load = RemoteLoad(prefill_tokens=500, in_flight=2, short=1, told_at=NOW)
+        load = RemoteLoad(prefill_tokens=500, in_flight=2, short=1, received_at=NOW)
         loads.take_remote("e2", "s1", load)
         loads.of("s1", 0).in_flight = 1
         self.assertThat(loads.total("s1", 0, NOW).in_flight, Equals(3))
@@ -321,7 +321,7 @@
 
     def test_connection_limit_counts_all_entries(self):
         found = self.filter(server("a"))
-        load = RemoteLoad(prefill_tokens=0, in_flight=8, short=0, told_at=NOW)
+        load = RemoteLoad(prefill_tokens=0, in_flight=8, short=0, received_at=NOW)
         found.loads.take_remote("e2", "a", load)
         self.assertThat(self.names(found), Equals((["a"], "")))
         found.loads.of("a", 0).in_flight = 1
--- a/tests/ingress/test_peer_exchange.py
+++ b/tests/ingress/test_peer_exchange.py
@@ -125,7 +125,7 @@
             told = []
             second.take_cache = third.take_cache = told.append
             rows = [("1", f"part{n}" * 6, n) for n in range(100)]
-            await first.tell_cache("s1", 3, rows, {"e1"})
+            await first.publish_cache("s1", 3, rows, {"e1"})
             await wait_until(lambda: sum(len(each.rows) for each in told) == 100)
             self.assertThat({(e.source, e.epoch) for e in told}, Equals({("s1", 3)}))
 
