Log when cache events can be read again; list the fields of each event

Cause: the loss of a server's cache events was logged and their return was not, and the page of events had no fields. Change: cache_feed_regained; fields are derived from the source. Measured: test_lost_cache_events_are_told_once_and_their_return.

--- a/scripts/render_reference.py
+++ b/scripts/render_reference.py
@@ -87,6 +87,32 @@
     }
 
 
+def event_fields() -> dict[str, set[str]]:
+    """Return the fields that the source gives with each event."""
+    fields: dict[str, set[str]] = {}
+    for path in sorted(SOURCE.rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            name = getattr(node.func, "attr", getattr(node.func, "id", ""))
+            if name not in EVENT_CALLS:
+                continue
+            given = {each.arg for each in node.keywords if each.arg}
+            for event in _texts(node.args[0]):
+                fields.setdefault(event, set()).update(given)
+    return fields
+
+
+def _events_table(intro: str) -> str:
+    fields = event_fields()
+    lines = ["# Log events", "", intro, "", "| event | meaning | fields |"]
+    lines.append("| --- | --- | --- |")
+    for name in sorted(catalogue.EVENTS):
+        listed = ", ".join(f"`{each}`" for each in sorted(fields.get(name, ()))) or "-"
+        lines.append(f"| `{name}` | {catalogue.EVENTS[name]} | {listed} |")
+    return "\n".join(lines) + "\n"
+
+
 def _table(title: str, intro: str, head: str, rows: dict[str, str]) -> str:
     lines = [f"# {title}", "", intro, "", f"| {head} | meaning |", "| --- | --- |"]
     lines += [f"| `{name}` | {rows[name]} |" for name in sorted(rows)]
@@ -108,12 +134,10 @@
         settings.append(render_reference((ProcessSettings, *sections)))
     return {
         "docs/settings.md": "\n".join(settings),
-        "docs/events.md": _table(
-            "Log events",
+        "docs/events.md": _events_table(
             "Each line of the log is one event in key=value pairs: `clock`, `process`, "
-            "`event`, then its fields. `foxtailctl timeline` merges them.",
-            "event",
-            catalogue.EVENTS,
+            "`event`, then its fields; a field without a value is left out. "
+            "`foxtailctl timeline` merges them."
         )
         + _table(
             "Codes of broken attempts",
--- a/src/foxtailcourse/ingress/_cache_feed.py
+++ b/src/foxtailcourse/ingress/_cache_feed.py
@@ -165,12 +165,16 @@
         except SubscribersExceededError:
             await trio.sleep(FULL_PAUSE_S)
         except ServerCallError as exc:
-            if held.reachable:
+            if not held.lost:
+                held.lost = True
                 self._events.emit("cache_feed_lost", source=source.name, error=exc)
             # Nothing is known of the cache while its events are out of reach.
             held.clear()
             await trio.sleep(PAUSE_S)
         else:
+            if held.lost:
+                held.lost = False
+                self._events.emit("cache_feed_regained", source=source.name)
             held.apply(batch)
             followers = self._followers(source)
             if followers.publishes(self._vm) and batch.events:
--- a/src/foxtailcourse/ingress/_cache_index.py
+++ b/src/foxtailcourse/ingress/_cache_index.py
@@ -22,6 +22,7 @@
     epoch: int | None = None
     position: int = 0
     reachable: bool = False
+    lost: bool = False
     _tokens: dict[tuple[str, str], int] = attrs.field(factory=dict)
     _expected: dict[tuple[str, str], tuple[int, float]] = attrs.field(factory=dict)
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -26,6 +26,8 @@
     "tokens were already delivered",
     "blocks_exported": "hot blocks were exported to the KV-cache store",
     "blocks_imported": "blocks were imported from the KV-cache store",
+    "cache_feed_regained": "the cache events of a server or of the KV-cache store can "
+    "be read again",
     "cache_feed_lost": "the cache events of a server or of the KV-cache store are out "
     "of reach; its cache counts as unknown",
     "cache_events_irregular": "cache events were lost or out of order; the block "
--- a/src/foxtailcourse/standin/_worker.py
+++ b/src/foxtailcourse/standin/_worker.py
@@ -42,6 +42,8 @@
         Whether answers have no length.
     lose_orders : bool
         Whether orders are carried out and not answered.
+    no_events : bool
+        Whether calls for cache events are answered 500.
     late_orders_s : float
         Time after which an order is carried out; it is then not answered.
     """
@@ -56,6 +58,7 @@
     plain_503: bool = False
     unframed: bool = False
     lose_orders: bool = False
+    no_events: bool = False
     late_orders_s: float = 0.0
 
 
@@ -146,6 +149,9 @@
         elif exchange.path == "/foxtailcourse/order":
             await self._order(exchange)
         elif exchange.path == "/foxtailcourse/kv-events":
+            if self.faults.no_events:
+                await exchange.respond(500, b"")
+                return
             await trio.sleep(MAX_EVENTS_WAIT_S)
             value = {"epoch": 1, "next": 0, "lost": False, "events": []}
             await exchange.respond_json(200, value)
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -112,6 +112,15 @@
         f.platform.faults.outage = "off"
         await wait_until(lambda: len(entry.events("store_regained")) == 3)
 
+    @run_with("with_fleet")
+    async def test_lost_cache_events_are_told_once_and_their_return(self, f, entry):
+        f.workers["m1"].faults = WorkerFaults(no_events=True)
+        await wait_until(lambda: entry.events("cache_feed_lost"))
+        await trio.sleep(1.2)
+        self.assertThat(len(entry.events("cache_feed_lost")), Equals(1))
+        f.workers["m1"].faults = WorkerFaults()
+        await wait_until(lambda: entry.events("cache_feed_regained"))
+
 
 class TestReasons(IngressCase):
     """Guards the meanings that on-call engineers read."""
