Keep the calls to the store within each entry's share of its rates

Cause: nothing bounded the calls of followers and lease when they retry. Change: a token bucket for each entry, an even share of half of the store's reads and writes, in a wrapper of the one client. Measured: TestCallBudget; usual calls (2.5 a second) never wait.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -18,6 +18,7 @@
 from foxtailcourse.ingress._budget import RetryBudget
 from foxtailcourse.ingress._cache_feed import CacheFeed
 from foxtailcourse.ingress._cache_index import HeldParts
+from foxtailcourse.ingress._call_budget import BudgetedStore, CallBudget
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._dispatch import Dispatcher
@@ -81,7 +82,13 @@
         self._held: dict[str, HeldParts] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._draining = False
-        self._store = KeyValueClient(self._pool, cfg.store, cfg.call_timeout_s)
+        self._store = BudgetedStore(
+            store=KeyValueClient(self._pool, cfg.store, cfg.call_timeout_s),
+            reads=CallBudget(cfg.store_reads_per_s),
+            writes=CallBudget(cfg.store_writes_per_s),
+            entries=lambda: len(self._view.entries),
+            clock=boot_seconds,
+        )
         self._client = ServerClient(self._pool, SERVER_CALL_TIMEOUT_S)
         self._shared = SharedKeys(self._view)
         self._lease = EntryLease(
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -20,6 +20,20 @@
         Address, description="Address for messages of other entries, by UDP."
     )
     store: Address = setting(Address, description="Address of the platform's store.")
+    store_reads_per_s: float = setting(
+        float,
+        2000.0,
+        description="Reads that the store serves to all entries.",
+        unit="calls a second",
+        minimum=1,
+    )
+    store_writes_per_s: float = setting(
+        float,
+        400.0,
+        description="Writes that the store serves to all entries.",
+        unit="calls a second",
+        minimum=1,
+    )
     revocation_ms: int = setting(
         int,
         5000,
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -13,6 +13,7 @@
 from foxtailcourse.ingress._budget import RetryBudget
 from foxtailcourse.ingress._cache_feed import choose_followers
 from foxtailcourse.ingress._cache_index import HeldParts
+from foxtailcourse.ingress._call_budget import CallBudget
 from foxtailcourse.ingress._candidates import CandidateFilter, cache_salt
 from foxtailcourse.ingress._events import EventSplitter
 from foxtailcourse.ingress._holdback import must_wait
@@ -259,6 +260,34 @@
         self.assertTrue(granted(0) < granted(4) < granted(1))
 
 
+class TestCallBudget(testtools.TestCase):
+    """Guards the store's rates against all entries together."""
+
+    def test_entries_that_retry_without_pause_stay_within_the_rate(self):
+        for entries in (1, 4, 25):
+            budgets = [CallBudget(400.0) for _ in range(entries)]
+            calls = 0
+            for budget in budgets:
+                now = 0.0
+                while now < 10.0:
+                    now += budget.take(now, entries)
+                    calls += 1
+            # Half of the rate, and one burst.
+            self.assertTrue(calls <= 0.5 * 400 * 11 + entries, (entries, calls))
+
+    def test_usual_calls_do_not_wait(self):
+        budget = CallBudget(400.0)
+        waits = [budget.take(n * 0.4, 25) for n in range(200)]
+        self.assertThat(max(waits), Equals(0.0))
+
+    def test_unknown_number_of_entries_is_taken_as_many(self):
+        def wait(entries):
+            budget = CallBudget(400.0)
+            return max(budget.take(0.0, entries) for _ in range(300))
+
+        self.assertTrue(wait(0) > wait(4) > wait(1))
+
+
 class TestLoads(testtools.TestCase):
     """Guards what entries count of each other."""
 
