End the soak's processes when it is interrupted

Cause: SIGTERM ended the soak and left its entries running. Change: the signal cancels the run, which ends the processes by their ids.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -174,6 +174,7 @@
         self.seen = Evidence()
         self.keys = ["key-1", "key-2"]
         self.version = 1
+        self.interrupted = False
         self._entries = entries
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
@@ -210,6 +211,7 @@
     async def run(self) -> list[str]:
         """Play the plan and return the broken promises."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end_when_interrupted, nursery.cancel_scope)
             self.platform = PlatformStandin()
             async with serve(self.platform.handler) as self.store:
                 try:
@@ -282,6 +284,13 @@
                 command, stdout=log, stderr=log, env=env
             )
 
+    async def _end_when_interrupted(self, scope) -> None:
+        """Cancel the run, which ends the processes that it started."""
+        with trio.open_signal_receiver(signal.SIGTERM) as received:
+            async for _ in received:
+                self.interrupted = True
+                scope.cancel()
+
     def _end_processes(self) -> None:
         for process in self._processes.values():
             if process.poll() is None:
@@ -443,6 +452,9 @@
                 os.rename(folder, options.keep / f"seed-{seed}")
                 Path(folder).mkdir()
             broken += bool(found)
+            if soak.interrupted:
+                print("interrupted")
+                return 1
     print(f"{options.seeds} seeds, {broken} with a broken promise")
     return 1 if broken else 0
 
