--- /dev/null
+++ b/src/foxtailcourse/emulator/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of entries that place prompts straight on engines, and baselines."""
--- /dev/null
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -0,0 +1,543 @@
+"""Entries that place prompts on engines, in virtual time.
+
+The decisions are those of the product or of a baseline; what entries know is as old
+as it is in operation: loads of others come with their datagrams, cache contents with
+their events. All entries share one index of the caches, so what one of them expects is
+known to the others, which is more than they know in operation.
+"""
+
+import itertools
+import math
+import random
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import attrs
+
+from foxtailcourse.emulator._timeline import Timeline
+from foxtailcourse.emulator.ingress.engine import (
+    BatchEngine,
+    EngineRequest,
+    EngineSheet,
+)
+from foxtailcourse.emulator.ingress.workload import Arrival, Load, RequestKind
+from foxtailcourse.fleet import BackendServer, FleetView, NamedWeights
+from foxtailcourse.ingress._cache_index import HeldParts
+from foxtailcourse.ingress._holdback import Step, Timing, WaitingWork
+from foxtailcourse.ingress._loads import RemoteLoad, ServerLoads
+from foxtailcourse.ingress._placement import CacheStore, Candidate, Choice, Prompt
+from foxtailcourse.ingress._rollout import next_loads
+from foxtailcourse.platform import CacheEvent, CacheEvents
+from foxtailcourse.settings import Address
+
+MODEL = "m"
+STORE = Address("store", 1)
+# Age of another entry's load when it arrives, and the period of renewal, in seconds.
+NEWS_S, RENEWAL_S = 0.015, 0.4
+# Age of a cache event when it arrives, in seconds.
+EVENT_AGE_S = 0.1
+HOLD_CHECK_S = 0.015
+# Length of the window whose worst one is reported, in seconds.
+WINDOW_S = 5.0
+# Period in which the entry that gives orders looks for loads to start, in seconds.
+LOAD_CHECK_S = 0.1
+# An answer on weights that were replaced this long ago loses this part of its worth.
+OLD_WEIGHTS_AFTER_S, OLD_WEIGHTS_LOSS = 1.5, 0.2
+
+
+class Policy(Protocol):
+    """Decisions on one prompt; each of them may be a baseline's."""
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        prompt: Prompt,
+        store: CacheStore | None,
+        now: float,
+    ) -> Choice:
+        """Return the server of an attempt."""
+
+    def next_step(
+        self, choice: Choice, prompt: Prompt, timing: Timing, ahead_s: float
+    ) -> Step:
+        """Return whether a prompt is sent, held back or refused."""
+
+
+@attrs.frozen(kw_only=True)
+class Day:
+    """One simulated day; times and lengths are in seconds.
+
+    Parameters
+    ----------
+    sheet : EngineSheet
+        The engines.
+    servers, entries : int
+        Their numbers.
+    kinds : sequence of RequestKind
+        What is asked for.
+    load_factor : float
+        Load, as a multiple of what the kinds say.
+    new_weights_at : sequence of float
+        When new weights are named.
+    weights_limit_s : float
+        Time until old weights must not be used.
+    dark : tuple of float
+        Share of the servers that are lost, from when and until when.
+    bursts : sequence of tuple of float
+        From when, until when, and how many times the usual load.
+    """
+
+    name: str
+    sheet: EngineSheet
+    servers: int
+    entries: int
+    kinds: Sequence[RequestKind]
+    length_s: float = 34.0
+    load_factor: float = 1.0
+    new_weights_at: Sequence[float] = ()
+    dark: tuple[float, float, float] = (0.0, 0.0, 0.0)
+    weights_limit_s: float = 20.0
+
+
+@attrs.define(kw_only=True)
+class Outcome:
+    """What callers of one kind got.
+
+    Parameters
+    ----------
+    asked, in_time, late : int
+        Requests, and those answered within their target and after it.
+    asked_largest, served_largest : int
+        Requests of the largest tenth, by the prompt, and those answered.
+    refused_after_s : list of float
+        Age of each attempt that was refused, in seconds.
+    first_event_s : list of float
+        Seconds from the first attempt to the first event.
+    """
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    asked_largest: int = 0
+    served_largest: int = 0
+    refused_after_s: list[float] = attrs.field(factory=list)
+    first_event_s: list[float] = attrs.field(factory=list)
+
+
+@attrs.define(kw_only=True)
+class Result:
+    """Figures of one run.
+
+    Parameters
+    ----------
+    outcomes : dict of str to Outcome
+        By kind of request.
+    worth : float
+        Worth earned by the worth asked for.
+    read_again : int
+        Tokens of shared parts that were read though a server held them.
+    worst_worth : float
+        The same over the worst window of WINDOW_S.
+    """
+
+    outcomes: dict[str, Outcome] = attrs.field(factory=dict)
+    worth: float = 0.0
+    worst_worth: float = 0.0
+    read_again: int = 0
+
+
+RETRY_AFTER_S = 2.0
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class _Attempt:
+    """One attempt of a caller."""
+
+    arrival: Arrival
+    began: float
+    is_repeat: bool = False
+
+
+class _Entry:
+    """What one entry knows."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.loads = ServerLoads()
+        self.waiting = WaitingWork()
+
+
+@attrs.define
+class _Server:
+    """One backend server of the simulation."""
+
+    engine: BatchEngine
+    described: BackendServer
+    version: int = 1
+    loading: bool = False
+    dark: bool = False
+    pending: set[int] = attrs.field(factory=set)
+
+
+def _described(name: str, sheet: EngineSheet) -> BackendServer:
+    return BackendServer(
+        id=name,
+        service="engines",
+        address=Address(name, 1),
+        failure_domain="d",
+        slots=sheet.slots,
+        leaving=False,
+        weights={MODEL: 1},
+    )
+
+
+class FleetSimulation:
+    """One run of a policy.
+
+    Parameters
+    ----------
+    day : Day
+        Sizes and disruptions.
+    policy : Policy
+        The decisions.
+    seed : int
+        Seed of the load and of ties.
+    """
+
+    def __init__(self, day: Day, policy: Policy, seed: int = 1) -> None:
+        self.day, self.policy = day, policy
+        self.timeline, self.rng = Timeline(), random.Random(seed + 1)
+        self._load = Load(day.kinds, seed)
+        self.entries = [_Entry(f"e{n}") for n in range(day.entries)]
+        self.version = 1
+        self._named_at = math.inf
+        self.servers: dict[str, _Server] = {}
+        for number in range(day.servers):
+            name = f"s{number}"
+            engine = BatchEngine(name, day.sheet, self.timeline, self._cached(name))
+            self.servers[name] = _Server(engine, _described(name, day.sheet))
+        self._stored: set[tuple[str, str]] = set()
+        self._held: dict[str, HeldParts] = {name: HeldParts() for name in self.servers}
+        self._held_by_store = HeldParts()
+        self.result = Result(outcomes={each.name: Outcome() for each in day.kinds})
+        self._published: dict[tuple[str, str], float] = {}
+        self._numbers = itertools.count()
+        # Size from which a prompt belongs to the largest tenth of its kind.
+        self._large: dict[str, int] = {}
+        # Worth earned and asked for, by the second of arrival.
+        self._earned: dict[int, float] = defaultdict(float)
+        self._asked: dict[int, float] = defaultdict(float)
+
+    def run(self) -> Result:
+        """Play the day."""
+        day = self.day
+        arrivals = list(self._load.arrivals(day.length_s, day.load_factor))
+        for kind in day.kinds:
+            sizes = sorted(each.tokens for each in arrivals if each.kind is kind)
+            self._large[kind.name] = sizes[len(sizes) * 9 // 10]
+        for arrival in arrivals:
+            self.timeline.at(arrival.at, self._arrive, arrival)
+        for at in day.new_weights_at:
+            self.timeline.at(at, self._name_weights)
+        share, since, until = day.dark
+        lost = self.rng.sample(sorted(self.servers), round(share * day.servers))
+        for name in lost:
+            self.timeline.at(since, self._lose, name)
+            self.timeline.at(until, self._return, name)
+        for entry in self.entries:
+            self.timeline.at(self.rng.uniform(0, RENEWAL_S), self._renew, entry)
+        self.timeline.run(day.length_s + 15.0)
+        self._sum_up()
+        return self.result
+
+    # Requests
+
+    def _arrive(self, arrival: Arrival, now: float) -> None:
+        outcome = self.result.outcomes[arrival.kind.name]
+        outcome.asked += 1
+        outcome.asked_largest += self._is_large(arrival)
+        self._asked[int(arrival.at)] += arrival.kind.worth
+        self._attempt(_Attempt(arrival=arrival, began=now), now)
+
+    def _is_large(self, arrival: Arrival) -> bool:
+        return arrival.tokens >= self._large[arrival.kind.name]
+
+    def _attempt(self, attempt: _Attempt, now: float) -> None:
+        entry = self.rng.choice(self.entries)
+        arrival = attempt.arrival
+        prompt = Prompt(parts=arrival.parts, tokens=arrival.tokens)
+        self._try(entry, attempt, prompt, now)
+
+    def _try(
+        self, entry: _Entry, attempt: _Attempt, prompt: Prompt, now: float
+    ) -> None:
+        kind, age_s = attempt.arrival.kind, now - attempt.began
+        entry.waiting.remove(id(attempt))
+        if age_s > kind.patience_s:
+            return
+        candidates = self._candidates(entry, now)
+        store = CacheStore(address=STORE, held=self._held_by_store)
+        step, work = Step.WAIT, 0.0
+        if candidates:
+            choice = self.policy.choose(candidates, prompt, store, now)
+            timing = Timing(
+                age_s=age_s, target_s=kind.target_s, patience_s=kind.patience_s
+            )
+            ahead_s = entry.waiting.ahead_s(len(candidates), len(self.entries))
+            step = self.policy.next_step(choice, prompt, timing, ahead_s)
+            work = choice.work
+        if step is Step.SEND:
+            self._send(entry, attempt, prompt, choice, now)
+        elif step is Step.REFUSE:
+            self._refuse(attempt, now)
+        else:
+            entry.waiting.put(id(attempt), work)
+            pause_s = max(HOLD_CHECK_S, age_s / 10) * self.rng.uniform(0.5, 1.5)
+            self.timeline.at(now + pause_s, self._try, entry, attempt, prompt)
+
+    def _refuse(self, attempt: _Attempt, now: float) -> None:
+        kind = attempt.arrival.kind
+        outcome = self.result.outcomes[kind.name]
+        outcome.refused_after_s.append(now - attempt.began)
+        back = now + RETRY_AFTER_S * self.rng.uniform(0.75, 1.25)
+        if attempt.is_repeat or back > attempt.arrival.at + kind.limit_s:
+            return
+        again = _Attempt(arrival=attempt.arrival, began=back, is_repeat=True)
+        self.timeline.at(back, self._attempt, again)
+
+    def _candidates(self, entry: _Entry, now: float) -> list[Candidate]:
+        return [
+            Candidate(
+                server=server.described,
+                load=entry.loads.of(name, 0),
+                total=entry.loads.total(name, 0, now),
+                entries=len(self.entries),
+                held=self._held[name],
+                salt=str(server.version),
+                old_weights=server.version < self.version,
+            )
+            for name, server in self.servers.items()
+            if not server.dark and not server.loading
+        ]
+
+    def _send(
+        self,
+        entry: _Entry,
+        attempt: _Attempt,
+        prompt: Prompt,
+        choice: Choice,
+        now: float,
+    ) -> None:
+        arrival = attempt.arrival
+        name = choice.candidate.server.id
+        load, salt = choice.candidate.load, choice.candidate.salt
+        left = choice.work
+        load.in_flight += 1
+        load.short += not prompt.is_long
+        load.prefill_tokens += left
+        self._publish_if_urgent(entry, name, now)
+        choice.candidate.held.expect(salt, prompt.parts[:-1], now)
+        fetched, fetch_s = self._fetch(choice, prompt, salt)
+        self._count_read_again(name, prompt, salt, fetched)
+        server = self.servers[name]
+        number = next(self._numbers)
+        server.pending.add(number)
+        state = {"left": left, "first": False}
+
+        old_weights = choice.candidate.old_weights
+        old_after = self._named_at + OLD_WEIGHTS_AFTER_S
+
+        def first_event(at: float) -> None:
+            state["first"] = True
+            load.prefill_tokens = max(0.0, load.prefill_tokens - 0.95 * left)
+            state["left"] = 0.05 * left
+            self._publish_if_urgent(entry, name, at)
+            self._answered(arrival, at, old_weights and at > old_after)
+            if prompt.is_long:
+                self._save(salt, prompt, at)
+
+        def done(at: float) -> None:
+            load.in_flight -= 1
+            load.short -= not prompt.is_long
+            load.prefill_tokens = max(0.0, load.prefill_tokens - state["left"])
+            server.pending.discard(number)
+            self._load_weights_if_free(name, at)
+
+        def leave(at: float) -> None:
+            if not state["first"] and server.engine.cancel(request):
+                done(at)
+
+        request = EngineRequest(
+            parts=prompt.parts,
+            salt=salt,
+            output_tokens=arrival.output_tokens,
+            priority=arrival.kind.rank,
+            fetched=fetched,
+            fetch_s=fetch_s,
+            first_event=first_event,
+            done=done,
+        )
+        server.engine.start(request, now)
+        self.timeline.at(attempt.began + arrival.kind.patience_s, leave)
+
+    def _answered(self, arrival: Arrival, now: float, old: bool) -> None:
+        outcome, kind = self.result.outcomes[arrival.kind.name], arrival.kind
+        taken_s = now - arrival.at
+        outcome.first_event_s.append(taken_s)
+        in_time = taken_s <= kind.target_s
+        outcome.in_time += in_time
+        outcome.served_largest += self._is_large(arrival)
+        outcome.late += not in_time
+        earned = kind.worth if in_time else kind.late_worth
+        earned *= 1 - OLD_WEIGHTS_LOSS * old
+        self._earned[int(arrival.at)] += earned
+
+    def _sum_up(self) -> None:
+        self.result.worth = self._share(0.0, self.day.length_s)
+        starts = range(0, int(self.day.length_s - WINDOW_S) + 1)
+        self.result.worst_worth = min(self._share(s, s + WINDOW_S) for s in starts)
+
+    def _share(self, since: float, until: float) -> float:
+        earned = sum(v for s, v in self._earned.items() if since <= s < until)
+        asked = sum(v for s, v in self._asked.items() if since <= s < until)
+        return earned / asked if asked else math.nan
+
+    # Cache
+
+    def _fetch(self, choice: Choice, prompt: Prompt, salt: str) -> tuple[int, float]:
+        sheet, source = self.day.sheet, choice.fetch_from
+        if source is None:
+            return 0, 0.0
+        own = self.servers[choice.candidate.server.id].engine.cache.covered(
+            salt, prompt.parts[:-1]
+        )
+        if source == STORE:
+            held, token_s = 0, sheet.store_token_s
+            for part in prompt.parts[:-1]:
+                if (salt, part.id) not in self._stored:
+                    break
+                held += part.tokens
+        else:
+            engine = self.servers[source.host].engine
+            held, token_s = engine.cache.covered(salt, prompt.parts[:-1]), 0.0
+            token_s = sheet.fetch_token_s
+        missing = max(0, held - own)
+        if not missing:
+            return 0, 0.0
+        return held, sheet.fetch_setup_s + missing * token_s
+
+    def _save(self, salt: str, prompt: Prompt, now: float) -> None:
+        for part in prompt.parts[:-1]:
+            if (salt, part.id) in self._stored:
+                continue
+            self._stored.add((salt, part.id))
+            self._tell_later(self._held_by_store, salt, part.id, part.tokens, now)
+
+    def _cached(self, name: str) -> Callable[[str, str, int, float], None]:
+        def note(salt: str, part: str, tokens: int, now: float) -> None:
+            self._tell_later(self._held[name], salt, part, tokens, now)
+
+        return note
+
+    def _tell_later(
+        self, held: HeldParts, salt: str, part: str, tokens: int, now: float
+    ) -> None:
+        event = CacheEvent(salt=salt, part=part, tokens=tokens)
+        batch = CacheEvents(epoch=1, next=0, lost=False, events=(event,))
+        self.timeline.at(now + EVENT_AGE_S, lambda later: held.apply(batch))
+
+    def _count_read_again(
+        self, name: str, prompt: Prompt, salt: str, fetched: int
+    ) -> None:
+        engines = [each.engine.cache for each in self.servers.values()]
+        best = max(each.covered(salt, prompt.parts[:-1]) for each in engines)
+        own = self.servers[name].engine.cache.covered(salt, prompt.parts[:-1])
+        self.result.read_again += max(0, best - max(own, fetched))
+
+    # Loads of entries
+
+    def _publish_if_urgent(self, entry: _Entry, server: str, now: float) -> None:
+        load = entry.loads.of(server, 0)
+        last = self._published.get((entry.name, server), 0.0)
+        if abs(load.prefill_tokens - last) >= 1_500:
+            self._publish(entry, server, now)
+
+    def _publish(self, entry: _Entry, server: str, now: float) -> None:
+        load = entry.loads.of(server, 0)
+        self._published[entry.name, server] = load.prefill_tokens
+        news = RemoteLoad(
+            prefill_tokens=load.prefill_tokens,
+            in_flight=load.in_flight,
+            short=load.short,
+            received_at=now + NEWS_S,
+        )
+
+        def arrive(later: float) -> None:
+            for other in self.entries:
+                if other is not entry:
+                    other.loads.take_remote(entry.name, server, news)
+
+        self.timeline.at(now + NEWS_S, arrive)
+
+    def _renew(self, entry: _Entry, now: float) -> None:
+        for server in self.servers:
+            load = entry.loads.of(server, 0)
+            if load.in_flight or self._published.get((entry.name, server)):
+                self._publish(entry, server, now)
+        if now < self.day.length_s + 12.0:
+            self.timeline.at(now + RENEWAL_S, self._renew, entry)
+
+    # Weights and losses
+
+    def _name_weights(self, now: float) -> None:
+        self.version += 1
+        self._named_at = now
+        self._start_loads(now)
+
+    def _start_loads(self, now: float) -> None:
+        """Give the orders that the product would, by what the first entry knows."""
+        alive = {name: each for name, each in self.servers.items() if not each.dark}
+        view = FleetView()
+        view.servers = {
+            name: attrs.evolve(each.described, weights={MODEL: each.version})
+            for name, each in alive.items()
+        }
+        view.weights = {
+            MODEL: NamedWeights(
+                model=MODEL, version=self.version, known_since=self._named_at
+            )
+        }
+        busy = {name for name, each in alive.items() if each.loading}
+        known = self.entries[0].loads
+        for load in next_loads(view, busy, known, now, self.day.weights_limit_s):
+            self.servers[load.server.id].loading = True
+            self._load_weights_if_free(load.server.id, now)
+        if any(each.version < self.version for each in alive.values()):
+            self.timeline.at(now + LOAD_CHECK_S, self._start_loads)
+
+    def _load_weights_if_free(self, name: str, now: float) -> None:
+        server = self.servers[name]
+        if server.loading and not server.pending and not server.dark:
+            server.engine.drop_cache(now)
+            end = now + self.day.sheet.load_s
+            self.timeline.at(end, self._loaded, name, self.version)
+
+    def _loaded(self, name: str, version: int, now: float) -> None:
+        server = self.servers[name]
+        if not server.dark and server.loading:
+            server.version, server.loading = version, False
+
+    def _lose(self, name: str, now: float) -> None:
+        server = self.servers[name]
+        server.dark, server.loading = True, False
+        server.pending.clear()
+        server.engine.lose_all(now)
+        for entry in self.entries:
+            load = entry.loads.of(name, 0)
+            load.in_flight = load.short = 0
+            load.prefill_tokens = 0.0
+
+    def _return(self, name: str, now: float) -> None:
+        server = self.servers[name]
+        server.dark, server.version = False, self.version
--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -52,6 +52,8 @@
         Whether a stream may go on at another backend server.
     backends : tuple of Backend
         Services of the route.
+    patience_s : float
+        Time after which callers leave a stream that sent no event, in seconds.
     """
 
     name: str
@@ -65,6 +67,7 @@
     public: bool
     resumable: bool
     backends: tuple[Backend, ...]
+    patience_s: float = float("inf")
 
     @property
     def idempotent(self) -> bool:
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -252,7 +252,7 @@
     def _counted(self, choice: Choice, short: bool) -> Iterator[Callable[[], None]]:
         """Count a request in its server's load; yields what its first event calls."""
         load = choice.candidate.load
-        left = choice.tokens_to_read
+        left = choice.work
         load.in_flight += 1
         load.short += short
         load.prefill_tokens += left
@@ -260,9 +260,9 @@
 
         def first_event() -> None:
             nonlocal left
-            if left > DECODE_SHARE * choice.tokens_to_read:
-                load.prefill_tokens -= left - DECODE_SHARE * choice.tokens_to_read
-                left = DECODE_SHARE * choice.tokens_to_read
+            if left > DECODE_SHARE * choice.work:
+                load.prefill_tokens -= left - DECODE_SHARE * choice.work
+                left = DECODE_SHARE * choice.work
                 self.loads.changed.set()
 
         try:
--- a/src/foxtailcourse/ingress/_dispatch.py
+++ b/src/foxtailcourse/ingress/_dispatch.py
@@ -10,7 +10,7 @@
 from foxtailcourse.ingress._attempt import Attempts
 from foxtailcourse.ingress._budget import RetryBudget
 from foxtailcourse.ingress._candidates import CandidateFilter
-from foxtailcourse.ingress._holdback import must_wait
+from foxtailcourse.ingress._holdback import Step, Timing, WaitingWork, next_step
 from foxtailcourse.ingress._job import Answer, AttemptError, Job, RefusedError
 from foxtailcourse.ingress._placement import (
     CacheStore,
@@ -23,8 +23,10 @@
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.protocol import Verdict
 
-# Held prompts look for room in this period; loads change with each first event.
+# Held prompts look for room in this period, and in this part of their age, as loads
+# change with each first event.
 HOLD_CHECK_S = 0.015
+HOLD_CHECK_SHARE = 0.1
 # Less time than this is not worth another attempt.
 SHORTEST_ATTEMPT_S = 0.03
 # When to come back after a refusal, by its reason; loads of weights take seconds, but
@@ -37,6 +39,8 @@
     "all_tried": 0.15,
 }
 DEFAULT_RETRY_AFTER_S = 0.15
+# Shortest time after which the entry may have fewer prompts waiting.
+OVERLOAD_RETRY_S = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -71,6 +75,7 @@
     rng: random.Random
     events: EventLog
     metrics: Metrics
+    waiting: WaitingWork = attrs.field(factory=WaitingWork)
 
     async def run(self, job: Job) -> Answer | None:
         """Return the answer, or None if it was streamed.
@@ -101,17 +106,50 @@
             return answer
 
     async def _wait_for_room(self, job: Job) -> Choice:
-        """Choose a server, again while every one has enough long prompts to read."""
+        """Choose a server, again while the prompt should not be sent."""
         began = self.clock()
-        while True:
-            choice = self._choose(job)
-            now = self.clock()
-            age_s, limit_s = now - job.started, job.deadline - job.started
-            if job.prompt is None or not must_wait(choice, job.prompt, age_s, limit_s):
-                job.held_s += now - began
-                return choice
-            # Spread, so that entries do not all find the same room at once.
-            await trio.sleep(HOLD_CHECK_S * self.rng.uniform(0.5, 1.5))
+        prompt = job.prompt
+        try:
+            while True:
+                choice, servers = self._choose(job)
+                now = self.clock()
+                age_s = now - job.started
+                if prompt is None or self._may_send(job, prompt, choice, servers, now):
+                    job.held_s += now - began
+                    return choice
+                self.waiting.put(id(job), choice.work)
+                # Spread, so that entries do not all find the same room at once.
+                pause_s = max(HOLD_CHECK_S, HOLD_CHECK_SHARE * age_s)
+                await trio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
+        finally:
+            self.waiting.remove(id(job))
+
+    def _may_send(
+        self, job: Job, prompt: Prompt, choice: Choice, servers: int, now: float
+    ) -> bool:
+        """Return whether a prompt is sent now; raises RefusedError if it never is."""
+        route = job.route
+        timing = Timing(
+            age_s=now - job.started,
+            target_s=route.target_latency_s,
+            patience_s=min(route.patience_s, job.deadline - job.started),
+        )
+        self.waiting.remove(id(job))
+        ahead_s = self.waiting.ahead_s(servers, len(self.view.entries))
+        step = next_step(choice, prompt, timing, ahead_s)
+        if step is Step.REFUSE:
+            if job.verdict is not Verdict.NOT_RUN:
+                raise AttemptError("overloaded", job.verdict)
+            pause_s = max(OVERLOAD_RETRY_S, ahead_s) * self.rng.uniform(0.75, 1.25)
+            raise RefusedError(
+                "overloaded",
+                pause_s,
+                held_ms=int(timing.age_s * 1000),
+                queued_tokens=int(choice.candidate.total.prefill_tokens),
+                work_tokens=int(choice.work),
+                ahead_ms=int(ahead_s * 1000),
+            )
+        return step is Step.SEND
 
     async def _attempt(self, job: Job, choice: Choice) -> Answer | None:
         prompt, address = job.prompt, None
@@ -136,7 +174,8 @@
         ]
         return store_of(prompt.largest_part.id, stores)
 
-    def _choose(self, job: Job) -> Choice:
+    def _choose(self, job: Job) -> tuple[Choice, int]:
+        """Return the best server now, and of how many; raises if there is none."""
         now = self.clock()
         tried = {*job.sent_to, *job.unreachable}
         selection = self.candidates.select(
@@ -153,12 +192,11 @@
                     selection.reason, self._retry_after(selection.reason)
                 )
             raise AttemptError(selection.reason, job.verdict)
-        prompt = job.prompt
+        found, prompt = selection.candidates, job.prompt
         if prompt is None:
-            return choose_plain(selection.candidates, now, self.rng.random())
-        return choose_for_prompt(
-            selection.candidates, prompt, self._cache_store(prompt), now
-        )
+            return choose_plain(found, now, self.rng.random()), len(found)
+        store = self._cache_store(prompt)
+        return choose_for_prompt(found, prompt, store, now), len(found)
 
     def _may_repeat(self, job: Job, exc: AttemptError) -> bool:
         now = self.clock()
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -213,6 +213,7 @@
             reason=exc.reason,
             retry_after_ms=int(exc.retry_after_s * 1000),
             configuration_age_ms=-1 if age_s == float("inf") else int(age_s * 1000),
+            **exc.inputs,
         )
         if exc.reason in {"keys_stale", "no_configuration", "configuration_stale"}:
             # Another entry may know more.
--- a/src/foxtailcourse/ingress/_holdback.py
+++ b/src/foxtailcourse/ingress/_holdback.py
@@ -1,25 +1,64 @@
-"""Holds long prompts back at the entry while every server has enough to read.
+"""Decides whether a long prompt is sent, held back at the entry or refused.
 
-Answers bursts and servers that are out for a load of weights: engines read admitted
-prompts in turn, so a short prompt waits behind every long one that was sent before it.
-A long prompt that waits here instead is read no later, as the server stays busy.
+Answers overload: bursts, servers that are lost or load weights, and caches that are
+empty after it. Engines read admitted prompts in turn, so whatever is sent to a server
+that is behind makes all that follow late as well. A prompt that can still be answered
+within its target goes at once; a late one waits for a server that is nearly idle, and
+so does one that takes long to read. More of them than the fleet can serve before their
+callers leave are refused when they arrive.
 """
 
+import enum
+
+import attrs
+
 from foxtailcourse.ingress._placement import Choice, Prompt
 
-# Backlog of a server at which it needs no further long prompt to stay busy.
-ENOUGH_TOKENS = 16_000.0
-# Waiting this long doubles the backlog that a prompt accepts, so that those that have
-# waited longest go first.
-DOUBLING_S = 0.4
-# A prompt is not held past this part of its time, so that none waits for good.
-LONGEST_HOLD_SHARE = 0.25
+# Prompt tokens that an engine reads in a second beside its running requests: a piece of
+# 1,024 in a step of 26 ms, by the engines' sheets.
+READ_TOKENS_PER_S = 40_000.0
+# From the end of reading to the first event, in seconds: some steps of its batch.
+FIRST_EVENT_S = 0.12
+# Work ahead at a server that is nearly idle, which a late prompt may add to.
+QUIET_WORK = 1_000.0
+# Waiting this long doubles the work ahead that a late prompt accepts, so that those
+# that have waited longest go first.
+DOUBLING_S = 4.0
+# Part of the callers' patience that the prompts waiting at an entry may take together,
+# once there are so many of them that one large prompt does not decide.
+MOST_WAITING_SHARE = 0.5
+FEWEST_WAITING = 3
+
 
+class Step(enum.Enum):
+    """What becomes of a prompt now."""
 
-def must_wait(
-    choice: Choice, prompt: Prompt, age_s: float, time_limit_s: float
-) -> bool:
-    """Return whether a prompt should wait before it is sent.
+    SEND = "send"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+@attrs.frozen(kw_only=True)
+class Timing:
+    """Times of one request, in seconds.
+
+    Parameters
+    ----------
+    age_s : float
+        Since it arrived.
+    target_s : float
+        From its arrival to the first event of an answer in time.
+    patience_s : float
+        From its arrival until its caller leaves.
+    """
+
+    age_s: float
+    target_s: float
+    patience_s: float
+
+
+def next_step(choice: Choice, prompt: Prompt, timing: Timing, ahead_s: float) -> Step:
+    """Return whether a prompt is sent to the server that was chosen for it.
 
     Parameters
     ----------
@@ -27,12 +66,46 @@
         The best server now.
     prompt : Prompt
         The prompt.
-    age_s : float
-        Time since it arrived, in seconds.
-    time_limit_s : float
-        Time from its arrival to its deadline, in seconds.
+    timing : Timing
+        Its times.
+    ahead_s : float
+        Time that the fleet needs for this entry's share of the waiting prompts.
     """
-    if not prompt.is_long or age_s >= LONGEST_HOLD_SHARE * time_limit_s:
-        return False
-    accepted = ENOUGH_TOKENS * 2 ** (age_s / DOUBLING_S)
-    return choice.candidate.total.prefill_tokens > accepted
+    if not prompt.is_long:
+        return Step.SEND
+    backlog = choice.candidate.total.prefill_tokens
+    accepted = QUIET_WORK * 2 ** (timing.age_s / DOUBLING_S)
+    answer_s = FIRST_EVENT_S + (backlog + choice.work) / READ_TOKENS_PER_S
+    if timing.age_s + answer_s <= timing.target_s or backlog <= accepted:
+        return Step.SEND
+    alone_s = FIRST_EVENT_S + choice.work / READ_TOKENS_PER_S
+    if timing.age_s > 0 and timing.age_s + alone_s > timing.patience_s:
+        return Step.REFUSE
+    if timing.age_s <= 0 and ahead_s > MOST_WAITING_SHARE * timing.patience_s:
+        return Step.REFUSE
+    return Step.WAIT
+
+
+class WaitingWork:
+    """Work of the prompts that wait at this entry."""
+
+    def __init__(self) -> None:
+        self._work: dict[int, float] = {}
+
+    def put(self, key: int, work: float) -> None:
+        """Note a prompt that waits, and the work of reading it."""
+        self._work[key] = work
+
+    def remove(self, key: int) -> None:
+        """Note that a prompt no longer waits."""
+        self._work.pop(key, None)
+
+    def ahead_s(self, servers: int, entries: int) -> float:
+        """Return the time that this entry's share of the servers needs for them.
+
+        It is 0 while fewer than FEWEST_WAITING wait.
+        """
+        if len(self._work) < FEWEST_WAITING:
+            return 0.0
+        share = max(1, servers) / max(1, entries)
+        return sum(self._work.values()) / (READ_TOKENS_PER_S * share)
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -128,9 +128,12 @@
         Short code for logs and metrics.
     retry_after_s : float
         When to come back, in seconds.
+    inputs : dict
+        What decided it, for the log.
     """
 
-    def __init__(self, reason: str, retry_after_s: float) -> None:
+    def __init__(self, reason: str, retry_after_s: float, **inputs: int) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.inputs = inputs
--- a/src/foxtailcourse/ingress/_loads.py
+++ b/src/foxtailcourse/ingress/_loads.py
@@ -96,6 +96,51 @@
         self._rated_at = now
 
 
+@attrs.define
+class _RemoteLoads:
+    """Loads that other entries published for one server, and their sums.
+
+    The sums are kept, so that a choice among many servers does not add up the loads of
+    many entries for each of them.
+    """
+
+    by_vm: dict[str, RemoteLoad] = attrs.field(factory=dict)
+    prefill_tokens: float = 0.0
+    in_flight: int = 0
+    short: int = 0
+    # No load is older than this.
+    oldest_at: float = float("inf")
+
+    def take(self, vm: str, load: RemoteLoad) -> None:
+        """Replace the load of an entry."""
+        known = self.by_vm.get(vm)
+        if known is not None:
+            self._add(known, -1)
+        self.by_vm[vm] = load
+        self._add(load, 1)
+        self.oldest_at = min(self.oldest_at, load.received_at)
+
+    def expire(self, now: float) -> None:
+        """Drop loads that were not renewed."""
+        if now - self.oldest_at < REMOTE_VALID_S:
+            return
+        self.by_vm = {
+            vm: load
+            for vm, load in self.by_vm.items()
+            if now - load.received_at < REMOTE_VALID_S
+        }
+        self.prefill_tokens, self.in_flight, self.short = 0.0, 0, 0
+        for load in self.by_vm.values():
+            self._add(load, 1)
+        ages = (load.received_at for load in self.by_vm.values())
+        self.oldest_at = min(ages, default=float("inf"))
+
+    def _add(self, load: RemoteLoad, sign: int) -> None:
+        self.prefill_tokens += sign * load.prefill_tokens
+        self.in_flight += sign * load.in_flight
+        self.short += sign * load.short
+
+
 class ServerLoads:
     """The loads of all backend servers, by server and start.
 
@@ -104,7 +149,7 @@
 
     def __init__(self) -> None:
         self._loads: dict[tuple[str, int], ServerLoad] = {}
-        self._remote: dict[str, dict[str, RemoteLoad]] = {}
+        self._remote: dict[str, _RemoteLoads] = {}
         self.changed = trio.Event()
 
     def of(self, server_id: str, started_ms: int) -> ServerLoad:
@@ -121,20 +166,23 @@
 
     def take_remote(self, vm: str, server_id: str, load: RemoteLoad) -> None:
         """Replace the load that another entry published for a server."""
-        self._remote.setdefault(server_id, {})[vm] = load
+        self._remote.setdefault(server_id, _RemoteLoads()).take(vm, load)
 
     def total(self, server_id: str, started_ms: int, now: float) -> TotalLoad:
         """Return the load by this entry and by what others published recently."""
         own = self.of(server_id, started_ms)
-        others = [
-            each
-            for each in self._remote.get(server_id, {}).values()
-            if now - each.received_at < REMOTE_VALID_S
-        ]
+        others = self._remote.get(server_id)
+        if others is None:
+            return TotalLoad(
+                prefill_tokens=own.prefill_tokens,
+                in_flight=own.in_flight,
+                short=own.short,
+            )
+        others.expire(now)
         return TotalLoad(
-            prefill_tokens=own.prefill_tokens + sum(e.prefill_tokens for e in others),
-            in_flight=own.in_flight + sum(e.in_flight for e in others),
-            short=own.short + sum(e.short for e in others),
+            prefill_tokens=own.prefill_tokens + others.prefill_tokens,
+            in_flight=own.in_flight + others.in_flight,
+            short=own.short + others.short,
         )
 
     def forget_all_but(self, known: set[tuple[str, int]]) -> None:
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -17,10 +17,13 @@
 from foxtailcourse.platform import PromptPart
 from foxtailcourse.settings import Address
 
+# Context at which a token takes twice as long to read as at the start of a prompt; by
+# the engines' sheets 30,500 and 57,700.
+ATTENTION_CONTEXT_TOKENS = 40_000.0
 # Above this size a prompt's cost is dominated by reading it.
 LONG_PROMPT_TOKENS = 2500
 # Cost of a token to read, against a token queued ahead: reading also delays others.
-MISS_WEIGHT = 2.0
+MISS_WEIGHT = 3.0
 # Cost of a token fetched from another server or the store, against reading it.
 PEER_FETCH_COST = 0.2
 STORE_FETCH_COST = 0.5
@@ -81,7 +84,7 @@
     load : ServerLoad
         What this entry itself has sent.
     total : TotalLoad
-        What all entries have sent. The prompt tokens are recent; the requests in flight
+        What all entries have sent. The work to read is recent; the requests in flight
         are up to a renewal old, in which many may have followed them.
     entries : int
         Entries that send to it.
@@ -120,14 +123,35 @@
         Where it should fetch cached parts from.
     tokens_to_read : float
         Prompt tokens that it will read.
+    work : float
+        Tokens that could be read in the same time at the start of a prompt.
     """
 
     candidate: Candidate
     fetch_from: Address | None = None
     tokens_to_read: float = 0.0
+    work: float = 0.0
     cost: float = 0.0
 
 
+def reading_work(tokens: float, context: float) -> float:
+    """Return the work of reading tokens that follow others.
+
+    Parameters
+    ----------
+    tokens : float
+        Tokens to read.
+    context : float
+        Tokens of the prompt before them.
+
+    Returns
+    -------
+    float
+        Tokens that could be read in the same time at the start of a prompt.
+    """
+    return tokens * (1 + (context + tokens / 2) / ATTENTION_CONTEXT_TOKENS)
+
+
 def choose_plain(candidates: Sequence[Candidate], now: float, spread: float) -> Choice:
     """Return the server that this entry keeps least busy, for requests without prompts.
 
@@ -195,21 +219,26 @@
 ) -> Choice:
     to_read, fetch_from = float(prompt.tokens - own), None
     if prompt.is_long:
-        gain, fetch_from = _best_fetch(each, candidates, own, prompt, store)
+        gain, fetch_from = best_fetch(each, candidates, own, prompt, store)
         to_read -= gain
+    work = reading_work(to_read, prompt.tokens - to_read)
     cost = (
         each.total.prefill_tokens
         + RUNNING_COST_TOKENS * each.load.in_flight * each.entries
-        + MISS_WEIGHT * to_read
+        + MISS_WEIGHT * work
         + FAILURE_COST_TOKENS * each.load.failure_rate(now)
         + (OLD_WEIGHTS_COST_TOKENS if each.old_weights else 0.0)
     )
     return Choice(
-        candidate=each, fetch_from=fetch_from, tokens_to_read=to_read, cost=cost
+        candidate=each,
+        fetch_from=fetch_from,
+        tokens_to_read=to_read,
+        work=work,
+        cost=cost,
     )
 
 
-def _best_fetch(
+def best_fetch(
     each: Candidate,
     candidates: Sequence[Candidate],
     own: int,
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -175,6 +175,9 @@
     "not_executed": "the server said that it did not run the request",
     "old_weights": "every server still has weights that must not be used any more",
     "other_weights": "no other server has the weights that the stream began with",
+    "overloaded": "a long prompt could not be answered before its caller leaves; "
+    "`held_ms`, `queued_tokens`, `work_tokens` and `ahead_ms` (time that the prompts "
+    "waiting at the entry need) decided it",
     "refused_after_run": "the server refused without saying that nothing has run",
     "server_error": "the server ran the request and failed",
     "silent": "the server sent nothing for too long",
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -31,6 +31,11 @@
 }
 
 
+# Callers leave a stream without events after the longest of these seconds, and of these
+# multiples of the route's target and of its longest pause; PROTOCOL, Requests.
+PATIENCE_S, PATIENCE_TARGETS, PATIENCE_PAUSES = 2.0, 4, 8
+
+
 class RecordError(ValueError):
     """A record cannot be read."""
 
@@ -47,6 +52,8 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 0.0
+    # Longest pause between the events of a stream.
+    target_gap_ms: float = 0.0
     priority: int = 0
     attempts: int = 1
     public: bool = False
@@ -57,6 +64,11 @@
 
     def decode(self) -> Route:
         split = self.traffic_split or [_Split(self.service, 1.0)]
+        patience_s = max(
+            PATIENCE_S,
+            PATIENCE_TARGETS * self.target_latency_ms / 1000,
+            PATIENCE_PAUSES * self.target_gap_ms / 1000,
+        )
         return Route(
             name=self.name,
             host=self.host.lower(),
@@ -71,6 +83,7 @@
             backends=tuple(
                 Backend(service=each.service, weight=each.weight) for each in split
             ),
+            patience_s=patience_s,
         )
 
 
--- /dev/null
+++ b/tests/ingress/test_fleet_state.py
@@ -0,0 +1,152 @@
+import random
+
+import testtools
+from decision_case import NOW, server
+from testtools.matchers import Equals
+
+from foxtailcourse.fleet import (
+    Account,
+    Configuration,
+    FleetView,
+    Service,
+)
+from foxtailcourse.ingress._candidates import CandidateFilter, cache_salt
+from foxtailcourse.ingress._loads import RemoteLoad, ServerLoad, ServerLoads
+from foxtailcourse.ingress._rollout import next_loads
+
+
+class TestLoads(testtools.TestCase):
+    """Guards what entries count of each other."""
+
+    def test_news_of_others_lapse_and_an_idle_server_is_told(self):
+        loads = ServerLoads()
+        load = RemoteLoad(prefill_tokens=500, in_flight=2, short=1, received_at=NOW)
+        loads.take_remote("e2", "s1", load)
+        loads.of("s1", 0).in_flight = 1
+        self.assertThat(loads.total("s1", 0, NOW).in_flight, Equals(3))
+        self.assertThat(loads.total("s1", 0, NOW + 5).in_flight, Equals(1))
+
+    def test_sums_over_many_entries_follow_each_of_them(self):
+        """Plays random news; the sums equal what is added up from the newest ones."""
+        rng = random.Random(4)
+        loads, newest, now = ServerLoads(), {}, NOW
+        for _ in range(2_000):
+            now += rng.expovariate(20)
+            vm = f"e{rng.randrange(12)}"
+            load = RemoteLoad(
+                prefill_tokens=rng.randrange(9_000),
+                in_flight=rng.randrange(9),
+                short=rng.randrange(5),
+                received_at=now,
+            )
+            newest[vm] = load
+            loads.take_remote(vm, "s1", load)
+            valid = [e for e in newest.values() if now - e.received_at < 1.5]
+            total = loads.total("s1", 0, now)
+            self.assertThat(total.in_flight, Equals(sum(e.in_flight for e in valid)))
+            self.assertThat(total.short, Equals(sum(e.short for e in valid)))
+            tokens = sum(e.prefill_tokens for e in valid)
+            self.assertTrue(abs(total.prefill_tokens - tokens) < 1e-6)
+
+    def test_suspension_grows_and_ends_with_an_answer(self):
+        load = ServerLoad()
+        load.unreachable(NOW)
+        first = load.suspended_until - NOW
+        load.unreachable(NOW)
+        self.assertTrue(load.suspended_until - NOW > first)
+        for _ in range(20):
+            load.unreachable(NOW)
+        self.assertTrue(load.suspended_until - NOW <= 3.0)
+        load.succeeded(NOW)
+        self.assertThat(load.suspended_until, Equals(0.0))
+
+
+class TestCandidates(testtools.TestCase):
+    """Guards which servers may take a request at all."""
+
+    def filter(self, *servers, **changes):
+        view = FleetView()
+        view.servers = {each.id: each for each in servers}
+        view.entries = {"e1", "e2"}
+        services = {"llm": Service(name="llm", connection_limit=10)}
+        view.configuration = Configuration(
+            version=1, routes={}, services=services, accounts={}, keys_required=False
+        )
+        return CandidateFilter(view, ServerLoads(), {}, 15.0)
+
+    def names(self, found, now=NOW, tried=()):
+        selection = found.select("llm", "guide", None, tried, now)
+        return [each.server.id for each in selection.candidates], selection.reason
+
+    def test_old_weights_are_used_only_within_their_time(self):
+        found = self.filter(server("a", version=1))
+        found.view.name_weights("guide", 2, NOW)
+        self.assertThat(self.names(found, NOW + 5), Equals((["a"], "")))
+        self.assertThat(self.names(found, NOW + 13.5), Equals(([], "old_weights")))
+
+    def test_leaving_loading_tried_and_suspended_servers_are_left_out(self):
+        found = self.filter(server("a"), server("b"), server("c", leaving=True))
+        self.assertThat(self.names(found, tried=["a"]), Equals((["b"], "")))
+        found.view.loading = {"a"}
+        self.assertThat(self.names(found), Equals((["b"], "")))
+        found.view.loading = {"a", "b"}
+        self.assertThat(self.names(found), Equals(([], "loading_weights")))
+        found.view.loading = set()
+        found.loads.of("a", 0).unreachable(NOW)
+        self.assertThat(self.names(found), Equals((["b"], "")))
+        found.loads.of("b", 0).unreachable(NOW)
+        self.assertThat(self.names(found), Equals((["a", "b"], "")))
+
+    def test_connection_limit_counts_all_entries(self):
+        found = self.filter(server("a"))
+        load = RemoteLoad(prefill_tokens=0, in_flight=8, short=0, received_at=NOW)
+        found.loads.take_remote("e2", "a", load)
+        self.assertThat(self.names(found), Equals((["a"], "")))
+        found.loads.of("a", 0).in_flight = 1
+        self.assertThat(self.names(found), Equals(([], "connection_limit")))
+
+    def test_salts_separate_versions_and_isolated_accounts(self):
+        walled = Account(name="w", priority=0, isolated=True)
+        other = Account(name="v", priority=0, isolated=True)
+        shared = Account(name="t", priority=0, isolated=False)
+        salts = [cache_salt(v, a) for v in (1, 2) for a in (None, walled, other)]
+        self.assertThat(len(set(salts)), Equals(6))
+        self.assertThat(cache_salt(1, shared), Equals(cache_salt(1, None)))
+
+
+class TestRolloutPlan(testtools.TestCase):
+    """Guards how many servers load at once."""
+
+    def test_a_bounded_part_loads_and_leaving_servers_do_not(self):
+        for total, expected in ((1, 1), (5, 2), (23, 9), (26, 10)):
+            view = FleetView()
+            view.servers = {f"s{n}": server(f"s{n}") for n in range(total)}
+            view.servers["gone"] = server("gone", leaving=True)
+            view.name_weights("guide", 2, NOW)
+            loads = next_loads(view, set(), ServerLoads(), NOW, 15.0)
+            self.assertThat(len(loads), Equals(expected))
+            self.assertNotIn("gone", [each.server.id for each in loads])
+            busy = {each.server.id for each in loads}
+            self.assertThat(
+                next_loads(view, busy, ServerLoads(), NOW, 15.0), Equals([])
+            )
+
+    def test_fewer_load_at_once_while_the_others_are_crowded(self):
+        view = FleetView()
+        view.servers = {f"s{n}": server(f"s{n}") for n in range(5)}
+        view.name_weights("guide", 2, NOW)
+        loads = ServerLoads()
+        for name in view.servers:
+            loads.of(name, 0).prefill_tokens = 40_000.0
+
+        def count(now):
+            return len(next_loads(view, set(), loads, now, 15.0))
+
+        # In time even one after the other would not do, so two go when time is short.
+        self.assertThat(count(NOW), Equals(2))
+        view.weights.clear()
+        view.name_weights("guide", 3, NOW + 100)
+        for each in ("s0", "s1", "s2"):
+            view.note_loaded(each, 0, "guide", 3)
+        self.assertThat(count(NOW + 101), Equals(1))
+        self.assertThat(count(NOW + 113), Equals(2))
--- /dev/null
+++ b/tests/ingress/test_overload.py
@@ -0,0 +1,109 @@
+"""What callers get when the fleet is asked for more than it can read."""
+
+import testtools
+from decision_case import candidate, prompt
+from testtools.matchers import Equals
+
+from foxtailcourse.emulator.ingress.days import COUNTER, DAYS, LONG, SHORT
+from foxtailcourse.emulator.ingress.fleet import FleetSimulation
+from foxtailcourse.emulator.ingress.policies import AgeingHoldback, Product
+from foxtailcourse.ingress._holdback import Step, Timing, WaitingWork, next_step
+from foxtailcourse.ingress._placement import Choice
+
+
+def timing(age_s=0.0):
+    return Timing(age_s=age_s, target_s=1.0, patience_s=4.0)
+
+
+def choice(queued, work=5_000.0):
+    return Choice(candidate=candidate("s1", queued=queued), work=work)
+
+
+class TestNextStep(testtools.TestCase):
+    """Guards which long prompts are sent, held back and refused."""
+
+    def test_prompt_that_can_be_in_time_is_sent(self):
+        self.assertThat(
+            next_step(choice(20_000.0), prompt(), timing(), 0.0), Equals(Step.SEND)
+        )
+        self.assertThat(
+            next_step(choice(20_000.0), prompt(), timing(0.8), 0.0), Equals(Step.WAIT)
+        )
+
+    def test_late_prompt_waits_for_an_idle_server(self):
+        for queued, expected in ((60_000.0, Step.WAIT), (500.0, Step.SEND)):
+            step = next_step(choice(queued), prompt(), timing(1.5), 0.0)
+            self.assertThat(step, Equals(expected))
+
+    def test_prompt_too_long_for_its_target_is_not_refused_while_a_server_is_idle(self):
+        for age_s in (0.0, 3.9):
+            huge = choice(0.0, work=400_000.0)
+            step = next_step(huge, prompt(), timing(age_s), 100.0)
+            self.assertThat(step, Equals(Step.SEND))
+
+    def test_overload_is_refused_on_arrival(self):
+        late = choice(60_000.0)
+        self.assertThat(next_step(late, prompt(), timing(), 1.9), Equals(Step.WAIT))
+        self.assertThat(next_step(late, prompt(), timing(), 2.1), Equals(Step.REFUSE))
+        # One that could still be in time is not.
+        self.assertThat(
+            next_step(choice(9_000.0), prompt(), timing(), 9.0), Equals(Step.SEND)
+        )
+
+    def test_prompt_whose_caller_leaves_before_the_answer_is_refused(self):
+        late = choice(60_000.0)
+        self.assertThat(next_step(late, prompt(), timing(3.7), 0.0), Equals(Step.WAIT))
+        self.assertThat(
+            next_step(late, prompt(), timing(3.8), 0.0), Equals(Step.REFUSE)
+        )
+
+    def test_short_prompt_is_always_sent(self):
+        short = prompt(shared=90, own=290)
+        for age_s in (0.0, 3.9):
+            step = next_step(choice(10.0**9), short, timing(age_s), 100.0)
+            self.assertThat(step, Equals(Step.SEND))
+
+    def test_one_large_waiting_prompt_refuses_no_other(self):
+        waiting = WaitingWork()
+        waiting.put(1, 400_000.0)
+        self.assertThat(waiting.ahead_s(5, 4), Equals(0.0))
+        for key in (2, 3):
+            waiting.put(key, 20_000.0)
+        self.assertTrue(waiting.ahead_s(5, 4) > waiting.ahead_s(10, 4) > 0)
+        waiting.remove(1)
+        self.assertThat(waiting.ahead_s(5, 4), Equals(0.0))
+
+
+class TestOverload(testtools.TestCase):
+    """Plays new weights while a quarter of the servers is lost, under high load."""
+
+    def play(self, policy, day=DAYS["counter-dark"]):
+        return FleetSimulation(day, policy, seed=3).run()
+
+    def share(self, outcome):
+        return outcome.in_time / outcome.asked
+
+    def test_callers_get_more_in_time_than_by_the_replaced_policy(self):
+        before, after = self.play(AgeingHoldback()), self.play(Product())
+        for kind in (SHORT, LONG):
+            old, new = before.outcomes[kind], after.outcomes[kind]
+            self.assertTrue(self.share(new) >= self.share(old), kind)
+        # At least half of what was late is in time.
+        late = 1 - self.share(before.outcomes[SHORT])
+        self.assertTrue(1 - self.share(after.outcomes[SHORT]) <= late / 2)
+        self.assertTrue(after.worst_worth >= before.worst_worth)
+
+    def test_no_size_of_prompt_starves(self):
+        for name in ("counter-dark", "guiding-dark"):
+            for outcome in self.play(Product(), DAYS[name]).outcomes.values():
+                served = (outcome.in_time + outcome.late) / outcome.asked
+                largest = outcome.served_largest / outcome.asked_largest
+                self.assertTrue(largest >= served / 2, (name, largest, served))
+
+    def test_nothing_is_refused_while_there_is_room(self):
+        for outcome in self.play(Product(), COUNTER).outcomes.values():
+            self.assertThat(outcome.refused_after_s, Equals([]))
+
+    def test_same_seed_gives_the_same_day(self):
+        first, second = self.play(Product()), self.play(Product())
+        self.assertThat(first.outcomes, Equals(second.outcomes))
--- /dev/null
+++ b/tests/ingress/test_placement.py
@@ -0,0 +1,195 @@
+import random
+
+import testtools
+from decision_case import NOW, STORE, candidate, holding, prompt, server
+from testtools.matchers import Equals
+
+from foxtailcourse.emulator.ingress.days import COUNTER_ENGINE, GUIDING_ENGINE
+from foxtailcourse.ingress._cache_feed import choose_followers
+from foxtailcourse.ingress._cache_index import HeldParts
+from foxtailcourse.ingress._loads import ServerLoad, TotalLoad
+from foxtailcourse.ingress._placement import (
+    CacheStore,
+    Candidate,
+    choose_for_prompt,
+    choose_plain,
+    reading_work,
+    reserved_for_short,
+    store_of,
+)
+from foxtailcourse.platform import CacheEvent, CacheEvents, PromptPart
+from foxtailcourse.settings import Address
+
+
+class TestPlacement(testtools.TestCase):
+    """Guards the weighing of caches against queues."""
+
+    def test_holder_is_preferred_until_its_queue_costs_more(self):
+        held = holding(aa=13_000)
+        rest = [candidate(name) for name in ("s2", "s3", "s4", "s5")]
+        fixed = [candidate("s1", held=held), *rest]
+        busy = [candidate("s1", queued=60_000.0, held=held), *rest]
+        self.assertThat(
+            choose_for_prompt(fixed, prompt(), None, NOW).candidate.server.id,
+            Equals("s1"),
+        )
+        choice = choose_for_prompt(busy, prompt(), None, NOW)
+        self.assertTrue(choice.candidate.server.id != "s1")
+        self.assertThat(choice.fetch_from, Equals(fixed[0].server.address))
+
+    def test_store_is_asked_when_no_server_holds_the_part(self):
+        candidates = [candidate(name) for name in ("s1", "s2", "s3", "s4")]
+        known = CacheStore(address=STORE, held=holding(aa=13_000))
+        choice = choose_for_prompt(candidates, prompt(), known, NOW)
+        self.assertThat(choice.fetch_from, Equals(STORE))
+        self.assertTrue(choice.tokens_to_read < 15_000)
+
+    def test_parts_are_shared_out_over_several_stores(self):
+        stores = [
+            CacheStore(address=Address("10.0.0.9", port), held=HeldParts())
+            for port in (1, 2, 3)
+        ]
+        homes = [store_of(f"part{n}", stores).address.port for n in range(300)]
+        for port in (1, 2, 3):
+            self.assertTrue(70 < homes.count(port) < 130)
+        self.assertIs(store_of("part1", []), None)
+        # A lost store moves only its own parts.
+        left = [store_of(f"part{n}", stores[:2]).address.port for n in range(300)]
+        moved = [a for a, b in zip(homes, left, strict=True) if a != b]
+        self.assertThat(set(moved), Equals({3}))
+
+    def test_nothing_is_fetched_across_versions(self):
+        other = Candidate(
+            server=server("s1", version=2),
+            load=ServerLoad(),
+            total=TotalLoad(prefill_tokens=90_000, in_flight=0, short=0),
+            entries=4,
+            held=holding(aa=13_000),
+            salt="2",
+        )
+        choice = choose_for_prompt([other, candidate("s2")], prompt(), None, NOW)
+        self.assertThat(choice.candidate.server.id, Equals("s2"))
+        self.assertIs(choice.fetch_from, None)
+
+    def test_expected_part_is_not_offered_for_a_fetch(self):
+        reading = HeldParts()
+        reading.expect("1", prompt().parts[:1], NOW)
+        candidates = [candidate("s1", queued=90_000.0, held=reading), candidate("s2")]
+        choice = choose_for_prompt(candidates, prompt(), None, NOW)
+        self.assertIs(choice.fetch_from, None)
+
+    def test_short_prompts_avoid_servers_in_a_long_prefill(self):
+        rng = random.Random(5)
+        for _ in range(200):
+            names = [f"s{n}" for n in range(5)]
+            loaded = rng.choice(names)
+            candidates = [
+                candidate(name, queued=27_000.0 if name == loaded else 0.0)
+                for name in names
+            ]
+            part = str(rng.random())
+            short = prompt(shared=90, own=290, part=part)
+            choice = choose_for_prompt(candidates, short, None, NOW)
+            self.assertTrue(choice.candidate.server.id != loaded)
+
+    def test_long_prompts_leave_reserved_servers_free_while_others_have_room(self):
+        names = [f"s{n}" for n in range(5)]
+        idle = [candidate(name) for name in names]
+        reserved = reserved_for_short(idle)
+        self.assertThat(len(reserved), Equals(1))
+        for number in range(100):
+            choice = choose_for_prompt(idle, prompt(part=str(number)), None, NOW)
+            self.assertNotIn(choice.candidate.server.id, reserved)
+        full = [candidate(n, queued=0.0 if n in reserved else 90_000.0) for n in names]
+        choice = choose_for_prompt(full, prompt(), None, NOW)
+        self.assertIn(choice.candidate.server.id, reserved)
+
+    def test_reservation_follows_the_short_prompts_in_flight(self):
+        def count(short):
+            found = [candidate(f"s{n}", short=short) for n in range(12)]
+            return len(reserved_for_short(found))
+
+        self.assertThat([count(0), count(3), count(50)], Equals([1, 2, 4]))
+        self.assertThat(
+            reserved_for_short([candidate("a"), candidate("b")]), Equals(set())
+        )
+
+    def test_plain_requests_spread_and_leave_a_failing_server(self):
+        rng = random.Random(3)
+        candidates = [candidate(name) for name in ("a", "b", "c")]
+        for _ in range(30):
+            candidates[0].load.failed(NOW)
+        picked = [
+            choose_plain(candidates, NOW, rng.random()).candidate.server.id
+            for _ in range(300)
+        ]
+        self.assertThat(set(picked), Equals({"b", "c"}))
+        self.assertTrue(abs(picked.count("b") - 150) < 60)
+
+    def test_entries_with_the_same_old_news_do_not_meet_at_one_server(self):
+        """Many entries choose within one renewal; their choices must spread."""
+        rng = random.Random(9)
+        counts = dict.fromkeys(("a", "b", "c"), 0)
+        for _ in range(300):
+            candidates = [candidate(name, own=0) for name in counts]
+            chosen = choose_plain(candidates, NOW, rng.random())
+            counts[chosen.candidate.server.id] += 1
+        self.assertTrue(max(counts.values()) < 150, counts)
+
+
+class TestReadingWork(testtools.TestCase):
+    """Guards the estimate of how long a prompt is read."""
+
+    def test_tokens_deep_in_a_prompt_take_longer(self):
+        self.assertTrue(reading_work(1_000, 0) < 1_020)
+        self.assertTrue(reading_work(1_000, 40_000) > 1_990)
+        # Reading in two pieces takes as long as in one.
+        whole = reading_work(60_000, 0)
+        parts = reading_work(20_000, 0) + reading_work(40_000, 20_000)
+        self.assertTrue(abs(whole - parts) < 1e-6)
+
+    def test_engine_of_the_emulator_agrees(self):
+        """Compares the estimate for 93,000 tokens with what the sheets give."""
+        for sheet in (COUNTER_ENGINE, GUIDING_ENGINE):
+            plain_s = 93_000 * sheet.read_s
+            real_s = plain_s + 93_000**2 / 2 * sheet.pair_s
+            estimate_s = reading_work(93_000, 0) * sheet.read_s
+            self.assertTrue(0.75 < estimate_s / real_s < 1.35, estimate_s / real_s)
+
+
+class TestCacheIndex(testtools.TestCase):
+    """Guards against relying on parts that are gone."""
+
+    def test_restart_gap_and_eviction_are_followed(self):
+        held = holding(aa=100, bb=50)
+        parts = (PromptPart(id="aa", tokens=100), PromptPart(id="bb", tokens=50))
+        self.assertThat(held.covered("1", parts, NOW), Equals(150))
+        self.assertThat(held.covered("2", parts, NOW), Equals(0))
+        part = CacheEvent(salt="1", part="aa", tokens=64)
+        held.apply(CacheEvents(epoch=1, next=2, lost=False, events=(part,)))
+        self.assertThat(held.covered("1", parts, NOW), Equals(64))
+        held.apply(CacheEvents(epoch=2, next=1, lost=False, events=()))
+        self.assertThat(held.covered("1", parts, NOW), Equals(0))
+        held = holding(aa=100)
+        held.apply(CacheEvents(epoch=1, next=9, lost=True, events=()))
+        self.assertThat(held.covered("1", parts, NOW), Equals(0))
+
+    def test_expectation_lapses(self):
+        held = HeldParts()
+        parts = (PromptPart(id="aa", tokens=100),)
+        held.expect("1", parts, NOW)
+        self.assertThat(held.covered("1", parts, NOW + 0.5), Equals(100))
+        self.assertThat(held.covered("1", parts, NOW + 5), Equals(0))
+        self.assertThat(held.confirmed("1", parts), Equals(0))
+
+    def test_followers_are_agreed_without_a_message(self):
+        entries = {f"e{n}" for n in range(25)}
+        for source in ("s1", "s2", "10.0.0.9:80"):
+            found = choose_followers(source, entries)
+            self.assertThat(len(found.reading), Equals(6))
+            self.assertThat(found.others, Equals(entries - set(found.reading)))
+            self.assertThat(sum(found.publishes(e) for e in entries), Equals(2))
+        # A server that holds two event calls is read by two.
+        self.assertThat(len(choose_followers("s1", entries, 2).reading), Equals(2))
+        few = choose_followers("s1", {"e1", "e2"})
+        self.assertThat(few.others, Equals(set()))
