Tell a prompt that arrives from one that has waited

Cause: the refusal on arrival asked for an age of exactly 0, which only the emulator's clock gives; in operation some time passes before, so overload was refused only after a wait. Found by reading the change. The test now uses an age of 2 ms and failed before.

--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -281,7 +281,7 @@
         self, entry: _Entry, attempt: _Attempt, prompt: Prompt, now: float
     ) -> None:
         kind, age_s = attempt.arrival.kind, now - attempt.began
-        entry.waiting.remove(id(attempt))
+        has_waited = entry.waiting.remove(id(attempt))
         if age_s > kind.patience_s:
             return
         candidates = self._candidates(entry, now)
@@ -290,7 +290,10 @@
         if candidates:
             choice = self.policy.choose(candidates, prompt, store, now)
             timing = Timing(
-                age_s=age_s, target_s=kind.target_s, patience_s=kind.patience_s
+                age_s=age_s,
+                target_s=kind.target_s,
+                patience_s=kind.patience_s,
+                has_waited=has_waited,
             )
             ahead_s = entry.waiting.ahead_s(len(candidates), len(self.entries))
             step = self.policy.next_step(choice, prompt, timing, ahead_s)
--- a/src/foxtailcourse/ingress/_dispatch.py
+++ b/src/foxtailcourse/ingress/_dispatch.py
@@ -133,8 +133,8 @@
             age_s=now - job.started,
             target_s=route.target_latency_s,
             patience_s=min(route.patience_s, job.deadline - job.started),
+            has_waited=self.waiting.remove(id(job)),
         )
-        self.waiting.remove(id(job))
         ahead_s = self.waiting.ahead_s(servers, len(self.view.entries))
         step = next_step(choice, prompt, timing, ahead_s)
         if step is Step.REFUSE:
--- a/src/foxtailcourse/ingress/_holdback.py
+++ b/src/foxtailcourse/ingress/_holdback.py
@@ -53,11 +53,14 @@
         From its arrival to the first event of an answer in time.
     patience_s : float
         From its arrival until its caller leaves.
+    has_waited : bool
+        Whether it was held back before.
     """
 
     age_s: float
     target_s: float
     patience_s: float
+    has_waited: bool = False
 
 
 def next_step(choice: Choice, prompt: Prompt, timing: Timing, ahead_s: float) -> Step:
@@ -82,11 +85,11 @@
     if _answered_at(choice, timing) <= timing.target_s or backlog <= accepted:
         return Step.SEND
     alone_s = FIRST_EVENT_S + choice.work / READ_TOKENS_PER_S
-    if timing.age_s > 0 and timing.age_s + alone_s > timing.patience_s:
-        return Step.REFUSE
-    if timing.age_s <= 0 and ahead_s > MOST_WAITING_SHARE * timing.patience_s:
-        return Step.REFUSE
-    return Step.WAIT
+    if timing.has_waited:
+        is_lost = timing.age_s + alone_s > timing.patience_s
+    else:
+        is_lost = ahead_s > MOST_WAITING_SHARE * timing.patience_s
+    return Step.REFUSE if is_lost else Step.WAIT
 
 
 def _answered_at(choice: Choice, timing: Timing) -> float:
@@ -105,9 +108,9 @@
         """Note a prompt that waits, and the work of reading it."""
         self._work[key] = work
 
-    def remove(self, key: int) -> None:
-        """Note that a prompt no longer waits."""
-        self._work.pop(key, None)
+    def remove(self, key: int) -> bool:
+        """Note that a prompt no longer waits; return whether it did."""
+        return self._work.pop(key, None) is not None
 
     def ahead_s(self, servers: int, entries: int) -> float:
         """Return the time that this entry's share of the servers needs for them.
--- a/tests/ingress/test_overload.py
+++ b/tests/ingress/test_overload.py
@@ -16,8 +16,10 @@
 LONG_FLOOR = 0.9
 
 
-def timing(age_s=0.0):
-    return Timing(age_s=age_s, target_s=1.0, patience_s=4.0)
+def timing(age_s=0.002, has_waited=None):
+    if has_waited is None:
+        has_waited = age_s > 0.01
+    return Timing(age_s=age_s, target_s=1.0, patience_s=4.0, has_waited=has_waited)
 
 
 def choice(queued, work=5_000.0):
