--- a/src/foxtailcourse/emulator/ingress/days.py
+++ b/src/foxtailcourse/emulator/ingress/days.py
@@ -2,8 +2,8 @@
 
 import attrs
 
+from foxtailcourse.emulator.ingress.day import Day
 from foxtailcourse.emulator.ingress.engine import EngineSheet
-from foxtailcourse.emulator.ingress.fleet import Day
 from foxtailcourse.emulator.ingress.workload import RequestKind, SharedParts, Sizes
 
 BYTES_PER_TOKEN = 35_136
--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -10,18 +10,18 @@
 import math
 import random
 from collections import defaultdict
-from collections.abc import Callable, Sequence
-from typing import Protocol
+from collections.abc import Callable
 
 import attrs
 
 from foxtailcourse.emulator._timeline import Timeline
+from foxtailcourse.emulator.ingress.day import Day, Outcome, Policy, Result
 from foxtailcourse.emulator.ingress.engine import (
     BatchEngine,
     EngineRequest,
     EngineSheet,
 )
-from foxtailcourse.emulator.ingress.workload import Arrival, Load, RequestKind
+from foxtailcourse.emulator.ingress.workload import Arrival, Load
 from foxtailcourse.fleet import BackendServer, FleetView, NamedWeights
 from foxtailcourse.ingress import (
     CacheStore,
@@ -42,10 +42,17 @@
 MODEL = "m"
 STORE = Address("store", 1)
 # Age of another entry's load when it arrives, and the period of renewal, in seconds.
-NEWS_S, RENEWAL_S = 0.015, 0.4
+REPORT_AGE_S, RENEWAL_S = 0.015, 0.4
+# A change of this much work is reported before the next renewal.
+URGENT_WORK = 1_500
+# Part of a prompt's work that counts until the end of its answer.
+DECODE_SHARE = 0.05
 # Age of a cache event when it arrives, in seconds.
 EVENT_AGE_S = 0.1
-HOLD_CHECK_S = 0.015
+# Held prompts look for room in this period, and in this part of their age.
+HOLD_CHECK_S, HOLD_CHECK_SHARE = 0.015, 0.1
+# When refused callers come back, in seconds.
+RETRY_AFTER_S = 2.0
 # Length of the window whose worst one is reported, in seconds.
 WINDOW_S = 5.0
 # Period in which the entry that gives orders looks for loads to start, in seconds.
@@ -54,110 +61,6 @@
 OLD_WEIGHTS_AFTER_S, OLD_WEIGHTS_LOSS = 1.5, 0.2
 
 
-class Policy(Protocol):
-    """Decisions on one prompt; each of them may be a baseline's."""
-
-    def choose(
-        self,
-        candidates: Sequence[Candidate],
-        prompt: Prompt,
-        store: CacheStore | None,
-        now: float,
-    ) -> Choice:
-        """Return the server of an attempt."""
-
-    def next_step(
-        self, choice: Choice, prompt: Prompt, timing: Timing, ahead_s: float
-    ) -> Step:
-        """Return whether a prompt is sent, held back or refused."""
-
-
-@attrs.frozen(kw_only=True)
-class Day:
-    """One simulated day; times and lengths are in seconds.
-
-    Parameters
-    ----------
-    sheet : EngineSheet
-        The engines.
-    servers, entries : int
-        Their numbers.
-    kinds : sequence of RequestKind
-        What is asked for.
-    load_factor : float
-        Load, as a multiple of what the kinds say.
-    new_weights_at : sequence of float
-        When new weights are named.
-    weights_limit_s : float
-        Time until old weights must not be used.
-    dark : tuple of float
-        Share of the servers that are lost, from when and until when.
-    bursts : sequence of tuple of float
-        From when, until when, and how many times the usual load.
-    """
-
-    name: str
-    sheet: EngineSheet
-    servers: int
-    entries: int
-    kinds: Sequence[RequestKind]
-    length_s: float = 34.0
-    load_factor: float = 1.0
-    new_weights_at: Sequence[float] = ()
-    dark: tuple[float, float, float] = (0.0, 0.0, 0.0)
-    weights_limit_s: float = 20.0
-
-
-@attrs.define(kw_only=True)
-class Outcome:
-    """What callers of one kind got.
-
-    Parameters
-    ----------
-    asked, in_time, late : int
-        Requests, and those answered within their target and after it.
-    asked_largest, served_largest : int
-        Requests of the largest tenth, by the prompt, and those answered.
-    refused_after_s : list of float
-        Age of each attempt that was refused, in seconds.
-    first_event_s : list of float
-        Seconds from the first attempt to the first event.
-    """
-
-    asked: int = 0
-    in_time: int = 0
-    late: int = 0
-    asked_largest: int = 0
-    served_largest: int = 0
-    refused_after_s: list[float] = attrs.field(factory=list)
-    first_event_s: list[float] = attrs.field(factory=list)
-
-
-@attrs.define(kw_only=True)
-class Result:
-    """Figures of one run.
-
-    Parameters
-    ----------
-    outcomes : dict of str to Outcome
-        By kind of request.
-    worth : float
-        Worth earned by the worth asked for.
-    read_again : int
-        Tokens of shared parts that were read though a server held them.
-    worst_worth : float
-        The same over the worst window of WINDOW_S.
-    """
-
-    outcomes: dict[str, Outcome] = attrs.field(factory=dict)
-    worth: float = 0.0
-    worst_worth: float = 0.0
-    read_again: int = 0
-
-
-RETRY_AFTER_S = 2.0
-
-
 @attrs.frozen(kw_only=True, eq=False)
 class _Attempt:
     """One attempt of a caller."""
@@ -304,7 +207,9 @@
             self._refuse(attempt, now)
         else:
             entry.waiting.put(id(attempt), work)
-            pause_s = max(HOLD_CHECK_S, age_s / 10) * self.rng.uniform(0.5, 1.5)
+            pause_s = max(HOLD_CHECK_S, HOLD_CHECK_SHARE * age_s) * self.rng.uniform(
+                0.5, 1.5
+            )
             self.timeline.at(now + pause_s, self._try, entry, attempt, prompt)
 
     def _refuse(self, attempt: _Attempt, now: float) -> None:
@@ -361,8 +266,10 @@
 
         def first_event(at: float) -> None:
             state["first"] = True
-            load.prefill_tokens = max(0.0, load.prefill_tokens - 0.95 * left)
-            state["left"] = 0.05 * left
+            load.prefill_tokens = max(
+                0.0, load.prefill_tokens - (1 - DECODE_SHARE) * left
+            )
+            state["left"] = DECODE_SHARE * left
             self._publish_if_urgent(entry, name, at)
             self._answered(arrival, at, old_weights and at > old_after)
             if prompt.is_long:
@@ -443,15 +350,15 @@
             if (salt, part.id) in self._stored:
                 continue
             self._stored.add((salt, part.id))
-            self._tell_later(self._held_by_store, salt, part.id, part.tokens, now)
+            self._apply_later(self._held_by_store, salt, part.id, part.tokens, now)
 
     def _cached(self, name: str) -> Callable[[str, str, int, float], None]:
         def note(salt: str, part: str, tokens: int, now: float) -> None:
-            self._tell_later(self._held[name], salt, part, tokens, now)
+            self._apply_later(self._held[name], salt, part, tokens, now)
 
         return note
 
-    def _tell_later(
+    def _apply_later(
         self, held: HeldParts, salt: str, part: str, tokens: int, now: float
     ) -> None:
         event = CacheEvent(salt=salt, part=part, tokens=tokens)
@@ -471,25 +378,25 @@
     def _publish_if_urgent(self, entry: _Entry, server: str, now: float) -> None:
         load = entry.loads.of(server, 0)
         last = self._published.get((entry.name, server), 0.0)
-        if abs(load.prefill_tokens - last) >= 1_500:
+        if abs(load.prefill_tokens - last) >= URGENT_WORK:
             self._publish(entry, server, now)
 
     def _publish(self, entry: _Entry, server: str, now: float) -> None:
         load = entry.loads.of(server, 0)
         self._published[entry.name, server] = load.prefill_tokens
-        news = RemoteLoad(
+        report = RemoteLoad(
             prefill_tokens=load.prefill_tokens,
             in_flight=load.in_flight,
             short=load.short,
-            received_at=now + NEWS_S,
+            received_at=now + REPORT_AGE_S,
         )
 
         def arrive(later: float) -> None:
             for other in self.entries:
                 if other is not entry:
-                    other.loads.take_remote(entry.name, server, news)
+                    other.loads.take_remote(entry.name, server, report)
 
-        self.timeline.at(now + NEWS_S, arrive)
+        self.timeline.at(now + REPORT_AGE_S, arrive)
 
     def _renew(self, entry: _Entry, now: float) -> None:
         for server in self.servers:
