Split the soak: what was seen, the proxy, the run

What callers and servers saw and the promises are in evidence.py, the proxy in proxy.py; moved, not changed.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,14 +14,15 @@
 import tempfile
 from pathlib import Path
 
-import attrs
 import msgspec
 import trio
 
 ROOT = Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tests" / "ingress")]
 
+from evidence import Evidence, Sent, violations  # noqa: E402
 from ingress_case import MODEL, configuration  # noqa: E402
+from proxy import Proxy  # noqa: E402
 
 from cluster import serve  # noqa: E402
 from foxtailcourse.http import (  # noqa: E402
@@ -34,135 +35,11 @@
 from foxtailcourse.standin._worker import (  # noqa: E402
     WorkerFaults,
     WorkerStandin,
-    stream_event,
 )
 
-REVOCATION_S = 5.0
 START_S = 4.0
 SETTLE_S = 3.0
-PROMISES_NOT_RUN = {408, 421, 429, 503}
 KINDS = ("look", "return", "brief", "ask")
-REPEATABLE = {"look", "ask"}
-
-
-@attrs.define(kw_only=True)
-class Sent:
-    """One request of a caller and what came back (status 0 for no answer)."""
-
-    id: str
-    kind: str
-    key: str
-    sent_at: float
-    events: int = 0
-    status: int = 0
-    body: bytes = b""
-    whole: bool = False
-
-
-@attrs.define(kw_only=True)
-class Evidence:
-    """All that callers and servers saw."""
-
-    sent: dict[str, Sent] = attrs.field(factory=dict)
-    runs: list = attrs.field(factory=list)
-    orders: list = attrs.field(factory=list)
-    removed_keys: dict[str, float] = attrs.field(factory=dict)
-
-
-def violations(seen: Evidence) -> list[str]:
-    """Return each promise that the evidence shows to be broken."""
-    found = []
-    by_request: dict[str, list] = {}
-    for run in seen.runs:
-        by_request.setdefault(run.request_id, []).append(run)
-    for request_id, runs in by_request.items():
-        sent = seen.sent.get(request_id)
-        if sent is None:
-            found.append(f"{request_id}: ran though no caller sent it")
-            continue
-        if sent.kind not in REPEATABLE and len(runs) > 1:
-            found.append(f"{request_id}: {sent.kind} ran {len(runs)} times")
-        if sent.kind not in REPEATABLE and sent.status in PROMISES_NOT_RUN:
-            found.append(f"{request_id}: refused with {sent.status} and ran")
-        removed_at = seen.removed_keys.get(sent.key)
-        if removed_at is not None and sent.sent_at > removed_at + REVOCATION_S:
-            late_s = sent.sent_at - removed_at
-            found.append(f"{request_id}: ran {late_s:.1f} s after its key was removed")
-    for sent in seen.sent.values():
-        found += _answer_violations(sent)
-    fences: dict[str, int] = {}
-    holders: dict[int, str] = {}
-    for server, order in seen.orders:
-        fence, holder = order["fencingToken"], order["holder"]
-        if fence < fences.get(server, 0):
-            found.append(f"{server}: fence {fence} after {fences[server]}")
-        fences[server] = fence
-        if holders.setdefault(fence, holder) != holder:
-            found.append(f"fence {fence} of {holder} and {holders[fence]}")
-    return found
-
-
-def _answer_violations(sent: Sent) -> list[str]:
-    if sent.status != 200:
-        return []
-    if not sent.events:
-        right = sent.body.startswith(f"{sent.id} ".encode())
-        return [f"{sent.id}: foreign answer"] if sent.whole and not right else []
-    expected = b"".join(stream_event(sent.id, n + 1) for n in range(sent.events))
-    if sent.whole and sent.body != expected:
-        return [f"{sent.id}: stream looks complete and is not"]
-    if not expected.startswith(sent.body):
-        return [f"{sent.id}: stream has a gap or a foreign piece"]
-    return []
-
-
-class Proxy:
-    """Forwards connections of one address, or delays, cuts or silences them."""
-
-    def __init__(self, target: Address) -> None:
-        self._target = target
-        self.mode = "pass"
-        self._streams: set[trio.SocketStream] = set()
-
-    async def run(self, *, task_status) -> None:
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        task_status.started(Address("127.0.0.1", listeners[0].socket.getsockname()[1]))
-        await trio.serve_listeners(self._serve, listeners)
-
-    def reset(self) -> None:
-        for stream in list(self._streams):
-            if stream.socket.fileno() < 0:
-                # Seed 120: closed by its own task, which has not run on yet.
-                continue
-            option = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
-            stream.socket.close()
-        self._streams.clear()
-
-    async def _serve(self, near) -> None:
-        try:
-            far = await trio.open_tcp_stream(self._target.host, self._target.port)
-        except OSError:
-            await near.aclose()
-            return
-        self._streams |= {near, far}
-        try:
-            async with near, far, trio.open_nursery() as nursery:
-                nursery.start_soon(self._pump, near, far, nursery.cancel_scope, "in")
-                nursery.start_soon(self._pump, far, near, nursery.cancel_scope, "out")
-        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            pass  # a cut connection is what the proxy is for
-        finally:
-            self._streams -= {near, far}
-
-    async def _pump(self, source, sink, scope, way) -> None:
-        while data := await source.receive_some(65536):
-            while self.mode == "silent" or self.mode == f"cut {way}":
-                await trio.sleep(0.05)
-            if self.mode == "delay":
-                await trio.sleep(0.1)
-            await sink.send_all(data)
-        scope.cancel()
 
 
 class Soak:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -9,8 +9,10 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+from evidence import Evidence, Sent, violations
+
 from foxtailcourse.standin._worker import Run, stream_event
-from soak import Evidence, Sent, Soak, violations
+from soak import Soak
 
 CI_SEED = 7
 CI_SECONDS = 8.0
