Share the ranking of servers with the replaced policy; drop what nothing reads

The page called the baseline the product's former policy, though it shares today's reservation; it says so now.

Change: placement.cheapest serves both; dead parts are gone; each error has its reason.

--- a/src/foxtailcourse/ctl/_operator.py
+++ b/src/foxtailcourse/ctl/_operator.py
@@ -257,7 +257,7 @@
         try:
             record = decode_record(each.key, each.value, each.mod_revision)
         except RecordError:
-            continue
+            continue  # what cannot be read is not the record just written
         if record.write_id == write_id:
             return each.mod_revision
     return 0
@@ -275,7 +275,7 @@
         try:
             found[each.key] = decode_record(each.key, each.value, each.mod_revision)
         except RecordError:
-            continue
+            continue  # the conflict is reported without what cannot be read
     replaced = any(
         each.key in found and found[each.key].generation > each.generation
         for each in records
--- a/src/foxtailcourse/emulator/ingress/engine.py
+++ b/src/foxtailcourse/emulator/ingress/engine.py
@@ -1,9 +1,9 @@
 """An engine that reads prompts in pieces between the steps of running requests.
 
 Each step takes a fixed time, more for each running request, and reads one piece of one
-admitted prompt, in the order of their admission. Reading a token also
-costs time for each token before it. Requests are never preempted for memory: those
-that do not fit wait.
+admitted prompt, in the order of their admission. Reading a token also costs time for
+each token before it. Requests are never preempted for memory: those that do not fit
+wait.
 """
 
 import heapq
@@ -159,7 +159,6 @@
     ) -> None:
         self.name, self.sheet = name, sheet
         self.cache = PartCache()
-        self.read_tokens = 0
         self._timeline, self._cached = timeline, cached
         self._waiting: list[tuple[int, int, EngineRequest]] = []
         self._running: list[EngineRequest] = []
@@ -167,11 +166,6 @@
         self._generation = 0
         self._stepping = False
 
-    @property
-    def in_flight(self) -> int:
-        """Requests that wait or run."""
-        return len(self._waiting) + len(self._running)
-
     def start(self, request: EngineRequest, now: float) -> None:
         """Take a request."""
         self._arrivals += 1
@@ -234,7 +228,6 @@
             length += budget * sheet.read_s
             length += budget * (request.position + budget / 2) * sheet.pair_s
             request.position += budget
-            self.read_tokens += budget
             break
         else:
             budget = 0
@@ -263,16 +256,13 @@
                 continue
             request.made += 1
             if request.made == min(self.sheet.event_tokens, request.output_tokens):
-                self._timeline.at(now + self.sheet.first_s, self._first_event, request)
+                self._timeline.at(now + self.sheet.first_s, request.first_event)
             if request.made >= request.output_tokens:
                 self._running.remove(request)
                 request.done(now)
         self._admit(now)
         self._step(now)
 
-    def _first_event(self, request: EngineRequest, now: float) -> None:
-        request.first_event(now)
-
     def _note_read(self, request: EngineRequest, now: float) -> None:
         shared = request.parts[:-1]
         self.cache.store(request.salt, shared)
--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -45,6 +45,8 @@
 REPORT_AGE_S, RENEWAL_S = 0.015, 0.4
 # A change of this much work is reported before the next renewal.
 URGENT_WORK = 1_500
+# Time after the last arrival in which requests still end, in seconds.
+TAIL_S = 15.0
 # Part of a prompt's work that counts until the end of its answer.
 DECODE_SHARE = 0.05
 # Age of a cache event when it arrives, in seconds.
@@ -158,7 +160,7 @@
             self.timeline.at(until, self._return, name)
         for entry in self.entries:
             self.timeline.at(self.rng.uniform(0, RENEWAL_S), self._renew, entry)
-        self.timeline.run(day.length_s + 15.0)
+        self.timeline.run(day.length_s + TAIL_S)
         self._sum_up()
         return self.result
 
@@ -338,7 +340,7 @@
                 held += part.tokens
         else:
             engine = self.servers[source.host].engine
-            held, token_s = engine.cache.covered(salt, prompt.parts[:-1]), 0.0
+            held = engine.cache.covered(salt, prompt.parts[:-1])
             token_s = sheet.fetch_token_s
         missing = max(0, held - own)
         if not missing:
@@ -403,7 +405,7 @@
             load = entry.loads.of(server, 0)
             if load.in_flight or self._published.get((entry.name, server)):
                 self._publish(entry, server, now)
-        if now < self.day.length_s + 12.0:
+        if now < self.day.length_s + TAIL_S - 3.0:
             self.timeline.at(now + RENEWAL_S, self._renew, entry)
 
     # Weights and losses
--- a/src/foxtailcourse/emulator/ingress/policies.py
+++ b/src/foxtailcourse/emulator/ingress/policies.py
@@ -3,11 +3,8 @@
 from collections.abc import Sequence
 
 from foxtailcourse.ingress import (
-    HOME_BONUS_TOKENS,
     OLD_WEIGHTS_COST_TOKENS,
-    RESERVED_COST_TOKENS,
     RUNNING_COST_TOKENS,
-    UNRESERVED_COST_TOKENS,
     CacheStore,
     Candidate,
     Choice,
@@ -15,10 +12,9 @@
     Step,
     Timing,
     best_fetch,
+    cheapest,
     choose_for_prompt,
-    home_of,
     next_step,
-    reserved_for_short,
 )
 
 
@@ -68,7 +64,7 @@
     """Policy of release 0.1: every held prompt is sent sooner the longer it waits.
 
     Tokens cost the same wherever they stand in a prompt, late prompts are sent like
-    others, and none is refused for overload.
+    others, and none is refused for overload. Servers are reserved as they are today.
     """
 
     MISS_WEIGHT = 2.0
@@ -84,20 +80,10 @@
         now: float,
     ) -> Choice:
         """Return the server with the lowest cost."""
-        home = home_of(prompt.largest_part.id, candidates)
-        reserved = reserved_for_short(candidates)
-
-        def rank(choice: Choice) -> float:
-            each = choice.candidate
-            cost = choice.cost - (HOME_BONUS_TOKENS if each is home else 0.0)
-            if prompt.is_long:
-                return cost + (each.server.id in reserved) * RESERVED_COST_TOKENS
-            return cost + (each.server.id not in reserved) * UNRESERVED_COST_TOKENS
-
         choices = [
             self._cost(each, candidates, prompt, store, now) for each in candidates
         ]
-        return min(choices, key=rank)
+        return cheapest(choices, prompt)
 
     def _cost(
         self,
--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -282,7 +282,7 @@
                 if len(self.h11.trailing_data[0]) > self.limits.max_header_bytes:
                     break
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
+            pass  # closed is closed, by a reset too; the handler is cancelled below
         self.broken = True
         scope.cancel()
 
--- a/src/foxtailcourse/ingress/_cache_feed.py
+++ b/src/foxtailcourse/ingress/_cache_feed.py
@@ -121,7 +121,7 @@
         self._events = events
         self._followed: set[CacheSource] = set()
         self._wanted: set[CacheSource] = set()
-        self._chosen: dict[str, tuple[set[str], int, Followers | None]] = {}
+        self._chosen: dict[str, tuple[set[str], int, Followers]] = {}
 
     async def run(self) -> None:
         """Follow all model servers and the KV-cache stores until cancelled."""
@@ -207,10 +207,8 @@
         readers = min(READERS, known) if known else READERS
         entries = self._view.entries | {self._vm}
         # Each published event asks, and the answer changes with the entries only.
-        known_entries, known_readers, found = self._chosen.get(
-            source.name, (set(), 0, None)
-        )
-        if found is None or (known_entries, known_readers) != (entries, readers):
+        chosen = self._chosen.get(source.name)
+        if chosen is None or chosen[:2] != (entries, readers):
             found = choose_followers(source.name, entries, readers)
-            self._chosen[source.name] = (entries, readers, found)
-        return found
+            chosen = self._chosen[source.name] = (entries, readers, found)
+        return chosen[2]
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -190,9 +190,19 @@
     store : CacheStore or None
         The KV-cache store, if it can be reached.
     """
+    choices = [_cost(each, candidates, prompt, store, now) for each in candidates]
+    return cheapest(choices, prompt)
+
+
+def cheapest(choices: Sequence[Choice], prompt: Prompt) -> Choice:
+    """Return the choice with the lowest cost, one of each candidate.
+
+    The home of the prompt's largest part is preferred, and prompts keep to the servers
+    that are reserved for their kind.
+    """
+    candidates = [each.candidate for each in choices]
     home = home_of(prompt.largest_part.id, candidates)
     reserved = reserved_for_short(candidates)
-    choices = [_cost(each, candidates, prompt, store, now) for each in candidates]
 
     def rank(choice: Choice) -> float:
         bonus = HOME_BONUS_TOKENS if choice.candidate is home else 0.0
