--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -104,7 +104,7 @@
         self._lease = EntryLease(
             self._store,
             daemon.cfg.vm,
-            cfg.lease_ms / 1000,
+            cfg.lease_ttl_s,
             self._membership,
             boot_seconds,
             self._rng,
--- a/src/foxtailcourse/ingress/_event_splitter.py
+++ b/src/foxtailcourse/ingress/_event_splitter.py
@@ -19,7 +19,7 @@
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
         # Events up to this number were forwarded before; -1 if none was.
-        self._resume_after_id = int(last_id) if last_id.isdigit() else -1
+        self._resume_after_id = _event_number(last_id)
         self._incomplete = b""
 
     def feed(self, chunk: bytes) -> bytes:
@@ -51,5 +51,5 @@
 
 
 def _event_number(event_id: str) -> int:
-    """Return the number of an event identifier, or -1 if it is empty."""
-    return int(event_id) if event_id.isdigit() else -1
+    """Return the number of an event identifier, or -1 if it has none."""
+    return int(event_id) if event_id.isascii() and event_id.isdigit() else -1
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -7,6 +7,8 @@
 # A caller that accepts no bytes of its response for this long has most likely
 # disconnected.
 SEND_TIMEOUT_S = 5.0
+# Longest time to live of a lease that the store grants.
+MAX_LEASE_MS = 600_000
 
 
 @section("ingress")
@@ -35,31 +37,40 @@
         unit="calls a second",
         minimum=1,
     )
-    revocation_ms: int = setting(
-        int,
+    revocation_ms: float = setting(
+        float,
         5000,
         description="Time after which a removed key must not be served, as "
         "limited by the platform.",
         unit="ms",
         minimum=1000,
     )
-    configuration_ms: int = setting(
-        int,
+    configuration_ms: float = setting(
+        float,
         2000,
         description="Time after which a configuration must be in force, as "
         "limited by the platform.",
         unit="ms",
         minimum=100,
     )
-    lease_ms: int = setting(
-        int,
+    lease_ms: float = setting(
+        float,
         3000,
         description="Least time between orders of two leaders, as set by the platform.",
         unit="ms",
-        minimum=1000,
+        minimum=1,
+        maximum=MAX_LEASE_MS,
+    )
+    store_min_lease_ms: float = setting(
+        float,
+        1000,
+        description="Shortest time to live of a lease that the store grants.",
+        unit="ms",
+        minimum=1,
+        maximum=MAX_LEASE_MS,
     )
-    weights_ms: int = setting(
-        int,
+    weights_ms: float = setting(
+        float,
         15000,
         description="Time after which outdated weights must not be used, as limited "
         "by the platform.",
@@ -80,8 +91,8 @@
         "by the platform.",
         minimum=0,
     )
-    retry_extra: int = setting(
-        int,
+    retry_extra: float = setting(
+        float,
         50,
         description="Retries in each window in addition to the ratio, over all "
         "entries, as limited by the platform.",
@@ -121,6 +132,11 @@
         int, 3000, description="Concurrent connections of callers.", minimum=1
     )
 
+    @property
+    def lease_ttl_s(self) -> float:
+        """Time to live of this entry's lease, in seconds."""
+        return max(self.lease_ms, self.store_min_lease_ms) / 1000
+
     def http_limits(self, limits: CallerLimits) -> HttpLimits:
         """Return the limits of the callers' listener.
 
--- a/src/foxtailcourse/platform/_client.py
+++ b/src/foxtailcourse/platform/_client.py
@@ -1,5 +1,6 @@
 """HTTP clients of the platform's key-value service and VM list."""
 
+import math
 import os
 from collections.abc import Mapping, Sequence
 from typing import TypeVar
@@ -161,6 +162,7 @@
             connect_timeout_s=self._timeout_s,
             idle_timeout_s=self._timeout_s + wait_s,
         )
+        call = f"{method} {target}"
         body = b"" if payload is None else msgspec.json.encode(payload)
         fields = dict(headers or {})
         if body:
@@ -178,24 +180,29 @@
         except ClientError as exc:
             may_have_applied = exc.verdict is not Verdict.NOT_RUN
             raise PlatformError(
-                f"{method} {target}: {exc}", may_have_applied=may_have_applied
+                f"{call}: {exc}", may_have_applied=may_have_applied
             ) from exc
         if status == NOT_MODIFIED_STATUS:
             raise _NotModifiedError
         if status == CONDITION_FAILED_STATUS:
-            raise _ConditionFailedError(_decode(_Conflict, data).items)
+            # The service states by the status that it wrote nothing.
+            conflict = _decode(_Conflict, data, call, may_have_applied=False)
+            raise _ConditionFailedError(conflict.items)
         if status not in OK_STATUSES:
-            raise _status_error(f"{method} {target}", status, data)
-        try:
-            return _decode(response_type, data)
-        except (msgspec.DecodeError, RecursionError) as exc:
-            raise PlatformError(
-                f"{method} {target}: malformed response: {exc}", may_have_applied=True
-            ) from exc
+            raise _status_error(call, status, data)
+        return _decode(response_type, data, call, may_have_applied=True)
 
 
-def _decode(response_type: type[T], data: bytes) -> T:
-    return msgspec.json.decode(data or b"{}", type=response_type)
+def _decode(
+    response_type: type[T], data: bytes, call: str, *, may_have_applied: bool
+) -> T:
+    """Return the decoded body of a response; raises PlatformError."""
+    try:
+        return msgspec.json.decode(data or b"{}", type=response_type)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise PlatformError(
+            f"{call}: malformed response: {exc}", may_have_applied=may_have_applied
+        ) from exc
 
 
 def _status_error(call: str, status: int, data: bytes) -> PlatformError:
@@ -281,7 +288,7 @@
 
     async def lease_grant(self, ttl_s: float) -> str:
         """Return the identifier of a new lease."""
-        payload = {"ttlMs": int(ttl_s * 1000)}
+        payload = {"ttlMs": math.ceil(ttl_s * 1000)}
         granted = await self._service.call(
             _Lease, "POST", f"{KV_TARGET_PREFIX}lease", payload
         )
--- a/src/foxtailcourse/platform/_headers.py
+++ b/src/foxtailcourse/platform/_headers.py
@@ -1,5 +1,6 @@
 """HTTP headers of callers' requests and of backend servers' responses."""
 
+import re
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -58,6 +59,10 @@
     }
 )
 MISDIRECTED_STATUS = 421
+# A count or a time in milliseconds; it may have a fraction.
+NUMBER = re.compile(r"[0-9]{1,12}(?:\.[0-9]{1,12})?")
+MAX_NUMBER = 1e9
+WHOLE_NUMBER = re.compile(r"[0-9]{1,18}")
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run."""
 
@@ -223,7 +228,7 @@
     )
     return IngressRequest(
         id=fields.get(REQUEST_ID_HEADER, ""),
-        host=fields.get("host", "").partition(":")[0],
+        host=_host_without_port(fields.get("host", "")),
         path=target.partition("?")[0],
         account_key=fields.get(ACCOUNT_KEY_HEADER, ""),
         deadline_s=_parse_deadline_s(fields.get(DEADLINE_MS_HEADER)),
@@ -241,22 +246,39 @@
     return frozenset(each for each in names if each and each != "host")
 
 
+def _host_without_port(host: str) -> str:
+    """Return a Host header without its port and the brackets of an IPv6 address."""
+    if host.startswith("["):
+        return host[1:].partition("]")[0]
+    return host.partition(":")[0]
+
+
+def _parse_number(text: str) -> float | None:
+    """Return a number from 0 to MAX_NUMBER, or None if the text is none."""
+    if not NUMBER.fullmatch(text):
+        return None
+    value = float(text)
+    return value if value <= MAX_NUMBER else None
+
+
 def _parse_deadline_s(text: str | None) -> float | None:
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit() or len(text) > 9:
+    deadline_ms = _parse_number(text.strip())
+    if deadline_ms is None:
         raise RequestHeaderError(
             f"{DEADLINE_MS_HEADER} is not a number of milliseconds"
         )
-    return int(text) / 1000
+    return deadline_ms / 1000
 
 
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     """Return the parts of a list such as ``5c1e:800, 91bd:410``."""
     parts = []
     for each in filter(None, (part.strip() for part in text.split(","))):
-        ident, _, tokens = each.partition(":")
-        if not tokens.isascii() or not tokens.isdigit() or len(tokens) > 9:
+        ident, _, text_count = each.partition(":")
+        tokens = _parse_number(text_count)
+        if tokens is None:
             raise RequestHeaderError(
                 f"{PROMPT_PREFIX_HEADER} has a part without a token count"
             )
@@ -267,8 +289,7 @@
 def _parse_max_output_tokens(text: str) -> int:
     """Return the second of two token counts, or 0 if it is malformed."""
     _, _, count = text.partition(",")
-    count = count.strip()
-    return int(count) if count.isascii() and count.isdigit() and len(count) < 9 else 0
+    return int(_parse_number(count.strip()) or 0)
 
 
 def encode_attempt_headers(
@@ -307,7 +328,7 @@
         signed=SIGNATURE_HEADER in fields,
         not_executed=NOT_EXECUTED_HEADER in fields or status == MISDIRECTED_STATUS,
         content_encoded=encoding not in {"", "identity"},
-        weights_version=int(version) if version.isdigit() else None,
+        weights_version=int(version) if WHOLE_NUMBER.fullmatch(version) else None,
         instance=fields.get(ACTUAL_INSTANCE_HEADER, ""),
     )
 
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -1,5 +1,6 @@
 """Decodes the records that operators and backend servers write to the store."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -54,8 +55,8 @@
     target_latency_ms: float = 0.0
     # Longest gap between the events of a stream.
     target_gap_ms: float = 0.0
-    priority: int = 0
-    attempts: int = 1
+    priority: float = 0
+    attempts: float = 1
     public: bool = False
     resumable: bool = False
     service: str = ""
@@ -76,8 +77,8 @@
             kind=ROUTE_KINDS.get(self.kind, RouteKind.UNSAFE),
             timeout_s=self.timeout_ms / 1000,
             target_latency_s=self.target_latency_ms / 1000,
-            priority=self.priority,
-            max_attempts=max(1, self.attempts),
+            priority=math.floor(self.priority),
+            max_attempts=max(1, math.floor(self.attempts)),
             public=self.public,
             resumable=self.resumable,
             backends=tuple(
@@ -89,24 +90,24 @@
 
 class _Engine(msgspec.Struct, rename="camel"):
     # Concurrent cache event calls, not requests, despite the name.
-    max_concurrent: int = 0
+    max_concurrent: float = 0
 
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
-    connection_limit: int = 0
+    connection_limit: float = 0
     engine: _Engine | None = None
     kv_store_address: str = ""
     # Concurrent cache event calls of a KV-cache store.
-    max_concurrent: int = 0
+    max_concurrent: float = 0
 
     def decode(self) -> Service:
         store = parse_address(self.kv_store_address) if self.kv_store_address else None
         return Service(
             name=self.name,
-            connection_limit=self.connection_limit,
+            connection_limit=_count(self.connection_limit),
             cache_store=store,
-            event_subscribers=(
+            event_subscribers=_count(
                 self.engine.max_concurrent if self.engine else self.max_concurrent
             ),
         )
@@ -115,25 +116,35 @@
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
     api_keys: list[str]
-    priority: int = 0
+    priority: float = 0
     isolated: bool = False
 
 
 class _Limits(msgspec.Struct, rename="camel", frozen=True):
-    max_header_bytes: int | None = None
-    max_body_bytes: int | None = None
+    max_header_bytes: float | None = None
+    max_body_bytes: float | None = None
     header_timeout_ms: float | None = None
     idle_timeout_ms: float | None = None
 
     def decode(self) -> CallerLimits:
         return CallerLimits(
-            max_header_bytes=self.max_header_bytes,
-            max_body_bytes=self.max_body_bytes,
+            max_header_bytes=_whole(self.max_header_bytes),
+            max_body_bytes=_whole(self.max_body_bytes),
             header_timeout_s=_seconds(self.header_timeout_ms),
             idle_timeout_s=_seconds(self.idle_timeout_ms),
         )
 
 
+def _count(limit: float) -> int:
+    """Return an upper limit rounded down, at least 1; 0 and less stand for unknown."""
+    return max(1, math.floor(limit)) if limit > 0 else 0
+
+
+def _whole(limit: float | None) -> int | None:
+    """Return an upper limit rounded down, so that it is kept; None if there is none."""
+    return None if limit is None else math.floor(limit)
+
+
 def _seconds(milliseconds: float | None) -> float | None:
     return None if milliseconds is None else milliseconds / 1000
 
@@ -156,7 +167,8 @@
     address: str
     zone: str
     state: str
-    slots: int
+    # May have a fraction, like each number that a scale can be applied to.
+    slots: float
     models: list[_Model] = []
     born: int = 0
 
@@ -185,7 +197,9 @@
     }
     accounts = {
         key: Account(
-            name=tenant.name, priority=tenant.priority, isolated=tenant.isolated
+            name=tenant.name,
+            priority=math.floor(tenant.priority),
+            isolated=tenant.isolated,
         )
         for tenant in raw.tenants or ()
         for key in tenant.api_keys
@@ -218,7 +232,7 @@
         service=raw.service,
         address=address,
         failure_domain=raw.zone,
-        slots=raw.slots,
+        slots=max(1, math.floor(raw.slots)),
         leaving=raw.state == LEAVING_STATE,
         weights={each.name: each.version for each in raw.models},
         started_ms=raw.born,
--- a/src/foxtailcourse/platform/_server_client.py
+++ b/src/foxtailcourse/platform/_server_client.py
@@ -3,6 +3,7 @@
 The ingress reads their reports and cache events and orders weight loads.
 """
 
+import math
 from enum import Enum
 
 import attrs
@@ -159,7 +160,7 @@
     next: int
     lost: bool = False
     # [number, + or -, salt, part, tokens now cached, model]
-    events: list[tuple[int, str, str, str, int, str]] = []
+    events: list[tuple[float, str, str, str, float, str]] = []
 
 
 class ServerClient:
@@ -258,7 +259,7 @@
             raise SubscribersExceededError(f"{address} accepts no more event calls")
         raw = _decode(_Events, status, data, address)
         events = tuple(
-            CacheEvent(salt=salt, part=part, tokens=tokens)
+            CacheEvent(salt=salt, part=part, tokens=math.floor(tokens))
             for _, _, salt, part, tokens, _ in raw.events
         )
         return CacheEvents(
--- a/tests/ingress/test_ingress_streams.py
+++ b/tests/ingress/test_ingress_streams.py
@@ -66,3 +66,9 @@
             again = b"".join(events[max(0, last - 1) :])
             rest = second.feed(again) + second.flush()
             self.assertThat(sent + rest, Equals(whole))
+
+    def test_identifier_that_is_no_number_resumes_nothing(self):
+        for last_id in ("\xb2", "seven", ""):
+            splitter = EventSplitter(last_id)
+            event = b"id: 1\ndata: x\n\n"
+            self.assertThat(splitter.feed(event), Equals(event))
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -109,3 +109,15 @@
             await self.catch_error(
                 PlatformError, client.watch, ["a"], platform.revision, 30.0
             )
+
+    def test_malformed_conflict_is_a_platform_error_that_wrote_nothing(self):
+        async def respond(exchange):
+            await exchange.respond(412, b"not JSON")
+
+        async def main():
+            async with serve(respond) as address:
+                client = KeyValueClient(ConnectionPool(), address)
+                exc = await self.catch_error(PlatformError, client.txn, {"a": 1})
+                self.assertFalse(exc.may_have_applied)
+
+        self.run_async(main)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -7,6 +7,7 @@
     RecordDispatcher,
     RequestHeaderError,
     decode_request_headers,
+    decode_response_headers,
 )
 from foxtailcourse.platform._records import decode_configuration
 
@@ -79,6 +80,11 @@
         for raw in (b"", b"\xff\xfe", b"[]", b"{", b"null", b"[" * 100_000):
             self.assertIs(self.dispatch(raw)[0], None)
 
+    def test_slots_with_a_fraction_are_rounded_down_to_at_least_one(self):
+        for slots, expected in ((38.26, 38), (0.5, 1), (1e2, 100), (-3, 1)):
+            server, _ = self.dispatch(msgspec.json.encode(SERVER | {"slots": slots}))
+            self.assertThat(server.slots, Equals(expected))
+
 
 class TestConfigurationRecords(testtools.TestCase):
     """Guards against wrong decoding of routes, services and accounts."""
@@ -110,6 +116,25 @@
         subscribers = [decoded.event_subscribers(e) for e in ("a", "k", "l", "none")]
         self.assertThat(subscribers, Equals([12, 3, 0, 0]))
 
+    def test_limits_with_a_fraction_are_rounded_down_so_that_they_are_kept(self):
+        route = ROUTE | {"priority": 1.5, "attempts": 2.7}
+        services = [
+            {"name": "a", "connectionLimit": 96.9, "engine": {"maxConcurrent": 0.4}},
+            {"name": "b", "connectionLimit": 0},
+        ]
+        tenants = [{"name": "t", "apiKeys": [], "priority": 2.0}]
+        limits = {"maxHeaderBytes": 8192.5, "maxBodyBytes": 1e6, "idleTimeoutMs": 0.5}
+        decoded = configuration(
+            routes=[route], services=services, tenants=tenants, limits=limits
+        )
+        (only,) = decoded.routes["app.example"]
+        self.assertThat((only.priority, only.max_attempts), Equals((1, 2)))
+        self.assertThat(decoded.services["a"].connection_limit, Equals(96))
+        self.assertThat(decoded.event_subscribers("a"), Equals(1))
+        self.assertThat(decoded.services["b"].connection_limit, Equals(0))
+        self.assertThat(decoded.limits.max_header_bytes, Equals(8192))
+        self.assertThat(decoded.limits.idle_timeout_s, Equals(0.0005))
+
     def test_keys_are_required_only_with_accounts(self):
         self.assertFalse(configuration().keys_required)
         tenants = [{"name": "t", "apiKeys": ["k1", "k2"], "isolated": True}]
@@ -122,7 +147,10 @@
     """Guards against wrong decoding of callers' headers."""
 
     def decode(self, **fields):
-        raw = [(k.replace("_", "-").encode(), v.encode()) for k, v in fields.items()]
+        raw = [
+            (k.replace("_", "-").encode(), v.encode("latin-1"))
+            for k, v in fields.items()
+        ]
         return decode_request_headers("/a/b?c=d", raw)
 
     def test_prompt_and_deadline_are_decoded(self):
@@ -141,7 +169,39 @@
         for name, value in (
             ("x_foxtailcourse_deadline_ms", "-1"),
             ("x_foxtailcourse_deadline_ms", "1e3"),
+            ("x_foxtailcourse_deadline_ms", "\xb2"),
+            ("x_foxtailcourse_deadline_ms", "9" * 12),
             ("x_foxtailcourse_prompt_prefix", "5c1e"),
             ("x_foxtailcourse_prompt_prefix", "5c1e:x"),
         ):
             self.assertRaises(RequestHeaderError, self.decode, **{name: value})
+
+    def test_numbers_may_have_a_fraction(self):
+        request = self.decode(
+            x_foxtailcourse_prompt_prefix="5c1e:800.4",
+            x_foxtailcourse_token_counts="1460.0,80.5",
+            x_foxtailcourse_deadline_ms="1250.5",
+        )
+        self.assertThat(request.deadline_s, Equals(1.2505))
+        self.assertThat(request.prompt_tokens, Equals(800))
+        self.assertThat(request.max_output_tokens, Equals(80))
+
+    def test_port_is_cut_off_the_host(self):
+        for host, expected in (
+            ("app.example:80", "app.example"),
+            ("[2001:db8::1]:80", "2001:db8::1"),
+            ("[2001:db8::1]", "2001:db8::1"),
+            ("", ""),
+        ):
+            self.assertThat(self.decode(host=host).host, Equals(expected))
+
+
+class TestResponseHeaders(testtools.TestCase):
+    """Guards against headers of backend servers that end a request with an error."""
+
+    def test_weights_version_that_is_no_number_is_ignored(self):
+        for text, version in (("7", 7), ("\xb2", None), ("7.5", None), ("", None)):
+            head = decode_response_headers(
+                200, {"x-foxtailcourse-weight-versions": text}
+            )
+            self.assertThat(head.weights_version, Equals(version))
