--- a/src/foxtailcourse/fleet/__init__.py
+++ b/src/foxtailcourse/fleet/__init__.py
@@ -11,6 +11,7 @@
     Service,
 )
 from foxtailcourse.fleet._view import DesiredWeights, FleetView, Freshness
+from foxtailcourse.fleet._withdrawn import ServerRun, WithdrawnRuns
 
 __all__ = [
     "Account",
@@ -23,5 +24,7 @@
     "Route",
     "RouteBackend",
     "RouteKind",
+    "ServerRun",
     "Service",
+    "WithdrawnRuns",
 ]
--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from foxtailcourse.fleet._withdrawn import ServerRun
 from foxtailcourse.settings import Address
 
 
@@ -228,6 +229,11 @@
     weights: Mapping[str, int]
     started_ms: int = 0
 
+    @property
+    def run(self) -> ServerRun:
+        """This run of the server."""
+        return ServerRun(self.id, self.started_ms)
+
     def with_newer_weights(self, previous: "BackendServer") -> "BackendServer":
         """Return a copy with the newer weights versions of the previous record.
 
--- a/src/foxtailcourse/fleet/_view.py
+++ b/src/foxtailcourse/fleet/_view.py
@@ -5,6 +5,7 @@
 import attrs
 
 from foxtailcourse.fleet._types import BackendServer, Configuration
+from foxtailcourse.fleet._withdrawn import WithdrawnRuns
 
 
 @attrs.define
@@ -58,6 +59,8 @@
         The newest configuration.
     configuration_revision : int
         Store revision at which the configuration was written.
+    configuration_era : int
+        Era of the store in which it was written.
     configuration_freshness, servers_freshness : Freshness
         Age of the configuration and of the registered servers.
     servers : dict of str to BackendServer
@@ -68,23 +71,40 @@
         VMs of the entries in service.
     loading : set of str
         Identifiers of the backend servers that load weights or are about to.
+    withdrawn : WithdrawnRuns
+        Runs of backend servers that get no new requests.
     """
 
     configuration: Configuration | None = None
     configuration_revision: int = 0
+    configuration_era: int = 0
     configuration_freshness: Freshness = attrs.field(factory=Freshness)
     servers: dict[str, BackendServer] = attrs.field(factory=dict)
     servers_freshness: Freshness = attrs.field(factory=Freshness)
     desired_weights: dict[str, DesiredWeights] = attrs.field(factory=dict)
     entries: set[str] = attrs.field(factory=set)
     loading: set[str] = attrs.field(factory=set)
+    withdrawn: WithdrawnRuns = attrs.field(factory=WithdrawnRuns)
 
-    def apply_configuration(self, configuration: Configuration, revision: int) -> bool:
-        """Apply a configuration; return False if it is not newer than the current."""
-        if revision <= self.configuration_revision:
+    def apply_configuration(
+        self, configuration: Configuration, revision: int, era: int = 0
+    ) -> bool:
+        """Apply a configuration; return False if it is not newer than the current.
+
+        Revisions are ordered within an era only. A restored store has an older
+        configuration until the operators write the newest one again, so across eras
+        the operators' version number decides.
+        """
+        if era < self.configuration_era:
+            return False
+        current = self.configuration
+        if era == self.configuration_era:
+            if revision <= self.configuration_revision:
+                return False
+        elif current is not None and configuration.version < current.version:
             return False
         self.configuration = configuration
-        self.configuration_revision = revision
+        self.configuration_revision, self.configuration_era = revision, era
         return True
 
     def set_desired_weights(self, model: str, version: int, now: float) -> bool:
@@ -114,5 +134,9 @@
     def accepting_servers(self, service: str) -> Iterable[BackendServer]:
         """Iterate over the servers of a service that accept new requests."""
         for server in self.servers.values():
-            if server.service == service and not server.leaving:
+            if (
+                server.service == service
+                and not server.leaving
+                and server.run not in self.withdrawn
+            ):
                 yield server
--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -42,6 +42,8 @@
         Body of the request.
     response_started : bool
         Whether sending the response has begun.
+    common_fields : dict of str to str
+        Header fields that are added to the response, whatever its status.
 
     Raises
     ------
@@ -68,6 +70,7 @@
                 raise HttpError(400, "duplicate_header", f"header {key} is repeated")
             self.headers[key] = value.decode("latin-1")
         self.response_started = False
+        self.common_fields: dict[str, str] = {}
         self._closing = False
         self.body = b""
 
@@ -126,7 +129,7 @@
 
     def _response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
         closing = {"connection": "close"} if self._closing else {}
-        return _response(status, {**fields, **closing})
+        return _response(status, {**fields, **self.common_fields, **closing})
 
     def abort(self) -> None:
         """Close the connection without ending the response once the handler returns."""
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -24,12 +24,13 @@
 from foxtailcourse.ingress._lease import EntryLease
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
 from foxtailcourse.ingress._peer_exchange import PeerExchange
-from foxtailcourse.ingress._prefix_watcher import ApplyChange, PrefixWatcher
+from foxtailcourse.ingress._peers import Peer
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.ingress._rollout import Rollout
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.ingress._settings import IngressSettings
 from foxtailcourse.ingress._store_rate_limit import RateLimitedStore, RateLimiter
+from foxtailcourse.ingress._store_watcher import StoreWatcher
 from foxtailcourse.ingress._watchdog import AttemptWatchdog
 from foxtailcourse.platform import (
     OPERATOR_PREFIX,
@@ -55,11 +56,6 @@
 LOADS_MAINTENANCE_PERIOD_S = 5.0
 # The settings file may also change without a signal, and reading it is cheap.
 RELOAD_PERIOD_S = 3.0
-# Wait of one watch of the entries' keys. It is long because a stale list of entries is
-# harmless.
-MEMBERSHIP_WAIT_S = 5.0
-# Servers change their registrations in groups; the pause collects them in one call.
-SERVERS_BATCH_PAUSE_S = 0.08
 
 
 class IngressApp:
@@ -99,8 +95,10 @@
             entry_count=lambda: len(self._view.entries),
             clock=boot_seconds,
         )
-        self._client = ServerClient(self._pool, SERVER_CALL_TIMEOUT_S)
-        self._membership = Membership(self._view)
+        self._client = ServerClient(
+            self._pool, SERVER_CALL_TIMEOUT_S, self._on_leaving_address
+        )
+        self._membership = Membership(self._view, self._events)
         self._lease = EntryLease(
             self._store,
             daemon.cfg.vm,
@@ -125,6 +123,7 @@
             self._cache_indexes,
             self._client,
             self._peer_exchange.publish_cache,
+            self._peer_exchange.plan,
             daemon.cfg.vm,
             self._events,
         )
@@ -140,7 +139,10 @@
             self._events,
             self._metrics,
         )
+        self._peer_exchange.on_leaving = self._on_leaving_announced
+        self._peer_exchange.store_era = lambda: self._store.era
         self._peer_exchange.on_cache_update = self._cache_feed.apply_published
+        self._peer_exchange.cache_snapshot = self._cache_feed.snapshot
         self._peer_exchange.weights_to_publish = self._rollout.weights_to_publish
         dispatcher = RecordDispatcher(
             on_configuration=self._apply_configuration,
@@ -148,21 +150,19 @@
             on_server=self._apply_server,
             on_unreadable=self._on_unreadable_record,
         )
-        self._operator_watcher = self._build_watcher(
-            OPERATOR_PREFIX, dispatcher.dispatch, self._view.configuration_freshness
-        )
-        self._servers_watcher = self._build_watcher(
-            SERVERS_PREFIX,
-            dispatcher.dispatch,
-            self._view.servers_freshness,
-            SERVERS_BATCH_PAUSE_S,
-        )
-        self._membership_watcher = self._build_watcher(
-            MEMBERSHIP_PREFIX,
-            self._membership.apply_change,
-            Freshness(),
-            0.0,
-            MEMBERSHIP_WAIT_S,
+        self._records = dispatcher
+        self._watcher = StoreWatcher(
+            self._store,
+            {
+                OPERATOR_PREFIX: self._view.configuration_freshness,
+                SERVERS_PREFIX: self._view.servers_freshness,
+                MEMBERSHIP_PREFIX: Freshness(),
+            },
+            cfg.watch_wait_s,
+            cfg.watch_pause_s,
+            self._apply_change,
+            self._events,
+            self._metrics,
         )
         self._refresh_lock = trio.Lock()
         self.address = cfg.listen
@@ -182,26 +182,6 @@
             self._handler.handle, cfg.http_limits(CallerLimits()), self._on_error
         )
 
-    def _build_watcher(
-        self,
-        prefix: str,
-        apply_change: ApplyChange,
-        freshness: Freshness,
-        batch_pause_s: float = 0.0,
-        wait_s: float = 0.0,
-    ) -> PrefixWatcher:
-        """Return a watcher; a ``wait_s`` of 0 stands for the wait in the settings."""
-        return PrefixWatcher(
-            self._store,
-            prefix,
-            wait_s or self._cfg.watch_wait_s,
-            batch_pause_s,
-            apply_change,
-            freshness,
-            self._events,
-            self._metrics,
-        )
-
     def _build_dispatcher(self) -> Dispatcher:
         weights_limit_s = self._cfg.weights_ms / 1000
         return Dispatcher(
@@ -215,6 +195,7 @@
                 self._watchdog,
                 self._cfg.connect_timeout_s,
                 boot_seconds,
+                self._on_leaving_announced,
             ),
             retry_budget_for=self._retry_budget_for,
             clock=boot_seconds,
@@ -233,23 +214,44 @@
 
     # Updates from the store
 
+    def _apply_change(self, key: str, value: bytes | None, revision: int) -> None:
+        if key.startswith(MEMBERSHIP_PREFIX):
+            self._membership.apply_change(key, value, revision)
+        else:
+            self._records.dispatch(key, value, revision)
+
     def _apply_configuration(self, configuration: Configuration, revision: int) -> None:
-        if self._view.apply_configuration(configuration, revision):
-            self._http_server.set_limits(self._cfg.http_limits(configuration.limits))
-            self._events.emit(
-                "configuration_applied",
-                version=configuration.version,
-                revision=revision,
-                routes=sum(len(each) for each in configuration.routes.values()),
-                keys=len(configuration.accounts),
-            )
+        era = self._watcher.era
+        previous = self._view.configuration
+        if not self._view.apply_configuration(configuration, revision, era):
+            if previous is not None and era != self._view.configuration_era:
+                self._events.emit(
+                    "configuration_kept",
+                    version=previous.version,
+                    era=self._view.configuration_era,
+                    refused_version=configuration.version,
+                    refused_era=era,
+                )
+            return
+        self._http_server.set_limits(self._cfg.http_limits(configuration.limits))
+        self._events.emit(
+            "configuration_applied",
+            version=configuration.version,
+            revision=revision,
+            era=era,
+            routes=sum(len(each) for each in configuration.routes.values()),
+            keys=len(configuration.accounts),
+        )
 
     def _apply_weights(self, model: str, version: int) -> None:
         if self._view.set_desired_weights(model, version, boot_seconds()):
             self._events.emit("weights_named", model=model, version=version)
 
-    def _apply_server(self, server_id: str, server: BackendServer | None) -> None:
+    def _apply_server(
+        self, server_id: str, server: BackendServer | None, revision: int
+    ) -> None:
         previous = self._view.servers.get(server_id)
+        self._apply_withdrawal(server, previous, revision)
         if server is not None and previous is not None:
             server = server.with_newer_weights(previous)
         if server == previous:
@@ -268,6 +270,55 @@
             weights=",".join(f"{k}:{v}" for k, v in server.weights.items()) or None,
         )
 
+    def _apply_withdrawal(
+        self,
+        server: BackendServer | None,
+        previous: BackendServer | None,
+        revision: int,
+    ) -> None:
+        """Withdraw a run whose server leaves, or reinstate one that registers again."""
+        watcher, withdrawn = self._watcher, self._view.withdrawn
+        now = boot_seconds()
+        if server is None:
+            if previous is not None:
+                withdrawn.withdraw(previous.run, watcher.era, now)
+        elif server.leaving:
+            withdrawn.withdraw(server.run, watcher.era, now)
+        elif server.run in withdrawn:
+            is_copy = revision <= watcher.copy_revision
+            reinstated = withdrawn.reinstate(
+                server.run, watcher.era, now, is_copy=is_copy
+            )
+            if reinstated or previous is None:
+                self._events.emit(
+                    "server_reinstated" if reinstated else "server_kept_withdrawn",
+                    backend_server=server.id,
+                    revision=revision,
+                    era=watcher.era,
+                    is_copy=is_copy,
+                )
+
+    def _on_leaving_announced(
+        self, server: BackendServer, *, by_entry: str = ""
+    ) -> None:
+        """Withdraw a run whose server said that it leaves, to this or another entry."""
+        if not self._view.withdrawn.announce(server.run, boot_seconds()):
+            return
+        self._events.emit(
+            "server_leaving",
+            backend_server=server.id,
+            started_ms=server.started_ms,
+            by_entry=by_entry or None,
+        )
+        if not by_entry:
+            self._peer_exchange.publish_leaving(server.run)
+
+    def _on_leaving_address(self, address: Address) -> None:
+        """Withdraw the runs at an address where a server said that it leaves."""
+        for server in list(self._view.servers.values()):
+            if server.address == address:
+                self._on_leaving_announced(server)
+
     def _on_unreadable_record(self, reason: str) -> None:
         self._metrics.count("foxtail_ingress_unreadable_records_total")
         self._events.emit("record_unreadable", reason=reason)
@@ -281,7 +332,7 @@
             if self._view.configuration_freshness.age_s(boot_seconds()) <= max_age_s:
                 return
             try:
-                await self._operator_watcher.scan()
+                await self._watcher.refresh(OPERATOR_PREFIX)
             except PlatformError as exc:
                 self._events.emit("refresh_failed", error=exc)
 
@@ -330,14 +381,13 @@
             await nursery.start(
                 self._listen, self._http_server, self._cfg.listen, closed
             )
-            for watcher in (
-                self._operator_watcher,
-                self._servers_watcher,
-                self._membership_watcher,
-            ):
-                nursery.start_soon(watcher.run)
+            nursery.start_soon(self._watcher.run)
             await self._peer_exchange.bind()
-            self._lease.address = str(self._peer_exchange.address).encode()
+            self._lease.registration = Peer(
+                address=self._peer_exchange.address,
+                failure_domain=self._daemon.cfg.failure_domain,
+                capacity_cores=self._cfg.capacity_cores,
+            ).encode()
             nursery.start_soon(self._peer_exchange.run)
             nursery.start_soon(self._lease.run)
             nursery.start_soon(self._watchdog.run)
@@ -381,6 +431,7 @@
             await trio.sleep(LOADS_MAINTENANCE_PERIOD_S)
             servers = self._view.servers.values()
             self._loads.discard_unregistered({(e.id, e.started_ms) for e in servers})
+            self._view.withdrawn.expire({e.run for e in servers}, boot_seconds())
             self._update_gauges()
 
     def _update_gauges(self) -> None:
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from foxtailcourse.fleet import RouteKind
+from foxtailcourse.fleet import BackendServer, RouteKind
 from foxtailcourse.http import (
     ClientError,
     ClientResponse,
@@ -59,6 +59,8 @@
         Longest time to connect, in seconds.
     clock : callable
         Returns seconds since boot.
+    on_leaving : callable
+        Called with a server whose response says that it leaves.
     """
 
     pool: ConnectionPool
@@ -66,6 +68,9 @@
     watchdog: AttemptWatchdog
     connect_timeout_s: float
     clock: Callable[[], float]
+    on_leaving: Callable[[BackendServer], None] = attrs.field(
+        default=lambda server: None
+    )
 
     async def run(
         self, job: Job, choice: Choice, store: Address | None
@@ -181,6 +186,12 @@
     ) -> ServerResponse | None:
         """Check the response; return it, or None once it was streamed to the caller."""
         head = decode_response_headers(response.status, response.headers)
+        if head.leaving:
+            self.on_leaving(choice.candidate.server)
+        if head.retry_after_s is not None:
+            choice.candidate.own_load.record_retry_after(
+                self.clock(), head.retry_after_s
+            )
         if head.request_id and head.request_id != job.request.id:
             raise self._rejected(job, choice, "foreign_answer", Verdict.MAY_HAVE_RUN)
         if head.not_executed:
@@ -237,7 +248,12 @@
         job.sent_to.append(choice.candidate.server.id)
         choice.candidate.own_load.record_refusal(self.clock(), REFUSAL_SUSPENSION_S)
         reason = "misdirected" if head.status == 421 else "not_executed"
-        return AttemptError(reason, Verdict.NOT_RUN)
+        return AttemptError(
+            reason,
+            Verdict.NOT_RUN,
+            retry_after_s=head.retry_after_s,
+            retry_after_unreadable=head.retry_after_unreadable,
+        )
 
     async def _relay(
         self,
--- a/src/foxtailcourse/ingress/_cache_feed.py
+++ b/src/foxtailcourse/ingress/_cache_feed.py
@@ -8,9 +8,13 @@
 
 from foxtailcourse.fleet import FleetView
 from foxtailcourse.ingress._cache_index import CacheIndex
+from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._peer_messages import CacheUpdate
+from foxtailcourse.ingress._peers import PeerDirectory
+from foxtailcourse.ingress._relays import RelayPlan, weighted_rank
 from foxtailcourse.observe import EventLog
 from foxtailcourse.platform import (
+    CacheEvents,
     ServerCallError,
     ServerClient,
     SubscribersExceededError,
@@ -29,6 +33,15 @@
 # other entries. There are two publishers because one may fail.
 MAX_SUBSCRIBERS = 6
 MAX_PUBLISHERS = 2
+# In a fleet with relays, each cache has one subscriber and events arrive in larger
+# batches. If the subscriber fails, the next one reads the stored events and publishes
+# them again.
+RELAYED_POLL_SPACING_S = 0.25
+# Parts below this size are not relayed: to prefill them costs less than the messages.
+MIN_RELAYED_TOKENS = 256
+# A subscriber publishes at least so often, so that other entries know that the events
+# of the cache are reachable.
+PUBLISH_PERIOD_S = 2.0
 # Takes the name and epoch of a cache, rows of a CacheUpdate and the receiving entries.
 Publish = Callable[[str, int, list[tuple[str, str, int]], set[str]], Awaitable[None]]
 
@@ -106,6 +119,19 @@
     )
 
 
+def assign_relayed_subscriber(source: str, peers: PeerDirectory) -> FeedAssignment:
+    """Return the entry that subscribes to a cache in a fleet with relays.
+
+    The entries subscribe to caches in proportion to their capacity.
+    """
+
+    def rank(vm: str) -> float:
+        peer = peers.get(vm)
+        return weighted_rank(source, vm, peer.capacity_cores if peer else 0.0)
+
+    return FeedAssignment(tuple(sorted(peers, key=rank)[:1]), set())
+
+
 class CacheFeed:
     """Keeps the cache index of each model server and KV-cache store up to date.
 
@@ -119,6 +145,8 @@
         Makes the calls.
     publish : coroutine function
         Sends events of a cache to other entries; see ``PeerExchange.publish_cache``.
+    plan : RelayPlan
+        Whether events go through relays.
     vm : str
         Name of this VM.
     events : EventLog
@@ -131,6 +159,7 @@
         indexes: dict[str, CacheIndex],
         client: ServerClient,
         publish: Publish,
+        plan: RelayPlan,
         vm: str,
         events: EventLog,
     ) -> None:
@@ -138,13 +167,17 @@
         self._indexes = indexes
         self._client = client
         self._publish = publish
+        self._plan = plan
         self._vm = vm
         self._events = events
         # Sources whose index a task maintains, and sources that still exist.
         self._active_sources: set[CacheSource] = set()
         self._current_sources: set[CacheSource] = set()
-        # By source: entries and number of subscribers that the assignment is based on.
-        self._assignments: dict[str, tuple[set[str], int, FeedAssignment]] = {}
+        # By source: version of the peers and number of subscribers that the assignment
+        # is based on.
+        self._assignments: dict[str, tuple[int, int, FeedAssignment]] = {}
+        # When the events of a source were last published by this entry.
+        self._published_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Maintain the indexes of all caches until cancelled."""
@@ -177,13 +210,14 @@
         while source in self._current_sources:
             if self._assign(source).subscribes(self._vm):
                 await self._poll(source, index)
-            elif index.epoch is None:
+            elif index.epoch is None and self._plan.is_mesh:
                 # Other entries publish only changes, so the initial state is polled.
                 await self._poll(source, index)
             else:
                 await trio.sleep(RETRY_PAUSE_S)
         self._active_sources.discard(source)
         self._assignments.pop(source.name, None)
+        self._published_at.pop(source.name, None)
         if self._indexes.get(source.name) is index:
             del self._indexes[source.name]
 
@@ -206,14 +240,44 @@
             if index.feed_lost:
                 index.feed_lost = False
                 self._events.emit("cache_feed_regained", source=source.name)
+            rows = self._rows_to_publish(batch, index)
             index.apply(batch)
-            assignment = self._assign(source)
-            if assignment.publishes(self._vm) and batch.events:
-                rows = [(each.salt, each.part, each.tokens) for each in batch.events]
-                await self._publish(
-                    source.name, batch.epoch, rows, assignment.receivers
-                )
-            await trio.sleep(POLL_SPACING_S)
+            await self._publish_rows(source, batch.epoch, rows)
+            is_mesh = self._plan.is_mesh
+            await trio.sleep(POLL_SPACING_S if is_mesh else RELAYED_POLL_SPACING_S)
+
+    def _rows_to_publish(
+        self, batch: CacheEvents, index: CacheIndex
+    ) -> list[tuple[str, str, int]]:
+        """Return salt, part and cached tokens of the events for the other entries."""
+        rows = [(each.salt, each.part, each.tokens) for each in batch.events]
+        if self._plan.is_mesh:
+            return rows
+        return [
+            (salt, part, tokens)
+            for salt, part, tokens in rows
+            if max(tokens, index.cached_tokens(salt, part)) >= MIN_RELAYED_TOKENS
+        ]
+
+    async def _publish_rows(
+        self, source: CacheSource, epoch: int, rows: list[tuple[str, str, int]]
+    ) -> None:
+        assignment = self._assign(source)
+        if not assignment.publishes(self._vm):
+            return
+        now = boot_seconds()
+        published_at = self._published_at.get(source.name, float("-inf"))
+        if rows or now - published_at >= PUBLISH_PERIOD_S:
+            self._published_at[source.name] = now
+            await self._publish(source.name, epoch, rows, assignment.receivers)
+
+    def snapshot(self) -> list[CacheUpdate]:
+        """Return the known contents of all caches, without small parts."""
+        return [
+            CacheUpdate(name, index.epoch, index.large_rows(MIN_RELAYED_TOKENS))
+            for name, index in self._indexes.items()
+            if index.epoch is not None
+        ]
 
     def apply_published(self, update: CacheUpdate) -> None:
         """Apply cache events that another entry published."""
@@ -233,15 +297,16 @@
         configuration = self._view.configuration
         limit = configuration.event_subscribers(source.service) if configuration else 0
         max_subscribers = min(MAX_SUBSCRIBERS, limit) if limit else MAX_SUBSCRIBERS
-        entries = self._view.entries | {self._vm}
+        peers = self._plan.peers
         # Cached, since this is called for each published update and the result only
         # changes with the entries and the limit.
         cached = self._assignments.get(source.name)
-        if cached is None or cached[:2] != (entries, max_subscribers):
-            assignment = assign_subscribers(source.name, entries, max_subscribers)
-            cached = self._assignments[source.name] = (
-                entries,
-                max_subscribers,
-                assignment,
-            )
+        if cached is None or cached[:2] != (peers.version, max_subscribers):
+            if self._plan.is_mesh:
+                entries = set(peers) | {self._vm}
+                assignment = assign_subscribers(source.name, entries, max_subscribers)
+            else:
+                assignment = assign_relayed_subscriber(source.name, peers)
+            cached = (peers.version, max_subscribers, assignment)
+            self._assignments[source.name] = cached
         return cached[2]
--- a/src/foxtailcourse/ingress/_cache_index.py
+++ b/src/foxtailcourse/ingress/_cache_index.py
@@ -65,6 +65,18 @@
             else:
                 self._cached_tokens.pop((salt, part), None)
 
+    def cached_tokens(self, salt: str, part: str) -> int:
+        """Return how many tokens of a part events show as cached."""
+        return self._cached_tokens.get((salt, part), 0)
+
+    def large_rows(self, min_tokens: int) -> list[tuple[str, str, int]]:
+        """Return salt, part and cached tokens of the parts with at least so many."""
+        return [
+            (salt, part, tokens)
+            for (salt, part), tokens in self._cached_tokens.items()
+            if tokens >= min_tokens
+        ]
+
     def clear(self) -> None:
         """Clear the index, since changes of the cache may have been missed."""
         self._cached_tokens.clear()
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -35,10 +35,14 @@
         The eligible servers.
     reason : str
         Short code for logs and metrics; empty if there are candidates.
+    available_in_s : float or None
+        Time until a server accepts requests again, in seconds, if that is why there are
+        none.
     """
 
     candidates: tuple[Candidate, ...]
     reason: str = ""
+    available_in_s: float | None = None
 
 
 @attrs.define
@@ -107,7 +111,15 @@
         untried = [each for each in usable if each.id not in tried]
         if not untried:
             return Selection(candidates=(), reason="all_tried")
-        with_capacity = [each for each in untried if self._has_capacity(each, now)]
+        accepting = [each for each in untried if self._refused_until(each) <= now]
+        if not accepting:
+            available_at = min(self._refused_until(each) for each in untried)
+            return Selection(
+                candidates=(),
+                reason="servers_refuse",
+                available_in_s=available_at - now,
+            )
+        with_capacity = [each for each in accepting if self._has_capacity(each, now)]
         if not with_capacity:
             return Selection(candidates=(), reason="connection_limit")
         not_loading = [
@@ -126,6 +138,10 @@
         )
         return Selection(candidates=candidates)
 
+    def _refused_until(self, server: BackendServer) -> float:
+        """Return until when a server asked for no requests."""
+        return self.loads.for_server(server.id, server.started_ms).refused_until
+
     def _weights_usable(self, server: BackendServer, model: str, now: float) -> bool:
         """Whether weights are the desired ones, or not outdated for too long."""
         desired = self.view.desired_weights.get(model)
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -44,6 +44,8 @@
     "all_tried": 0.15,
 }
 DEFAULT_RETRY_AFTER_S = 0.15
+# Characters of an unreadable header value that are logged.
+MAX_LOGGED_VALUE = 40
 # Shortest retry-after time of an overloaded entry. By then it may have fewer deferred
 # prompts.
 MIN_OVERLOAD_RETRY_S = 0.5
@@ -231,7 +233,8 @@
         if not selection.candidates:
             if job.verdict is Verdict.NOT_RUN:
                 raise RefusedError(
-                    selection.reason, self._retry_after_s(selection.reason)
+                    selection.reason,
+                    self._retry_after_s(selection.reason, selection.available_in_s),
                 )
             raise AttemptError(selection.reason, job.verdict)
         eligible, prompt = selection.candidates, job.prompt
@@ -263,7 +266,14 @@
             raise RefusedError(exc.reason, self._retry_after_s(exc.reason)) from exc
         raise exc
 
-    def _retry_after_s(self, reason: str) -> float:
+    def _retry_after_s(self, reason: str, available_in_s: float | None = None) -> float:
+        """Return when a refused caller should come back, in seconds.
+
+        It is never before ``available_in_s``, and spread so that the callers do not
+        return all at once.
+        """
+        if available_in_s is not None:
+            return available_in_s + DEFAULT_RETRY_AFTER_S * self.rng.random()
         base_s = RETRY_AFTER_S.get(reason, DEFAULT_RETRY_AFTER_S)
         return base_s * self.rng.uniform(0.75, 1.25)
 
@@ -280,4 +290,9 @@
             attempt=len(job.sent_to),
             age_ms=int((self.clock() - job.started) * 1000),
             last_event=job.last_event_id or None,
+            retry_after_ms=(
+                None if exc.retry_after_s is None else int(exc.retry_after_s * 1000)
+            ),
+            retry_after_unreadable=exc.retry_after_unreadable[:MAX_LOGGED_VALUE]
+            or None,
         )
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -117,15 +117,27 @@
         Whether the request may have run in this attempt.
     response : ServerResponse or None
         The error response of the server, which is forwarded if all retries fail.
+    retry_after_s : float or None
+        Time in seconds for which the server asked for no requests.
+    retry_after_unreadable : str
+        That time if it cannot be read.
     """
 
     def __init__(
-        self, reason: str, verdict: Verdict, response: "ServerResponse | None" = None
+        self,
+        reason: str,
+        verdict: Verdict,
+        response: "ServerResponse | None" = None,
+        *,
+        retry_after_s: float | None = None,
+        retry_after_unreadable: str = "",
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.verdict = verdict
         self.response = response
+        self.retry_after_s = retry_after_s
+        self.retry_after_unreadable = retry_after_unreadable
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/ingress/_lease.py
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -10,13 +10,17 @@
 from foxtailcourse.platform import KeyValueStore, LeaseLostError, PlatformError, Put
 
 # Renewals per time to live, so that one lost reply does not end the lease.
-RENEWALS_PER_TTL = 6
+RENEWALS_PER_TTL = 4
 RETRY_PAUSE_S = 0.3
 # Leadership ends this fraction of the time to live before the lease does. A new leader
 # then waits only for the remaining fraction before its first order.
 LEADERSHIP_MARGIN_FRACTION = 0.5
 # Allowance for an order that was in transit when leadership ended.
 ORDER_TRANSIT_S = 0.2
+# A restored store may lack the key of a leader that does not know of it yet. A new
+# leader of the era then waits for this multiple of the time to live from when it saw
+# the era: the former one may give orders for half of it, and a whole one lies between.
+NEW_ERA_PAUSE_TTLS = 1.5
 
 
 class EntryLease:
@@ -49,9 +53,10 @@
     lease : str
         Identifier of the lease; empty without one.
     fence : int
-        Fencing token of this entry's leadership; 0 if it is not the leader.
-    address : bytes
-        Address to register, where this entry receives datagrams; set before ``run``.
+        Fencing token of this entry's leadership; 0 if it is not the leader. It grows
+        with the era of the store.
+    registration : bytes
+        Registration of this entry, see ``Peer``; set before ``run``.
     """
 
     def __init__(
@@ -73,14 +78,19 @@
         self._events = events
         self._valid_until = float("-inf")
         self._may_order_from = float("inf")
+        # Era of the store in which the lease was granted, and when it was first seen.
+        self._era = store.era
+        self._era_seen_at = float("-inf")
+        self._registered = False
         self.lease = ""
         self.fence = 0
-        self.address = b""
+        self.registration = b""
 
     def may_order(self, now: float) -> bool:
         """Whether this entry may give orders at time ``now``."""
         return (
             self.fence > 0
+            and self._store.era == self._era
             and now >= self._may_order_from
             and now < self._valid_until - LEADERSHIP_MARGIN_FRACTION * self._ttl_s
         )
@@ -89,9 +99,12 @@
         """Keep the lease and compete for leadership until cancelled."""
         while True:
             try:
-                if not self.lease:
+                if not self.lease or not self._registered:
                     await self._acquire_lease()
                 await self._renew()
+                await self.follow_era()
+                if not self.lease:
+                    continue
                 if not self.fence and not self._membership.leader:
                     await self._acquire_leadership()
             except LeaseLostError:
@@ -106,28 +119,55 @@
             with trio.move_on_after(pause_s * self._rng.uniform(0.8, 1.2)):
                 await self._membership.wait_for_vacancy(bool(self.fence))
 
+    async def follow_era(self) -> None:
+        """Give up what was written in an earlier era of the store.
+
+        The restored store may lack this entry's lease, registration and leadership, or
+        have an older state of them. They are revoked as far as they exist, so that the
+        entries need not wait for their expiry.
+        """
+        if self._store.era == self._era:
+            return
+        previous, self._era = self._era, self._store.era
+        self._era_seen_at = self._clock()
+        lease = self.lease
+        # The first era that is seen is that of the lease.
+        if lease and previous:
+            self._discard_lease(f"store went from era {previous} to {self._era}")
+            await self._revoke(lease)
+
     async def release(self) -> None:
         """Revoke the lease, so that another entry can become the leader at once."""
         lease, self.lease, self.fence = self.lease, "", 0
         if lease:
-            try:
-                await self._store.lease_revoke(lease)
-            except PlatformError as exc:
-                self._events.emit("lease_release_failed", error=exc)
+            await self._revoke(lease)
+
+    async def _revoke(self, lease: str) -> None:
+        try:
+            await self._store.lease_revoke(lease)
+        except PlatformError as exc:
+            self._events.emit("lease_release_failed", error=exc)
 
     def resign(self, reason: str) -> None:
         """Give up the lease and leadership, as a server has seen a newer leader."""
         self._discard_lease(reason)
 
     async def _acquire_lease(self) -> None:
-        """Acquire a lease and register this entry under it."""
-        sent_at = self._clock()
-        lease = await self._store.lease_grant(self._ttl_s)
-        await self._store.txn(
-            {}, [Put(key=ENTRIES_PREFIX + self._vm, value=self.address, lease=lease)]
+        """Acquire a lease if there is none, and register this entry under it.
+
+        A lease whose registration failed is kept for the next try, so that none is left
+        to expire in the store.
+        """
+        if not self.lease:
+            sent_at = self._clock()
+            self.lease = await self._store.lease_grant(self._ttl_s)
+            self._valid_until, self._registered = sent_at + self._ttl_s, False
+        put = Put(
+            key=ENTRIES_PREFIX + self._vm, value=self.registration, lease=self.lease
         )
-        self.lease, self._valid_until = lease, sent_at + self._ttl_s
-        self._events.emit("lease_granted", lease=lease)
+        await self._store.txn({}, [put])
+        self._registered = True
+        self._events.emit("lease_granted", lease=self.lease, era=self._store.era)
 
     async def _renew(self) -> None:
         sent_at = self._clock()
@@ -139,13 +179,16 @@
         put = Put(key=ORDERS_KEY, value=self._vm.encode(), lease=self.lease)
         result = await self._store.txn({ORDERS_KEY: 0}, [put])
         if result.succeeded:
-            self.fence = result.revision
-            pause_s = (1 - LEADERSHIP_MARGIN_FRACTION) * self._ttl_s + ORDER_TRANSIT_S
-            self._may_order_from = self._clock() + pause_s
+            self.fence = result.fencing_token
+            pause_s = (1 - LEADERSHIP_MARGIN_FRACTION) * self._ttl_s
+            self._may_order_from = ORDER_TRANSIT_S + max(
+                self._clock() + pause_s,
+                self._era_seen_at + NEW_ERA_PAUSE_TTLS * self._ttl_s,
+            )
             self._events.emit("orders_acquired", fence=self.fence)
 
     def _discard_lease(self, reason: str) -> None:
         if self.fence:
             self._events.emit("orders_lost", fence=self.fence, reason=reason)
-        self.lease, self.fence = "", 0
+        self.lease, self.fence, self._registered = "", 0, False
         self._valid_until, self._may_order_from = float("-inf"), float("inf")
--- a/src/foxtailcourse/ingress/_membership.py
+++ b/src/foxtailcourse/ingress/_membership.py
@@ -1,6 +1,6 @@
 """Registered entries and their leader, from keys in the platform's store.
 
-``ingress/entries/<vm>`` holds the address where an entry receives datagrams, and
+``ingress/entries/<vm>`` holds the registration of an entry, see ``Peer``, and
 ``ingress/orders`` names the leader, which gives orders to backend servers. Each key is
 bound to a lease of the entry that wrote it.
 """
@@ -8,6 +8,8 @@
 import trio
 
 from foxtailcourse.fleet import FleetView
+from foxtailcourse.ingress._peers import PeerDirectory, PeerRecordError, decode_peer
+from foxtailcourse.observe import EventLog
 
 MEMBERSHIP_PREFIX = "ingress/"
 ENTRIES_PREFIX = "ingress/entries/"
@@ -21,18 +23,21 @@
     ----------
     view : FleetView
         Receives the names of the entries.
+    events : EventLog
+        Receives an event for each registration that cannot be decoded.
 
     Attributes
     ----------
-    peers : dict of str to str
-        Addresses of the entries by VM.
+    peers : PeerDirectory
+        The registered entries.
     leader : str
         VM of the leader; empty if there is none.
     """
 
-    def __init__(self, view: FleetView) -> None:
+    def __init__(self, view: FleetView, events: EventLog) -> None:
         self._view = view
-        self.peers: dict[str, str] = {}
+        self._events = events
+        self.peers = PeerDirectory()
         self.leader = ""
         self._vacated = trio.Event()
 
@@ -46,11 +51,15 @@
         elif key.startswith(ENTRIES_PREFIX):
             vm = key.removeprefix(ENTRIES_PREFIX)
             if value is None:
-                self.peers.pop(vm, None)
+                self.peers.remove(vm)
                 self._view.entries.discard(vm)
-            else:
-                self._view.entries.add(vm)
-                self.peers[vm] = value.decode("utf-8", "replace")
+                return
+            self._view.entries.add(vm)
+            try:
+                self.peers.add(vm, decode_peer(value))
+            except PeerRecordError as exc:
+                self.peers.remove(vm)
+                self._events.emit("peer_unreadable", peer=vm, error=exc)
 
     async def wait_for_vacancy(self, is_leader: bool) -> None:
         """Wait until the leader's key is deleted.
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -2,29 +2,39 @@
 
 Several entries send requests to the same servers. Without the exchange, an entry may
 send a short prompt to a server that has just received a long one from another entry.
-State that is not published again expires.
+State that is not published again expires. In a large fleet, loads and cache events go
+through relays; see ``RelayPlan``.
 """
 
 import errno
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 import msgspec
 import trio
 
-from foxtailcourse.fleet import FleetView
+from foxtailcourse.fleet import FleetView, ServerRun
+from foxtailcourse.ingress._load_relay import LoadRelay, LoadRow
 from foxtailcourse.ingress._peer_messages import (
     MAX_DATAGRAM_BYTES,
+    CacheBatch,
     CacheUpdate,
+    DomainLoads,
+    FleetLoads,
+    LeavingUpdate,
     LoadsUpdate,
     Message,
+    SnapshotRequest,
     WeightsUpdate,
     decode,
     encode,
 )
+from foxtailcourse.ingress._peers import PeerDirectory
+from foxtailcourse.ingress._relays import RelayPlan
 from foxtailcourse.ingress._server_loads import RemoteLoad, ServerLoads
 from foxtailcourse.observe import EventLog, Metrics
-from foxtailcourse.settings import Address, parse_address
+from foxtailcourse.platform import fencing_token
+from foxtailcourse.settings import Address
 
 # Shortest time between two load updates for urgent changes.
 LOADS_UPDATE_SPACING_S = 0.01
@@ -32,16 +42,30 @@
 REPUBLISH_PERIOD_S = 0.4
 # A change of a server's load by this many prompt tokens is published at once.
 URGENT_CHANGE_TOKENS = 1_500
+# A relay collects changes for this time before it passes them on.
+RELAY_PERIOD_S = 0.05
+# A relay collects cache events for this time; they are about as old when they arrive.
+RELAY_CACHE_PERIOD_S = 0.15
 # State published by the leader expires after this time.
 WEIGHTS_VALID_S = 1.5
 MAX_RECEIVED_BYTES = 2048
+# Rows of loads and of cache events that fit into a datagram.
+LOAD_ROWS_PER_MESSAGE = 30
 CACHE_ROWS_PER_MESSAGE = 24
+LOADED_ROWS_PER_MESSAGE = 12
+# Relays that a new entry asks for the contents of the caches; one may be new as well.
+SNAPSHOT_SOURCES = 2
+# Source of the loads that a relay sent, in place of a VM.
+FLEET_SOURCE = "fleet"
+RELAYS_DESTINATION = "relays"
 
 
 @attrs.define
 class PeerExchange:
     """Publishes this entry's state to the other entries and receives theirs.
 
+    Only messages that come from the address of a registered entry are used.
+
     Parameters
     ----------
     vm : str
@@ -53,16 +77,23 @@
     view : FleetView
         Last known state of the fleet; receives which servers are loading or have loaded
         weights.
-    peers : dict of str to str
-        Registered addresses of the entries by VM.
+    peers : PeerDirectory
+        The registered entries.
     clock : callable
         Returns seconds since boot.
     events : EventLog
         Log of the process.
     metrics : Metrics
-        Counts malformed and lost datagrams.
+        Counts malformed, foreign and lost datagrams.
     on_cache_update : callable
         Handles cache events that another entry published.
+    cache_snapshot : callable
+        Returns the known contents of all caches, for an entry that has just started.
+    on_leaving : callable
+        Called with a server of which the entry ``by_entry`` says that it leaves.
+    store_era : callable
+        Returns the era of the platform's store; weights from a leader of an earlier era
+        are ignored.
     weights_to_publish : callable
         Returns the state of the weight loads if this entry is the leader, or None.
 
@@ -70,23 +101,40 @@
     ----------
     address : Address
         Where datagrams are received, with the actual port; set by ``bind``.
+    plan : RelayPlan
+        Which entries relay.
     """
 
     vm: str
     listen: Address
     loads: ServerLoads
     view: FleetView
-    peers: dict[str, str]
+    peers: PeerDirectory
     clock: Callable[[], float]
     events: EventLog
     metrics: Metrics
     on_cache_update: Callable[[CacheUpdate], None] = attrs.field(
         default=lambda update: None
     )
+    cache_snapshot: Callable[[], list[CacheUpdate]] = attrs.field(default=list)
+    on_leaving: Callable[..., None] = attrs.field(default=lambda server, by_entry: None)
+    store_era: Callable[[], int] = attrs.field(default=lambda: 0)
     weights_to_publish: Callable[[], WeightsUpdate | None] = attrs.field(
         default=lambda: None
     )
     address: Address = attrs.field(init=False)
+    plan: RelayPlan = attrs.field(init=False)
+    _relay: LoadRelay = attrs.field(factory=LoadRelay, init=False)
+    _relay_wakeup: trio.Event = attrs.field(factory=trio.Event, init=False)
+    # Cache events to pass on to the members, by source and epoch.
+    _cache_rows: dict[tuple[str, int], list[tuple[str, str, int]]] = attrs.field(
+        factory=dict, init=False
+    )
+    # Entries that asked for the known contents of all caches.
+    _snapshots_for: list[str] = attrs.field(factory=list, init=False)
+    _has_snapshot: bool = attrs.field(default=False, init=False)
+    _leaving: list[LeavingUpdate] = attrs.field(factory=list, init=False)
+    _leaving_wakeup: trio.Event = attrs.field(factory=trio.Event, init=False)
     _socket: trio.socket.SocketType = attrs.field(init=False)
     # Last published row of each server: tokens to prefill, requests, short prompts.
     _published: dict[str, tuple[int, int, int]] = attrs.field(factory=dict, init=False)
@@ -94,6 +142,9 @@
     _fence: int = attrs.field(default=0, init=False)
     _weights_received_at: float = attrs.field(default=0.0, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        self.plan = RelayPlan(self.vm, self.peers)
+
     async def bind(self) -> None:
         """Open the socket."""
         self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
@@ -107,48 +158,81 @@
                 nursery.start_soon(self._receive)
                 nursery.start_soon(self._publish_changes)
                 nursery.start_soon(self._republish)
+                nursery.start_soon(self._publish_leaving)
+                nursery.start_soon(self._relay_loads)
+                nursery.start_soon(self._relay_caches)
 
     # Receiving
 
     async def _receive(self) -> None:
         while True:
-            data, _ = await self._socket.recvfrom(MAX_RECEIVED_BYTES)
+            data, address = await self._socket.recvfrom(MAX_RECEIVED_BYTES)
+            sender = self.peers.vm_at(*address[:2])
+            if sender is None or sender == self.vm:
+                self.metrics.count("foxtail_ingress_foreign_datagrams_total")
+                continue
             try:
-                self.handle(decode(data))
+                self.handle(decode(data), sender)
             except msgspec.DecodeError:
                 self.metrics.count("foxtail_ingress_bad_datagrams_total")
 
-    def handle(self, message: Message) -> None:
-        """Handle one message of another entry."""
-        if isinstance(message, LoadsUpdate):
-            self._apply_loads(message)
-        elif isinstance(message, WeightsUpdate):
-            self.apply_weights(message)
-        else:
-            self.on_cache_update(message)
-
-    def _apply_loads(self, message: LoadsUpdate) -> None:
-        if message.vm == self.vm or message.vm not in self.peers:
-            return
+    def handle(self, message: Message, sender: str) -> None:
+        """Handle one message of the registered entry ``sender``."""
         now = self.clock()
-        for server_id, prefill_tokens, in_flight, short_prompts in message.rows:
+        match message:
+            case LoadsUpdate(rows) if self.plan.is_mesh:
+                self._apply_loads(sender, rows, now)
+            case LoadsUpdate(rows):
+                self._relay.update_member(sender, rows, now)
+                self._relay_wakeup.set()
+            case DomainLoads(rows):
+                self._relay.update_relay(sender, rows, now)
+                self._relay_wakeup.set()
+            case FleetLoads(rows):
+                self.plan.record_heard(sender, now)
+                self._apply_loads(FLEET_SOURCE, rows, now)
+            case SnapshotRequest():
+                self._snapshots_for.append(sender)
+            case WeightsUpdate():
+                self.apply_weights(message)
+            case LeavingUpdate(server_id, started_ms):
+                self._apply_leaving(server_id, started_ms, sender)
+            case CacheUpdate():
+                self._apply_cache_update(message)
+            case CacheBatch(updates):
+                for update in updates:
+                    self.on_cache_update(update)
+
+    def _apply_loads(self, source: str, rows: Iterable[LoadRow], now: float) -> None:
+        for server_id, prefill_tokens, in_flight, short_prompts in rows:
             load = RemoteLoad(
                 prefill_tokens=prefill_tokens,
                 in_flight=in_flight,
                 short_prompts=short_prompts,
                 received_at=now,
             )
-            self.loads.update_remote(message.vm, server_id, load)
+            self.loads.update_remote(source, server_id, load)
 
     def apply_weights(self, message: WeightsUpdate) -> None:
         """Apply an update of the leader; updates of an older leader are ignored."""
-        if message.fence < self._fence:
+        if message.fence < max(self._fence, fencing_token(self.store_era(), 0)):
             return
         self._fence, self._weights_received_at = message.fence, self.clock()
         self.view.loading = set(message.loading)
         for server_id, started_ms, model, version in message.loaded:
             self.view.record_loaded_weights(server_id, started_ms, model, version)
 
+    def _apply_leaving(self, server_id: str, started_ms: int, sender: str) -> None:
+        server = self.view.servers.get(server_id)
+        if server is not None and server.started_ms == started_ms:
+            self.on_leaving(server, by_entry=sender)
+
+    def _apply_cache_update(self, update: CacheUpdate) -> None:
+        self.on_cache_update(update)
+        if not self.plan.is_mesh and self._relay.members():
+            rows = self._cache_rows.setdefault((update.source, update.epoch), [])
+            rows += update.rows
+
     # Sending
 
     async def _publish_changes(self) -> None:
@@ -162,7 +246,7 @@
                 await self._publish_loads(rows)
                 await trio.sleep(LOADS_UPDATE_SPACING_S)
 
-    def _load_rows(self) -> list[tuple[str, int, int, int]]:
+    def _load_rows(self) -> list[LoadRow]:
         """Return all loads as rows of a LoadsUpdate.
 
         A server that became idle since it was last published has a row of zeros.
@@ -172,7 +256,7 @@
         idle = [key for key, row in self._published.items() if any(row)]
         return rows + [(key, 0, 0, 0) for key in idle if key not in busy]
 
-    def _is_urgent(self, row: tuple[str, int, int, int]) -> bool:
+    def _is_urgent(self, row: LoadRow) -> bool:
         """Whether the tokens to prefill changed much since they were published."""
         published = self._published.get(row[0], (0, 0, 0))
         return abs(row[1] - published[0]) >= URGENT_CHANGE_TOKENS
@@ -191,25 +275,136 @@
         weights = self.weights_to_publish()
         if weights is not None:
             self.apply_weights(weights)
-            await self.send(weights, self.peers)
-
-    async def _publish_loads(self, rows: list[tuple[str, int, int, int]]) -> None:
-        self._published |= {
-            server_id: (prefill_tokens, in_flight, short_prompts)
-            for server_id, prefill_tokens, in_flight, short_prompts in rows
-        }
-        # The most loaded servers come first, in case the rows do not fit a datagram.
-        rows.sort(key=lambda row: -row[1])
-        message = LoadsUpdate(self.vm, rows)
-        while len(encode(message)) > MAX_DATAGRAM_BYTES:
-            message = LoadsUpdate(self.vm, message.rows[: len(message.rows) * 3 // 4])
-        await self.send(message, self.peers)
+            for start in range(0, len(weights.loaded) or 1, LOADED_ROWS_PER_MESSAGE):
+                loaded = weights.loaded[start : start + LOADED_ROWS_PER_MESSAGE]
+                message = WeightsUpdate(weights.fence, weights.loading, loaded)
+                await self.send(message, self.peers)
+
+    def publish_leaving(self, run: ServerRun) -> None:
+        """Tell all entries that a run of a server leaves."""
+        self._leaving.append(LeavingUpdate(run.server_id, run.started_ms))
+        self._leaving_wakeup.set()
+
+    async def _publish_leaving(self) -> None:
+        while True:
+            await self._leaving_wakeup.wait()
+            self._leaving_wakeup = trio.Event()
+            leaving, self._leaving = self._leaving, []
+            for message in leaving:
+                await self.send(message, self.peers)
+
+    async def _publish_loads(self, rows: list[LoadRow]) -> None:
+        """Send rows to all entries, or in a large fleet to this entry's relays."""
+        for row in rows:
+            if any(row[1:]):
+                self._published[row[0]] = row[1:]
+            else:
+                self._published.pop(row[0], None)
+        receivers: Iterable[str] = self.peers
+        if not self.plan.is_mesh:
+            now = self.clock()
+            receivers = self.plan.upstream(now)
+            await self._request_snapshot(now)
+            if self.vm in receivers:
+                self._relay.update_member(self.vm, rows, now)
+                self._relay_wakeup.set()
+        # An empty message shows a relay that this entry is a member.
+        for start in range(0, len(rows) or 1, LOAD_ROWS_PER_MESSAGE):
+            message = LoadsUpdate(rows[start : start + LOAD_ROWS_PER_MESSAGE])
+            await self.send(message, receivers)
+
+    async def _request_snapshot(self, now: float) -> None:
+        """Ask relays once for the known contents of all caches."""
+        relays = self.plan.other_relays(now)
+        if not self._has_snapshot and relays:
+            self._has_snapshot = True
+            domain = self.plan.own_relays(now)
+            ranked = sorted(relays, key=lambda vm: (vm not in domain, vm))
+            await self.send(SnapshotRequest(), ranked[:SNAPSHOT_SOURCES])
+
+    async def _relay_loads(self) -> None:
+        """Pass the loads of the members on, to them and to the other relays."""
+        republished_at = float("-inf")
+        while True:
+            with trio.move_on_after(REPUBLISH_PERIOD_S):
+                await self._relay_wakeup.wait()
+            self._relay_wakeup = trio.Event()
+            now = self.clock()
+            if self.plan.is_mesh:
+                await trio.sleep(REPUBLISH_PERIOD_S)
+                continue
+            everything = now - republished_at >= REPUBLISH_PERIOD_S
+            if everything:
+                republished_at = now
+                self._relay.expire(now)
+            if self._relay.members():
+                await self._send_relayed_loads(everything, now)
+            await trio.sleep(RELAY_PERIOD_S)
+
+    async def _send_relayed_loads(self, everything: bool, now: float) -> None:
+        relay = self._relay
+        rows = relay.changed_rows(
+            RELAYS_DESTINATION, relay.domain_loads(), everything=everything
+        )
+        await self._send_rows(DomainLoads, rows, self.plan.other_relays(now))
+        for vm in relay.members():
+            rows = relay.changed_rows(vm, relay.loads_for(vm), everything=everything)
+            if vm == self.vm:
+                self._apply_loads(FLEET_SOURCE, rows, now)
+            else:
+                # An empty message shows the member that the relay is alive.
+                await self._send_rows(FleetLoads, rows, [vm], even_empty=everything)
+
+    async def _send_rows(
+        self,
+        message_type: type[DomainLoads] | type[FleetLoads],
+        rows: Sequence[LoadRow],
+        to: Iterable[str],
+        *,
+        even_empty: bool = False,
+    ) -> None:
+        receivers = list(to)
+        for start in range(0, len(rows) or int(even_empty), LOAD_ROWS_PER_MESSAGE):
+            batch = list(rows[start : start + LOAD_ROWS_PER_MESSAGE])
+            await self.send(message_type(batch), receivers)
+
+    async def _relay_caches(self) -> None:
+        """Pass cache events on to the members, and all contents to new entries."""
+        while True:
+            await trio.sleep(RELAY_CACHE_PERIOD_S)
+            members = [each for each in self._relay.members() if each != self.vm]
+            pending, self._cache_rows = self._cache_rows, {}
+            updates = [CacheUpdate(*key, rows) for key, rows in pending.items()]
+            await self._send_cache_updates(updates, members)
+            receivers, self._snapshots_for = self._snapshots_for, []
+            if receivers:
+                await self._send_cache_updates(self.cache_snapshot(), receivers)
+
+    async def _send_cache_updates(
+        self, updates: Sequence[CacheUpdate], to: Iterable[str]
+    ) -> None:
+        """Send updates in as few datagrams as they fit into."""
+        receivers = list(to)
+        batch: list[CacheUpdate] = []
+        size_bytes = 0
+        for update in updates:
+            for part in _split_update(update):
+                part_bytes = len(encode(part))
+                if batch and size_bytes + part_bytes > MAX_DATAGRAM_BYTES - 16:
+                    await self.send(CacheBatch(batch), receivers)
+                    batch, size_bytes = [], 0
+                batch.append(part)
+                size_bytes += part_bytes
+        if batch:
+            await self.send(CacheBatch(batch), receivers)
 
     async def publish_cache(
         self, source: str, epoch: int, rows: list[tuple[str, str, int]], to: set[str]
     ) -> None:
         """Send cache events to entries that do not poll the cache themselves.
 
+        In a large fleet they go to all relays, which pass them on.
+
         Parameters
         ----------
         source : str
@@ -221,24 +416,39 @@
         to : set of str
             VMs of the receiving entries.
         """
-        for start in range(0, len(rows), CACHE_ROWS_PER_MESSAGE):
-            batch = rows[start : start + CACHE_ROWS_PER_MESSAGE]
-            await self.send(CacheUpdate(source, epoch, batch), to)
+        update = CacheUpdate(source, epoch, rows)
+        if not self.plan.is_mesh:
+            now = self.clock()
+            to = self.plan.other_relays(now)
+            if self.plan.is_relay(now):
+                self._apply_cache_update(update)
+        for part in _split_update(update):
+            await self.send(part, to)
 
     async def send(self, message: Message, to: Iterable[str]) -> None:
         """Send a message to the entries on the given VMs, except unregistered ones."""
         data = encode(message)
         for vm in list(to):
-            if vm == self.vm or vm not in self.peers:
+            peer = self.peers.get(vm)
+            if vm == self.vm or peer is None:
                 continue
             try:
-                peer = parse_address(self.peers[vm])
-                await self._socket.sendto(data, (peer.host, peer.port))
-            except (OSError, ValueError) as exc:
+                await self._socket.sendto(data, (peer.address.host, peer.address.port))
+            except OSError as exc:
                 # Each kind of message tolerates losses, so they are only counted.
-                error_name = errno.errorcode.get(
-                    getattr(exc, "errno", 0) or 0, "address"
-                )
+                error_name = errno.errorcode.get(exc.errno or 0, "unknown")
                 self.metrics.count(
                     "foxtail_ingress_lost_datagrams_total", error=error_name
                 )
+
+
+def _split_update(update: CacheUpdate) -> list[CacheUpdate]:
+    """Return a cache update in parts that fit a datagram; one part if it is empty."""
+    return [
+        CacheUpdate(
+            update.source,
+            update.epoch,
+            update.rows[start : start + CACHE_ROWS_PER_MESSAGE],
+        )
+        for start in range(0, len(update.rows) or 1, CACHE_ROWS_PER_MESSAGE)
+    ]
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -8,18 +8,29 @@
 
 
 class LoadsUpdate(msgspec.Struct, array_like=True, tag="loads"):
-    """Load of backend servers by the requests of one entry.
+    """Load of backend servers by the requests of the sending entry.
+
+    The other two messages with loads have the same rows.
 
     Parameters
     ----------
-    vm : str
-        VM of the entry.
     rows : list of tuple
         Identifier of the server, prompt tokens to prefill, requests in flight and the
         number of short prompts among them.
     """
 
-    vm: str
+    rows: list[tuple[str, int, int, int]]
+
+
+class DomainLoads(msgspec.Struct, array_like=True, tag="domain"):
+    """Loads by all members of the sending relay, for other relays."""
+
+    rows: list[tuple[str, int, int, int]]
+
+
+class FleetLoads(msgspec.Struct, array_like=True, tag="fleet"):
+    """Loads by all entries except the receiving one, from its relay."""
+
     rows: list[tuple[str, int, int, int]]
 
 
@@ -60,7 +71,41 @@
     rows: list[tuple[str, str, int]]
 
 
-Message = LoadsUpdate | WeightsUpdate | CacheUpdate
+class CacheBatch(msgspec.Struct, array_like=True, tag="caches"):
+    """Cache events of several caches, from a relay to its members."""
+
+    updates: list[CacheUpdate]
+
+
+class SnapshotRequest(msgspec.Struct, array_like=True, tag="snapshot"):
+    """Asks a relay for the known contents of all caches."""
+
+
+class LeavingUpdate(msgspec.Struct, array_like=True, tag="leaving"):
+    """A backend server said to the sending entry that it leaves.
+
+    Parameters
+    ----------
+    server_id : str
+        Identifier of the server.
+    started_ms : int
+        Its start time in milliseconds.
+    """
+
+    server_id: str
+    started_ms: int
+
+
+Message = (
+    LoadsUpdate
+    | DomainLoads
+    | FleetLoads
+    | WeightsUpdate
+    | CacheUpdate
+    | CacheBatch
+    | SnapshotRequest
+    | LeavingUpdate
+)
 MAX_DATAGRAM_BYTES = 1400
 
 
--- /dev/null
+++ b/src/foxtailcourse/ingress/_peers.py
@@ -0,0 +1,108 @@
+"""The other entries, as they registered in the platform's store."""
+
+from collections.abc import Iterator
+
+import attrs
+import msgspec
+
+from foxtailcourse.settings import Address, parse_address
+
+# Capacity that is assumed for an entry that states none, in cores.
+ASSUMED_CAPACITY_CORES = 1.0
+
+
+class PeerRecordError(ValueError):
+    """The registration of an entry cannot be decoded."""
+
+
+@attrs.frozen(kw_only=True)
+class Peer:
+    """Registration of an entry.
+
+    Parameters
+    ----------
+    address : Address
+        Where it receives datagrams.
+    failure_domain : str
+        Name of the failure domain that its VM runs in.
+    capacity_cores : float
+        What its VM can carry, in cores; a narrow link counts like a slow processor.
+    """
+
+    address: Address
+    failure_domain: str = ""
+    capacity_cores: float = ASSUMED_CAPACITY_CORES
+
+    def encode(self) -> bytes:
+        """Return the value to register."""
+        record = _PeerRecord(
+            str(self.address), self.failure_domain, self.capacity_cores
+        )
+        return msgspec.json.encode(record)
+
+
+class _PeerRecord(msgspec.Struct):
+    address: str
+    failure_domain: str = ""
+    capacity_cores: float = ASSUMED_CAPACITY_CORES
+
+
+def decode_peer(value: bytes) -> Peer:
+    """Return the registration in a stored value; raises PeerRecordError."""
+    try:
+        raw = msgspec.json.decode(value, type=_PeerRecord)
+        return Peer(
+            address=parse_address(raw.address),
+            failure_domain=raw.failure_domain,
+            capacity_cores=max(0.0, raw.capacity_cores),
+        )
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+        raise PeerRecordError(str(exc)) from exc
+
+
+class PeerDirectory:
+    """Registered entries by VM and by address.
+
+    Attributes
+    ----------
+    version : int
+        Rises with each change, so that what is derived from the entries can be cached.
+    """
+
+    def __init__(self) -> None:
+        self._by_vm: dict[str, Peer] = {}
+        self._vm_by_address: dict[tuple[str, int], str] = {}
+        self.version = 0
+
+    def __len__(self) -> int:
+        return len(self._by_vm)
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(list(self._by_vm))
+
+    def get(self, vm: str) -> Peer | None:
+        """Return the registration of an entry, or None."""
+        return self._by_vm.get(vm)
+
+    def add(self, vm: str, peer: Peer) -> None:
+        """Add an entry, or replace its registration."""
+        if self._by_vm.get(vm) == peer:
+            return
+        self.remove(vm)
+        self._by_vm[vm] = peer
+        self._vm_by_address[peer.address.host, peer.address.port] = vm
+        self.version += 1
+
+    def remove(self, vm: str) -> None:
+        """Remove an entry."""
+        peer = self._by_vm.pop(vm, None)
+        if peer is None:
+            return
+        address = (peer.address.host, peer.address.port)
+        if self._vm_by_address.get(address) == vm:
+            del self._vm_by_address[address]
+        self.version += 1
+
+    def vm_at(self, host: str, port: int) -> str | None:
+        """Return the VM that receives, and sends, datagrams at an address."""
+        return self._vm_by_address.get((host, port))
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -83,7 +83,9 @@
         servers = [
             each
             for each in view.servers.values()
-            if model in each.weights and not each.leaving
+            if model in each.weights
+            and not each.leaving
+            and each.run not in view.withdrawn
         ]
         outdated = [each for each in servers if each.weights[model] < desired.version]
         loading_count = sum(each.id in busy for each in servers)
@@ -208,7 +210,7 @@
 
     def _is_outdated(self, load: WeightLoad) -> bool:
         server = self._view.servers.get(load.server.id)
-        if server is None or server.leaving:
+        if server is None or server.leaving or server.run in self._view.withdrawn:
             return False
         return server.weights.get(load.model, 0) < load.version
 
--- a/src/foxtailcourse/ingress/_server_loads.py
+++ b/src/foxtailcourse/ingress/_server_loads.py
@@ -71,6 +71,8 @@
     suspended_until : float
         Time until which the server gets requests only if all others are suspended, in
         seconds since boot.
+    refused_until : float
+        Time until which the server asked for no requests, in seconds since boot.
     last_progress_at : float
         When the server last sent any byte, in seconds since boot.
     """
@@ -79,6 +81,7 @@
     short_prompts: int = 0
     prefill_tokens: float = 0.0
     suspended_until: float = 0.0
+    refused_until: float = 0.0
     last_progress_at: float = float("-inf")
     _consecutive_failures: int = 0
     _failure_rate: float = 0.0
@@ -111,6 +114,10 @@
         """Record that the server refused a request; suspend it for ``suspension_s``."""
         self.suspended_until = max(self.suspended_until, now + suspension_s)
 
+    def record_retry_after(self, now: float, retry_after_s: float) -> None:
+        """Record that the server asked for no requests for a time, in seconds."""
+        self.refused_until = max(self.refused_until, now + retry_after_s)
+
     def _update_failure_rate(self, now: float, outcome: float) -> None:
         """Add an outcome, 1.0 for a failure and 0.0 for a success."""
         previous = self.failure_rate(now) * (1 - FAILURE_WEIGHT)
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -7,6 +7,10 @@
 # A caller that accepts no bytes of its response for this long has most likely
 # disconnected.
 SEND_TIMEOUT_S = 5.0
+# Pause of a watch, as a fraction of the time in which changes must be applied.
+WATCH_PAUSE_FRACTION = 0.25
+# Bandwidth that the traffic of one core needs.
+LINK_MBPS_PER_CORE = 50.0
 # Longest time to live of a lease that the store grants.
 MAX_LEASE_MS = 600_000
 
@@ -37,6 +41,26 @@
         unit="calls a second",
         minimum=1,
     )
+    cpu_share: float = setting(
+        float,
+        1.0,
+        description="Fraction of a core that this VM may use.",
+        unit="cores",
+        minimum=0,
+    )
+    cpu_speed: float = setting(
+        float,
+        1.0,
+        description="Speed of that core, relative to the others of the deployment.",
+        minimum=0,
+    )
+    link_mbps: float = setting(
+        float,
+        1000.0,
+        description="Bandwidth of this VM's link.",
+        unit="Mbit/s",
+        minimum=0,
+    )
     revocation_ms: float = setting(
         float,
         5000,
@@ -69,6 +93,14 @@
         minimum=1,
         maximum=MAX_LEASE_MS,
     )
+    drain_ms: float = setting(
+        float,
+        2000,
+        description="Time for which a backend server still serves requests after it "
+        "registered that it leaves, as set by the platform.",
+        unit="ms",
+        minimum=1,
+    )
     weights_ms: float = setting(
         float,
         15000,
@@ -132,6 +164,21 @@
         int, 3000, description="Concurrent connections of callers.", minimum=1
     )
 
+    @property
+    def capacity_cores(self) -> float:
+        """What this VM can carry, in cores; a narrow link counts like a slow core."""
+        return min(self.cpu_share * self.cpu_speed, self.link_mbps / LINK_MBPS_PER_CORE)
+
+    @property
+    def watch_pause_s(self) -> float:
+        """Pause after a watch that returned changes, in seconds.
+
+        Servers rewrite their registrations with each heartbeat; the pause collects the
+        changes in one call, well within the times to apply a configuration and to stop
+        sending requests to a server that leaves.
+        """
+        return WATCH_PAUSE_FRACTION * min(self.drain_ms, self.configuration_ms) / 1000
+
     @property
     def lease_ttl_s(self) -> float:
         """Time to live of this entry's lease, in seconds."""
--- a/src/foxtailcourse/ingress/_store_rate_limit.py
+++ b/src/foxtailcourse/ingress/_store_rate_limit.py
@@ -94,6 +94,11 @@
     entry_count: Callable[[], int]
     clock: Callable[[], float]
 
+    @property
+    def era(self) -> int:
+        """Highest era that a response stated; 0 if none did."""
+        return self.store.era
+
     async def _throttle(self, limiter: RateLimiter, cost: float = 1.0) -> None:
         wait_s = limiter.reserve(self.clock(), self.entry_count(), cost)
         if wait_s > 0:
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -37,6 +37,8 @@
     "config_changed": "this process applied a newer configuration record",
     "config_ready": "the process has a configuration, from `source`",
     "config_role": "the process watches the platform, or follows a peer that does",
+    "configuration_kept": "a restored store shows an older configuration version, "
+    "which is not applied",
     "configuration_applied": "this entry applied a newer configuration of the platform",
     "drain_ended": "the drain ended with `active` requests in progress",
     "drain_started": "the process is no longer ready but still serves requests",
@@ -60,6 +62,8 @@
     "time, with `fence`",
     "orders_lost": "this entry is no longer the leader that sends orders, for `reason`",
     "out_of_service": "the agent accepts no work while its engine loads weights",
+    "peer_unreadable": "the registration of another entry cannot be decoded; it gets "
+    "no messages",
     "peer_failed": "the configuration could not be read from a peer",
     "platform_failed": "a call to the key-value service failed",
     "platform_went_back": "the key-value service returned an older state than before",
@@ -89,6 +93,11 @@
     "the agent",
     "run_started": "the only call of an idempotency key was sent to the service",
     "server_gone": "a backend server is no longer registered",
+    "server_kept_withdrawn": "a restored store shows a backend server as ready that "
+    "had left before; it gets no requests until it registers again itself",
+    "server_leaving": "a backend server says in its responses that it leaves; it gets "
+    "no new requests. `by_entry` names the entry that it told, if it was another one",
+    "server_reinstated": "a backend server that was leaving or gone registered again",
     "server_registered": "a backend server registered, or changed its registration",
     "reload_requested": "SIGHUP requested a reload of the settings file",
     "settings_changed": "the changed settings in `keys` were applied",
@@ -99,6 +108,9 @@
     "stop_requested": "the process received SIGTERM or SIGINT",
     "store_lost": "the platform's store does not respond for `prefix`; the last known "
     "state is `age_ms` old",
+    "store_restored": "the platform's store returned from an older copy, in the next "
+    "`era`; `prefix` is read again completely, and what this system wrote is written "
+    "again",
     "store_regained": "the platform's store responds again for `prefix`",
     "stream_broken": "a stream ended with an explicit error",
     "vm_list_failed": "the VM list could not be read",
@@ -126,6 +138,8 @@
     "foxtail_entry_prompt_tokens_total": "prompt tokens sent, by `model`",
     "foxtail_entry_requests_total": "requests by error `code`, `ok` if answered",
     "foxtail_ingress_bad_datagrams_total": "received load datagrams that are malformed",
+    "foxtail_ingress_foreign_datagrams_total": "received datagrams that come from no "
+    "registered entry and are ignored",
     "foxtail_ingress_lost_datagrams_total": "load datagrams that could not be sent, "
     "by `error`",
     "foxtail_ingress_attempts_total": "attempts by `outcome`",
--- a/src/foxtailcourse/platform/_client.py
+++ b/src/foxtailcourse/platform/_client.py
@@ -17,6 +17,7 @@
     Put,
     RangeResult,
     RevisionGoneError,
+    StoreRestoredError,
     TxnResult,
     VmListing,
     WatchResult,
@@ -28,6 +29,8 @@
 
 DEFAULT_TIMEOUT_S = 2.0
 KV_TARGET_PREFIX = "/foxtailcourse/kv-"
+ERA_HEADER = "store-era"
+MAX_ERA_DIGITS = 9
 NOT_MODIFIED_STATUS = 304
 OK_STATUSES = frozenset({200, 204})
 LEASE_LOST_STATUS = 404
@@ -119,9 +122,15 @@
         Address of the service.
     timeout_s : float
         Longest wait for a connection and for a response, in seconds.
+
+    Attributes
+    ----------
+    era : int
+        Highest era that a response stated; 0 if none did.
     """
 
     def __init__(self, pool: ConnectionPool, address: Address, timeout_s: float):
+        self.era = 0
         self._pool = pool
         self._address = address
         self._timeout_s = timeout_s
@@ -177,11 +186,18 @@
                 options=options,
             ) as response:
                 status, data = response.status, await response.read()
+                era = _parse_era(response.headers.get(ERA_HEADER, ""))
         except ClientError as exc:
             may_have_applied = exc.verdict is not Verdict.NOT_RUN
             raise PlatformError(
                 f"{call}: {exc}", may_have_applied=may_have_applied
             ) from exc
+        if era is not None and era < self.era:
+            raise StoreRestoredError(
+                f"{call}: response of era {era}, the store is in era {self.era}",
+                may_have_applied=True,
+            )
+        self.era = max(self.era, era or 0)
         if status == NOT_MODIFIED_STATUS:
             raise _NotModifiedError
         if status == CONDITION_FAILED_STATUS:
@@ -193,6 +209,13 @@
         return _decode(response_type, data, call, may_have_applied=True)
 
 
+def _parse_era(text: str) -> int | None:
+    """Return the era that a response states, or None."""
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+        return None
+    return int(text)
+
+
 def _decode(
     response_type: type[T], data: bytes, call: str, *, may_have_applied: bool
 ) -> T:
@@ -239,14 +262,24 @@
     ) -> None:
         self._service = _HttpService(pool, address, timeout_s)
 
+    @property
+    def era(self) -> int:
+        """Highest era that a response stated; 0 if none did."""
+        return self._service.era
+
     async def range(self, *prefixes: str) -> RangeResult:
         """Return all keys that start with one of the prefixes.
 
         The pages are not a snapshot. ``revision`` is the lowest store revision of
         all pages, so a watch from it shows each change since the first page.
+
+        Raises
+        ------
+        StoreRestoredError
+            If the store was restored between two pages.
         """
         items: list[KeyValue] = []
-        revision = 0
+        revision, first_era = 0, -1
         for prefix in prefixes or ("",):
             after = ""
             while True:
@@ -254,12 +287,18 @@
                 page = await self._service.call(
                     _Page, "GET", f"{KV_TARGET_PREFIX}range?{urlencode(query)}"
                 )
+                first_era = self.era if first_era < 0 else first_era
+                if self.era != first_era:
+                    raise StoreRestoredError(
+                        f"the store was restored while {prefix!r} was read",
+                        may_have_applied=False,
+                    )
                 revision = min(revision, page.asOf) if revision else page.asOf
                 items += [each.decode() for each in page.items]
                 if not page.hasMore or not page.items:
                     break
                 after = page.items[-1].key
-        return RangeResult(revision=revision, items=tuple(items))
+        return RangeResult(revision=revision, items=tuple(items), era=self.era)
 
     async def txn(
         self,
@@ -283,8 +322,10 @@
         except _ConditionFailedError as exc:
             current = tuple(each.decode() for each in exc.items if each.revision)
             revision = max((each.mod_revision for each in current), default=0)
-            return TxnResult(succeeded=False, revision=revision, current=current)
-        return TxnResult(succeeded=True, revision=written.revision)
+            return TxnResult(
+                succeeded=False, revision=revision, current=current, era=self.era
+            )
+        return TxnResult(succeeded=True, revision=written.revision, era=self.era)
 
     async def lease_grant(self, ttl_s: float) -> str:
         """Return the identifier of a new lease."""
@@ -325,7 +366,7 @@
             for each in changes.events
             if each.key.startswith(tuple(prefixes))
         )
-        return WatchResult(revision=changes.asOf, events=events)
+        return WatchResult(revision=changes.asOf, events=events, era=self.era)
 
 
 class VmListClient:
--- a/src/foxtailcourse/platform/_headers.py
+++ b/src/foxtailcourse/platform/_headers.py
@@ -26,6 +26,8 @@
 NOT_EXECUTED_HEADER = "x-foxtailcourse-not-executed"
 ACTUAL_INSTANCE_HEADER = "x-foxtailcourse-instance-id"
 ACTUAL_WEIGHTS_HEADER = "x-foxtailcourse-weight-versions"
+LEAVING_HEADER = "server-leaving"
+RETRY_AFTER_HEADER = "retry-after"
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -59,6 +61,9 @@
     }
 )
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+# A backend server cannot ask to be left alone for longer than this.
+MAX_RETRY_AFTER_S = 600.0
 # A count or a time in milliseconds; it may have a fraction.
 NUMBER = re.compile(r"[0-9]{1,12}(?:\.[0-9]{1,12})?")
 MAX_NUMBER = 1e9
@@ -188,6 +193,13 @@
         Weights version of the backend server.
     instance : str
         Identifier of the backend server; empty if not given.
+    leaving : bool
+        Whether the backend server says that it leaves.
+    retry_after_s : float or None
+        Time for which a backend server that refuses the request wants no others from
+        this process, in seconds; at most MAX_RETRY_AFTER_S. None if it states none.
+    retry_after_unreadable : str
+        The stated time if it is no number of seconds, for the log; empty otherwise.
     """
 
     status: int
@@ -197,6 +209,9 @@
     content_encoded: bool
     weights_version: int | None
     instance: str
+    leaving: bool = False
+    retry_after_s: float | None = None
+    retry_after_unreadable: str = ""
 
 
 def decode_request_headers(
@@ -322,6 +337,10 @@
     """Decode the status and headers of a backend server's response."""
     version = fields.get(ACTUAL_WEIGHTS_HEADER, "")
     encoding = fields.get("content-encoding", "identity").strip().lower()
+    retry_after = ""
+    if status == UNAVAILABLE_STATUS:
+        retry_after = fields.get(RETRY_AFTER_HEADER, "").strip()
+    retry_after_s = _parse_number(retry_after)
     return ResponseHeaders(
         status=status,
         request_id=fields.get(REQUEST_ID_HEADER, ""),
@@ -330,6 +349,11 @@
         content_encoded=encoding not in {"", "identity"},
         weights_version=int(version) if WHOLE_NUMBER.fullmatch(version) else None,
         instance=fields.get(ACTUAL_INSTANCE_HEADER, ""),
+        leaving=fields.get(LEAVING_HEADER, "").strip() == "1",
+        retry_after_s=(
+            None if retry_after_s is None else min(retry_after_s, MAX_RETRY_AFTER_S)
+        ),
+        retry_after_unreadable=retry_after if retry_after_s is None else "",
     )
 
 
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -256,15 +256,15 @@
     on_weights : callable
         Called with a model and its desired weights version.
     on_server : callable
-        Called with the identifier of a backend server and its registration, or None
-        if its key was removed or cannot be decoded.
+        Called with the identifier of a backend server, its registration, or None if its
+        key was removed or cannot be decoded, and the revision of the change.
     on_unreadable : callable
         Called with the reason why a record cannot be decoded.
     """
 
     on_configuration: Callable[[Configuration, int], None]
     on_weights: Callable[[str, int], None]
-    on_server: Callable[[str, BackendServer | None], None]
+    on_server: Callable[[str, BackendServer | None, int], None]
     on_unreadable: Callable[[str], None]
 
     def dispatch(self, key: str, value: bytes | None, revision: int) -> None:
@@ -286,8 +286,8 @@
                 self.on_weights(*decode_weights(key, value))
             elif key.startswith(SERVERS_PREFIX):
                 server = None if value is None else decode_server(key, value)
-                self.on_server(key.removeprefix(SERVERS_PREFIX), server)
+                self.on_server(key.removeprefix(SERVERS_PREFIX), server, revision)
         except RecordError as exc:
             self.on_unreadable(str(exc))
             if key.startswith(SERVERS_PREFIX):
-                self.on_server(key.removeprefix(SERVERS_PREFIX), None)
+                self.on_server(key.removeprefix(SERVERS_PREFIX), None, revision)
--- a/src/foxtailcourse/platform/_server_client.py
+++ b/src/foxtailcourse/platform/_server_client.py
@@ -4,13 +4,17 @@
 """
 
 import math
+from collections.abc import Callable
 from enum import Enum
 
 import attrs
 import msgspec
 
 from foxtailcourse.http import ClientError, ConnectionPool, RequestOptions
-from foxtailcourse.platform._headers import EXPECTED_INSTANCE_HEADER
+from foxtailcourse.platform._headers import (
+    EXPECTED_INSTANCE_HEADER,
+    decode_response_headers,
+)
 from foxtailcourse.settings import Address
 
 EVENTS_TARGET = "/foxtailcourse/kv-events"
@@ -173,11 +177,19 @@
     timeout_s : float
         Longest wait for a response, in seconds, in addition to the wait that a call
         asks for.
+    on_leaving : callable
+        Called with the address of a server whose response says that it leaves.
     """
 
-    def __init__(self, pool: ConnectionPool, timeout_s: float) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        timeout_s: float,
+        on_leaving: Callable[[Address], None] = lambda address: None,
+    ) -> None:
         self._pool = pool
         self._timeout_s = timeout_s
+        self._on_leaving = on_leaving
 
     async def _call(
         self,
@@ -198,6 +210,8 @@
             async with self._pool.request(
                 address, method, target, headers=headers, body=body, options=options
             ) as response:
+                if decode_response_headers(response.status, response.headers).leaving:
+                    self._on_leaving(address)
                 return response.status, await response.read()
         except ClientError as exc:
             raise ServerCallError(f"{method} {target} at {address}: {exc}") from exc
--- a/tests/ingress/ingress_case.py
+++ b/tests/ingress/ingress_case.py
@@ -126,6 +126,7 @@
             "watch_wait_s": 0.2,
             "call_timeout_s": 0.3,
             "lease_ms": 1000,
+            "drain_ms": 300,
         }
         cfg = IngressSettings(**(options | settings))
         process = ProcessSettings(vm=vm, failure_domain="palermo", admin_listen=LOCAL)
