Tell kinds of prompts apart by their route; weigh fetches by transfer time

Cause: a prompt counted as long by its own size, above 2,500 tokens. Servers were reserved by the number of short prompts, for a kind of 380 tokens. The cost of a fetch was a constant of two engines, though KV blocks may be 4.7 times as large.

Ruled out: a higher limit alone; a kind of 4,000 tokens would fail again.

Change: the mean size of a route decides, learned by each entry; reservations follow the work of the short prompts in flight; a fetch costs its transfer time by the sizes and link rates of the configuration, twice between failure domains, at least the former constants. Sources of a fetch are found once for a prompt: lookups grow with the servers, no longer with their square.

Tests: each fails before. The replaced policy stays in the emulator as size-classes.

--- a/src/foxtailcourse/emulator/ingress/deployments.py
+++ b/src/foxtailcourse/emulator/ingress/deployments.py
@@ -13,14 +13,17 @@
     SizeDistribution,
 )
 
-# Size of one token in the KV cache.
+# Size of one token in the KV cache; that of the tile workshops' model is larger.
 BYTES_PER_TOKEN = 35_136
+TILE_BYTES_PER_TOKEN = 163_840
 LONG, SHORT = "long", "short"
 
 
-def _transfer_token_s(gbit_per_s: float) -> float:
+def _transfer_token_s(
+    gbit_per_s: float, bytes_per_token: int = BYTES_PER_TOKEN
+) -> float:
     """Return the time to transfer the KV cache of one token, in seconds."""
-    return BYTES_PER_TOKEN * 8 / (gbit_per_s * 1e9)
+    return bytes_per_token * 8 / (gbit_per_s * 1e9)
 
 
 COUNTER_ENGINE = EngineSpec(
@@ -45,6 +48,19 @@
     store_token_s=_transfer_token_s(80.0),
     weight_load_s=2.5,
 )
+TILE_ENGINE = EngineSpec(
+    slots=64,
+    step_s=3.88e-3,
+    step_s_per_request=0.0276e-3,
+    prefill_token_s=1e-3 / 66.2,
+    attention_pair_s=0.276e-9,
+    first_event_delay_s=0.012,
+    cache_tokens=141_561,
+    event_tokens=6,
+    fetch_token_s=_transfer_token_s(180.0, TILE_BYTES_PER_TOKEN),
+    store_token_s=_transfer_token_s(180.0, TILE_BYTES_PER_TOKEN),
+    weight_load_s=0.43,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -141,6 +157,60 @@
     short_worth=1.9,
     short_late_worth=0.56,
 )
+GROWN_TILE = FleetScenario(
+    name="grown-tile-calm",
+    spec=TILE_ENGINE,
+    servers=28,
+    entries=30,
+    weights_limit_s=10.0,
+    kinds=(
+        RequestKind(
+            name=LONG,
+            requests_per_s=56.4,
+            target_s=0.8,
+            patience_s=3.2,
+            retry_limit_s=15.0,
+            worth=6.3,
+            late_worth=1.9,
+            priority=1,
+            shared=(
+                SharedParts(
+                    sizes=SizeDistribution(mean=512, sigma=0.4, maximum=1_280),
+                    count=1,
+                ),
+                SharedParts(
+                    sizes=SizeDistribution(mean=4_870, sigma=0.7, maximum=14_600),
+                    count=327,
+                    skew=0.3,
+                ),
+            ),
+            unique=SizeDistribution(mean=6_610, sigma=1.4, maximum=54_600),
+            output=SizeDistribution(mean=64, sigma=0.44, maximum=170),
+        ),
+        RequestKind(
+            name=SHORT,
+            requests_per_s=227.0,
+            target_s=0.4,
+            patience_s=2.4,
+            retry_limit_s=3.0,
+            worth=1.9,
+            late_worth=0.58,
+            priority=0,
+            shared=(
+                SharedParts(
+                    sizes=SizeDistribution(mean=341, sigma=0.4, maximum=851), count=40
+                ),
+                SharedParts(
+                    sizes=SizeDistribution(mean=227, sigma=0.7, maximum=681),
+                    count=1_315,
+                    skew=0.3,
+                ),
+            ),
+            unique=SizeDistribution(mean=1_800, sigma=1.3, maximum=6_870),
+            output=SizeDistribution(mean=4, sigma=1.4, maximum=15),
+        ),
+    ),
+)
 GROWN_COUNTER = FleetScenario(
     name="grown-counter-calm",
     spec=COUNTER_ENGINE,
@@ -195,7 +265,7 @@
 
 
 # Scenarios without an outage and without a change of the weights.
-CALM_SCENARIOS = (COUNTER, GUIDING, GROWN_COUNTER, GROWN_GUIDING)
+CALM_SCENARIOS = (COUNTER, GUIDING, GROWN_COUNTER, GROWN_GUIDING, GROWN_TILE)
 SCENARIOS = {
     each.name: each
     for calm in CALM_SCENARIOS
--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -217,7 +217,11 @@
     def _start_attempt(self, attempt: _Attempt, now: float) -> None:
         entry = self.rng.choice(self.entries)
         arrival = attempt.arrival
-        prompt = Prompt(parts=arrival.parts, tokens=arrival.tokens)
+        prompt = Prompt(
+            parts=arrival.parts,
+            tokens=arrival.tokens,
+            typical_tokens=arrival.kind.mean_tokens,
+        )
         self._place_or_defer(entry, attempt, prompt, now)
 
     def _place_or_defer(
@@ -276,6 +280,7 @@
                 cache_index=self._cache_indexes[name],
                 salt=str(server.weights_version),
                 outdated_weights=server.weights_version < self.desired_version,
+                transfer_token_s=self.scenario.spec.fetch_token_s,
             )
             for name, server in self.servers.items()
             if not server.down and not server.loading
--- a/src/foxtailcourse/emulator/ingress/policies.py
+++ b/src/foxtailcourse/emulator/ingress/policies.py
@@ -2,16 +2,20 @@
 
 from collections.abc import Sequence
 
+import attrs
+
 from foxtailcourse.ingress import (
+    ASSUMED_SHORT_WORK_TOKENS,
     OUTDATED_WEIGHTS_COST_TOKENS,
     RUNNING_REQUEST_COST_TOKENS,
     AdmissionDecision,
     CacheStore,
     Candidate,
     Choice,
+    FetchSources,
     Prompt,
+    RequestSizes,
     RequestTiming,
-    best_fetch_source,
     choose_for_prompt,
     decide_admission,
     lowest_cost_choice,
@@ -19,7 +23,13 @@
 
 
 class ProductPolicy:
-    """Placement and admission control of ``foxtail-ingress``."""
+    """Placement and admission control of ``foxtail-ingress``.
+
+    All entries share the sizes that each entry learns in operation.
+    """
+
+    def __init__(self) -> None:
+        self._sizes = RequestSizes()
 
     def choose(
         self,
@@ -29,7 +39,11 @@
         now: float,
     ) -> Choice:
         """Return the selected server of an attempt."""
-        return choose_for_prompt(candidates, prompt, store, now)
+        short_work_tokens = self._sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
+        choice = choose_for_prompt(candidates, prompt, store, now, short_work_tokens)
+        if not prompt.is_long:
+            self._sizes.record_short_work(choice.work_tokens)
+        return choice
 
     def decide_admission(
         self, choice: Choice, prompt: Prompt, timing: RequestTiming, backlog_s: float
@@ -89,18 +103,17 @@
         now: float,
     ) -> Choice:
         """Return the server with the lowest cost."""
+        sources = FetchSources.find(candidates, prompt, store)
         choices = [
-            self._estimate_cost(each, candidates, prompt, store, now)
-            for each in candidates
+            self._estimate_cost(each, prompt, sources, now) for each in candidates
         ]
         return lowest_cost_choice(choices, prompt)
 
     def _estimate_cost(
         self,
         candidate: Candidate,
-        candidates: Sequence[Candidate],
         prompt: Prompt,
-        store: CacheStore | None,
+        sources: FetchSources,
         now: float,
     ) -> Choice:
         cached = candidate.cache_index.cached_prefix_tokens(
@@ -108,9 +121,7 @@
         )
         prefill_tokens, source = float(prompt.tokens - cached), None
         if prompt.is_long:
-            gain_tokens, source = best_fetch_source(
-                candidate, candidates, cached, prompt, store
-            )
+            gain_tokens, source = sources.best_for(candidate, cached)
             prefill_tokens -= gain_tokens
         cost_tokens = (
             candidate.total_load.prefill_tokens
@@ -139,8 +150,37 @@
         return AdmissionDecision.DEFER if overloaded else AdmissionDecision.SEND
 
 
+class SizeClasses(ProductPolicy):
+    """Replaced policy that classified each prompt by its own size.
+
+    It deferred and refused the large prompts of a short kind like long ones, and
+    reserved servers by the number of short prompts, whatever their work.
+    """
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        prompt: Prompt,
+        store: CacheStore | None,
+        now: float,
+    ) -> Choice:
+        """Return the selected server of an attempt."""
+        return choose_for_prompt(candidates, _by_own_size(prompt), store, now)
+
+    def decide_admission(
+        self, choice: Choice, prompt: Prompt, timing: RequestTiming, backlog_s: float
+    ) -> AdmissionDecision:
+        """Return whether a prompt is sent, deferred or refused."""
+        return decide_admission(choice, _by_own_size(prompt), timing, backlog_s)
+
+
+def _by_own_size(prompt: Prompt) -> Prompt:
+    return attrs.evolve(prompt, typical_tokens=0.0)
+
+
 POLICIES = {
     "least-outstanding": LeastOutstanding,
     "ageing-holdback": AgeingDeferral,
+    "size-classes": SizeClasses,
     "ours": ProductPolicy,
 }
--- a/src/foxtailcourse/emulator/ingress/workload.py
+++ b/src/foxtailcourse/emulator/ingress/workload.py
@@ -95,6 +95,11 @@
     unique: SizeDistribution
     output: SizeDistribution
 
+    @property
+    def mean_tokens(self) -> float:
+        """Mean number of tokens of a prompt, before truncation."""
+        return self.unique.mean + sum(each.sizes.mean for each in self.shared)
+
 
 @attrs.frozen(kw_only=True)
 class Arrival:
--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -101,12 +101,16 @@
     event_subscribers : int
         Concurrent polls for cache events that a backend server or KV-cache store
         accepts; 0 if unknown.
+    transfer_token_s : float
+        Time to transfer the KV cache of a token between two backend servers of a
+        failure domain, in seconds; 0 if unknown.
     """
 
     name: str
     connection_limit: int = 0
     cache_store: Address | None = None
     event_subscribers: int = 0
+    transfer_token_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/ingress/__init__.py
+++ b/src/foxtailcourse/ingress/__init__.py
@@ -13,16 +13,18 @@
 from foxtailcourse.ingress._app import IngressApp, serve
 from foxtailcourse.ingress._cache_index import CacheIndex
 from foxtailcourse.ingress._placement import (
+    ASSUMED_SHORT_WORK_TOKENS,
     OUTDATED_WEIGHTS_COST_TOKENS,
     RUNNING_REQUEST_COST_TOKENS,
     CacheStore,
     Candidate,
     Choice,
+    FetchSources,
     Prompt,
-    best_fetch_source,
     choose_for_prompt,
     lowest_cost_choice,
 )
+from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._rollout import plan_weight_loads
 from foxtailcourse.ingress._server_loads import (
     RemoteLoad,
@@ -31,21 +33,23 @@
 from foxtailcourse.ingress._settings import IngressSettings
 
 __all__ = [
+    "ASSUMED_SHORT_WORK_TOKENS",
     "AdmissionDecision",
     "CacheIndex",
     "CacheStore",
     "Candidate",
     "Choice",
     "DeferredPrompts",
+    "FetchSources",
     "IngressApp",
     "IngressSettings",
     "OUTDATED_WEIGHTS_COST_TOKENS",
     "Prompt",
     "RUNNING_REQUEST_COST_TOKENS",
     "RemoteLoad",
+    "RequestSizes",
     "RequestTiming",
     "ServerLoads",
-    "best_fetch_source",
     "choose_for_prompt",
     "decide_admission",
     "lowest_cost_choice",
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -178,8 +178,14 @@
             cache_index=self.cache_indexes.setdefault(server.id, CacheIndex()),
             salt=cache_salt(version, account) if model else "",
             outdated_weights=desired is not None and version < desired.version,
+            transfer_token_s=self._transfer_token_s(server.service),
         )
 
+    def _transfer_token_s(self, service_name: str) -> float:
+        configuration = self.view.configuration
+        service = configuration.services.get(service_name) if configuration else None
+        return service.transfer_token_s if service else 0.0
+
 
 def cache_salt(version: int, account: Account | None) -> str:
     """Return the cache salt, which separates weights versions and isolated accounts."""
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -17,6 +17,7 @@
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._job import AttemptError, Job, RefusedError, ServerResponse
 from foxtailcourse.ingress._placement import (
+    ASSUMED_SHORT_WORK_TOKENS,
     CacheStore,
     Choice,
     Prompt,
@@ -24,6 +25,7 @@
     choose_without_prompt,
     preferred_store,
 )
+from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.protocol import Verdict
@@ -75,6 +77,8 @@
         Counts attempts.
     deferred : DeferredPrompts
         Prompts that are deferred at this entry.
+    sizes : RequestSizes
+        Typical sizes of the prompts.
     """
 
     view: FleetView
@@ -86,6 +90,7 @@
     events: EventLog
     metrics: Metrics
     deferred: DeferredPrompts = attrs.field(factory=DeferredPrompts)
+    sizes: RequestSizes = attrs.field(factory=RequestSizes)
 
     async def run(self, job: Job) -> ServerResponse | None:
         """Send a request, with retries.
@@ -108,6 +113,10 @@
             If the last attempt failed and the request may have run.
         """
         self.retry_budget_for(job.service).record_request(self.clock())
+        if job.prompt is not None:
+            job.typical_prompt_tokens = self.sizes.record_prompt(
+                job.route.name, job.request.prompt_tokens
+            )
         while True:
             choice = await self._wait_for_admission(job)
             job.choice, job.attempt_pending = choice, True
@@ -243,7 +252,11 @@
                 eligible
             )
         store = self._cache_store(prompt)
-        return choose_for_prompt(eligible, prompt, store, now), len(eligible)
+        short_work_tokens = self.sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
+        choice = choose_for_prompt(eligible, prompt, store, now, short_work_tokens)
+        if not prompt.is_long:
+            self.sizes.record_short_work(choice.work_tokens)
+        return choice, len(eligible)
 
     def _may_retry(self, job: Job, exc: AttemptError) -> bool:
         """Whether to retry; counts the retry unless the server was unreachable."""
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -53,6 +53,8 @@
         Whether an attempt was started and its outcome is not known.
     response_complete : bool
         Whether the complete response was sent to the caller.
+    typical_prompt_tokens : float
+        Mean tokens of the prompts of the route; 0 if unknown.
     """
 
     exchange: Exchange
@@ -73,6 +75,7 @@
     deferred_s: float = 0.0
     attempt_pending: bool = False
     response_complete: bool = False
+    typical_prompt_tokens: float = 0.0
 
     @property
     def prompt(self) -> Prompt | None:
@@ -80,7 +83,9 @@
         if not self.request.model or not self.request.prompt_parts:
             return None
         return Prompt(
-            parts=self.request.prompt_parts, tokens=self.request.prompt_tokens
+            parts=self.request.prompt_parts,
+            tokens=self.request.prompt_tokens,
+            typical_tokens=self.typical_prompt_tokens,
         )
 
     @property
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -5,8 +5,10 @@
 behind other prompts at a server that has the part cached.
 """
 
+import functools
 import hashlib
-from collections.abc import Sequence
+import heapq
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -22,15 +24,19 @@
 # Fixed cost of a prompt: it takes an engine step of its own, which lasts 12 ms besides
 # the prefill according to the engines' data sheets with 30 running requests.
 PROMPT_OVERHEAD_TOKENS = 450.0
-# Above this size the prefill dominates the cost of a prompt.
-LONG_PROMPT_TOKENS = 2500
+# Above this size the prefill dominates the cost of a prompt: it takes about 0.1 s.
+LONG_PROMPT_TOKENS = 4000
 # Cost of a token to prefill relative to a token queued ahead of the prompt. It is above
 # 1 because the prefill also delays other requests.
 MISS_WEIGHT = 3.0
-# Cost of fetching a token from another server or the KV-cache store, relative to its
-# prefill.
+# Least cost of fetching a token from another server or the KV-cache store, relative to
+# its prefill.
 PEER_FETCH_COST_RATIO = 0.2
 STORE_FETCH_COST_RATIO = 0.5
+# Time to prefill a token in a busy engine, in seconds; see PREFILL_TOKENS_PER_S.
+PREFILL_TOKEN_S = 25e-6
+# Multiple of the transfer time between failure domains, set by the platform.
+CROSS_DOMAIN_TRANSFER_RATIO = 2.0
 # Fewest uncached tokens that are worth a fetch.
 MIN_FETCH_TOKENS = 500
 # Discount for the preferred server of a prompt's largest part, so that entries agree on
@@ -50,8 +56,11 @@
 # server only if the backlog of the reserved ones exceeds UNRESERVED_COST_TOKENS.
 RESERVED_COST_TOKENS = 40_000.0
 UNRESERVED_COST_TOKENS = 1_500.0
-# Short prompts in flight that one server completes well within their target.
-SHORT_PER_RESERVED_SERVER = 20
+# Prefill work of the short prompts in flight that one server completes well within
+# their target, in tokens.
+SHORT_WORK_PER_RESERVED_SERVER = 16_000.0
+# Prefill work of a short prompt that is assumed until some were seen, in tokens.
+ASSUMED_SHORT_WORK_TOKENS = 800.0
 MIN_SERVERS_TO_RESERVE = 3
 # Largest fraction of the servers that may be reserved.
 MAX_RESERVED_FRACTION = 0.6
@@ -68,15 +77,22 @@
         one, which belongs to this prompt alone.
     tokens : int
         Number of tokens of the whole prompt.
+    typical_tokens : float
+        Mean number of tokens of the prompts of its kind; 0 if unknown.
     """
 
     parts: tuple[PromptPart, ...]
     tokens: int
+    typical_tokens: float = 0.0
 
     @property
     def is_long(self) -> bool:
-        """Whether the prefill dominates the cost of the prompt."""
-        return self.tokens > LONG_PROMPT_TOKENS
+        """Whether the prefill dominates the cost of the prompts of its kind.
+
+        A large prompt of a short kind is treated like the others of its kind, which
+        have the same target and deadline.
+        """
+        return (self.typical_tokens or self.tokens) > LONG_PROMPT_TOKENS
 
     @property
     def shared_tokens(self) -> int:
@@ -111,6 +127,9 @@
         Cache salt of the request on this server.
     outdated_weights : bool
         Whether newer weights are desired.
+    transfer_token_s : float
+        Time to transfer the KV cache of a token to the server within its failure
+        domain, in seconds; 0 if unknown.
     """
 
     server: BackendServer
@@ -120,6 +139,7 @@
     cache_index: CacheIndex
     salt: str = ""
     outdated_weights: bool = False
+    transfer_token_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -130,6 +150,103 @@
     cache_index: CacheIndex
 
 
+@attrs.frozen(kw_only=True)
+class FetchSources:
+    """Where the shared parts of a prompt can be fetched from.
+
+    Only parts that cache events confirmed count, since the prefill of the others may
+    not have finished. The store is used as the source even if it is not known to have
+    any part cached: a miss is cheap, and its events arrive late.
+
+    Parameters
+    ----------
+    holders : mapping
+        By salt and failure domain: number of tokens that a server has cached from the
+        start of the prompt, and the candidate, for the two servers that have most.
+    prompt : Prompt
+        The prompt.
+    store : CacheStore or None
+        The KV-cache store, if it is reachable.
+    """
+
+    holders: Mapping[tuple[str, str], Sequence[tuple[int, Candidate]]]
+    prompt: Prompt
+    store: CacheStore | None
+
+    @classmethod
+    def find(
+        cls,
+        candidates: Sequence[Candidate],
+        prompt: Prompt,
+        store: CacheStore | None,
+    ) -> "FetchSources":
+        """Return the sources among the candidates."""
+        holders: dict[tuple[str, str], list[tuple[int, Candidate]]] = {}
+        for each in candidates:
+            tokens = each.cache_index.confirmed_prefix_tokens(each.salt, prompt.parts)
+            if tokens >= MIN_FETCH_TOKENS:
+                group = holders.setdefault((each.salt, each.server.failure_domain), [])
+                group.append((tokens, each))
+        for group in holders.values():
+            # One more than is fetched from, in case the best one is the receiver.
+            group.sort(key=lambda holder: -holder[0])
+            del group[2:]
+        return cls(holders=holders, prompt=prompt, store=store)
+
+    def best_for(
+        self, candidate: Candidate, own_tokens: int
+    ) -> tuple[float, Address | None]:
+        """Return the best source from which a server can fetch cached parts.
+
+        Parameters
+        ----------
+        candidate : Candidate
+            The server that fetches.
+        own_tokens : int
+            Tokens from the start of the prompt that the server has cached.
+
+        Returns
+        -------
+        gain_tokens : float
+            Prompt tokens that the fetch saves from prefill, less its cost.
+        source : Address or None
+            The source; None if there is nothing to fetch.
+        """
+        if self.prompt.shared_tokens - own_tokens < MIN_FETCH_TOKENS:
+            return 0.0, None
+        best_gain_tokens, source = 0.0, None
+        if self.store is not None:
+            source = self.store.address
+            cached_tokens = self.store.cache_index.confirmed_prefix_tokens(
+                candidate.salt, self.prompt.parts
+            )
+            ratio = _fetch_cost_ratio(candidate, "", STORE_FETCH_COST_RATIO)
+            best_gain_tokens = max(0.0, (1 - ratio) * (cached_tokens - own_tokens))
+        for (salt, domain), group in self.holders.items():
+            if salt != candidate.salt:
+                continue
+            ratio = _fetch_cost_ratio(candidate, domain, PEER_FETCH_COST_RATIO)
+            for cached_tokens, holder in group:
+                if holder is candidate:
+                    continue
+                gain_tokens = (1 - ratio) * (cached_tokens - own_tokens)
+                if (
+                    cached_tokens - own_tokens >= MIN_FETCH_TOKENS
+                    and gain_tokens > best_gain_tokens
+                ):
+                    best_gain_tokens, source = gain_tokens, holder.server.address
+        return best_gain_tokens, source
+
+
+def _fetch_cost_ratio(candidate: Candidate, domain: str, least: float) -> float:
+    """Return the cost of fetching a token relative to its prefill, at most 1."""
+    distance = CROSS_DOMAIN_TRANSFER_RATIO
+    if domain == candidate.server.failure_domain:
+        distance = 1.0
+    transfer_ratio = distance * candidate.transfer_token_s / PREFILL_TOKEN_S
+    return min(1.0, max(least, transfer_ratio))
+
+
 @attrs.frozen(kw_only=True)
 class Choice:
     """The server selected for an attempt, and the estimated cost.
@@ -210,6 +327,7 @@
     prompt: Prompt,
     store: CacheStore | None,
     now: float,
+    short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
 ) -> Choice:
     """Return the server with the lowest cost for a prompt.
 
@@ -223,12 +341,21 @@
         The KV-cache store of the prompt's largest part, if it is reachable.
     now : float
         Present time in seconds since boot.
+    short_work_tokens : float
+        Mean prefill work of a short prompt, in tokens.
     """
-    choices = [_evaluate(each, candidates, prompt, store, now) for each in candidates]
-    return lowest_cost_choice(choices, prompt)
+    sources = None
+    if prompt.is_long:
+        sources = FetchSources.find(candidates, prompt, store)
+    choices = [_evaluate(each, prompt, sources, now) for each in candidates]
+    return lowest_cost_choice(choices, prompt, short_work_tokens)
 
 
-def lowest_cost_choice(choices: Sequence[Choice], prompt: Prompt) -> Choice:
+def lowest_cost_choice(
+    choices: Sequence[Choice],
+    prompt: Prompt,
+    short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
+) -> Choice:
     """Return the choice with the lowest cost.
 
     The preferred server of the prompt's largest part gets a discount. Long prompts on
@@ -240,10 +367,12 @@
         One choice for each candidate.
     prompt : Prompt
         The prompt.
+    short_work_tokens : float
+        Mean prefill work of a short prompt, in tokens.
     """
     candidates = [each.candidate for each in choices]
     preferred = preferred_candidate(prompt.largest_part.id, candidates)
-    reserved = reserved_for_short(candidates)
+    reserved = reserved_for_short(candidates, short_work_tokens)
 
     def rank(choice: Choice) -> float:
         bonus = PREFERRED_SERVER_BONUS_TOKENS if choice.candidate is preferred else 0.0
@@ -257,9 +386,8 @@
 
 def _evaluate(
     candidate: Candidate,
-    candidates: Sequence[Candidate],
     prompt: Prompt,
-    store: CacheStore | None,
+    sources: FetchSources | None,
     now: float,
 ) -> Choice:
     """Return the choice of a candidate, with its estimated cost."""
@@ -267,10 +395,8 @@
         candidate.salt, prompt.parts, now
     )
     prefill_tokens, fetch_from = float(prompt.tokens - own_tokens), None
-    if prompt.is_long:
-        gain_tokens, fetch_from = best_fetch_source(
-            candidate, candidates, own_tokens, prompt, store
-        )
+    if sources is not None:
+        gain_tokens, fetch_from = sources.best_for(candidate, own_tokens)
         prefill_tokens -= gain_tokens
     work_tokens = PROMPT_OVERHEAD_TOKENS + prefill_work_tokens(
         prefill_tokens, prompt.tokens - prefill_tokens
@@ -293,80 +419,34 @@
     )
 
 
-def best_fetch_source(
-    candidate: Candidate,
+def reserved_for_short(
     candidates: Sequence[Candidate],
-    own_tokens: int,
-    prompt: Prompt,
-    store: CacheStore | None,
-) -> tuple[float, Address | None]:
-    """Return the best source from which a server can fetch cached parts.
+    short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
+) -> frozenset[str]:
+    """Return the identifiers of the servers that are reserved for short prompts.
 
-    Only parts that cache events confirmed count, since the prefill of the others may
-    not have finished. The store is used as the source even if it is not known to have
-    any part cached: a miss is cheap, and its events arrive late.
+    Long prompts avoid them while other servers have capacity. Their number is
+    proportional to the work of the short prompts in flight, so it grows during a burst.
 
     Parameters
     ----------
-    candidate : Candidate
-        The server that fetches.
     candidates : sequence of Candidate
-        The servers to fetch from.
-    own_tokens : int
-        Tokens from the start of the prompt that the server has cached.
-    prompt : Prompt
-        The prompt.
-    store : CacheStore or None
-        The KV-cache store, if it is reachable.
-
-    Returns
-    -------
-    gain_tokens : float
-        Prompt tokens that the fetch saves from prefill, less its cost.
-    source : Address or None
-        The source; None if there is nothing to fetch.
-    """
-    missing_tokens = prompt.shared_tokens - own_tokens
-    if missing_tokens < MIN_FETCH_TOKENS:
-        return 0.0, None
-    best_gain_tokens, source = 0.0, store.address if store else None
-    if store is not None:
-        cached_tokens = store.cache_index.confirmed_prefix_tokens(
-            candidate.salt, prompt.parts
-        )
-        best_gain_tokens = max(
-            0.0, (1 - STORE_FETCH_COST_RATIO) * (cached_tokens - own_tokens)
-        )
-    for other in candidates:
-        if other is candidate or other.salt != candidate.salt:
-            continue
-        cached_tokens = other.cache_index.confirmed_prefix_tokens(
-            other.salt, prompt.parts
-        )
-        gain_tokens = (1 - PEER_FETCH_COST_RATIO) * (cached_tokens - own_tokens)
-        if (
-            cached_tokens - own_tokens >= MIN_FETCH_TOKENS
-            and gain_tokens > best_gain_tokens
-        ):
-            best_gain_tokens, source = gain_tokens, other.server.address
-    return best_gain_tokens, source
-
-
-def reserved_for_short(candidates: Sequence[Candidate]) -> frozenset[str]:
-    """Return the identifiers of the servers that are reserved for short prompts.
-
-    Long prompts avoid them while other servers have capacity. Their number is
-    proportional to the number of short prompts in flight, so it grows during a burst.
+        The servers.
+    short_work_tokens : float
+        Mean prefill work of a short prompt, in tokens.
     """
     if len(candidates) < MIN_SERVERS_TO_RESERVE:
         return frozenset()
     short_prompts = sum(each.total_load.short_prompts for each in candidates)
-    wanted = short_prompts // SHORT_PER_RESERVED_SERVER
+    wanted = int(short_prompts * short_work_tokens / SHORT_WORK_PER_RESERVED_SERVER)
     count = max(1, min(wanted, int(len(candidates) * MAX_RESERVED_FRACTION)))
-    ranked = sorted(
-        candidates, key=lambda each: _rendezvous_weight("short", each.server.id)
-    )
-    return frozenset(each.server.id for each in ranked[:count])
+    ids = [each.server.id for each in candidates]
+    return frozenset(heapq.nsmallest(count, ids, key=_short_rank))
+
+
+@functools.lru_cache(maxsize=4096)
+def _short_rank(server_id: str) -> bytes:
+    return _rendezvous_weight("short", server_id)
 
 
 def preferred_candidate(part_id: str, candidates: Sequence[Candidate]) -> Candidate:
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -91,6 +91,13 @@
 class _Engine(msgspec.Struct, rename="camel"):
     # Concurrent cache event calls, not requests, despite the name.
     max_concurrent: float = 0
+    kv_token_bytes: float = 0
+    link_mbps: float = 0
+
+    def transfer_token_s(self) -> float:
+        if self.link_mbps <= 0:
+            return 0.0
+        return max(0.0, self.kv_token_bytes) * 8 / (self.link_mbps * 1e6)
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -110,6 +117,7 @@
             event_subscribers=_count(
                 self.engine.max_concurrent if self.engine else self.max_concurrent
             ),
+            transfer_token_s=self.engine.transfer_token_s() if self.engine else 0.0,
         )
 
 
--- a/tests/ingress/test_ingress_placement.py
+++ b/tests/ingress/test_ingress_placement.py
@@ -1,5 +1,6 @@
 import random
 
+import attrs
 import testtools
 from decision_case import NOW, STORE, cached_index, candidate, prompt, server
 from testtools.matchers import Equals
@@ -10,12 +11,14 @@
 from foxtailcourse.ingress._placement import (
     CacheStore,
     Candidate,
+    FetchSources,
     choose_for_prompt,
     choose_without_prompt,
     preferred_store,
     prefill_work_tokens,
     reserved_for_short,
 )
+from foxtailcourse.ingress._request_sizes import MAX_ROUTES, RequestSizes
 from foxtailcourse.ingress._server_loads import ServerLoad, TotalLoad
 from foxtailcourse.platform import CacheEvent, CacheEvents, PromptPart
 from foxtailcourse.settings import Address
@@ -124,6 +127,47 @@
             reserved_for_short([candidate("a"), candidate("b")]), Equals(set())
         )
 
+    def test_servers_are_reserved_by_the_work_of_the_short_prompts(self):
+        candidates = [candidate(f"s{n}", short_prompts=10) for n in range(12)]
+        few = reserved_for_short(candidates, 800.0)
+        many = reserved_for_short(candidates, 2_800.0)
+        # 120 prompts of 800 tokens take 6 servers, of 2,800 tokens more than allowed.
+        self.assertThat((len(few), len(many)), Equals((6, 7)))
+        self.assertTrue(few < many)
+
+    def test_fetch_weighs_the_transfer_against_the_prefill(self):
+        holder = candidate("holder", index=cached_index(aa=13_000))
+        far = attrs.evolve(
+            candidate("far", index=cached_index(aa=13_000)),
+            server=attrs.evolve(server("far"), failure_domain="catania"),
+        )
+        for transfer_token_s, source, gain_tokens in (
+            (0.0, "holder", 10_400),
+            (10e-6, "holder", 7_800),
+            (30e-6, None, 0),
+        ):
+            receiver = candidate("s1", transfer_token_s=transfer_token_s)
+            candidates = [receiver, holder, far]
+            sources = FetchSources.find(candidates, prompt(), None)
+            gain, address = sources.best_for(receiver, 0)
+            self.assertThat(round(gain), Equals(gain_tokens))
+            expected = server(source).address if source else None
+            self.assertThat(address, Equals(expected))
+        # Between failure domains the transfer takes twice as long.
+        receiver = candidate("s1", transfer_token_s=10e-6)
+        sources = FetchSources.find([receiver, far], prompt(), None)
+        self.assertThat(round(sources.best_for(receiver, 0)[0]), Equals(2_600))
+
+    def test_time_of_a_decision_does_not_grow_faster_than_the_fleet(self):
+        def evaluations(count):
+            counter = CountingIndex()
+            CountingIndex.lookups = 0
+            candidates = [candidate(f"s{n}", index=counter) for n in range(count)]
+            choose_for_prompt(candidates, prompt(), None, NOW)
+            return CountingIndex.lookups
+
+        self.assertTrue(evaluations(390) <= 10.5 * evaluations(39))
+
     def test_requests_without_prompts_are_spread_and_avoid_a_failing_server(self):
         rng = random.Random(3)
         candidates = [candidate(name) for name in ("a", "b", "c")]
@@ -209,3 +253,35 @@
         )
         few = assign_subscribers("s1", {"e1", "e2"})
         self.assertThat(few.receivers, Equals(set()))
+
+
+class CountingIndex(CacheIndex):
+    """An empty index that counts how often it is asked for a prompt."""
+
+    lookups = 0
+
+    def cached_prefix_tokens(self, *args):
+        CountingIndex.lookups += 1
+        return 0
+
+
+class TestRequestSizes(testtools.TestCase):
+    """Guards the typical sizes by which kinds of requests are told apart."""
+
+    def test_mean_follows_the_route_and_forgets_unused_ones(self):
+        sizes = RequestSizes()
+        rng = random.Random(2)
+        for _ in range(400):
+            mean = sizes.record_prompt("glaze", round(rng.lognormvariate(7.2, 1.0)))
+            long_mean = sizes.record_prompt("motif", rng.randrange(3_000, 21_000))
+        self.assertTrue(1_500 < mean < 3_500, mean)
+        self.assertTrue(9_000 < long_mean < 15_000, long_mean)
+        for number in range(2 * MAX_ROUTES):
+            sizes.record_prompt(f"r{number}", 1)
+        self.assertThat(len(sizes._by_route), Equals(MAX_ROUTES))
+
+    def test_work_is_assumed_until_a_short_prompt_was_seen(self):
+        sizes = RequestSizes()
+        self.assertThat(sizes.short_work_tokens(800.0), Equals(800.0))
+        sizes.record_short_work(2_800.0)
+        self.assertThat(sizes.short_work_tokens(800.0), Equals(2_800.0))
--- a/tests/ingress/test_overload.py
+++ b/tests/ingress/test_overload.py
@@ -1,12 +1,17 @@
 """Admission control and its results when the fleet is overloaded."""
 
+import attrs
 import testtools
 from decision_case import candidate, prompt
 from testtools.matchers import Equals
 
 from foxtailcourse.emulator.ingress.deployments import COUNTER, LONG, SCENARIOS, SHORT
 from foxtailcourse.emulator.ingress.fleet import FleetSimulation
-from foxtailcourse.emulator.ingress.policies import AgeingDeferral, ProductPolicy
+from foxtailcourse.emulator.ingress.policies import (
+    AgeingDeferral,
+    ProductPolicy,
+    SizeClasses,
+)
 from foxtailcourse.ingress._admission import (
     AdmissionDecision,
     DeferredPrompts,
@@ -98,6 +103,18 @@
             decision = decide_admission(choice(10.0**9), short, timing(age_s), 100.0)
             self.assertThat(decision, Equals(AdmissionDecision.SEND))
 
+    def test_large_prompt_of_a_short_kind_is_sent_like_the_others(self):
+        large = attrs.evolve(
+            prompt(shared_tokens=568, own_tokens=6_000), typical_tokens=2_368.0
+        )
+        decision = decide_admission(choice(10.0**9), large, timing(0.3), 100.0)
+        self.assertThat(decision, Equals(AdmissionDecision.SEND))
+        small = attrs.evolve(
+            prompt(shared_tokens=500, own_tokens=500), typical_tokens=12_000.0
+        )
+        decision = decide_admission(choice(10.0**6), small, timing(1.5), 100.0)
+        self.assertThat(decision, Equals(AdmissionDecision.DEFER))
+
     def test_one_large_deferred_prompt_causes_no_refusals(self):
         deferred = DeferredPrompts()
         deferred.add(1, 400_000.0)
@@ -149,6 +166,22 @@
                 largest = outcome.served_largest / outcome.offered_largest
                 self.assertTrue(largest >= served / 2, (name, largest, served))
 
+    def test_large_prompts_of_a_short_kind_meet_their_target_under_overload(self):
+        """Plays tile workshops, whose short prompts are of 2,368 tokens on average."""
+        scenario = attrs.evolve(SCENARIOS["grown-tile-dark"], duration_s=12.0)
+        before = self.simulate(SizeClasses(), scenario)
+        after = self.simulate(ProductPolicy(), scenario)
+        old, new = before.outcomes[SHORT], after.outcomes[SHORT]
+        self.assertThat(new.refused_after_s, Equals([]))
+        self.assertTrue(
+            self.in_time_fraction(new) > self.in_time_fraction(old),
+            (self.in_time_fraction(new), self.in_time_fraction(old)),
+        )
+        served = (new.in_time + new.late) / new.offered
+        largest = new.served_largest / new.offered_largest
+        self.assertTrue(largest >= 0.98 * served, (largest, served))
+        self.assertTrue(after.worth >= before.worth, (after.worth, before.worth))
+
     def test_no_prompt_is_refused_while_there_is_capacity(self):
         for outcome in self.simulate(ProductPolicy(), COUNTER).outcomes.values():
             self.assertThat(outcome.refused_after_s, Equals([]))
