--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -5,6 +5,12 @@
 from foxtailcourse.standin._backend_server import stream_event
 
 MAX_REVOCATION_S = 5.0
+# Time after which a server that said that it leaves gets no requests.
+DRAIN_S = 2.0
+# Requests that may reach a server in the time for which it asked for none, and the time
+# before they count.
+MAX_ARRIVALS_AFTER_REFUSAL = 2
+REFUSAL_SLACK_S = 0.5
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 REPEATABLE_KINDS = {"look", "ask"}
 
@@ -31,6 +37,10 @@
         The part of the response body received so far.
     complete : bool
         Whether the response ended without an error.
+    vm : str
+        Entry that the request was sent to.
+    leaving_at : float
+        When a response arrived that says that its server leaves; 0 if none did.
     """
 
     id: str
@@ -41,6 +51,8 @@
     status: int = 0
     body: bytes = b""
     complete: bool = False
+    vm: str = ""
+    leaving_at: float = 0.0
 
 
 @attrs.define(kw_only=True)
@@ -58,12 +70,22 @@
         for each server.
     removed_keys : dict of str to float
         Time at which an API key was removed, on trio's clock in seconds.
+    runs_by_server : dict of str to list of Run
+        The same runs, by backend server.
+    refusals : list of (str, Refusal)
+        Server and each request that it refused.
+    disturbed : set of str
+        Entries that were stopped, killed or cut off in the run; they are excused from
+        what a server asked of them.
     """
 
     sent: dict[str, RequestRecord] = attrs.field(factory=dict)
     runs: list = attrs.field(factory=list)
     orders: list = attrs.field(factory=list)
     removed_keys: dict[str, float] = attrs.field(factory=dict)
+    runs_by_server: dict[str, list] = attrs.field(factory=dict)
+    refusals: list = attrs.field(factory=list)
+    disturbed: set[str] = attrs.field(factory=set)
 
 
 def violations(observations: Observations) -> list[str]:
@@ -96,9 +118,65 @@
         last_fences[server] = fence
         if holder_by_fence.setdefault(fence, holder) != holder:
             found.append(f"fence {fence} of {holder} and {holder_by_fence[fence]}")
+    return found + _drain_violations(observations) + _refusal_violations(observations)
+
+
+def _drain_violations(observations: Observations) -> list[str]:
+    """Return the requests that reached a server long after it said that it leaves."""
+    sent, found = observations.sent, []
+    for server, runs in observations.runs_by_server.items():
+        heard_at: dict[tuple[str, int], float] = {}
+        for run in runs:
+            request = sent.get(run.request_id)
+            if request is not None and request.leaving_at:
+                key = (request.vm, run.started_ms)
+                first = heard_at.get(key, float("inf"))
+                heard_at[key] = min(first, request.leaving_at)
+        for run in runs:
+            request = sent.get(run.request_id)
+            if request is None:
+                continue
+            heard = heard_at.get((request.vm, run.started_ms), float("inf"))
+            if request.sent_at > heard + DRAIN_S:
+                found.append(
+                    f"{run.request_id}: sent to {server} {request.sent_at - heard:.1f} "
+                    f"s after it told {request.vm} that it leaves"
+                )
     return found
 
 
+def _refusal_violations(observations: Observations) -> list[str]:
+    """Return the servers that got requests in a time for which they asked for none."""
+    arrivals: dict[tuple[str, str], list[float]] = {}
+    refusals = []
+    records = [
+        (server, run.request_id, run.at, "")
+        for server, runs in observations.runs_by_server.items()
+        for run in runs
+    ] + [
+        (server, r.request_id, r.at, r.retry_after)
+        for server, r in observations.refusals
+    ]
+    for server, request_id, at, retry_after in records:
+        request = observations.sent.get(request_id)
+        if request is None or request.vm in observations.disturbed:
+            continue
+        arrivals.setdefault((server, request.vm), []).append(at)
+        if retry_after:
+            refusals.append((server, request.vm, at, float(retry_after)))
+    return [
+        f"{server}: {count} requests from {vm} though it asked for none"
+        for server, vm, at, retry_after_s in refusals
+        if (
+            count := sum(
+                at + REFUSAL_SLACK_S < other < at + retry_after_s
+                for other in arrivals[server, vm]
+            )
+        )
+        > MAX_ARRIVALS_AFTER_REFUSAL
+    ]
+
+
 def _response_violations(request: RequestRecord) -> list[str]:
     if request.status != 200:
         return []
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -11,7 +11,7 @@
 
 from observations import Observations, RequestRecord, violations
 
-from foxtailcourse.standin._backend_server import Run, stream_event
+from foxtailcourse.standin._backend_server import Refusal, Run, stream_event
 from soak import Soak
 
 CI_SEED = 7
@@ -94,6 +94,46 @@
         ]
         self.check("fence 5 of", orders=shared)
 
+    def test_request_to_a_server_that_said_it_leaves(self):
+        first = make_request("a", "look", vm="e1", leaving_at=1.0)
+        for sent_at, vm, started_ms, is_violation in (
+            (3.5, "e1", 5, True),
+            (2.5, "e1", 5, False),
+            (3.5, "e2", 5, False),
+            (3.5, "e1", 6, False),
+        ):
+            late = make_request("b", "look", vm=vm, sent_at=sent_at)
+            runs = [make_run("a"), make_run("b")]
+            runs[0].started_ms, runs[1].started_ms = 5, started_ms
+            observations = Observations(
+                sent={"a": first, "b": late}, runs=runs, runs_by_server={"c0": runs}
+            )
+            found = violations(observations)
+            self.assertThat(len(found), Equals(int(is_violation)), found)
+
+    def test_requests_to_a_server_that_asked_for_none(self):
+        for vm, count, disturbed, is_violation in (
+            ("e1", 3, set(), True),
+            ("e1", 2, set(), False),
+            ("e2", 3, set(), False),
+            ("e1", 3, {"e1"}, False),
+        ):
+            sent = {"a": make_request("a", "look", vm="e1", status=503)}
+            runs = []
+            for number in range(count):
+                sent[f"b{number}"] = make_request(f"b{number}", "look", vm=vm)
+                runs.append(make_run(f"b{number}"))
+                runs[-1].at = 11.0
+            observations = Observations(
+                sent=sent,
+                runs=runs,
+                runs_by_server={"c0": runs},
+                refusals=[("c0", Refusal("a", 10.0, "2"))],
+                disturbed=disturbed,
+            )
+            found = violations(observations)
+            self.assertThat(bool(found), Equals(is_violation), found)
+
 
 class TestSoak(testtools.TestCase):
     """Runs a short seeded soak with entry processes."""
