Count the age of outdated weights from the oldest newer version

Cause: each newly named version started the time limit of the weights anew.

Ruled out: late reading of the version; the entry read it within a second, as the limit less its margin is 8 s from the reading.

Change: an entry remembers when it read each version; a server's weights are outdated since the first newer one. Servers that are outdated longest load first.

Tests: both in tests/ingress/test_fleet_state.py fail before.

--- a/src/foxtailcourse/fleet/_view.py
+++ b/src/foxtailcourse/fleet/_view.py
@@ -30,6 +30,10 @@
         return now - self.as_of
 
 
+# Earlier versions of a model's weights that are remembered.
+MAX_EARLIER_VERSIONS = 32
+
+
 @attrs.frozen(kw_only=True)
 class DesiredWeights:
     """The weights version of a model that the operators want in service.
@@ -42,11 +46,33 @@
         Version to serve.
     desired_since : float
         Time at which this process first read the version, in seconds since boot.
+    earlier : tuple of (int, float)
+        Earlier versions and the times at which they were read, oldest first.
     """
 
     model: str
     version: int
     desired_since: float
+    earlier: tuple[tuple[int, float], ...] = ()
+
+    def outdated_since(self, version: int) -> float | None:
+        """Return since when newer weights than a version are desired, or None.
+
+        A version may be named before the previous one is in place everywhere, so the
+        oldest one that is newer counts.
+        """
+        named = (*self.earlier, (self.version, self.desired_since))
+        return next((since for newer, since in named if newer > version), None)
+
+    def followed_by(self, version: int, now: float) -> "DesiredWeights":
+        """Return the weights after a newer version was read."""
+        earlier = (*self.earlier, (self.version, self.desired_since))
+        return DesiredWeights(
+            model=self.model,
+            version=version,
+            desired_since=now,
+            earlier=earlier[-MAX_EARLIER_VERSIONS:],
+        )
 
 
 @attrs.define
@@ -112,8 +138,10 @@
         current = self.desired_weights.get(model)
         if current is not None and current.version >= version:
             return False
-        self.desired_weights[model] = DesiredWeights(
-            model=model, version=version, desired_since=now
+        self.desired_weights[model] = (
+            DesiredWeights(model=model, version=version, desired_since=now)
+            if current is None
+            else current.followed_by(version, now)
         )
         return True
 
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -145,10 +145,11 @@
     def _weights_usable(self, server: BackendServer, model: str, now: float) -> bool:
         """Whether weights are the desired ones, or not outdated for too long."""
         desired = self.view.desired_weights.get(model)
-        if desired is None or server.weights.get(model, 0) >= desired.version:
+        if desired is None:
             return True
+        outdated_since = desired.outdated_since(server.weights.get(model, 0))
         limit_s = self.weights_limit_s - OUTDATED_WEIGHTS_MARGIN_S
-        return now - desired.desired_since < limit_s
+        return outdated_since is None or now - outdated_since < limit_s
 
     def _has_capacity(self, server: BackendServer, now: float) -> bool:
         """Whether the connection limit of a server allows another request."""
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -72,7 +72,8 @@
     busy : set of str
         Backend servers that are loading weights or were recently ordered to.
     loads : ServerLoads
-        Loads of the backend servers; the least loaded ones are planned first.
+        Loads of the backend servers. Those whose weights have been outdated longest
+        are planned first, and of them the least loaded ones.
     now : float
         Present time in seconds since boot.
     weights_limit_s : float
@@ -92,7 +93,10 @@
         max_concurrent = max(
             MIN_CONCURRENT_LOADS, math.ceil(MAX_LOADING_FRACTION * len(servers))
         )
-        remaining_s = weights_limit_s - (now - desired.desired_since)
+        since = {
+            e.id: desired.outdated_since(e.weights[model]) or now for e in outdated
+        }
+        remaining_s = weights_limit_s - (now - min(since.values(), default=now))
         if _is_overloaded(
             [each for each in servers if each.id not in busy], loads, now
         ):
@@ -101,7 +105,10 @@
             )
         startable = sorted(
             (each for each in outdated if each.id not in busy),
-            key=lambda each: loads.total(each.id, each.started_ms, now).in_flight,
+            key=lambda each: (
+                since[each.id],
+                loads.total(each.id, each.started_ms, now).in_flight,
+            ),
         )
         free_slots = max(0, max_concurrent - loading_count)
         planned += [
--- a/tests/ingress/test_fleet_state.py
+++ b/tests/ingress/test_fleet_state.py
@@ -94,6 +94,19 @@
             Equals(([], "old_weights")),
         )
 
+    def test_time_limit_of_weights_starts_with_the_oldest_newer_version(self):
+        candidate_filter = self.make_filter(server("a", version=2))
+        view = candidate_filter.view
+        for version, at in ((2, NOW - 4), (3, NOW), (4, NOW + 4), (5, NOW + 8)):
+            view.set_desired_weights("guide", version, at)
+        self.assertThat(
+            self.eligible_names(candidate_filter, NOW + 12), Equals((["a"], ""))
+        )
+        self.assertThat(
+            self.eligible_names(candidate_filter, NOW + 13.5),
+            Equals(([], "old_weights")),
+        )
+
     def test_leaving_loading_tried_and_suspended_servers_are_left_out(self):
         candidate_filter = self.make_filter(
             server("a"), server("b"), server("c", leaving=True)
@@ -151,6 +164,19 @@
                 plan_weight_loads(view, busy, ServerLoads(), NOW, 15.0), Equals([])
             )
 
+    def test_servers_that_are_outdated_longest_load_first(self):
+        """The busiest server must not be left behind by one version after another."""
+        view = FleetView()
+        view.servers = {f"s{n}": server(f"s{n}", version=3) for n in range(5)}
+        view.servers["s4"] = server("s4", version=2)
+        for version, at in ((3, NOW), (4, NOW + 4)):
+            view.set_desired_weights("guide", version, at)
+        loads = ServerLoads()
+        loads.for_server("s4", 0).in_flight = 50
+        planned = plan_weight_loads(view, set(), loads, NOW + 5, 15.0)
+        self.assertThat(planned[0].server.id, Equals("s4"))
+        self.assertThat({each.version for each in planned}, Equals({4}))
+
     def test_fewer_servers_load_concurrently_during_overload(self):
         view = FleetView()
         view.servers = {f"s{n}": server(f"s{n}") for n in range(5)}
