Copy prompts to the KV-cache store only while it lacks their shared parts

Cause: each long prompt was copied whole, with the part that no other one shares.

Ruled out: leaving out the last part alone; a copy is always of the whole prompt.

Change: a prompt is copied while the store's events do not show its shared parts.

Test: test_prompt_is_saved_only_while_the_store_lacks_its_shared_parts fails before.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -84,7 +84,8 @@
         choice : Choice
             The server.
         store : Address or None
-            KV-cache store where the server should save the prompt.
+            KV-cache store where the server should save the prompt; None if it should
+            not.
 
         Returns
         -------
@@ -338,6 +339,6 @@
         salt=choice.candidate.salt,
         priority=job.priority(),
         fetch_from=choice.fetch_from,
-        save_to=store if prompt.is_long else None,
+        save_to=store,
         last_event_id=job.last_event_id,
     )
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -24,6 +24,7 @@
     choose_for_prompt,
     choose_without_prompt,
     preferred_store,
+    should_save,
 )
 from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._retry_budget import RetryBudget
@@ -201,7 +202,8 @@
                 candidate.salt, prompt.parts[:-1], self.clock()
             )
             store = self._cache_store(prompt)
-            store_address = store.address if store else None
+            if store is not None and should_save(store, candidate.salt, prompt):
+                store_address = store.address
         return await self.attempts.run(job, choice, store_address)
 
     def _cache_store(self, prompt: Prompt) -> CacheStore | None:
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -13,7 +13,7 @@
 import attrs
 
 from foxtailcourse.fleet import BackendServer
-from foxtailcourse.ingress._cache_index import CacheIndex
+from foxtailcourse.ingress._cache_index import COMPLETE_PART_FRACTION, CacheIndex
 from foxtailcourse.ingress._server_loads import ServerLoad, TotalLoad
 from foxtailcourse.platform import PromptPart
 from foxtailcourse.settings import Address
@@ -419,6 +419,19 @@
     )
 
 
+def should_save(store: CacheStore, salt: str, prompt: Prompt) -> bool:
+    """Whether a server should copy a prompt to the KV-cache store.
+
+    A copy contains the whole prompt, and the parts that no other prompt shares displace
+    others. So only a prompt whose shared parts the store lacks is copied.
+    """
+    shared = prompt.parts[:-1]
+    if not prompt.is_long or not shared:
+        return False
+    stored_tokens = store.cache_index.confirmed_prefix_tokens(salt, shared)
+    return stored_tokens < COMPLETE_PART_FRACTION * prompt.shared_tokens
+
+
 def reserved_for_short(
     candidates: Sequence[Candidate],
     short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
--- a/tests/ingress/test_ingress_placement.py
+++ b/tests/ingress/test_ingress_placement.py
@@ -12,11 +12,13 @@
     CacheStore,
     Candidate,
     FetchSources,
+    Prompt,
     choose_for_prompt,
     choose_without_prompt,
     preferred_store,
     prefill_work_tokens,
     reserved_for_short,
+    should_save,
 )
 from foxtailcourse.ingress._request_sizes import MAX_ROUTES, RequestSizes
 from foxtailcourse.ingress._server_loads import ServerLoad, TotalLoad
@@ -158,6 +160,19 @@
         sources = FetchSources.find([receiver, far], prompt(), None)
         self.assertThat(round(sources.best_for(receiver, 0)[0]), Equals(2_600))
 
+    def test_prompt_is_saved_only_while_the_store_lacks_its_shared_parts(self):
+        empty = CacheStore(address=STORE, cache_index=CacheIndex())
+        full = CacheStore(address=STORE, cache_index=cached_index(aa=13_000))
+        partial = CacheStore(address=STORE, cache_index=cached_index(aa=6_000))
+        for store, expected in ((empty, True), (partial, True), (full, False)):
+            self.assertThat(should_save(store, "1", prompt()), Equals(expected))
+        # The store has the parts of other weights only.
+        self.assertTrue(should_save(full, "2", prompt()))
+        # Short prompts and prompts without shared parts are not worth a copy.
+        self.assertFalse(should_save(empty, "1", prompt(90, 290)))
+        alone = Prompt(parts=prompt().parts[1:], tokens=15_000)
+        self.assertFalse(should_save(empty, "1", alone))
+
     def test_time_of_a_decision_does_not_grow_faster_than_the_fleet(self):
         def evaluations(count):
             counter = CountingIndex()
