Assume an age for weights versions that an entry finds at its start

Cause: a restarted entry counted the time limit of outdated weights from its own start, up to a whole limit after the version was named.

Change: versions in the first reading count as half the limit old, so a restarted entry stops using the old weights in time unless the version had been named more than half the limit before.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -54,6 +54,9 @@
 READINESS_LIMITS = HttpLimits(max_connections=50, max_body_bytes=1024)
 SERVER_CALL_TIMEOUT_S = 0.5
 LOADS_MAINTENANCE_PERIOD_S = 5.0
+# Age of the weights versions that an entry finds at its start, as a fraction of the
+# time after which outdated weights must not be used.
+ASSUMED_WEIGHTS_AGE_FRACTION = 0.5
 # The settings file may also change without a signal, and reading it is cheap.
 RELOAD_PERIOD_S = 3.0
 
@@ -244,8 +247,18 @@
         )
 
     def _apply_weights(self, model: str, version: int) -> None:
-        if self._view.set_desired_weights(model, version, boot_seconds()):
-            self._events.emit("weights_named", model=model, version=version)
+        now = boot_seconds()
+        # A version that is found at the start may have been named long before.
+        age_s = 0.0
+        if not self._watcher.scanned:
+            age_s = ASSUMED_WEIGHTS_AGE_FRACTION * self._cfg.weights_ms / 1000
+        if self._view.set_desired_weights(model, version, now - age_s):
+            self._events.emit(
+                "weights_named",
+                model=model,
+                version=version,
+                assumed_age_ms=int(age_s * 1000) or None,
+            )
 
     def _apply_server(
         self, server_id: str, server: BackendServer | None, revision: int
--- a/src/foxtailcourse/ingress/_store_watcher.py
+++ b/src/foxtailcourse/ingress/_store_watcher.py
@@ -65,6 +65,8 @@
     copy_revision : int
         In an era that began while this watcher ran, changes up to this revision may
         come from the copy that the store was restored from.
+    scanned : bool
+        Whether all prefixes were read once.
     """
 
     def __init__(
@@ -88,7 +90,7 @@
         self._keys: set[str] = set()
         self._scan_lock = trio.Lock()
         self._lost_at: float | None = None
-        self._scanned = False
+        self.scanned = False
         # Keys that the store lacks, and until when they are kept.
         self._missing: set[str] = set()
         self._missing_until = float("-inf")
@@ -122,6 +124,7 @@
             present = {each.key for each in listing.items}
             self._note_return(listing.era, listing.revision, self._keys - present)
             self._apply_listing(listing, self._prefixes, sent_at)
+            self.scanned = True
             return listing.revision
 
     async def refresh(self, prefix: str) -> None:
@@ -162,7 +165,7 @@
     def _note_return(self, era: int, revision: int, missing: set[str]) -> None:
         """Log that the store is back, and decide which missing keys to keep."""
         now = boot_seconds()
-        restored = self._scanned and era != self.era
+        restored = self.scanned and era != self.era
         lost_at, self._lost_at = self._lost_at, None
         if restored:
             self.copy_revision = revision
@@ -178,7 +181,7 @@
         if restored or (lost_at is not None and now - lost_at >= MIN_OUTAGE_S):
             self._missing_until = now + LAPSED_GRACE_S
             self._missing = set(missing)
-        self.era, self._scanned = era, True
+        self.era = era
         self._drop_missing(now, revision)
 
     def _drop_missing(self, now: float, revision: int) -> None:
