Bound what grew without limit, and count an evicted attempt no longer

A long attempt that was evicted from the table of open attempts never lowered the pending count of its prefixes, so its server counted as cached.

Ruled out: closing each connection beyond the limit; callers that wait a moment are served, and a test guards that.

--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -18,6 +18,9 @@
 )
 
 Handler = Callable[[Exchange], Awaitable[None]]
+# Accepted connections beyond the limit that wait for one to end; further ones are
+# closed at once, so that they do not take up the descriptors of the process.
+MAX_WAITING_CONNECTIONS = 128
 
 
 class HttpServer:
@@ -84,6 +87,10 @@
         self._draining.set()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        waiting = self._connection_slots.statistics().tasks_waiting
+        if waiting >= MAX_WAITING_CONNECTIONS:
+            await trio.aclose_forcefully(stream)
+            return
         async with self._connection_slots, stream:
             conn = Connection(stream, self._limits, self._budget)
             conn.accepted_while_draining = self._draining.is_set()
--- a/src/foxtailcourse/routing/_open_attempts.py
+++ b/src/foxtailcourse/routing/_open_attempts.py
@@ -52,6 +52,8 @@
     expected_levels : tuple of (int, float)
         Levels that the server was expected to have cached, each with the seconds
         since their last use.
+    pending_keys : tuple of bytes
+        Keys of the prefixes that count it as pending, if it is long.
     answered : bool
         Whether a reply was received.
     """
@@ -63,6 +65,7 @@
     sent_at: float
     n_ahead: int
     expected_levels: tuple[tuple[int, float], ...] = ()
+    pending_keys: tuple[bytes, ...] = ()
     answered: bool = False
 
 
@@ -135,8 +138,12 @@
         prefill_s: float,
         expected_levels: tuple[tuple[int, float], ...],
         now: float,
-    ) -> None:
-        """Record a sent attempt."""
+        pending_keys: tuple[bytes, ...] = (),
+    ) -> list[OpenAttempt]:
+        """Record a sent attempt; return the unanswered ones that are evicted for it.
+
+        ``pending_keys`` are the keys of the prefixes that count a long attempt.
+        """
         flow = self._flow(prompt.salt, server)
         attempt = OpenAttempt(
             server,
@@ -146,6 +153,7 @@
             now,
             flow.n_unanswered,
             expected_levels,
+            pending_keys,
         )
         if request_class is RequestClass.SHORT:
             self._short_prefill_s[server] = self.short_prefill_s(server) + prefill_s
@@ -153,9 +161,13 @@
             flow.attempts.append(attempt)
             flow.n_unanswered += 1
         self._open.setdefault(attempt_id(prompt, server), []).append(attempt)
+        evicted: list[OpenAttempt] = []
         while len(self._open) > self._limit:
-            for evicted in self._open.popitem(last=False)[1]:
-                self._mark_answered(evicted)
+            attempts = self._open.popitem(last=False)[1]
+            evicted += [each for each in attempts if not each.answered]
+        for each in evicted:
+            self._mark_answered(each)
+        return evicted
 
     def record_reply(
         self, prompt: Prompt, server: str, refused: bool, now: float
--- a/src/foxtailcourse/routing/_placement.py
+++ b/src/foxtailcourse/routing/_placement.py
@@ -88,7 +88,7 @@
         request_class = self._request_classes.get(prompt_id(prompt), RequestClass.SHORT)
         n_matched = self._expected_blocks(prompt, backend_server, request_class, 0, now)
         prefill_s = self._prefill_s(prompt, n_matched)
-        expected = []
+        expected, pending_keys = [], []
         for level in tracked_levels(prompt.levels):
             prefix = self._prefix_table.track(prompt.keys[level - 1])
             prefix.count_request(now)
@@ -99,9 +99,21 @@
                 self._prefix_table.record_use(prefix, backend_server, now)
             else:
                 prefix.add_pending(backend_server)
-        self._open.record_sent(
-            prompt, backend_server, request_class, prefill_s, tuple(expected), now
+                pending_keys.append(prompt.keys[level - 1])
+        evicted = self._open.record_sent(
+            prompt,
+            backend_server,
+            request_class,
+            prefill_s,
+            tuple(expected),
+            now,
+            tuple(pending_keys),
         )
+        for attempt in evicted:
+            for key in attempt.pending_keys:
+                evicted_prefix = self._prefix_table.get(key)
+                if evicted_prefix is not None:
+                    evicted_prefix.remove_pending(attempt.server)
 
     def record_reply(self, prompt: Prompt, reply: ServerReply, now: float) -> None:
         """Record what a reply reports about its server."""
--- a/tests/http/test_malformed_input.py
+++ b/tests/http/test_malformed_input.py
@@ -1,11 +1,13 @@
 import contextlib
 import random
 
+import testtools
 import trio
 from test_server import ServerTestCase
 from testtools.matchers import Equals
 
 from foxtailcourse.http import ClientError, ConnectionPool
+from foxtailcourse.http._sse import MAX_EVENT_BYTES, SseError, SseParser
 from foxtailcourse.platform import KeyValueClient, PlatformError
 from foxtailcourse.settings import Address
 from support import AsyncTestCase
@@ -114,3 +116,17 @@
         self.send_malformed_responses(send_request)
         # Some mutated responses are still valid, so the mutations are not too coarse.
         self.assertTrue(0 < len(errors) < CASE_COUNT, len(errors))
+
+
+class TestEventSize(testtools.TestCase):
+    """Guards memory against events that are too long."""
+
+    def test_event_that_one_chunk_completes_is_limited_as_well(self):
+        long_line = b"data: " + b"x" * MAX_EVENT_BYTES
+        for chunks in ([long_line + b"\n\n"], [long_line, b"\n\n"]):
+            parser = SseParser()
+            with self.assertRaisesRegex(SseError, "too long"):
+                for chunk in chunks:
+                    list(parser.feed(chunk))
+        (event,) = SseParser().feed(b"data: ok\n\n")
+        self.assertThat(event.data, Equals("ok"))
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -10,6 +10,7 @@
     HttpServer,
     RequestOptions,
 )
+from foxtailcourse.http._server import MAX_WAITING_CONNECTIONS
 from foxtailcourse.protocol import Verdict
 from foxtailcourse.settings import Address
 from support import AsyncTestCase
@@ -194,6 +195,30 @@
 
         self.serve(check, max_connections=1)
 
+    def test_connections_far_over_the_limit_are_closed(self):
+        async def check(address, server):
+            hanging = await trio.open_tcp_stream(address.host, address.port)
+            await hanging.send_all(self.HANGING_REQUEST)
+            while server.active == 0:
+                await trio.sleep(0.001)
+            count = MAX_WAITING_CONNECTIONS + 20
+            streams = [
+                await trio.open_tcp_stream(address.host, address.port)
+                for _ in range(count)
+            ]
+            closed = 0
+            for stream in streams:
+                with trio.move_on_after(0.02):
+                    try:
+                        closed += await stream.receive_some(1) == b""
+                    except trio.BrokenResourceError:
+                        closed += 1
+            self.assertThat(closed, Equals(20))
+            for stream in [*streams, hanging]:
+                await stream.aclose()
+
+        self.serve(check, max_connections=1)
+
     def test_connection_within_the_limit_does_not_wait(self):
         async def check(address, server):
             self.assertTrue(await self.responds_beside_hanging_request(address, server))
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -310,6 +310,20 @@
             policy._expected_blocks(prompt, FLEET[0], SHORT, 0, 1.0), Equals(0.0)
         )
 
+    def test_an_evicted_attempt_no_longer_counts_as_cached(self):
+        policy = PrefixPlacement(PlacementSettings(tracked_attempts=4))
+        prompt = make_prompt("p")
+        policy.rank(prompt, FLEET, LONG, 0.0)
+        policy.record_sent(prompt, "s1", 0.0)
+        keys = [prompt.keys[level - 1] for level in tracked_levels(prompt.levels)]
+        prefixes = [policy._prefix_table.get(key) for key in keys]
+        self.assertTrue(all(each.pending == {"s1": 1} for each in prefixes))
+        for number in range(4):
+            other = make_prompt(f"q{number}", salt=f"b{number}")
+            policy.rank(other, FLEET, LONG, 0.0)
+            policy.record_sent(other, "s1", 0.0)
+        self.assertTrue(all(each.pending == {} for each in prefixes))
+
     def test_a_reply_without_an_incarnation_keeps_cached_prefixes(self):
         policy, prompt = PrefixPlacement(), make_prompt("p")
         serve(policy, prompt, 0.0, server=FLEET[0])
