--- a/src/foxtailcourse/ingress/_load_relay.py
+++ b/src/foxtailcourse/ingress/_load_relay.py
@@ -10,6 +10,8 @@
 LoadRow = tuple[str, int, int, int]
 Load = tuple[int, int, int]
 IDLE: Load = (0, 0, 0)
+# A change of a server's load by this many prompt tokens is passed on at once.
+URGENT_CHANGE_TOKENS = 1_500
 
 
 @attrs.define
@@ -19,10 +21,15 @@
     rows: dict[str, tuple[Load, float]] = attrs.field(factory=dict)
     heard_at: float = float("-inf")
 
-    def update(self, rows: Iterable[LoadRow], now: float) -> None:
+    def update(self, rows: Iterable[LoadRow], now: float) -> bool:
+        """Add rows; return whether the tokens to prefill at a server changed much."""
         self.heard_at = now
+        is_urgent = False
         for server_id, *load in rows:
+            previous, _ = self.rows.get(server_id, (IDLE, now))
+            is_urgent |= abs(load[0] - previous[0]) >= URGENT_CHANGE_TOKENS
             self.rows[server_id] = ((load[0], load[1], load[2]), now)
+        return is_urgent
 
     def expire(self, now: float) -> None:
         """Remove rows that were not sent again in time."""
@@ -41,13 +48,16 @@
     # By destination: the last load sent of each server.
     _sent: dict[str, dict[str, Load]] = attrs.field(factory=dict)
 
-    def update_member(self, vm: str, rows: Iterable[LoadRow], now: float) -> None:
-        """Add rows of a member."""
-        self._members.setdefault(vm, _Source()).update(rows, now)
+    def update_member(self, vm: str, rows: Iterable[LoadRow], now: float) -> bool:
+        """Add rows of a member; return whether a load changed much."""
+        return self._members.setdefault(vm, _Source()).update(rows, now)
 
-    def update_relay(self, vm: str, rows: Iterable[LoadRow], now: float) -> None:
-        """Add rows of another relay, which are the sums over its members."""
-        self._relays.setdefault(vm, _Source()).update(rows, now)
+    def update_relay(self, vm: str, rows: Iterable[LoadRow], now: float) -> bool:
+        """Add rows of another relay, which are the sums over its members.
+
+        Returns whether a load changed much.
+        """
+        return self._relays.setdefault(vm, _Source()).update(rows, now)
 
     def members(self) -> list[str]:
         """Return the members that sent loads recently."""
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -14,7 +14,11 @@
 import trio
 
 from foxtailcourse.fleet import FleetView, ServerRun
-from foxtailcourse.ingress._load_relay import LoadRelay, LoadRow
+from foxtailcourse.ingress._load_relay import (
+    URGENT_CHANGE_TOKENS,
+    LoadRelay,
+    LoadRow,
+)
 from foxtailcourse.ingress._peer_messages import (
     MAX_DATAGRAM_BYTES,
     CacheBatch,
@@ -40,12 +44,10 @@
 LOADS_UPDATE_SPACING_S = 0.01
 # All loads are published again in this period, well before they expire.
 REPUBLISH_PERIOD_S = 0.4
-# A change of a server's load by this many prompt tokens is published at once.
-URGENT_CHANGE_TOKENS = 1_500
-# A relay collects changes for this time before it passes them on.
-RELAY_PERIOD_S = 0.05
+# Shortest time between two messages of a relay for urgent changes.
+RELAY_SPACING_S = 0.01
 # A relay collects cache events for this time; they are about as old when they arrive.
-RELAY_CACHE_PERIOD_S = 0.15
+RELAY_CACHE_PERIOD_S = 0.05
 # State published by the leader expires after this time.
 WEIGHTS_VALID_S = 1.5
 MAX_RECEIVED_BYTES = 2048
@@ -183,11 +185,11 @@
             case LoadsUpdate(rows) if self.plan.is_mesh:
                 self._apply_loads(sender, rows, now)
             case LoadsUpdate(rows):
-                self._relay.update_member(sender, rows, now)
-                self._relay_wakeup.set()
+                if self._relay.update_member(sender, rows, now):
+                    self._relay_wakeup.set()
             case DomainLoads(rows):
-                self._relay.update_relay(sender, rows, now)
-                self._relay_wakeup.set()
+                if self._relay.update_relay(sender, rows, now):
+                    self._relay_wakeup.set()
             case FleetLoads(rows):
                 self.plan.record_heard(sender, now)
                 self._apply_loads(FLEET_SOURCE, rows, now)
@@ -305,8 +307,7 @@
             now = self.clock()
             receivers = self.plan.upstream(now)
             await self._request_snapshot(now)
-            if self.vm in receivers:
-                self._relay.update_member(self.vm, rows, now)
+            if self.vm in receivers and self._relay.update_member(self.vm, rows, now):
                 self._relay_wakeup.set()
         # An empty message shows a relay that this entry is a member.
         for start in range(0, len(rows) or 1, LOAD_ROWS_PER_MESSAGE):
@@ -339,7 +340,7 @@
                 self._relay.expire(now)
             if self._relay.members():
                 await self._send_relayed_loads(everything, now)
-            await trio.sleep(RELAY_PERIOD_S)
+            await trio.sleep(RELAY_SPACING_S)
 
     async def _send_relayed_loads(self, everything: bool, now: float) -> None:
         relay = self._relay
