Spread the choices of many entries that decide on the same loads

Cause: entries of a large fleet know the loads of some ten milliseconds ago, and all select the server that was least loaded then.

Change: from 13 entries on, the cost of each server has a random part of up to 12,000 tokens.

Test: the load of 68 entries against the replaced policy, which stays in the emulator as same-choice.

--- a/src/foxtailcourse/emulator/ingress/deployments.py
+++ b/src/foxtailcourse/emulator/ingress/deployments.py
@@ -211,6 +211,23 @@
         ),
     ),
 )
+# The largest deployment; its engines have fewer slots.
+LARGE_COUNTER = FleetScenario(
+    name="grown-large-calm",
+    spec=attrs.evolve(COUNTER_ENGINE, slots=16, cache_tokens=159_478),
+    servers=39,
+    entries=68,
+    kinds=attrs.evolve(
+        COUNTER_SITE,
+        long_per_s=35.9,
+        short_per_s=240.0,
+        long_parts=696,
+        short_parts=2_072,
+        long_target_s=0.8,
+        long_worth=9.5,
+        long_late_worth=0.95,
+    ).kinds(),
+)
 GROWN_COUNTER = FleetScenario(
     name="grown-counter-calm",
     spec=COUNTER_ENGINE,
@@ -265,7 +282,14 @@
 
 
 # Scenarios without an outage and without a change of the weights.
-CALM_SCENARIOS = (COUNTER, GUIDING, GROWN_COUNTER, GROWN_GUIDING, GROWN_TILE)
+CALM_SCENARIOS = (
+    COUNTER,
+    GUIDING,
+    GROWN_COUNTER,
+    GROWN_GUIDING,
+    GROWN_TILE,
+    LARGE_COUNTER,
+)
 SCENARIOS = {
     each.name: each
     for calm in CALM_SCENARIOS
--- a/src/foxtailcourse/emulator/ingress/policies.py
+++ b/src/foxtailcourse/emulator/ingress/policies.py
@@ -1,5 +1,6 @@
 """Policy of ``foxtail-ingress`` and the baselines it is compared with."""
 
+import random
 from collections.abc import Sequence
 
 import attrs
@@ -21,6 +22,9 @@
     lowest_cost_choice,
 )
 
+# Seed of the random part of the costs.
+SPREAD_SEED = 1
+
 
 class ProductPolicy:
     """Placement and admission control of ``foxtail-ingress``.
@@ -30,6 +34,7 @@
 
     def __init__(self) -> None:
         self._sizes = RequestSizes()
+        self._rng = random.Random(SPREAD_SEED)
 
     def choose(
         self,
@@ -40,7 +45,9 @@
     ) -> Choice:
         """Return the selected server of an attempt."""
         short_work_tokens = self._sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
-        choice = choose_for_prompt(candidates, prompt, store, now, short_work_tokens)
+        choice = choose_for_prompt(
+            candidates, prompt, store, now, short_work_tokens, self._rng
+        )
         if not prompt.is_long:
             self._sizes.record_short_work(choice.work_tokens)
         return choice
@@ -150,6 +157,24 @@
         return AdmissionDecision.DEFER if overloaded else AdmissionDecision.SEND
 
 
+class SameChoice(ProductPolicy):
+    """Replaced policy without a random part of the cost."""
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        prompt: Prompt,
+        store: CacheStore | None,
+        now: float,
+    ) -> Choice:
+        """Return the selected server of an attempt."""
+        short_work_tokens = self._sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
+        choice = choose_for_prompt(candidates, prompt, store, now, short_work_tokens)
+        if not prompt.is_long:
+            self._sizes.record_short_work(choice.work_tokens)
+        return choice
+
+
 class SizeClasses(ProductPolicy):
     """Replaced policy that classified each prompt by its own size.
 
@@ -182,5 +207,6 @@
     "least-outstanding": LeastOutstanding,
     "ageing-holdback": AgeingDeferral,
     "size-classes": SizeClasses,
+    "same-choice": SameChoice,
     "ours": ProductPolicy,
 }
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -255,7 +255,9 @@
             )
         store = self._cache_store(prompt)
         short_work_tokens = self.sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
-        choice = choose_for_prompt(eligible, prompt, store, now, short_work_tokens)
+        choice = choose_for_prompt(
+            eligible, prompt, store, now, short_work_tokens, self.rng
+        )
         if not prompt.is_long:
             self.sizes.record_short_work(choice.work_tokens)
         return choice, len(eligible)
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -8,6 +8,7 @@
 import functools
 import hashlib
 import heapq
+import random
 from collections.abc import Mapping, Sequence
 
 import attrs
@@ -42,6 +43,10 @@
 # Discount for the preferred server of a prompt's largest part, so that entries agree on
 # a server while none is known to have the part cached.
 PREFERRED_SERVER_BONUS_TOKENS = 200.0
+# Many entries with equally old loads would select the same server. From this number of
+# entries on, a random cost of up to SPREAD_TOKENS spreads them.
+MIN_ENTRIES_TO_SPREAD = 13
+SPREAD_TOKENS = 12_000.0
 # Cost of one running request, in prefilled tokens.
 RUNNING_REQUEST_COST_TOKENS = 60.0
 # Cost of a server that fails all requests, in prefilled tokens.
@@ -328,9 +333,13 @@
     store: CacheStore | None,
     now: float,
     short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
+    rng: random.Random | None = None,
 ) -> Choice:
     """Return the server with the lowest cost for a prompt.
 
+    In a large fleet the loads are some ten milliseconds old, and the other entries
+    decide on the same ones. So the cost of each server has a random part there.
+
     Parameters
     ----------
     candidates : sequence of Candidate
@@ -343,18 +352,21 @@
         Present time in seconds since boot.
     short_work_tokens : float
         Mean prefill work of a short prompt, in tokens.
+    rng : random.Random or None
+        Source of the random part of the cost; None leaves it out.
     """
     sources = None
     if prompt.is_long:
         sources = FetchSources.find(candidates, prompt, store)
     choices = [_evaluate(each, prompt, sources, now) for each in candidates]
-    return lowest_cost_choice(choices, prompt, short_work_tokens)
+    return lowest_cost_choice(choices, prompt, short_work_tokens, rng)
 
 
 def lowest_cost_choice(
     choices: Sequence[Choice],
     prompt: Prompt,
     short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
+    rng: random.Random | None = None,
 ) -> Choice:
     """Return the choice with the lowest cost.
 
@@ -369,17 +381,25 @@
         The prompt.
     short_work_tokens : float
         Mean prefill work of a short prompt, in tokens.
+    rng : random.Random or None
+        Source of the random part of the cost; None leaves it out.
     """
     candidates = [each.candidate for each in choices]
     preferred = preferred_candidate(prompt.largest_part.id, candidates)
     reserved = reserved_for_short(candidates, short_work_tokens)
+    entries = max(each.entry_count for each in candidates)
+    spreads = rng is not None and entries >= MIN_ENTRIES_TO_SPREAD
 
     def rank(choice: Choice) -> float:
-        bonus = PREFERRED_SERVER_BONUS_TOKENS if choice.candidate is preferred else 0.0
+        cost_tokens = choice.cost_tokens
+        if choice.candidate is preferred:
+            cost_tokens -= PREFERRED_SERVER_BONUS_TOKENS
+        if rng is not None and spreads:
+            cost_tokens += rng.uniform(0, SPREAD_TOKENS)
         is_reserved = choice.candidate.server.id in reserved
         if prompt.is_long:
-            return choice.cost_tokens - bonus + is_reserved * RESERVED_COST_TOKENS
-        return choice.cost_tokens - bonus + (not is_reserved) * UNRESERVED_COST_TOKENS
+            return cost_tokens + is_reserved * RESERVED_COST_TOKENS
+        return cost_tokens + (not is_reserved) * UNRESERVED_COST_TOKENS
 
     return min(choices, key=rank)
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -198,8 +198,8 @@
     "(time to process the prompts queued at the entry)",
     "refused_after_run": "the server refused without reporting that nothing was run",
     "server_error": "the server ran the request and failed",
-    "servers_refuse": "each server asked this entry for no requests for some time, by a "
-    "retry-after header",
+    "servers_refuse": "each server asked this entry for no requests for some time, by "
+    "a retry-after header",
     "silent": "the server sent nothing for too long",
     "spoiled_answer": "the response lacks the server's signature or has a content "
     "encoding",
--- a/tests/ingress/test_overload.py
+++ b/tests/ingress/test_overload.py
@@ -10,6 +10,7 @@
 from foxtailcourse.emulator.ingress.policies import (
     AgeingDeferral,
     ProductPolicy,
+    SameChoice,
     SizeClasses,
 )
 from foxtailcourse.ingress._admission import (
@@ -182,6 +183,16 @@
         self.assertTrue(largest >= 0.98 * served, (largest, served))
         self.assertTrue(after.worth >= before.worth, (after.worth, before.worth))
 
+    def test_many_entries_do_not_all_select_the_same_server(self):
+        """Plays 68 entries that decide on loads of the same age."""
+        scenario = attrs.evolve(SCENARIOS["grown-large-calm"], duration_s=5.0)
+        before = self.simulate(SameChoice(), scenario)
+        after = self.simulate(ProductPolicy(), scenario)
+        for kind in (LONG, SHORT):
+            old = self.in_time_fraction(before.outcomes[kind])
+            new = self.in_time_fraction(after.outcomes[kind])
+            self.assertTrue(new > old, (kind, new, old))
+
     def test_no_prompt_is_refused_while_there_is_capacity(self):
         for outcome in self.simulate(ProductPolicy(), COUNTER).outcomes.values():
             self.assertThat(outcome.refused_after_s, Equals([]))
