Keep calls at most once when the store loses claims; fence slots by era

Cause: a store that returns from an older copy may lack the claim that binds a caller's own key to an issued one. A repeated call was then bound to a new issued key and ran again. Load slots were fenced by the revision alone, which a restored store assigns again, and a watcher of the configuration compared revisions of two eras unless one more call showed that the history was not continuous.

Ruled out: claims written back by the entry that made them; it may be gone, and entries that do not watch the store learn of the era too late.

Slots and the watcher use the era; the additional call is made only if the store states none.

Tests: test_claim_that_the_store_lost_does_not_let_the_call_run_twice fails before. The control without the continuity check also hides the era, and the slot's token is compared with that of its era.

--- a/src/foxtailcourse/config/_platform_source.py
+++ b/src/foxtailcourse/config/_platform_source.py
@@ -80,6 +80,8 @@
         self._write_back_jitter_s = write_back_jitter_s
         self._latest_change: KeyValue | KeyEvent | None = None
         self._listing_revision = 0
+        # Era of the store at the last reading of all records; 0 if it states none.
+        self._era = 0
         # Arrival time, by key, of records from peers that the platform has not shown.
         self._unconfirmed: dict[str, float] = {}
         self.repair_needed = trio.Event()
@@ -132,7 +134,9 @@
             If the records must be scanned again.
         """
         result = await self.key_value.watch(WATCHED_PREFIXES, after, wait_s)
-        if result.revision < after or not await self._is_continuous():
+        restored = result.revision < after or result.era != self._era
+        # A store that states no era is asked for the latest change that was read.
+        if restored or (result.era == 0 and not await self._is_continuous()):
             self._events.emit(
                 "platform_went_back", revision=result.revision, expected=after
             )
@@ -160,6 +164,7 @@
         """
         result = await self.key_value.range(*WATCHED_PREFIXES)
         self._unconfirmed.clear()
+        self._era = result.era
         self._latest_change = max(
             result.items, key=lambda item: item.mod_revision, default=None
         )
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -217,6 +217,8 @@
     "backend_unreachable": "no agent could be reached",
     "bad_idempotency_key": "the field `Idempotency-Key` is too long or not printable",
     "body_too_large": "the body exceeds the limit of the contract or of the entry",
+    "claims_lost": "the platform's store returned from an older copy, which may lack "
+    "the binding of the caller's key; use an issued key for new calls",
     "claims_unavailable": "the caller's key could not be bound to an issued key; use "
     "an issued key",
     "concurrency": "`max_concurrent` of the contract is reached on this entry",
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -49,7 +49,7 @@
 
     @run_with("with_cluster")
     async def test_without_the_continuity_check_the_change_is_hidden(self, running):
-        """Control: without the check, a restore between two watch calls is missed."""
+        """Control: without the checks, a restore between two watch calls is missed."""
         platform, store = running.platform, ConfigStore()
         key_value = KeyValueClient(ConnectionPool(), running.address)
         source = PlatformSource(
@@ -60,6 +60,8 @@
         after = await source.scan()
         platform.restore(old)
         platform.seed([contract(3, 5.0)])
+        # The era does not show the restore either.
+        platform.era = source._era
         self.assertFalse(await source._is_continuous())
         with mock.patch.object(source, "_is_continuous", return_value=True):
             await source.watch(after, 0.01)
--- a/tests/entry/test_at_most_once.py
+++ b/tests/entry/test_at_most_once.py
@@ -5,6 +5,7 @@
 
 from entry_support import FakeAgent, FakeKeyValue, record, running_entry
 from foxtailcourse.entry import _claims
+from foxtailcourse.http import HttpError
 from foxtailcourse.idempotency import KeyIssuer
 from foxtailcourse.platform import PlatformError
 from foxtailcourse.protocol import Verdict
@@ -237,6 +238,35 @@
 
         self.run_async(main)
 
+    def test_claim_that_the_store_lost_does_not_let_the_call_run_twice(self):
+        async def main():
+            key_value, now = FakeKeyValue(), [0.0]
+            key_value.era = 1
+            claims = _claims.Claims(key_value, lambda: now[0])
+            first = await claims.bind("teatro", "mine", "coats", "issued-1")
+            self.assertThat(first, Equals("issued-1"))
+            kept = dict(key_value.items)
+            await claims.bind("teatro", "other", "coats", "issued-2")
+            # The store returns from a copy that has the first claim only.
+            key_value.items, key_value.era = kept, 2
+            now[0] = 10.0
+            again = await claims.bind("teatro", "mine", "coats", "issued-3")
+            self.assertThat(again, Equals("issued-1"))
+            restarted = _claims.Claims(key_value, lambda: now[0])
+            for each in (claims, restarted, claims):
+                exc = await self.catch_error(
+                    HttpError, each.bind, "teatro", "other", "coats", "issued-4"
+                )
+                self.assertThat(exc.code, Equals("claims_lost"))
+                self.assertIs(exc.verdict, Verdict.MAY_HAVE_RUN)
+                self.assertThat(key_value.items, Equals(kept))
+            # By then the issued key of the lost claim has expired.
+            now[0] = 10.0 + _claims.LOST_CLAIMS_S
+            later = await claims.bind("teatro", "new", "coats", "issued-5")
+            self.assertThat(later, Equals("issued-5"))
+
+        self.run_async(main)
+
     def test_key_of_another_route_is_refused(self):
         async def main():
             key_value = FakeKeyValue()
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -55,6 +55,7 @@
         self.items = {}
         self.faults = []
         self.calls = 0
+        self.era = 0
         self._late_write = None
 
     def _next_fault(self):
@@ -84,6 +85,8 @@
             self._late_write = (dict(compare), list(put))
             raise PlatformError("late", may_have_applied=True)
         succeeded = self._apply(compare, put)
+        for key in delete if succeeded else ():
+            self.items.pop(key, None)
         if fault == "lost":
             raise PlatformError("lost", may_have_applied=True)
         current = [self._item(key) for key in compare if key in self.items]
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -10,7 +10,7 @@
 from foxtailcourse.engine import EngineError, HttpEngineClient
 from foxtailcourse.http import ConnectionPool
 from foxtailcourse.observe import EventLog, HybridClock
-from foxtailcourse.platform import KeyValueClient, PlatformError
+from foxtailcourse.platform import KeyValueClient, PlatformError, fencing_token
 from foxtailcourse.rollout import (
     DesiredState,
     HeldSlot,
@@ -189,7 +189,8 @@
         self.store.txn = lose_response
         slot = await self.make_slots().acquire()
         item = self.platform.get(slot.key)
-        self.assertThat(item.mod_revision, Equals(slot.fencing))
+        token = fencing_token(self.platform.era, item.mod_revision)
+        self.assertThat(token, Equals(slot.fencing))
 
     @with_server()
     async def test_no_order_is_sent_during_a_platform_outage(self):
