Send no request again with less than a quarter of its target left

The entry had closed the connection at the deadline, but bytes that wait at a busy link (5 Mbit/s) cannot be taken back.

Ruled out: a second attempt after the deadline; the deadline cancels the attempt, also while it connects.

Change: another attempt needs a quarter of the route's target latency, at least 30 ms as before. The caller gets its final answer at once.

Test: test_request_is_not_sent_again_shortly_before_its_deadline fails before.

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -35,8 +35,11 @@
 # if that is longer. Loads change with each first event.
 DEFERRED_CHECK_S = 0.015
 DEFERRED_CHECK_FRACTION = 0.1
-# Shortest remaining time before the deadline that is worth another attempt.
+# Shortest remaining time before the deadline that is worth another attempt, in seconds
+# and as a fraction of the route's target latency. What is sent later may reach the
+# server after the caller has left, if the link is busy.
 MIN_ATTEMPT_S = 0.03
+MIN_ATTEMPT_TARGET_FRACTION = 0.25
 # Retry-after times in seconds by the reason of a refusal. A weight load takes seconds,
 # but another server becomes available sooner.
 RETRY_AFTER_S = {
@@ -265,7 +268,10 @@
     def _may_retry(self, job: Job, exc: AttemptError) -> bool:
         """Whether to retry; counts the retry unless the server was unreachable."""
         now = self.clock()
-        if job.deadline - now < MIN_ATTEMPT_S:
+        min_attempt_s = max(
+            MIN_ATTEMPT_S, MIN_ATTEMPT_TARGET_FRACTION * job.route.target_latency_s
+        )
+        if job.deadline - now < min_attempt_s:
             return False
         if exc.verdict is not Verdict.NOT_RUN and not job.route.idempotent:
             return False
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -128,6 +128,21 @@
             )
         self.assertThat(len(fleet.servers["c2"].runs), Equals(6))
 
+    @run_with("with_fleet")
+    async def test_request_is_not_sent_again_shortly_before_its_deadline(
+        self, fleet, entry
+    ):
+        """The route's target is 200 ms; less than a quarter of it is left."""
+        for name in ("c1", "c2"):
+            fleet.servers[name].event_s = 0.16
+            fleet.servers[name].faults = BackendServerFaults(fail=True)
+        response = await fleet.call(entry, "look", x_foxtailcourse_deadline_ms="200")
+        self.assertThat(response.status, Equals(500))
+        self.assertThat(len(self.runs(fleet)), Equals(1))
+        # With enough time left it is.
+        response = await fleet.call(entry, "look", x_foxtailcourse_deadline_ms="900")
+        self.assertThat(len(self.runs(fleet)), Equals(3))
+
     @run_with("with_fleet")
     async def test_lost_response_of_unsafe_request_is_not_retried(self, fleet, entry):
         for name in ("c1", "c2"):
