--- a/scripts/traffic.py
+++ b/scripts/traffic.py
@@ -26,6 +26,8 @@
 }
 # Venues of a client account, and seasons and tickets of a venue; then the lengths of
 # the prompt parts in words.
+# Accounts and venues that are drawn in advance; later requests repeat them.
+DRAWS = 4096
 VENUES, SEASONS, TICKETS = 12, 3, 40
 VENUE_WORDS, SEASON_WORDS, TICKET_WORDS, LEDGER_WORDS = 500, 200, 60, 600
 SHORT_ANSWER_TOKENS, LONG_ANSWER_TOKENS = 16, 160
@@ -137,9 +139,9 @@
         self.weights_versions = ("v1",)
         self._prefixes = set()
         accounts = list(ACCOUNTS)
-        self._accounts = self.rng.choices(accounts, ACCOUNTS.values(), k=4096)
+        self._accounts = self.rng.choices(accounts, ACCOUNTS.values(), k=DRAWS)
         zipf_weights = [1 / rank for rank in range(1, VENUES + 1)]
-        self._venues = self.rng.choices(range(VENUES), zipf_weights, k=4096)
+        self._venues = self.rng.choices(range(VENUES), zipf_weights, k=DRAWS)
 
     def stats_for(self, name):
         """Return the statistics of a kind of request."""
@@ -176,7 +178,7 @@
 
     async def short_question(self, number):
         """Ask a short question; the prompt has a venue, a season and a ticket part."""
-        account, venue = self._accounts[number], self._venues[number]
+        account, venue = self._accounts[number % DRAWS], self._venues[number % DRAWS]
         season = self.rng.randrange(SEASONS)
         ticket = self.rng.randrange(TICKETS)
         venue_seed = f"{account}/{venue}"
@@ -196,7 +198,7 @@
 
     async def ledger_review(self, number):
         """Ask for a long answer about a ledger that no other request has."""
-        account = self._accounts[number]
+        account = self._accounts[number % DRAWS]
         messages = [
             {
                 "role": "system",
@@ -312,7 +314,7 @@
         """Send an availability request, which the entry may retry."""
         stats = self.stats_for("availability lookup")
         stats.sent += 1
-        account = self._accounts[number]
+        account = self._accounts[number % DRAWS]
         path = f"/services/availability/{number % 50}"
         status, _ = await self._call(stats, "GET", path, self.headers(account), b"")
         stats.ok += status == 200
@@ -323,7 +325,7 @@
         The submissions of one call go to entries chosen independently.
         """
         stats = self.stats_for("coat return")
-        account = self._accounts[number]
+        account = self._accounts[number % DRAWS]
         coat = f"{secrets.token_hex(4)}-{number}"
         body = msgspec.json.encode({"route": "counter"})
         headers = self.headers(account)
--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -27,7 +27,6 @@
 
 NOT_READY_RETRY_AFTER_MS = 1000
 SERVICES_PREFIX = "/services/"
-ExchangeHandler = Callable[[Exchange, Contract, str], Awaitable[None]]
 
 
 class Gateway:
--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -180,7 +180,6 @@
     on_change: Callable[["BackendServerStandin"], None] = attrs.field(
         default=lambda server: None
     )
-    named: dict[str, int] = attrs.field(factory=dict)
 
     def registration(self, address: str, failure_domain: str) -> bytes:
         """Return the JSON value that the server registers in the platform's store."""
--- a/src/foxtailcourse/standin/_platform.py
+++ b/src/foxtailcourse/standin/_platform.py
@@ -259,7 +259,7 @@
         body = exchange.json()
         try:
             changes = msgspec.convert(body, dict[str, Any])
-            restore = changes.pop("restore", None)
+            restore = msgspec.convert(changes.pop("restore", None), int | None)
             current = msgspec.structs.asdict(self.faults)
             for name in changes.keys() - current.keys():
                 raise HttpError(400, "unknown_fault", f"unknown fault {name}")
@@ -267,7 +267,7 @@
         except msgspec.ValidationError as exc:
             raise HttpError(400, "malformed_request", str(exc)) from exc
         if restore is not None:
-            self.restore(int(restore))
+            self.restore(restore)
         # Wakes waiting watches, so that the faults apply to them immediately.
         self._notify()
         await exchange.respond_json(200, self.faults)
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -160,3 +160,18 @@
                     self.assertThat((await client.range("a")).era, Equals(4))
 
         self.run_async(main)
+
+    def test_malformed_restore_changes_no_fault_of_the_standin(self):
+        async def main():
+            platform = PlatformStandin()
+            async with serve(platform.handle) as address:
+                body = b'{"outage": "refuse", "restore": "yesterday"}'
+                async with ConnectionPool().request(
+                    address, "POST", "/fault", body=body
+                ) as response:
+                    self.assertThat(response.status, Equals(400))
+                    await response.read()
+            self.assertThat(platform.faults.outage, Equals("off"))
+            self.assertThat(platform.era, Equals(1))
+
+        self.run_async(main)
