--- a/src/foxtailcourse/ingress/__init__.py
+++ b/src/foxtailcourse/ingress/__init__.py
@@ -12,18 +12,15 @@
 )
 from foxtailcourse.ingress._app import IngressApp, serve
 from foxtailcourse.ingress._cache_index import CacheIndex
+from foxtailcourse.ingress._fetch_sources import FetchSources
 from foxtailcourse.ingress._placement import (
     ASSUMED_SHORT_WORK_TOKENS,
     OUTDATED_WEIGHTS_COST_TOKENS,
     RUNNING_REQUEST_COST_TOKENS,
-    CacheStore,
-    Candidate,
-    Choice,
-    FetchSources,
-    Prompt,
     choose_for_prompt,
     lowest_cost_choice,
 )
+from foxtailcourse.ingress._placement_types import CacheStore, Candidate, Choice, Prompt
 from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._rollout import plan_weight_loads
 from foxtailcourse.ingress._server_loads import (
--- a/src/foxtailcourse/ingress/_admission.py
+++ b/src/foxtailcourse/ingress/_admission.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from foxtailcourse.ingress._placement import Choice, Prompt
+from foxtailcourse.ingress._placement_types import Choice, Prompt
 
 # Prefill rate of an engine that also decodes its running requests: a chunk of 1,024
 # tokens in a step of 26 ms, according to the engines' data sheets.
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -7,9 +7,7 @@
 import trio
 
 from foxtailcourse.fleet import (
-    BackendServer,
     CallerLimits,
-    Configuration,
     FleetView,
     Freshness,
 )
@@ -20,6 +18,7 @@
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._dispatcher import Dispatcher
+from foxtailcourse.ingress._fleet_updates import FleetUpdates
 from foxtailcourse.ingress._handler import IngressHandler
 from foxtailcourse.ingress._lease import EntryLease
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
@@ -37,7 +36,6 @@
     SERVERS_PREFIX,
     KeyValueClient,
     PlatformError,
-    RecordDispatcher,
     ServerClient,
 )
 from foxtailcourse.process import AdminServer, DaemonContext, Readiness
@@ -54,9 +52,6 @@
 READINESS_LIMITS = HttpLimits(max_connections=50, max_body_bytes=1024)
 SERVER_CALL_TIMEOUT_S = 0.5
 LOADS_MAINTENANCE_PERIOD_S = 5.0
-# Age of the weights versions that an entry finds at its start, as a fraction of the
-# time after which outdated weights must not be used.
-ASSUMED_WEIGHTS_AGE_FRACTION = 0.5
 # The settings file may also change without a signal, and reading it is cheap.
 RELOAD_PERIOD_S = 3.0
 
@@ -99,7 +94,7 @@
             clock=boot_seconds,
         )
         self._client = ServerClient(
-            self._pool, SERVER_CALL_TIMEOUT_S, self._on_leaving_address
+            self._pool, SERVER_CALL_TIMEOUT_S, self._announce_leaving_at
         )
         self._membership = Membership(self._view, self._events)
         self._lease = EntryLease(
@@ -142,18 +137,21 @@
             self._events,
             self._metrics,
         )
-        self._peer_exchange.on_leaving = self._on_leaving_announced
         self._peer_exchange.store_era = lambda: self._store.era
         self._peer_exchange.on_cache_update = self._cache_feed.apply_published
         self._peer_exchange.cache_snapshot = self._cache_feed.snapshot
         self._peer_exchange.weights_to_publish = self._rollout.weights_to_publish
-        dispatcher = RecordDispatcher(
-            on_configuration=self._apply_configuration,
-            on_weights=self._apply_weights,
-            on_server=self._apply_server,
-            on_unreadable=self._on_unreadable_record,
+        self._updates = FleetUpdates(
+            view=self._view,
+            membership=self._membership,
+            publish_leaving=self._peer_exchange.publish_leaving,
+            apply_limits=self._apply_caller_limits,
+            weights_limit_s=cfg.weights_ms / 1000,
+            clock=boot_seconds,
+            events=self._events,
+            metrics=self._metrics,
         )
-        self._records = dispatcher
+        self._peer_exchange.on_leaving = self._updates.announce_leaving
         self._watcher = StoreWatcher(
             self._store,
             {
@@ -163,10 +161,11 @@
             },
             cfg.watch_wait_s,
             cfg.watch_pause_s,
-            self._apply_change,
+            self._updates.apply_change,
             self._events,
             self._metrics,
         )
+        self._updates.state = self._watcher.state
         self._refresh_lock = trio.Lock()
         self.address = cfg.listen
         self.listening = False
@@ -198,7 +197,7 @@
                 self._watchdog,
                 self._cfg.connect_timeout_s,
                 boot_seconds,
-                self._on_leaving_announced,
+                self._updates.announce_leaving,
             ),
             retry_budget_for=self._retry_budget_for,
             clock=boot_seconds,
@@ -215,126 +214,14 @@
             )
         return self._retry_budgets[service]
 
-    # Updates from the store
-
-    def _apply_change(self, key: str, value: bytes | None, revision: int) -> None:
-        if key.startswith(MEMBERSHIP_PREFIX):
-            self._membership.apply_change(key, value, revision)
-        else:
-            self._records.dispatch(key, value, revision)
-
-    def _apply_configuration(self, configuration: Configuration, revision: int) -> None:
-        era = self._watcher.era
-        previous = self._view.configuration
-        if not self._view.apply_configuration(configuration, revision, era):
-            if previous is not None and era != self._view.configuration_era:
-                self._events.emit(
-                    "configuration_kept",
-                    version=previous.version,
-                    era=self._view.configuration_era,
-                    refused_version=configuration.version,
-                    refused_era=era,
-                )
-            return
-        self._http_server.set_limits(self._cfg.http_limits(configuration.limits))
-        self._events.emit(
-            "configuration_applied",
-            version=configuration.version,
-            revision=revision,
-            era=era,
-            routes=sum(len(each) for each in configuration.routes.values()),
-            keys=len(configuration.accounts),
-        )
-
-    def _apply_weights(self, model: str, version: int) -> None:
-        now = boot_seconds()
-        # A version that is found at the start may have been named long before.
-        age_s = 0.0
-        if not self._watcher.scanned:
-            age_s = ASSUMED_WEIGHTS_AGE_FRACTION * self._cfg.weights_ms / 1000
-        if self._view.set_desired_weights(model, version, now - age_s):
-            self._events.emit(
-                "weights_named",
-                model=model,
-                version=version,
-                assumed_age_ms=int(age_s * 1000) or None,
-            )
-
-    def _apply_server(
-        self, server_id: str, server: BackendServer | None, revision: int
-    ) -> None:
-        previous = self._view.servers.get(server_id)
-        self._apply_withdrawal(server, previous, revision)
-        if server is not None and previous is not None:
-            server = server.with_newer_weights(previous)
-        if server == previous:
-            return
-        if server is None:
-            del self._view.servers[server_id]
-            self._events.emit("server_gone", backend_server=server_id)
-            return
-        self._view.servers[server_id] = server
-        self._events.emit(
-            "server_registered",
-            backend_server=server_id,
-            service=server.service,
-            address=server.address,
-            leaving=server.leaving,
-            weights=",".join(f"{k}:{v}" for k, v in server.weights.items()) or None,
-        )
-
-    def _apply_withdrawal(
-        self,
-        server: BackendServer | None,
-        previous: BackendServer | None,
-        revision: int,
-    ) -> None:
-        """Withdraw a run whose server leaves, or reinstate one that registers again."""
-        watcher, withdrawn = self._watcher, self._view.withdrawn
-        now = boot_seconds()
-        if server is None:
-            if previous is not None:
-                withdrawn.withdraw(previous.run, watcher.era, now)
-        elif server.leaving:
-            withdrawn.withdraw(server.run, watcher.era, now)
-        elif server.run in withdrawn:
-            is_copy = revision <= watcher.copy_revision
-            reinstated = withdrawn.reinstate(
-                server.run, watcher.era, now, is_copy=is_copy
-            )
-            if reinstated or previous is None:
-                self._events.emit(
-                    "server_reinstated" if reinstated else "server_kept_withdrawn",
-                    backend_server=server.id,
-                    revision=revision,
-                    era=watcher.era,
-                    is_copy=is_copy,
-                )
-
-    def _on_leaving_announced(
-        self, server: BackendServer, *, by_entry: str = ""
-    ) -> None:
-        """Withdraw a run whose server said that it leaves, to this or another entry."""
-        if not self._view.withdrawn.announce(server.run, boot_seconds()):
-            return
-        self._events.emit(
-            "server_leaving",
-            backend_server=server.id,
-            started_ms=server.started_ms,
-            by_entry=by_entry or None,
-        )
-        if not by_entry:
-            self._peer_exchange.publish_leaving(server.run)
+    def _apply_caller_limits(self, limits: CallerLimits) -> None:
+        self._http_server.set_limits(self._cfg.http_limits(limits))
 
-    def _on_leaving_address(self, address: Address) -> None:
+    def _announce_leaving_at(self, address: Address) -> None:
         """Withdraw the runs at an address where a server said that it leaves."""
         for server in list(self._view.servers.values()):
             if server.address == address:
-                self._on_leaving_announced(server)
-
-    def _on_unreadable_record(self, reason: str) -> None:
-        self._metrics.count("foxtail_ingress_unreadable_records_total")
-        self._events.emit("record_unreadable", reason=reason)
+                self._updates.announce_leaving(server)
 
     async def _refresh(self, max_age_s: float) -> None:
         """Read the configuration again if it is older than ``max_age_s``.
@@ -495,6 +382,7 @@
         self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
         self._dispatcher.candidates.weights_limit_s = cfg.weights_ms / 1000
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
+        self._updates.weights_limit_s = cfg.weights_ms / 1000
         for budget in self._retry_budgets.values():
             budget.ratio, budget.extra = cfg.retry_ratio, cfg.retry_extra
             budget.window_s = cfg.retry_window_s
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -15,7 +15,7 @@
 )
 from foxtailcourse.ingress._event_splitter import EventSplitter
 from foxtailcourse.ingress._job import AttemptError, Job, ServerResponse
-from foxtailcourse.ingress._placement import Choice
+from foxtailcourse.ingress._placement_types import Choice
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
 from foxtailcourse.platform import (
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -11,7 +11,7 @@
 
 from foxtailcourse.fleet import Account, BackendServer, FleetView
 from foxtailcourse.ingress._cache_index import CacheIndex
-from foxtailcourse.ingress._placement import Candidate
+from foxtailcourse.ingress._placement_types import Candidate
 from foxtailcourse.ingress._server_loads import ServerLoads
 
 # Outdated weights are no longer used this long before the platform's limit.
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -15,17 +15,15 @@
 )
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._candidates import CandidateFilter
+from foxtailcourse.ingress._fetch_sources import should_save
 from foxtailcourse.ingress._job import AttemptError, Job, RefusedError, ServerResponse
 from foxtailcourse.ingress._placement import (
     ASSUMED_SHORT_WORK_TOKENS,
-    CacheStore,
-    Choice,
-    Prompt,
     choose_for_prompt,
     choose_without_prompt,
     preferred_store,
-    should_save,
 )
+from foxtailcourse.ingress._placement_types import CacheStore, Choice, Prompt
 from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.observe import EventLog, Metrics
--- /dev/null
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -0,0 +1,188 @@
+"""Applies what the store and the backend servers say to the state of the fleet."""
+
+from collections.abc import Callable
+
+from foxtailcourse.fleet import (
+    BackendServer,
+    CallerLimits,
+    Configuration,
+    FleetView,
+    ServerRun,
+)
+from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
+from foxtailcourse.ingress._store_watcher import StoreState
+from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.platform import RecordDispatcher
+
+# Age of the weights versions that an entry finds at its start, as a fraction of the
+# time after which outdated weights must not be used.
+ASSUMED_WEIGHTS_AGE_FRACTION = 0.5
+
+
+class FleetUpdates:
+    """Applies changes of the store's records, and servers' statements that they leave.
+
+    Parameters
+    ----------
+    view : FleetView
+        Last known state of the fleet.
+    membership : Membership
+        Registered entries and leader.
+    publish_leaving : callable
+        Tells the other entries that a run of a server leaves.
+    apply_limits : callable
+        Applies limits on callers.
+    weights_limit_s : float
+        Time in seconds after which outdated weights must not be used.
+    clock : callable
+        Returns seconds since boot.
+    events : EventLog
+        Receives an event for each change.
+    metrics : Metrics
+        Counts unreadable records.
+
+    Attributes
+    ----------
+    state : StoreState
+        Which state of the store the changes belong to.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        membership: Membership,
+        publish_leaving: Callable[[ServerRun], None],
+        apply_limits: Callable[[CallerLimits], None],
+        weights_limit_s: float,
+        clock: Callable[[], float],
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._view = view
+        self._membership = membership
+        self._publish_leaving = publish_leaving
+        self._apply_limits = apply_limits
+        self.weights_limit_s = weights_limit_s
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self.state = StoreState()
+        self._records = RecordDispatcher(
+            on_configuration=self._apply_configuration,
+            on_weights=self._apply_weights,
+            on_server=self._apply_server,
+            on_unreadable=self._count_unreadable,
+        )
+
+    def apply_change(self, key: str, value: bytes | None, revision: int) -> None:
+        """Apply one change of a key; the value is None once the key is deleted."""
+        if key.startswith(MEMBERSHIP_PREFIX):
+            self._membership.apply_change(key, value, revision)
+        else:
+            self._records.dispatch(key, value, revision)
+
+    def _apply_configuration(self, configuration: Configuration, revision: int) -> None:
+        era = self.state.era
+        previous = self._view.configuration
+        if not self._view.apply_configuration(configuration, revision, era):
+            if previous is not None and era != self._view.configuration_era:
+                self._events.emit(
+                    "configuration_kept",
+                    version=previous.version,
+                    era=self._view.configuration_era,
+                    refused_version=configuration.version,
+                    refused_era=era,
+                )
+            return
+        self._apply_limits(configuration.limits)
+        self._events.emit(
+            "configuration_applied",
+            version=configuration.version,
+            revision=revision,
+            era=era,
+            routes=sum(len(each) for each in configuration.routes.values()),
+            keys=len(configuration.accounts),
+        )
+
+    def _apply_weights(self, model: str, version: int) -> None:
+        now = self._clock()
+        # A version that is found at the start may have been named long before.
+        age_s = 0.0
+        if not self.state.complete:
+            age_s = ASSUMED_WEIGHTS_AGE_FRACTION * self.weights_limit_s
+        if self._view.set_desired_weights(model, version, now - age_s):
+            self._events.emit(
+                "weights_named",
+                model=model,
+                version=version,
+                assumed_age_ms=int(age_s * 1000) or None,
+            )
+
+    def _apply_server(
+        self, server_id: str, server: BackendServer | None, revision: int
+    ) -> None:
+        previous = self._view.servers.get(server_id)
+        self._apply_withdrawal(server, previous, revision)
+        if server is not None and previous is not None:
+            server = server.with_newer_weights(previous)
+        if server == previous:
+            return
+        if server is None:
+            del self._view.servers[server_id]
+            self._events.emit("server_gone", backend_server=server_id)
+            return
+        self._view.servers[server_id] = server
+        self._events.emit(
+            "server_registered",
+            backend_server=server_id,
+            service=server.service,
+            address=server.address,
+            leaving=server.leaving,
+            weights=",".join(f"{k}:{v}" for k, v in server.weights.items()) or None,
+        )
+
+    def _apply_withdrawal(
+        self,
+        server: BackendServer | None,
+        previous: BackendServer | None,
+        revision: int,
+    ) -> None:
+        """Withdraw a run whose server leaves, or reinstate one that registers again."""
+        state, withdrawn = self.state, self._view.withdrawn
+        now = self._clock()
+        if server is None:
+            if previous is not None:
+                withdrawn.withdraw(previous.run, state.era, now)
+        elif server.leaving:
+            withdrawn.withdraw(server.run, state.era, now)
+        elif server.run in withdrawn:
+            is_copy = revision <= state.copy_revision
+            reinstated = withdrawn.reinstate(
+                server.run, state.era, now, is_copy=is_copy
+            )
+            if reinstated or previous is None:
+                self._events.emit(
+                    "server_reinstated" if reinstated else "server_kept_withdrawn",
+                    backend_server=server.id,
+                    revision=revision,
+                    era=state.era,
+                    is_copy=is_copy,
+                )
+
+    def announce_leaving(self, server: BackendServer, *, by_entry: str = "") -> None:
+        """Withdraw a run whose server said that it leaves, to this or another entry."""
+        if not self._view.withdrawn.announce(server.run, self._clock()):
+            return
+        self._events.emit(
+            "server_leaving",
+            backend_server=server.id,
+            started_ms=server.started_ms,
+            by_entry=by_entry or None,
+        )
+        if not by_entry:
+            self._publish_leaving(server.run)
+
+    def _count_unreadable(self, reason: str) -> None:
+        self._metrics.count("foxtail_ingress_unreadable_records_total")
+        self._events.emit("record_unreadable", reason=reason)
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -4,7 +4,7 @@
 
 from foxtailcourse.fleet import Account, Route
 from foxtailcourse.http import Exchange
-from foxtailcourse.ingress._placement import Choice, Prompt
+from foxtailcourse.ingress._placement_types import Choice, Prompt
 from foxtailcourse.platform import IngressRequest
 from foxtailcourse.protocol import Verdict
 
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -9,15 +9,15 @@
 import hashlib
 import heapq
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
-import attrs
-
-from foxtailcourse.fleet import BackendServer
-from foxtailcourse.ingress._cache_index import COMPLETE_PART_FRACTION, CacheIndex
-from foxtailcourse.ingress._server_loads import ServerLoad, TotalLoad
-from foxtailcourse.platform import PromptPart
-from foxtailcourse.settings import Address
+from foxtailcourse.ingress._fetch_sources import FetchSources
+from foxtailcourse.ingress._placement_types import (
+    CacheStore,
+    Candidate,
+    Choice,
+    Prompt,
+)
 
 # Context length at which the prefill of a token takes twice as long as at the start of
 # a prompt. The data sheets of the two engines give 30,500 and 57,700 tokens.
@@ -25,21 +25,9 @@
 # Fixed cost of a prompt: it takes an engine step of its own, which lasts 12 ms besides
 # the prefill according to the engines' data sheets with 30 running requests.
 PROMPT_OVERHEAD_TOKENS = 450.0
-# Above this size the prefill dominates the cost of a prompt: it takes about 0.1 s.
-LONG_PROMPT_TOKENS = 4000
 # Cost of a token to prefill relative to a token queued ahead of the prompt. It is above
 # 1 because the prefill also delays other requests.
 MISS_WEIGHT = 3.0
-# Least cost of fetching a token from another server or the KV-cache store, relative to
-# its prefill.
-PEER_FETCH_COST_RATIO = 0.2
-STORE_FETCH_COST_RATIO = 0.5
-# Time to prefill a token in a busy engine, in seconds; see PREFILL_TOKENS_PER_S.
-PREFILL_TOKEN_S = 25e-6
-# Multiple of the transfer time between failure domains, set by the platform.
-CROSS_DOMAIN_TRANSFER_RATIO = 2.0
-# Fewest uncached tokens that are worth a fetch.
-MIN_FETCH_TOKENS = 500
 # Discount for the preferred server of a prompt's largest part, so that entries agree on
 # a server while none is known to have the part cached.
 PREFERRED_SERVER_BONUS_TOKENS = 200.0
@@ -71,213 +59,6 @@
 MAX_RESERVED_FRACTION = 0.6
 
 
-@attrs.frozen(kw_only=True)
-class Prompt:
-    """The parts and the size of a prompt.
-
-    Parameters
-    ----------
-    parts : tuple of PromptPart
-        Parts in order. Other prompts may start with the same parts, except the last
-        one, which belongs to this prompt alone.
-    tokens : int
-        Number of tokens of the whole prompt.
-    typical_tokens : float
-        Mean number of tokens of the prompts of its kind; 0 if unknown.
-    """
-
-    parts: tuple[PromptPart, ...]
-    tokens: int
-    typical_tokens: float = 0.0
-
-    @property
-    def is_long(self) -> bool:
-        """Whether the prefill dominates the cost of the prompts of its kind.
-
-        A large prompt of a short kind is treated like the others of its kind, which
-        have the same target and deadline.
-        """
-        return (self.typical_tokens or self.tokens) > LONG_PROMPT_TOKENS
-
-    @property
-    def shared_tokens(self) -> int:
-        """Number of tokens in the parts that other prompts may share."""
-        return sum(each.tokens for each in self.parts[:-1])
-
-    @property
-    def largest_part(self) -> PromptPart:
-        """The largest part that other prompts may share, or the only part."""
-        return max(self.parts[:-1] or self.parts, key=lambda part: part.tokens)
-
-
-@attrs.frozen(kw_only=True)
-class Candidate:
-    """A backend server that may take the request.
-
-    Parameters
-    ----------
-    server : BackendServer
-        The server.
-    own_load : ServerLoad
-        Load by the requests of this entry.
-    total_load : TotalLoad
-        Load by the requests of all entries. Its prompt tokens are recent; its requests
-        in flight are up to one publishing period old, and many more may have been sent
-        since.
-    entry_count : int
-        Number of entries that send requests to the server.
-    cache_index : CacheIndex
-        Last known contents of the server's KV cache.
-    salt : str
-        Cache salt of the request on this server.
-    outdated_weights : bool
-        Whether newer weights are desired.
-    transfer_token_s : float
-        Time to transfer the KV cache of a token to the server within its failure
-        domain, in seconds; 0 if unknown.
-    """
-
-    server: BackendServer
-    own_load: ServerLoad
-    total_load: TotalLoad
-    entry_count: int
-    cache_index: CacheIndex
-    salt: str = ""
-    outdated_weights: bool = False
-    transfer_token_s: float = 0.0
-
-
-@attrs.frozen(kw_only=True)
-class CacheStore:
-    """A KV-cache store and its last known contents."""
-
-    address: Address
-    cache_index: CacheIndex
-
-
-@attrs.frozen(kw_only=True)
-class FetchSources:
-    """Where the shared parts of a prompt can be fetched from.
-
-    Only parts that cache events confirmed count, since the prefill of the others may
-    not have finished. The store is used as the source even if it is not known to have
-    any part cached: a miss is cheap, and its events arrive late.
-
-    Parameters
-    ----------
-    holders : mapping
-        By salt and failure domain: number of tokens that a server has cached from the
-        start of the prompt, and the candidate, for the two servers that have most.
-    prompt : Prompt
-        The prompt.
-    store : CacheStore or None
-        The KV-cache store, if it is reachable.
-    """
-
-    holders: Mapping[tuple[str, str], Sequence[tuple[int, Candidate]]]
-    prompt: Prompt
-    store: CacheStore | None
-
-    @classmethod
-    def find(
-        cls,
-        candidates: Sequence[Candidate],
-        prompt: Prompt,
-        store: CacheStore | None,
-    ) -> "FetchSources":
-        """Return the sources among the candidates."""
-        holders: dict[tuple[str, str], list[tuple[int, Candidate]]] = {}
-        for each in candidates:
-            tokens = each.cache_index.confirmed_prefix_tokens(each.salt, prompt.parts)
-            if tokens >= MIN_FETCH_TOKENS:
-                group = holders.setdefault((each.salt, each.server.failure_domain), [])
-                group.append((tokens, each))
-        for group in holders.values():
-            # One more than is fetched from, in case the best one is the receiver.
-            group.sort(key=lambda holder: -holder[0])
-            del group[2:]
-        return cls(holders=holders, prompt=prompt, store=store)
-
-    def best_for(
-        self, candidate: Candidate, own_tokens: int
-    ) -> tuple[float, Address | None]:
-        """Return the best source from which a server can fetch cached parts.
-
-        Parameters
-        ----------
-        candidate : Candidate
-            The server that fetches.
-        own_tokens : int
-            Tokens from the start of the prompt that the server has cached.
-
-        Returns
-        -------
-        gain_tokens : float
-            Prompt tokens that the fetch saves from prefill, less its cost.
-        source : Address or None
-            The source; None if there is nothing to fetch.
-        """
-        if self.prompt.shared_tokens - own_tokens < MIN_FETCH_TOKENS:
-            return 0.0, None
-        best_gain_tokens, source = 0.0, None
-        if self.store is not None:
-            source = self.store.address
-            cached_tokens = self.store.cache_index.confirmed_prefix_tokens(
-                candidate.salt, self.prompt.parts
-            )
-            ratio = _fetch_cost_ratio(candidate, "", STORE_FETCH_COST_RATIO)
-            best_gain_tokens = max(0.0, (1 - ratio) * (cached_tokens - own_tokens))
-        for (salt, domain), group in self.holders.items():
-            if salt != candidate.salt:
-                continue
-            ratio = _fetch_cost_ratio(candidate, domain, PEER_FETCH_COST_RATIO)
-            for cached_tokens, holder in group:
-                if holder is candidate:
-                    continue
-                gain_tokens = (1 - ratio) * (cached_tokens - own_tokens)
-                if (
-                    cached_tokens - own_tokens >= MIN_FETCH_TOKENS
-                    and gain_tokens > best_gain_tokens
-                ):
-                    best_gain_tokens, source = gain_tokens, holder.server.address
-        return best_gain_tokens, source
-
-
-def _fetch_cost_ratio(candidate: Candidate, domain: str, least: float) -> float:
-    """Return the cost of fetching a token relative to its prefill, at most 1."""
-    distance = CROSS_DOMAIN_TRANSFER_RATIO
-    if domain == candidate.server.failure_domain:
-        distance = 1.0
-    transfer_ratio = distance * candidate.transfer_token_s / PREFILL_TOKEN_S
-    return min(1.0, max(least, transfer_ratio))
-
-
-@attrs.frozen(kw_only=True)
-class Choice:
-    """The server selected for an attempt, and the estimated cost.
-
-    Parameters
-    ----------
-    candidate : Candidate
-        The server.
-    fetch_from : Address or None
-        Where the server should fetch cached parts from.
-    prefill_tokens : float
-        Prompt tokens that the server will prefill.
-    work_tokens : float
-        Prefill work, as the number of tokens at the start of a prompt whose prefill
-        takes as long.
-    cost_tokens : float
-        Total cost, in prefilled tokens.
-    """
-
-    candidate: Candidate
-    fetch_from: Address | None = None
-    prefill_tokens: float = 0.0
-    work_tokens: float = 0.0
-    cost_tokens: float = 0.0
-
-
 def prefill_work_tokens(tokens: float, context_tokens: float) -> float:
     """Return the prefill work of tokens that follow a context.
 
@@ -439,19 +220,6 @@
     )
 
 
-def should_save(store: CacheStore, salt: str, prompt: Prompt) -> bool:
-    """Whether a server should copy a prompt to the KV-cache store.
-
-    A copy contains the whole prompt, and the parts that no other prompt shares displace
-    others. So only a prompt whose shared parts the store lacks is copied.
-    """
-    shared = prompt.parts[:-1]
-    if not prompt.is_long or not shared:
-        return False
-    stored_tokens = store.cache_index.confirmed_prefix_tokens(salt, shared)
-    return stored_tokens < COMPLETE_PART_FRACTION * prompt.shared_tokens
-
-
 def reserved_for_short(
     candidates: Sequence[Candidate],
     short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
--- a/src/foxtailcourse/ingress/_store_watcher.py
+++ b/src/foxtailcourse/ingress/_store_watcher.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
+import attrs
 import trio
 
 from foxtailcourse.fleet import Freshness
@@ -28,6 +29,26 @@
 ApplyChange = Callable[[str, bytes | None, int], None]
 
 
+@attrs.define
+class StoreState:
+    """Which state of the store was read.
+
+    Parameters
+    ----------
+    era : int
+        Era of the store; 0 if unknown.
+    copy_revision : int
+        In an era that began while this process ran, changes up to this revision may
+        come from the copy that the store was restored from.
+    complete : bool
+        Whether all watched prefixes were read once.
+    """
+
+    era: int = 0
+    copy_revision: int = 0
+    complete: bool = False
+
+
 class StoreWatcher:
     """Keeps the local copy of some prefixes of the store up to date.
 
@@ -60,13 +81,8 @@
 
     Attributes
     ----------
-    era : int
-        Era of the store that the state was read in; 0 if unknown.
-    copy_revision : int
-        In an era that began while this watcher ran, changes up to this revision may
-        come from the copy that the store was restored from.
-    scanned : bool
-        Whether all prefixes were read once.
+    state : StoreState
+        Which state of the store was read.
     """
 
     def __init__(
@@ -90,12 +106,10 @@
         self._keys: set[str] = set()
         self._scan_lock = trio.Lock()
         self._lost_at: float | None = None
-        self.scanned = False
+        self.state = StoreState()
         # Keys that the store lacks, and until when they are kept.
         self._missing: set[str] = set()
         self._missing_until = float("-inf")
-        self.era = 0
-        self.copy_revision = 0
 
     async def run(self) -> None:
         """Watch the prefixes until cancelled."""
@@ -124,7 +138,7 @@
             present = {each.key for each in listing.items}
             self._note_return(listing.era, listing.revision, self._keys - present)
             self._apply_listing(listing, self._prefixes, sent_at)
-            self.scanned = True
+            self.state.complete = True
             return listing.revision
 
     async def refresh(self, prefix: str) -> None:
@@ -139,9 +153,9 @@
         async with self._scan_lock:
             sent_at = boot_seconds()
             listing = await self._store.range(prefix)
-            if listing.era != self.era:
+            if listing.era != self.state.era:
                 raise StoreRestoredError(
-                    f"the store went from era {self.era} to {listing.era}",
+                    f"the store went from era {self.state.era} to {listing.era}",
                     may_have_applied=False,
                 )
             self._apply_listing(listing, (prefix,), sent_at)
@@ -165,14 +179,14 @@
     def _note_return(self, era: int, revision: int, missing: set[str]) -> None:
         """Log that the store is back, and decide which missing keys to keep."""
         now = boot_seconds()
-        restored = self.scanned and era != self.era
+        restored = self.state.complete and era != self.state.era
         lost_at, self._lost_at = self._lost_at, None
         if restored:
-            self.copy_revision = revision
+            self.state.copy_revision = revision
             self._emit(
                 "store_restored",
                 era=era,
-                previous_era=self.era,
+                previous_era=self.state.era,
                 revision=revision,
                 missing=len(missing),
             )
@@ -181,7 +195,7 @@
         if restored or (lost_at is not None and now - lost_at >= MIN_OUTAGE_S):
             self._missing_until = now + LAPSED_GRACE_S
             self._missing = set(missing)
-        self.era = era
+        self.state.era = era
         self._drop_missing(now, revision)
 
     def _drop_missing(self, now: float, revision: int) -> None:
@@ -198,9 +212,9 @@
         if self._missing:
             wait_s = min(wait_s, max(0.0, self._missing_until - sent_at))
         result = await self._store.watch(self._prefixes, after, wait_s)
-        if result.revision < after or result.era != self.era:
+        if result.revision < after or result.era != self.state.era:
             raise StoreRestoredError(
-                f"the store went from revision {after} of era {self.era} to "
+                f"the store went from revision {after} of era {self.state.era} to "
                 f"{result.revision} of era {result.era}",
                 may_have_applied=False,
             )
--- a/tests/ingress/decision_case.py
+++ b/tests/ingress/decision_case.py
@@ -2,7 +2,7 @@
 
 from foxtailcourse.fleet import BackendServer
 from foxtailcourse.ingress._cache_index import CacheIndex
-from foxtailcourse.ingress._placement import Candidate, Prompt
+from foxtailcourse.ingress._placement_types import Candidate, Prompt
 from foxtailcourse.ingress._server_loads import ServerLoad, TotalLoad
 from foxtailcourse.platform import CacheEvent, CacheEvents, PromptPart
 from foxtailcourse.settings import Address
--- a/tests/ingress/test_ingress_placement.py
+++ b/tests/ingress/test_ingress_placement.py
@@ -8,18 +8,15 @@
 from foxtailcourse.emulator.ingress.deployments import COUNTER_ENGINE, GUIDING_ENGINE
 from foxtailcourse.ingress._cache_feed import assign_subscribers
 from foxtailcourse.ingress._cache_index import CacheIndex
+from foxtailcourse.ingress._fetch_sources import FetchSources, should_save
 from foxtailcourse.ingress._placement import (
-    CacheStore,
-    Candidate,
-    FetchSources,
-    Prompt,
     choose_for_prompt,
     choose_without_prompt,
     preferred_store,
     prefill_work_tokens,
     reserved_for_short,
-    should_save,
 )
+from foxtailcourse.ingress._placement_types import CacheStore, Candidate, Prompt
 from foxtailcourse.ingress._request_sizes import MAX_ROUTES, RequestSizes
 from foxtailcourse.ingress._server_loads import ServerLoad, TotalLoad
 from foxtailcourse.platform import CacheEvent, CacheEvents, PromptPart
--- a/tests/ingress/test_overload.py
+++ b/tests/ingress/test_overload.py
@@ -19,7 +19,7 @@
     RequestTiming,
     decide_admission,
 )
-from foxtailcourse.ingress._placement import Choice
+from foxtailcourse.ingress._placement_types import Choice
 
 # Target of the client accounts' contracts for the first token of a short prompt, as the
 # 95th percentile.
--- a/tests/ingress/test_store_era.py
+++ b/tests/ingress/test_store_era.py
@@ -219,7 +219,7 @@
     async def test_age_of_versions_that_were_named_before_is_assumed(
         self, fleet, entry
     ):
-        await wait_until(lambda: entry.app._watcher.scanned)
+        await wait_until(lambda: entry.app._watcher.state.complete)
         fleet.set_desired_weights(2)
         fleet.configure()
         restarted = await fleet.start_entry("e2", weights_ms=4_000)
