Leave the random part out of the cost for deferred prompts

Cause: a deferred prompt waits for a server that is nearly idle.

Change: only the first choice of a prompt has the random part. The checks of deferred prompts are spread in time.

--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -236,7 +236,7 @@
         store = CacheStore(address=STORE, cache_index=self._store_index)
         decision, work_tokens = AdmissionDecision.DEFER, 0.0
         if candidates:
-            choice = self.policy.choose(candidates, prompt, store, now)
+            choice = self.policy.choose(candidates, prompt, store, now, was_deferred)
             timing = RequestTiming(
                 age_s=age_s,
                 target_s=kind.target_s,
--- a/src/foxtailcourse/emulator/ingress/policies.py
+++ b/src/foxtailcourse/emulator/ingress/policies.py
@@ -42,11 +42,17 @@
         prompt: Prompt,
         store: CacheStore | None,
         now: float,
+        was_deferred: bool = False,
     ) -> Choice:
         """Return the selected server of an attempt."""
         short_work_tokens = self._sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
         choice = choose_for_prompt(
-            candidates, prompt, store, now, short_work_tokens, self._rng
+            candidates,
+            prompt,
+            store,
+            now,
+            short_work_tokens,
+            None if was_deferred else self._rng,
         )
         if not prompt.is_long:
             self._sizes.record_short_work(choice.work_tokens)
@@ -68,6 +74,7 @@
         prompt: Prompt,
         store: CacheStore | None,
         now: float,
+        was_deferred: bool = False,
     ) -> Choice:
         """Return the server with the fewest tokens to prefill."""
         best = min(candidates, key=lambda each: each.total_load.prefill_tokens)
@@ -108,6 +115,7 @@
         prompt: Prompt,
         store: CacheStore | None,
         now: float,
+        was_deferred: bool = False,
     ) -> Choice:
         """Return the server with the lowest cost."""
         sources = FetchSources.find(candidates, prompt, store)
@@ -166,6 +174,7 @@
         prompt: Prompt,
         store: CacheStore | None,
         now: float,
+        was_deferred: bool = False,
     ) -> Choice:
         """Return the selected server of an attempt."""
         short_work_tokens = self._sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
@@ -188,6 +197,7 @@
         prompt: Prompt,
         store: CacheStore | None,
         now: float,
+        was_deferred: bool = False,
     ) -> Choice:
         """Return the selected server of an attempt."""
         return choose_for_prompt(candidates, _by_own_size(prompt), store, now)
--- a/src/foxtailcourse/emulator/ingress/scenario.py
+++ b/src/foxtailcourse/emulator/ingress/scenario.py
@@ -26,6 +26,7 @@
         prompt: Prompt,
         store: CacheStore | None,
         now: float,
+        was_deferred: bool = False,
     ) -> Choice:
         """Return the selected server of an attempt."""
 
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -139,10 +139,10 @@
     async def _wait_for_admission(self, job: Job) -> Choice:
         """Select a server; repeat this while admission control defers the prompt."""
         wait_started = self.clock()
-        prompt = job.prompt
+        prompt, was_deferred = job.prompt, False
         try:
             while True:
-                choice, server_count = self._choose(job)
+                choice, server_count = self._choose(job, was_deferred)
                 now = self.clock()
                 age_s = now - job.started
                 if prompt is None or self._is_admitted(
@@ -150,6 +150,7 @@
                 ):
                     job.deferred_s += now - wait_started
                     return choice
+                was_deferred = True
                 self.deferred.add(id(job), choice.work_tokens)
                 # Jitter keeps entries from finding the same capacity at the same time.
                 pause_s = max(DEFERRED_CHECK_S, DEFERRED_CHECK_FRACTION * age_s)
@@ -222,9 +223,12 @@
         ]
         return preferred_store(prompt.largest_part.id, stores)
 
-    def _choose(self, job: Job) -> tuple[Choice, int]:
+    def _choose(self, job: Job, was_deferred: bool) -> tuple[Choice, int]:
         """Return the best server and the number of eligible servers.
 
+        A deferred prompt waits for the server that is nearly idle, and its checks are
+        spread in time, so its choice has no random part.
+
         Raises
         ------
         RefusedError
@@ -257,7 +261,12 @@
         store = self._cache_store(prompt)
         short_work_tokens = self.sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
         choice = choose_for_prompt(
-            eligible, prompt, store, now, short_work_tokens, self.rng
+            eligible,
+            prompt,
+            store,
+            now,
+            short_work_tokens,
+            None if was_deferred else self.rng,
         )
         if not prompt.is_long:
             self.sizes.record_short_work(choice.work_tokens)
