Keep short prompts on the reserved servers in large fleets

Cause: the random part of a short prompt's cost, up to 12,000 tokens, is larger than the surcharge of 1,500 for servers that are not reserved.

Change: up to 2,500 tokens for short prompts.

Test: test_short_prompts_stay_on_the_reserved_servers fails before.

--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -32,9 +32,11 @@
 # a server while none is known to have the part cached.
 PREFERRED_SERVER_BONUS_TOKENS = 200.0
 # Many entries with equally old loads would select the same server. From this number of
-# entries on, a random cost of up to SPREAD_TOKENS spreads them.
+# entries on, a random cost of up to so many tokens spreads them.
 MIN_ENTRIES_TO_SPREAD = 13
 SPREAD_TOKENS = 12_000.0
+# That of a short prompt is smaller, so that it stays on the reserved servers.
+SHORT_SPREAD_TOKENS = 2_500.0
 # Cost of one running request, in prefilled tokens.
 RUNNING_REQUEST_COST_TOKENS = 60.0
 # Cost of a server that fails all requests, in prefilled tokens.
@@ -176,7 +178,8 @@
         if choice.candidate is preferred:
             cost_tokens -= PREFERRED_SERVER_BONUS_TOKENS
         if rng is not None and spreads:
-            cost_tokens += rng.uniform(0, SPREAD_TOKENS)
+            spread_tokens = SPREAD_TOKENS if prompt.is_long else SHORT_SPREAD_TOKENS
+            cost_tokens += rng.uniform(0, spread_tokens)
         is_reserved = choice.candidate.server.id in reserved
         if prompt.is_long:
             return cost_tokens + is_reserved * RESERVED_COST_TOKENS
--- a/tests/ingress/test_ingress_placement.py
+++ b/tests/ingress/test_ingress_placement.py
@@ -297,3 +297,24 @@
         self.assertThat(sizes.short_work_tokens(800.0), Equals(800.0))
         sizes.record_short_work(2_800.0)
         self.assertThat(sizes.short_work_tokens(800.0), Equals(2_800.0))
+
+
+class TestSpread(testtools.TestCase):
+    """Guards the separation of long and short prompts in large fleets."""
+
+    def test_short_prompts_stay_on_the_reserved_servers(self):
+        candidates = [
+            attrs.evolve(candidate(f"s{n}", short_prompts=3), entry_count=25)
+            for n in range(20)
+        ]
+        reserved = reserved_for_short(candidates, 800.0)
+        short = prompt(shared_tokens=92, own_tokens=291)
+        rng = random.Random(6)
+        chosen = [
+            choose_for_prompt(
+                candidates, short, None, NOW, 800.0, rng
+            ).candidate.server.id
+            for _ in range(300)
+        ]
+        self.assertTrue(sum(each in reserved for each in chosen) >= 0.9 * 300)
+        self.assertTrue(len(set(chosen)) >= len(reserved))
