Call one piece for what the exchange and a baseline wrote twice

Cause: _publish_loads split rows into datagrams beside _send_rows, and the SameChoice baseline repeated ProductPolicy.choose.

--- a/src/foxtailcourse/emulator/ingress/policies.py
+++ b/src/foxtailcourse/emulator/ingress/policies.py
@@ -177,11 +177,8 @@
         was_deferred: bool = False,
     ) -> Choice:
         """Return the selected server of an attempt."""
-        short_work_tokens = self._sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
-        choice = choose_for_prompt(candidates, prompt, store, now, short_work_tokens)
-        if not prompt.is_long:
-            self._sizes.record_short_work(choice.work_tokens)
-        return choice
+        # The choice of a deferred prompt has no random part.
+        return super().choose(candidates, prompt, store, now, was_deferred=True)
 
 
 class SizeClasses(ProductPolicy):
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -310,9 +310,7 @@
             if self.vm in receivers and self._relay.update_member(self.vm, rows, now):
                 self._relay_wakeup.set()
         # An empty message shows a relay that this entry is a member.
-        for start in range(0, len(rows) or 1, LOAD_ROWS_PER_MESSAGE):
-            message = LoadsUpdate(rows[start : start + LOAD_ROWS_PER_MESSAGE])
-            await self.send(message, receivers)
+        await self._send_rows(LoadsUpdate, rows, receivers, even_empty=True)
 
     async def _request_snapshot(self, now: float) -> None:
         """Ask relays once for the known contents of all caches."""
@@ -360,7 +358,7 @@
 
     async def _send_rows(
         self,
-        message_type: type[DomainLoads] | type[FleetLoads],
+        message_type: type[LoadsUpdate] | type[DomainLoads] | type[FleetLoads],
         rows: Sequence[LoadRow],
         to: Iterable[str],
         *,
