Log the weights of a request and for how long they had been outdated

Cause: the log of an answer on outdated weights named neither their version nor the age that the entry believed in, so an entry that counts from a late start cannot be told from one that does not know the version at all.

Change: request_done has weights and weights_outdated_ms.

Test: test_request_on_outdated_weights.

--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -142,14 +142,22 @@
         """Return until when a server asked for no requests."""
         return self.loads.for_server(server.id, server.started_ms).refused_until
 
-    def _weights_usable(self, server: BackendServer, model: str, now: float) -> bool:
-        """Whether weights are the desired ones, or not outdated for too long."""
+    def outdated_s(self, server: BackendServer, model: str, now: float) -> float | None:
+        """Return for how long a server's weights have been outdated, in seconds.
+
+        It is None if they are the desired ones.
+        """
         desired = self.view.desired_weights.get(model)
         if desired is None:
-            return True
-        outdated_since = desired.outdated_since(server.weights.get(model, 0))
+            return None
+        since = desired.outdated_since(server.weights.get(model, 0))
+        return None if since is None else now - since
+
+    def _weights_usable(self, server: BackendServer, model: str, now: float) -> bool:
+        """Whether weights are the desired ones, or not outdated for too long."""
+        outdated_s = self.outdated_s(server, model, now)
         limit_s = self.weights_limit_s - OUTDATED_WEIGHTS_MARGIN_S
-        return outdated_since is None or now - outdated_since < limit_s
+        return outdated_s is None or outdated_s < limit_s
 
     def _has_capacity(self, server: BackendServer, now: float) -> bool:
         """Whether the connection limit of a server allows another request."""
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -123,6 +123,9 @@
             choice = await self._wait_for_admission(job)
             job.choice, job.attempt_pending = choice, True
             job.queued_tokens = int(choice.candidate.total_load.prefill_tokens)
+            job.outdated_s = self.candidates.outdated_s(
+                choice.candidate.server, job.request.model, self.clock()
+            )
             try:
                 response = await self._attempt(job, choice)
             except AttemptError as exc:
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -318,7 +318,9 @@
             queued_tokens=job.queued_tokens or None,
             to_read_tokens=int(choice.prefill_tokens) if choice else None,
             fetch_from=choice.fetch_from if choice else None,
-            servers_age_ms=int(age_s * 1000) if age_s < MAX_REPORTED_AGE_S else None,
+            weights=job.chosen_version,
+            weights_outdated_ms=_age_ms(job.outdated_s),
+            servers_age_ms=_age_ms(age_s),
             revision=self.view.configuration_revision,
         )
 
@@ -351,3 +353,10 @@
             pending=job.choice.candidate.server.id if job.choice else None,
             duration_ms=int((self.clock() - job.started) * 1000),
         )
+
+
+def _age_ms(age_s: float | None) -> int | None:
+    """Return an age in milliseconds for the log, or None if it is not known."""
+    if age_s is None or age_s >= MAX_REPORTED_AGE_S:
+        return None
+    return int(age_s * 1000)
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -47,6 +47,9 @@
         The last selected server.
     queued_tokens : int
         Prompt tokens that were queued at ``choice`` when it was selected.
+    outdated_s : float or None
+        For how long the weights of ``choice`` had been outdated when the request was
+        sent, in seconds; None if they were the desired ones.
     deferred_s : float
         Time that the request was deferred before it was sent, in seconds.
     attempt_pending : bool
@@ -72,6 +75,7 @@
     first_event_at: float | None = None
     choice: Choice | None = None
     queued_tokens: int = 0
+    outdated_s: float | None = None
     deferred_s: float = 0.0
     attempt_pending: bool = False
     response_complete: bool = False
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -36,6 +36,17 @@
         for name in ("route", "client_account", "servers_age_ms", "revision"):
             self.assertIn(name, fields)
 
+    @run_with("with_fleet", weights_ms=60_000)
+    async def test_request_on_outdated_weights(self, fleet, entry):
+        for name in ("m1", "m2"):
+            fleet.servers[name].faults = BackendServerFaults(late_orders_s=60)
+        fleet.set_desired_weights(2)
+        await wait_until(lambda: entry.events("weights_named"))
+        await fleet.call(entry, "brief", stream=3)
+        (fields,) = entry.events("request_done")
+        self.assertThat(fields["weights"], Equals("1"))
+        self.assertIn("weights_outdated_ms", fields)
+
     @run_with("with_fleet")
     async def test_refused_request(self, fleet, entry):
         for name in ("c1", "c2"):
