Count the age of weights from what is known, not from a late reading

Cordée was reported as well.

Cause: the age of a version is a belief of the entry that read it. An entry that had started assumed half of the limit, one that had been suspended none at all; the time until its reading was lost. Class of fault: an age that is counted from the arrival of a fact instead of from the fact.

Ruled out: the queue at the server (0.47 s of 20.6 s in the record); a wrong belief in the server's version (it refuses those with 421).

Change: a version counts as named when the state before it was last confirmed. An entry that knows that writes ingress/weights/MODEL/VERSION, bound to a lease that ends when older weights must not be used any longer; an entry that starts uses them only while the key exists and its state is at most 4 s old. The key also survives a stop of all entries, and is written again if a restored store lacks it. A version that was skipped counts like the next one.

--- a/src/foxtailcourse/fleet/_view.py
+++ b/src/foxtailcourse/fleet/_view.py
@@ -32,6 +32,8 @@
 
 # Earlier versions of a model's weights that are remembered.
 MAX_EARLIER_VERSIONS = 32
+# Weights count as named recently only while the store's state is at most this old.
+MAX_RECENT_STATE_AGE_S = 4.0
 
 
 @attrs.frozen(kw_only=True)
@@ -45,9 +47,11 @@
     version : int
         Version to serve.
     desired_since : float
-        Time at which this process first read the version, in seconds since boot.
+        Earliest time at which the version may have been named, in seconds since boot;
+        minus infinity if it is unknown.
     earlier : tuple of (int, float)
-        Earlier versions and the times at which they were read, oldest first.
+        Earlier versions and the earliest times at which they may have been named,
+        oldest first.
     """
 
     model: str
@@ -55,6 +59,11 @@
     desired_since: float
     earlier: tuple[tuple[int, float], ...] = ()
 
+    @property
+    def versions(self) -> tuple[int, ...]:
+        """The version to serve and the earlier ones that are remembered."""
+        return (*(version for version, _ in self.earlier), self.version)
+
     def outdated_since(self, version: int) -> float | None:
         """Return since when newer weights than a version are desired, or None.
 
@@ -64,13 +73,16 @@
         named = (*self.earlier, (self.version, self.desired_since))
         return next((since for newer, since in named if newer > version), None)
 
-    def followed_by(self, version: int, now: float) -> "DesiredWeights":
+    def followed_by(self, version: int, since: float) -> "DesiredWeights":
         """Return the weights after a newer version was read."""
         earlier = (*self.earlier, (self.version, self.desired_since))
+        if version > self.version + 1:
+            # A version in between may have been named without being read.
+            earlier = (*earlier, (version - 1, since))
         return DesiredWeights(
             model=self.model,
             version=version,
-            desired_since=now,
+            desired_since=since,
             earlier=earlier[-MAX_EARLIER_VERSIONS:],
         )
 
@@ -99,6 +111,9 @@
         Identifiers of the backend servers that load weights or are about to.
     withdrawn : WithdrawnRuns
         Runs of backend servers that get no new requests.
+    recent_weights : set of (str, int)
+        Models and versions that the store has as named recently; servers with older
+        weights may be used.
     """
 
     configuration: Configuration | None = None
@@ -111,6 +126,7 @@
     entries: set[str] = attrs.field(factory=set)
     loading: set[str] = attrs.field(factory=set)
     withdrawn: WithdrawnRuns = attrs.field(factory=WithdrawnRuns)
+    recent_weights: set[tuple[str, int]] = attrs.field(factory=set)
 
     def apply_configuration(
         self, configuration: Configuration, revision: int, era: int = 0
@@ -133,18 +149,39 @@
         self.configuration_revision, self.configuration_era = revision, era
         return True
 
-    def set_desired_weights(self, model: str, version: int, now: float) -> bool:
-        """Record the version to serve of a model; return whether it is newer."""
+    def set_desired_weights(self, model: str, version: int, since: float) -> bool:
+        """Record the version to serve of a model; return whether it is newer.
+
+        Parameters
+        ----------
+        model : str
+            Name of the model.
+        version : int
+            The version.
+        since : float
+            Earliest time at which it may have been named, in seconds since boot.
+        """
         current = self.desired_weights.get(model)
         if current is not None and current.version >= version:
             return False
         self.desired_weights[model] = (
-            DesiredWeights(model=model, version=version, desired_since=now)
+            DesiredWeights(
+                model=model,
+                version=version,
+                desired_since=since,
+                earlier=((version - 1, since),),
+            )
             if current is None
-            else current.followed_by(version, now)
+            else current.followed_by(version, since)
         )
         return True
 
+    def are_weights_recent(self, model: str, version: int, now: float) -> bool:
+        """Whether a version was named so recently that older weights may be used."""
+        return (model, version) in self.recent_weights and (
+            self.servers_freshness.age_s(now) <= MAX_RECENT_STATE_AGE_S
+        )
+
     def record_loaded_weights(
         self, server_id: str, started_ms: int, model: str, version: int
     ) -> None:
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -15,7 +15,10 @@
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._cache_feed import CacheFeed
 from foxtailcourse.ingress._cache_index import CacheIndex
-from foxtailcourse.ingress._candidates import CandidateFilter
+from foxtailcourse.ingress._candidates import (
+    OUTDATED_WEIGHTS_MARGIN_S,
+    CandidateFilter,
+)
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._dispatcher import Dispatcher
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
@@ -24,6 +27,7 @@
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
 from foxtailcourse.ingress._peer_exchange import PeerExchange
 from foxtailcourse.ingress._peers import Peer
+from foxtailcourse.ingress._recent_weights import RecentWeightsRecorder
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.ingress._rollout import Rollout
 from foxtailcourse.ingress._server_loads import ServerLoads
@@ -141,12 +145,21 @@
         self._peer_exchange.on_cache_update = self._cache_feed.apply_published
         self._peer_exchange.cache_snapshot = self._cache_feed.snapshot
         self._peer_exchange.weights_to_publish = self._rollout.weights_to_publish
+        self._recent_weights = RecentWeightsRecorder(
+            view=self._view,
+            store=self._store,
+            is_leader=lambda: self._lease.fence > 0,
+            usable_s=cfg.weights_ms / 1000 - OUTDATED_WEIGHTS_MARGIN_S,
+            min_ttl_s=cfg.store_min_lease_ms / 1000,
+            clock=boot_seconds,
+            rng=self._rng,
+            events=self._events,
+        )
         self._updates = FleetUpdates(
             view=self._view,
             membership=self._membership,
             publish_leaving=self._peer_exchange.publish_leaving,
             apply_limits=self._apply_caller_limits,
-            weights_limit_s=cfg.weights_ms / 1000,
             clock=boot_seconds,
             events=self._events,
             metrics=self._metrics,
@@ -282,6 +295,7 @@
                 self._listen, self._http_server, self._cfg.listen, closed
             )
             nursery.start_soon(self._watcher.run)
+            nursery.start_soon(self._recent_weights.run)
             await self._peer_exchange.bind()
             self._lease.registration = Peer(
                 address=self._peer_exchange.address,
@@ -382,7 +396,9 @@
         self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
         self._dispatcher.candidates.weights_limit_s = cfg.weights_ms / 1000
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
-        self._updates.weights_limit_s = cfg.weights_ms / 1000
+        self._recent_weights.usable_s = (
+            cfg.weights_ms / 1000 - OUTDATED_WEIGHTS_MARGIN_S
+        )
         for budget in self._retry_budgets.values():
             budget.ratio, budget.extra = cfg.retry_ratio, cfg.retry_extra
             budget.window_s = cfg.retry_window_s
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -157,7 +157,10 @@
         """Whether weights are the desired ones, or not outdated for too long."""
         outdated_s = self.outdated_s(server, model, now)
         limit_s = self.weights_limit_s - OUTDATED_WEIGHTS_MARGIN_S
-        return outdated_s is None or outdated_s < limit_s
+        if outdated_s is None or outdated_s < limit_s:
+            return True
+        next_version = server.weights.get(model, 0) + 1
+        return self.view.are_weights_recent(model, next_version, now)
 
     def _has_capacity(self, server: BackendServer, now: float) -> bool:
         """Whether the connection limit of a server allows another request."""
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -1,5 +1,6 @@
 """Applies what the store and the backend servers say to the state of the fleet."""
 
+import math
 from collections.abc import Callable
 
 from foxtailcourse.fleet import (
@@ -10,14 +11,14 @@
     ServerRun,
 )
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
+from foxtailcourse.ingress._recent_weights import (
+    RECENT_WEIGHTS_PREFIX,
+    parse_recent_weights_key,
+)
 from foxtailcourse.ingress._store_watcher import StoreState
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import RecordDispatcher
 
-# Age of the weights versions that an entry finds at its start, as a fraction of the
-# time after which outdated weights must not be used.
-ASSUMED_WEIGHTS_AGE_FRACTION = 0.5
-
 
 class FleetUpdates:
     """Applies changes of the store's records, and servers' statements that they leave.
@@ -32,8 +33,6 @@
         Tells the other entries that a run of a server leaves.
     apply_limits : callable
         Applies limits on callers.
-    weights_limit_s : float
-        Time in seconds after which outdated weights must not be used.
     clock : callable
         Returns seconds since boot.
     events : EventLog
@@ -54,7 +53,6 @@
         membership: Membership,
         publish_leaving: Callable[[ServerRun], None],
         apply_limits: Callable[[CallerLimits], None],
-        weights_limit_s: float,
         clock: Callable[[], float],
         events: EventLog,
         metrics: Metrics,
@@ -63,7 +61,6 @@
         self._membership = membership
         self._publish_leaving = publish_leaving
         self._apply_limits = apply_limits
-        self.weights_limit_s = weights_limit_s
         self._clock = clock
         self._events = events
         self._metrics = metrics
@@ -77,7 +74,9 @@
 
     def apply_change(self, key: str, value: bytes | None, revision: int) -> None:
         """Apply one change of a key; the value is None once the key is deleted."""
-        if key.startswith(MEMBERSHIP_PREFIX):
+        if key.startswith(RECENT_WEIGHTS_PREFIX):
+            self._apply_recent_weights(key, value)
+        elif key.startswith(MEMBERSHIP_PREFIX):
             self._membership.apply_change(key, value, revision)
         else:
             self._records.dispatch(key, value, revision)
@@ -106,18 +105,26 @@
         )
 
     def _apply_weights(self, model: str, version: int) -> None:
-        now = self._clock()
-        # A version that is found at the start may have been named long before.
-        age_s = 0.0
-        if not self.state.complete:
-            age_s = ASSUMED_WEIGHTS_AGE_FRACTION * self.weights_limit_s
-        if self._view.set_desired_weights(model, version, now - age_s):
-            self._events.emit(
-                "weights_named",
-                model=model,
-                version=version,
-                assumed_age_ms=int(age_s * 1000) or None,
-            )
+        # It was named after the state that was last confirmed, which may be long ago.
+        since = self._view.configuration_freshness.as_of
+        if not self._view.set_desired_weights(model, version, since):
+            return
+        max_age_s = self._clock() - since
+        self._events.emit(
+            "weights_named",
+            model=model,
+            version=version,
+            max_age_ms=None if math.isinf(max_age_s) else int(max_age_s * 1000),
+        )
+
+    def _apply_recent_weights(self, key: str, value: bytes | None) -> None:
+        weights = parse_recent_weights_key(key)
+        if weights is None:
+            self._count_unreadable(key)
+        elif value is not None:
+            self._view.recent_weights.add(weights)
+        else:
+            self._view.recent_weights.discard(weights)
 
     def _apply_server(
         self, server_id: str, server: BackendServer | None, revision: int
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -129,7 +129,7 @@
 
 def _min_concurrent_loads(outdated_count: int, remaining_s: float) -> int:
     """Return how many servers must load concurrently for all to finish in time."""
-    rounds = max(1, int(remaining_s / WEIGHT_LOAD_S))
+    rounds = max(1, int(max(0.0, remaining_s) / WEIGHT_LOAD_S))
     return max(1, math.ceil(outdated_count / rounds))
 
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -117,7 +117,11 @@
     "vm_list_malformed": "an entry of the VM list is malformed and ignored",
     "watch_expired": "the store has discarded the history of `prefix`, which is "
     "read again completely",
-    "weights_named": "the desired version of a model's weights changed",
+    "weights_named": "the desired version of a model's weights changed, at most "
+    "`max_age_ms` before it was read; unknown without it",
+    "weights_record_failed": "the store did not record that weights were named",
+    "weights_recorded": "the store has for entries that start that weights were named "
+    "recently; they use older ones for `ttl_ms`",
     "weights_version": "the engine serves a different weights version",
     "write_back_failed": "a record could not be written back",
 }
--- a/tests/ingress/test_weights_age.py
+++ b/tests/ingress/test_weights_age.py
@@ -3,14 +3,20 @@
 import msgspec
 import testtools
 import trio
-from decision_case import server
+from decision_case import NOW, server
+from ingress_case import IngressCase
 from testtools.matchers import Equals
 
+from cluster import wait_until
+from foxtailcourse.fleet import FleetView
 from foxtailcourse.ingress import IngressApp, IngressSettings
 from foxtailcourse.ingress._clock import boot_seconds
+from foxtailcourse.ingress._recent_weights import recent_weights_key
 from foxtailcourse.observe import EventLog, HybridClock, Metrics
 from foxtailcourse.process import DaemonContext, ProcessSettings
 from foxtailcourse.settings import Address
+from foxtailcourse.standin._backend_server import BackendServerFaults
+from support import run_with
 
 LOCAL = Address("127.0.0.1", 0)
 LIMIT_S = 15.0
@@ -59,3 +65,87 @@
         name_weights(app, 2)
         self.assertThat(is_used(app, now + 1), Equals(True))
         self.assertThat(is_used(app, now + LIMIT_S - 10), Equals(False))
+
+    def test_entry_that_starts_uses_weights_that_the_store_has_as_recent(self):
+        app, now = make_entry(), boot_seconds()
+        name_weights(app, 3)
+        key = recent_weights_key("guide", 3)
+        app._updates.apply_change(key, b"1", 8)
+        app._view.servers_freshness.advance(now)
+        # Version 2 was named at an unknown time before.
+        self.assertThat(is_used(app, now), Equals(False))
+        app._view.servers = {"a": server("a", version=2)}
+        self.assertThat(is_used(app, now), Equals(True))
+        # Without contact to the store, its end would not be seen.
+        self.assertThat(is_used(app, now + 5), Equals(False))
+        app._updates.apply_change(key, None, 9)
+        self.assertThat(is_used(app, now), Equals(False))
+
+    def test_versions_that_were_skipped_count_from_the_last_reading(self):
+        view = FleetView()
+        view.set_desired_weights("guide", 2, NOW)
+        view.set_desired_weights("guide", 4, NOW + 5)
+        desired = view.desired_weights["guide"]
+        self.assertThat(desired.outdated_since(1), Equals(NOW))
+        self.assertThat(desired.outdated_since(2), Equals(NOW + 5))
+        self.assertThat(desired.outdated_since(3), Equals(NOW + 5))
+
+    def test_only_what_is_known_of_servers_in_use_is_recorded(self):
+        app, now = make_entry(), boot_seconds()
+        recorder = app._recent_weights
+        name_weights(app, 2)
+        self.assertThat(recorder.remaining_s("guide", 2, now), Equals(0.0))
+        app._view.configuration_freshness.advance(now)
+        name_weights(app, 3)
+        self.assertThat(recorder.remaining_s("guide", 3, now + 6), Equals(7.0))
+        self.assertThat(recorder.remaining_s("guide", 3, now + 14), Equals(0.0))
+        app._view.recent_weights.add(("guide", 3))
+        self.assertThat(recorder.remaining_s("guide", 3, now), Equals(0.0))
+
+
+class TestRestartDuringWeightLoads(IngressCase):
+    """Guards entries that start while servers load weights."""
+
+    async def start_second_entry(self, fleet, entry):
+        """Name weights that no server loads; return an entry that starts then."""
+        for name in ("m1", "m2"):
+            fleet.servers[name].faults = BackendServerFaults(late_orders_s=60)
+        await wait_until(lambda: entry.app._watcher.state.complete)
+        fleet.set_desired_weights(2)
+        await wait_until(lambda: entry.events("weights_recorded"))
+        return await fleet.start_entry("e2", weights_ms=60_000)
+
+    @run_with("with_fleet", weights_ms=60_000)
+    async def test_restarted_entry_learns_that_weights_are_recent(self, fleet, entry):
+        restarted = await self.start_second_entry(fleet, entry)
+        await wait_until(lambda: restarted.app.readiness().ready)
+        response = await fleet.call(restarted, "brief", stream=3)
+        self.assertThat(response.status, Equals(200))
+
+    @run_with("with_fleet", weights_ms=60_000)
+    async def test_restarted_entry_refuses_once_the_record_has_ended(
+        self, fleet, entry
+    ):
+        restarted = await self.start_second_entry(fleet, entry)
+        await wait_until(lambda: restarted.app._view.recent_weights)
+        entry.app._recent_weights.usable_s = 0.0
+        fleet.platform.expire_leases()
+        await wait_until(lambda: not restarted.app._view.recent_weights)
+        response = await fleet.call(restarted, "brief", stream=3)
+        self.assertThat(response.status, Equals(503))
+        self.assertIn("retry-after", response.headers)
+        self.assertThat(self.runs(fleet), Equals([]))
+
+    @run_with("with_fleet", weights_ms=60_000)
+    async def test_record_that_a_restored_store_lacks_is_written_again(
+        self, fleet, entry
+    ):
+        for name in ("m1", "m2"):
+            fleet.servers[name].faults = BackendServerFaults(late_orders_s=60)
+        old = fleet.platform.revision
+        fleet.set_desired_weights(2)
+        await wait_until(lambda: entry.events("weights_recorded"))
+        fleet.platform.restore(old)
+        fleet.set_desired_weights(2)
+        await wait_until(lambda: len(entry.events("weights_recorded")) == 2)
+        self.assertThat(entry.events("weights_recorded")[-1]["written"], Equals("True"))
