Let an entry that stops give up leadership for good

Cause: releasing the lease did not end the task that acquires one.

Change: a stopping entry does not compete any more. It stays registered while it finishes its requests, so that loads are still exchanged, and revokes its lease at the end.

Test: test_entry_that_stops_does_not_become_the_leader_again failed before (two orders_acquired) and passes.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -53,6 +53,8 @@
 LOAD_BALANCER_NOTICE_S = 2.3
 # Time at the end of a stop that is reserved for closing down.
 STOP_MARGIN_S = 0.4
+# Longest wait for the store when a stopped entry gives up its registration.
+RELEASE_TIMEOUT_S = 0.1
 READINESS_LIMITS = HttpLimits(max_connections=50, max_body_bytes=1024)
 SERVER_CALL_TIMEOUT_S = 0.5
 LOADS_MAINTENANCE_PERIOD_S = 5.0
@@ -408,7 +410,7 @@
         started = boot_seconds()
         self._draining = self._handler.draining = True
         self._events.emit("drain_started", active=self._http_server.active)
-        await self._lease.release()
+        await self._lease.stand_down()
         await trio.sleep(max(0.0, LOAD_BALANCER_NOTICE_S - (boot_seconds() - started)))
         self._http_server.stop_accepting()
         self._http_server.drain()
@@ -416,6 +418,8 @@
         with trio.move_on_after(max(0.0, remaining_s)):
             await closed.wait()
         self._events.emit("drain_ended", active=self._http_server.active)
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            await self._lease.release()
 
     def _on_error(self, exchange: Exchange, exc: Exception) -> None:
         self._metrics.count("foxtail_ingress_requests_total", outcome="internal")
--- a/src/foxtailcourse/ingress/_lease.py
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -82,6 +82,7 @@
         self._era = store.era
         self._era_seen_at = float("-inf")
         self._registered = False
+        self._may_lead = True
         self.lease = ""
         self.fence = 0
         self.registration = b""
@@ -105,7 +106,7 @@
                 await self.follow_era()
                 if not self.lease:
                     continue
-                if not self.fence and not self._membership.leader:
+                if self._may_lead and not self.fence and not self._membership.leader:
                     await self._acquire_leadership()
             except LeaseLostError:
                 self._discard_lease("lease_lapsed")
@@ -136,8 +137,17 @@
             self._discard_lease(f"store went from era {previous} to {self._era}")
             await self._revoke(lease)
 
+    async def stand_down(self) -> None:
+        """Give up leadership for good, so that another entry can lead at once.
+
+        The entry stays registered while it finishes its requests.
+        """
+        self._may_lead = False
+        if self.fence:
+            await self.release()
+
     async def release(self) -> None:
-        """Revoke the lease, so that another entry can become the leader at once."""
+        """Revoke the lease, and with it the registration and leadership."""
         lease, self.lease, self.fence = self.lease, "", 0
         if lease:
             await self._revoke(lease)
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -433,6 +433,19 @@
         lease_s = 1.0
         self.assertTrue(trio.current_time() - entry_stopped_at >= lease_s)
 
+    @run_with("with_fleet")
+    async def test_entry_that_stops_does_not_become_the_leader_again(
+        self, fleet, entry
+    ):
+        await wait_until(lambda: entry.events("orders_acquired"))
+        entry.daemon.stopping.set()
+        # It finishes its requests for longer than the pause between two renewals.
+        await wait_until(lambda: len(entry.events("lease_granted")) == 2)
+        await trio.sleep(0.5)
+        self.assertThat(len(entry.events("orders_acquired")), Equals(1))
+        await entry.ended.wait()
+        self.assertThat(fleet.platform.get("ingress/entries/e1"), Equals(None))
+
     @run_with("with_fleet")
     async def test_fenced_leader_gives_no_further_orders(self, fleet, entry):
         for name in ("m1", "m2"):
