Check software versions and resumed streams in the soak

Cause: a stream may go on only at the software version that began it, and callers take streams up again at other entries. The soak did neither.

Change: two of four model servers run another software version; a release replaces those of one version during the run; servers cut streams; callers resume streams at another entry, and their prompts differ, so that streams begin at several servers. New checks: streams of two software versions, resumed streams that do not follow what the caller has, and resumed streams that go on less than half as often as new ones begin.

--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -1,5 +1,7 @@
 """Observations of callers and servers in a soak test, and their violations."""
 
+import re
+
 import attrs
 
 from foxtailcourse.standin._backend_server import stream_event
@@ -13,6 +15,15 @@
 REFUSAL_SLACK_S = 0.5
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 REPEATABLE_KINDS = {"look", "ask"}
+SOFTWARE_VERSIONS = ("v1", "v2")
+EVENT_END = re.compile(rb" token \d+ (v[12])\n\n")
+# Streams that may hold events of two software versions.
+MAX_MIXED_STREAMS = 2
+# Resumed streams from which on their share is compared, and the time after a
+# disturbance, or before one, in which an entry or server does not count.
+MIN_RESUMED_STREAMS = 12
+CONTACT_S = 1.5
+REACTION_S = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -41,6 +52,9 @@
         Entry that the request was sent to.
     leaving_at : float
         When a response arrived that says that its server leaves; 0 if none did.
+    resumes : str
+        Request whose response had the first events of the stream that this one
+        resumes; empty for a new stream.
     """
 
     id: str
@@ -53,6 +67,12 @@
     complete: bool = False
     vm: str = ""
     leaving_at: float = 0.0
+    resumes: str = ""
+
+    @property
+    def software_versions(self) -> list[str]:
+        """The software version in each whole event received so far."""
+        return [each.decode() for each in EVENT_END.findall(self.body)]
 
 
 @attrs.define(kw_only=True)
@@ -77,6 +97,11 @@
     disturbed : set of str
         Entries that were stopped, killed or cut off in the run; they are excused from
         what a server asked of them.
+    disturbances : list of (str, float, float)
+        Entry, server or "store" with the start and end of a fault there; a server is
+        also disturbed before it registers and from when it leaves.
+    server_versions : dict of str to str
+        Software version of each server of the model service.
     """
 
     sent: dict[str, RequestRecord] = attrs.field(factory=dict)
@@ -86,6 +111,15 @@
     runs_by_server: dict[str, list] = attrs.field(factory=dict)
     refusals: list = attrs.field(factory=list)
     disturbed: set[str] = attrs.field(factory=set)
+    disturbances: list[tuple[str, float, float]] = attrs.field(factory=list)
+    server_versions: dict[str, str] = attrs.field(factory=dict)
+
+    def is_calm(self, name: str, at: float) -> bool:
+        """Return whether no fault at an entry, server or store is near a time."""
+        return not any(
+            each == name and start - REACTION_S < at < end + CONTACT_S
+            for each, start, end in self.disturbances
+        )
 
 
 def violations(observations: Observations) -> list[str]:
@@ -107,8 +141,11 @@
         if removed_at is not None and request.sent_at > removed_at + MAX_REVOCATION_S:
             delay_s = request.sent_at - removed_at
             found.append(f"{request_id}: ran {delay_s:.1f} s after its key was removed")
+    received: dict[str, int] = {}
     for request in observations.sent.values():
-        found += _response_violations(request)
+        stream = request.resumes or request.id
+        found += _response_violations(request, received.get(stream, 0))
+        received[stream] = received.get(stream, 0) + len(request.software_versions)
     last_fences: dict[str, int] = {}
     holder_by_fence: dict[int, str] = {}
     for server, order in observations.orders:
@@ -118,7 +155,13 @@
         last_fences[server] = fence
         if holder_by_fence.setdefault(fence, holder) != holder:
             found.append(f"fence {fence} of {holder} and {holder_by_fence[fence]}")
-    return found + _drain_violations(observations) + _refusal_violations(observations)
+    return [
+        *found,
+        *_drain_violations(observations),
+        *_refusal_violations(observations),
+        *_version_violations(observations),
+        *_resumption_violations(observations),
+    ]
 
 
 def _drain_violations(observations: Observations) -> list[str]:
@@ -177,7 +220,73 @@
     ]
 
 
-def _response_violations(request: RequestRecord) -> list[str]:
+def _version_violations(observations: Observations) -> list[str]:
+    """Return whether too many streams hold events of two software versions."""
+    versions: dict[str, set[str]] = {}
+    for request in observations.sent.values():
+        stream = request.resumes or request.id
+        versions.setdefault(stream, set()).update(request.software_versions)
+    mixed = [stream for stream, held in versions.items() if len(held) > 1]
+    if len(mixed) <= MAX_MIXED_STREAMS:
+        return []
+    in_one = sum(
+        len(set(each.software_versions)) > 1 for each in observations.sent.values()
+    )
+    return [
+        f"{len(mixed)} streams of two software versions, as {mixed[0]}; "
+        f"{in_one} in one response"
+    ]
+
+
+def resumption_outcomes(observations: Observations) -> tuple[list[bool], list[bool]]:
+    """Return which resumed streams went on, and which new ones began.
+
+    Only entries that were not disturbed count, and of the resumed streams those of
+    which two servers of the same software version serve.
+    """
+    resumed, begun = [], []
+    for request in observations.sent.values():
+        at = request.sent_at
+        if (
+            request.kind != "ask"
+            or at > observations.removed_keys.get(request.key, at)
+            or not all(observations.is_calm(each, at) for each in (request.vm, "store"))
+        ):
+            continue
+        has_events = bool(request.software_versions)
+        if not request.resumes:
+            begun.append(has_events)
+            continue
+        version = observations.sent[request.resumes].software_versions[0]
+        servers = [
+            server
+            for server, each in observations.server_versions.items()
+            if each == version and observations.is_calm(server, at)
+        ]
+        if len(servers) > 1:
+            resumed.append(has_events)
+    return resumed, begun
+
+
+def _resumption_violations(observations: Observations) -> list[str]:
+    """Return whether resumed streams go on far less often than new ones begin."""
+    resumed, begun = resumption_outcomes(observations)
+    if len(resumed) < MIN_RESUMED_STREAMS or not begun:
+        return []
+    if 2 * sum(resumed) * len(begun) >= sum(begun) * len(resumed):
+        return []
+    return [
+        f"{sum(resumed)} of {len(resumed)} resumed streams went on, and "
+        f"{sum(begun)} of {len(begun)} new ones began"
+    ]
+
+
+def _response_violations(request: RequestRecord, received: int) -> list[str]:
+    """Return violations in one response.
+
+    ``received`` is the number of events that the caller has from earlier requests for
+    the same stream.
+    """
     if request.status != 200:
         return []
     if not request.events:
@@ -187,9 +296,22 @@
             if request.complete and not belongs_to_request
             else []
         )
-    expected = b"".join(stream_event(request.id, n + 1) for n in range(request.events))
-    if request.complete and request.body != expected:
+    versions = request.software_versions
+    whole = b"".join(
+        stream_event(request.id, received + number, version)
+        for number, version in enumerate(versions, 1)
+    )
+    last = received + len(versions)
+    if request.complete and (request.body != whole or last != request.events):
         return [f"{request.id}: stream looks complete and is not"]
-    if not expected.startswith(request.body):
+    following = [b""]
+    if last < request.events:
+        following = [stream_event(request.id, last + 1, v) for v in SOFTWARE_VERSIONS]
+    rest = request.body[len(whole) :]
+    if (
+        last > request.events
+        or not request.body.startswith(whole)
+        or not any(each.startswith(rest) for each in following)
+    ):
         return [f"{request.id}: stream has a gap or a foreign event"]
     return []
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,8 +13,10 @@
 import subprocess
 import sys
 import tempfile
+from contextlib import contextmanager
 from pathlib import Path
 
+import attrs
 import msgspec
 import trio
 
@@ -22,7 +24,13 @@
 sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tests" / "ingress")]
 
 from ingress_case import MODEL, configuration  # noqa: E402
-from observations import Observations, RequestRecord, violations  # noqa: E402
+from observations import (  # noqa: E402
+    SOFTWARE_VERSIONS,
+    Observations,
+    RequestRecord,
+    resumption_outcomes,
+    violations,
+)
 from proxy import FaultProxy  # noqa: E402
 
 from cluster import serve  # noqa: E402
@@ -41,6 +49,13 @@
 STARTUP_S = 4.0
 SETTLE_S = 3.0
 REQUEST_KINDS = ("look", "return", "brief", "ask")
+MODEL_SERVERS = ("m0", "m1", "m2", "m3")
+# Long enough that streams are in progress when a fault begins.
+MODEL_EVENT_S = 0.02
+# Further requests of a caller for one stream, and the fraction of its streams of which
+# it loses the connection by itself.
+MAX_RESUMPTIONS = 4
+LOST_CONNECTIONS = 0.4
 
 
 class Soak:
@@ -59,7 +74,12 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._addresses: dict[str, Address] = {}
         self._store_proxies: dict[str, FaultProxy] = {}
+        self.backend_servers: dict[str, BackendServerStandin] = {}
+        self._servers: list[BackendServerStandin] = []
         self._server_proxies: dict[str, FaultProxy] = {}
+        self._server_scopes: dict[str, trio.CancelScope] = {}
+        self._ended_servers: set[str] = set()
+        self._release_lock = trio.Lock()
         self._pool = ConnectionPool()
         self.plan = self._make_plan()
 
@@ -69,17 +89,18 @@
         A fault is a kind and a mode, such as "store silent". The kinds are: "store" and
         "server", a proxy fault; "worker", a refused, failed or wrong response of a
         backend server; "signal", a signal to an entry; "outage", a fault of the store
-        itself; and "operator", a change of the configuration or of a registration.
+        itself; and "operator", a change of the configuration or of a registration, or
+        a release, which replaces the servers of the model service.
         """
         entries = [f"e{n}" for n in range(self._entries)]
-        servers = ["c0", "c1", "c2", "m0", "m1", "m2"]
+        servers = ["c0", "c1", "c2", *MODEL_SERVERS]
         faults = {
             "store": (["silent", "delay", "reset", "cut in", "cut out"], entries),
             "server": (["silent", "delay", "reset", "cut out"], servers),
             "worker": (
                 [
                     *("refuse", "fail", "lose_answer", "foreign", "unsigned"),
-                    *("unframed", "says_leaving", "retry_after"),
+                    *("unframed", "says_leaving", "retry_after", "cut"),
                 ],
                 servers,
             ),
@@ -88,7 +109,7 @@
                 ["refuse", "silent", "slow", "lose", "forget", "lapse", "restore"],
                 ["store"],
             ),
-            "operator": (["config", "key", "weights", "drain"], ["store"]),
+            "operator": (["config", "key", "weights", "drain", "release"], ["store"]),
         }
         plan, now = [], 1.0
         while now < self.seconds:
@@ -110,14 +131,15 @@
                 try:
                     await self._start_fleet(nursery)
                     await trio.sleep(STARTUP_S)
-                    for number in range(4 * self._entries):
-                        nursery.start_soon(self._run_caller, number)
+                    for number in range(6 * self._entries):
+                        kinds = REQUEST_KINDS if number % 3 else ("ask",)
+                        nursery.start_soon(self._run_caller, number, kinds)
                     await self._run_plan(nursery)
                     await trio.sleep(SETTLE_S)
                 finally:
                     self._kill_entries()
                 nursery.cancel_scope.cancel()
-        for server in self.backend_servers.values():
+        for server in self._servers:
             self.observations.runs += server.runs
             self.observations.runs_by_server[server.id] = server.runs
             self.observations.refusals += [
@@ -127,20 +149,10 @@
         return violations(self.observations)
 
     async def _start_fleet(self, nursery) -> None:
-        self.backend_servers = {}
-        for number in range(3):
-            self.backend_servers[f"c{number}"] = BackendServerStandin(
-                f"c{number}", "coats"
-            )
-            self.backend_servers[f"m{number}"] = BackendServerStandin(
-                f"m{number}", "llm", {MODEL: 1}
-            )
-        for server in self.backend_servers.values():
-            direct = await nursery.start(self._serve_backend_server, server)
-            proxy = self._server_proxies[server.id] = FaultProxy(direct)
-            self._addresses[server.id] = await nursery.start(proxy.run)
-            server.on_change = self._register_server
-            self._register_server(server)
+        for slot in ("c0", "c1", "c2"):
+            await self._start_server(nursery, slot, BackendServerStandin(slot, "coats"))
+        for slot, version in zip(MODEL_SERVERS, SOFTWARE_VERSIONS * 2, strict=True):
+            await self._start_model_server(nursery, slot, version)
         self._write_configuration()
         for number in range(self._entries):
             proxy = self._store_proxies[f"e{number}"] = FaultProxy(self.store)
@@ -148,14 +160,40 @@
             self._write_settings(f"e{number}", address)
             self._start_entry(f"e{number}")
 
-    async def _serve_backend_server(self, server, *, task_status) -> None:
-        async with serve(server.handle) as address:
-            task_status.started(address)
-            await trio.sleep_forever()
+    async def _start_model_server(self, nursery, slot: str, version: str) -> None:
+        server = BackendServerStandin(
+            f"{slot}-{len(self._servers)}",
+            "llm",
+            {MODEL: max(1, self.desired_weights)},
+            event_s=MODEL_EVENT_S,
+            software_version=version,
+        )
+        self.observations.server_versions[server.id] = version
+        await self._start_server(nursery, slot, server)
+
+    async def _start_server(self, nursery, slot: str, server) -> None:
+        self._server_scopes[server.id] = await nursery.start(self._serve_server, server)
+        server.on_change = self._register_server
+        self._servers.append(server)
+        self.backend_servers[slot] = server
+        self._register_server(server)
+        now = trio.current_time()
+        self.observations.disturbances.append((server.id, 0.0, now))
+
+    async def _serve_server(self, server, *, task_status) -> None:
+        """Serve a backend server behind a proxy until its scope is cancelled."""
+        async with serve(server.handle) as direct, trio.open_nursery() as nursery:
+            proxy = self._server_proxies[server.id] = FaultProxy(direct)
+            self._addresses[server.id] = await nursery.start(proxy.run)
+            task_status.started(nursery.cancel_scope)
 
     def _register_server(self, server) -> None:
+        key = f"servers/{server.id}"
+        if server.id in self._ended_servers:
+            self.platform._apply([], [key])
+            return
         entry = server.registration(str(self._addresses[server.id]), "palermo")
-        self.platform.put(f"servers/{server.id}", entry)
+        self.platform.put(key, entry)
 
     def _write_configuration(self) -> None:
         value = configuration(self.version, keys=self.keys)
@@ -205,33 +243,57 @@
         started_at = trio.current_time()
         for at, fault, target, duration_s in self.plan:
             await trio.sleep_until(started_at + at)
-            nursery.start_soon(self._inject, *fault.split(" ", 1), target, duration_s)
+            nursery.start_soon(
+                self._inject, nursery, *fault.split(" ", 1), target, duration_s
+            )
         await trio.sleep_until(started_at + self.seconds)
 
+    @contextmanager
+    def _disturbing(self, name: str):
+        """Record the time of a fault at an entry, a server or the store."""
+        start = trio.current_time()
+        try:
+            yield
+        finally:
+            disturbance = (name, start, trio.current_time())
+            self.observations.disturbances.append(disturbance)
+
     async def _inject(
-        self, kind: str, fault_mode: str, target: str, duration_s: float
+        self, nursery, kind: str, fault_mode: str, target: str, duration_s: float
     ) -> None:
-        if kind in {"store", "server"}:
-            proxies = self._store_proxies if kind == "store" else self._server_proxies
-            await self._inject_proxy_fault(proxies[target], fault_mode, duration_s)
-        elif kind == "worker":
-            server = self.backend_servers[target]
-            faults: dict = {fault_mode: True}
-            if fault_mode == "retry_after":
-                faults = {"refuse": True, "retry_after": f"{duration_s}"}
-            server.faults = BackendServerFaults(**faults)
-            await trio.sleep(duration_s)
-            server.faults = BackendServerFaults()
-            if fault_mode == "says_leaving":
-                # The server that left starts again.
-                server.started_ms += 1
-                self._register_server(server)
-        elif kind == "signal":
-            await self._signal_entry(target, fault_mode, duration_s)
-        elif kind == "outage":
-            await self._inject_store_fault(fault_mode, duration_s)
-        else:
-            await self._run_operator_action(fault_mode, duration_s)
+        if kind == "operator":
+            await self._run_operator_action(nursery, fault_mode, duration_s)
+            return
+        server = self.backend_servers.get(target)
+        name = server.id if server else target
+        with self._disturbing(name):
+            if kind in {"store", "server"}:
+                proxies = (
+                    self._store_proxies if kind == "store" else self._server_proxies
+                )
+                await self._inject_proxy_fault(proxies[name], fault_mode, duration_s)
+            elif kind == "worker":
+                await self._inject_server_fault(server, fault_mode, duration_s)
+            elif kind == "signal":
+                await self._signal_entry(target, fault_mode, duration_s)
+            else:
+                await self._inject_store_fault(fault_mode, duration_s)
+
+    async def _inject_server_fault(
+        self, server, fault_mode: str, duration_s: float
+    ) -> None:
+        faults: dict = {fault_mode: True}
+        if fault_mode == "retry_after":
+            faults = {"refuse": True, "retry_after": f"{duration_s}"}
+        elif fault_mode == "cut":
+            faults = {"cut_after_events": 1 + int(3 * duration_s)}
+        server.faults = BackendServerFaults(**faults)
+        await trio.sleep(duration_s)
+        server.faults = BackendServerFaults()
+        if fault_mode == "says_leaving":
+            # The server that left starts again.
+            server.started_ms += 1
+            self._register_server(server)
 
     async def _inject_store_fault(self, fault_mode: str, duration_s: float) -> None:
         """Delay the store, drop its responses, history or leases, or take it down."""
@@ -269,7 +331,7 @@
         self._write_configuration()
         if self.desired_weights:
             self._name_weights()
-        for server in self.backend_servers.values():
+        for server in self._servers:
             self._register_server(server)
 
     def _name_weights(self) -> None:
@@ -302,7 +364,9 @@
             if self._processes[vm] is process:
                 self._start_entry(vm)
 
-    async def _run_operator_action(self, action: str, duration_s: float) -> None:
+    async def _run_operator_action(
+        self, nursery, action: str, duration_s: float
+    ) -> None:
         if action == "key":
             removed = self.keys.pop(0)
             self.keys.append(f"key-{self.version + 10}")
@@ -316,41 +380,83 @@
             self.desired_weights = self.version
             self._name_weights()
         elif action == "drain":
-            server = self.backend_servers[self.rng.choice(["c0", "m0"])]
+            slot = self.rng.choice(["c0", "m0"])
+            server = self.backend_servers[slot]
+            with self._disturbing(server.id):
+                server.draining = True
+                self._register_server(server)
+                await trio.sleep(duration_s)
+                # A release may have replaced it in the meantime.
+                server.draining = server is not self.backend_servers[slot]
+                self._register_server(server)
+        elif action == "release":
+            async with self._release_lock:
+                await self._release(nursery, duration_s)
+
+    async def _release(self, nursery, duration_s: float) -> None:
+        """Replace the model servers of one software version, one after the other."""
+        former = self.backend_servers[MODEL_SERVERS[0]].software_version
+        (version,) = set(SOFTWARE_VERSIONS) - {former}
+        for slot in MODEL_SERVERS:
+            server = self.backend_servers[slot]
+            if server.software_version == version:
+                continue
+            await self._start_model_server(nursery, slot, version)
+            now = trio.current_time()
+            self.observations.disturbances.append((server.id, now, float("inf")))
             server.draining = True
             self._register_server(server)
-            await trio.sleep(duration_s)
-            server.draining = False
+            await trio.sleep(duration_s / 2)
+            self._ended_servers.add(server.id)
             self._register_server(server)
+            self._server_scopes[server.id].cancel()
 
     # Callers
 
-    async def _run_caller(self, number: int) -> None:
+    async def _run_caller(self, number: int, kinds: tuple[str, ...]) -> None:
         rng = random.Random(number)
         request_number = 0
-        options = RequestOptions(connect_timeout_s=0.5, idle_timeout_s=4.0)
         while True:
             request_number += 1
-            kind = rng.choice(REQUEST_KINDS)
+            kind = rng.choice(kinds)
             last_removed_keys = list(self.observations.removed_keys)[-1:]
             request = RequestRecord(
                 id=f"q{number}-{request_number}",
                 kind=kind,
                 key=rng.choice(self.keys + last_removed_keys),
                 sent_at=trio.current_time(),
-                events=rng.randint(1, 12) if kind in {"brief", "ask"} else 0,
+                events=rng.randint(1, 25) if kind in {"brief", "ask"} else 0,
             )
-            self.observations.sent[request.id] = request
-            vm = request.vm = rng.choice([f"e{n}" for n in range(self._entries)])
-            try:
-                await self._send_request(request, self._addresses[vm], options)
-            except ClientError:
-                await trio.sleep(0.05)
+            received = await self._send_request(request, rng, 0)
+            for attempt in range(MAX_RESUMPTIONS):
+                is_partial = kind == "ask" and 0 < received < request.events
+                # Callers do not repeat a request after 401.
+                if not is_partial or request.status == 401:
+                    break
+                await trio.sleep(rng.uniform(0.0, 0.3))
+                request = attrs.evolve(
+                    request,
+                    id=f"q{number}-{request_number}-{attempt + 1}",
+                    resumes=f"q{number}-{request_number}",
+                    sent_at=trio.current_time(),
+                    status=0,
+                    body=b"",
+                    complete=False,
+                    leaving_at=0.0,
+                )
+                received += await self._send_request(request, rng, received)
             await trio.sleep(rng.expovariate(10))
 
     async def _send_request(
-        self, request: RequestRecord, address: Address, options
-    ) -> None:
+        self, request: RequestRecord, rng: random.Random, received: int
+    ) -> int:
+        """Send a request to another entry than before and return its whole events.
+
+        ``received`` is the number of events that the caller has already.
+        """
+        self.observations.sent[request.id] = request
+        entries = [f"e{n}" for n in range(self._entries) if f"e{n}" != request.vm]
+        request.vm = rng.choice(entries)
         fields = {
             "host": "app.example",
             "x-foxtailcourse-request-id": request.id,
@@ -358,18 +464,35 @@
             "x-foxtailcourse-key": request.key,
         }
         if request.events:
+            # Callers' prompts differ, so that streams begin at several servers.
+            caller = request.id[1:].split("-")[0]
             fields |= {
                 "x-foxtailcourse-model": MODEL,
                 "x-foxtailcourse-token-counts": f"100,{request.events}",
-                "x-foxtailcourse-prompt-prefix": "aa:60,bb:40",
+                "x-foxtailcourse-prompt-prefix": f"a{caller}:60,bb:40",
             }
+        if request.resumes:
+            fields |= {"last-event-id": str(received), "resumes": request.resumes}
+        lost_after = request.events
+        if request.kind == "ask" and rng.random() < LOST_CONNECTIONS:
+            lost_after = rng.randint(1, request.events)
+        try:
+            await self._receive(request, fields, lost_after)
+        except ClientError:
+            await trio.sleep(0.05)
+        return len(request.software_versions)
+
+    async def _receive(
+        self, request: RequestRecord, fields: dict[str, str], lost_after: int
+    ) -> None:
+        """Receive a response, at most until it has a number of stream events."""
         async with self._pool.request(
-            address,
+            self._addresses[request.vm],
             "POST",
             f"/{request.kind}/x",
             headers=fields,
             body=b"body",
-            options=options,
+            options=RequestOptions(connect_timeout_s=0.5, idle_timeout_s=4.0),
         ) as response:
             status = response.status
             if response.headers.get("server-leaving") == "1":
@@ -377,6 +500,10 @@
             async for chunk in response.iter_chunks():
                 request.status = status
                 request.body += chunk
+                if lost_after < request.events and (
+                    len(request.software_versions) >= lost_after
+                ):
+                    return
             request.status, request.complete = status, True
 
 
@@ -411,9 +538,12 @@
             violations_found = trio.run(soak.run)
             run_count = len(soak.observations.runs)
             served = sum(each.status == 200 for each in soak.observations.sent.values())
+            resumed, begun = resumption_outcomes(soak.observations)
             print(
                 f"seed={seed} requests={len(soak.observations.sent)} served={served} "
                 f"runs={run_count} orders={len(soak.observations.orders)} "
+                f"begun={sum(begun)}/{len(begun)} "
+                f"resumed={sum(resumed)}/{len(resumed)} "
                 f"broken={len(violations_found)}",
                 flush=True,
             )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -22,6 +22,29 @@
     return Run(request_id=request_id, target="/x", body=b"", headers={}, version=1)
 
 
+def make_body(request_id, numbers, versions=("v1",)):
+    """Return events whose software versions repeat in the given order."""
+    return b"".join(
+        stream_event(request_id, number, versions[n % len(versions)])
+        for n, number in enumerate(numbers)
+    )
+
+
+def make_resumption(request_id, first, later, versions=("v1", "v1"), **changes):
+    """Return a request for a stream of four events and one that resumes it."""
+    bodies = (request_id, first), (f"{request_id}-1", later)
+    requests = [
+        make_request(
+            name, "ask", events=4, status=200, body=make_body(name, numbers, [version])
+        )
+        for (name, numbers), version in zip(bodies, versions, strict=True)
+    ]
+    requests[1].resumes = request_id
+    for name, value in changes.items():
+        setattr(requests[1], name, value)
+    return {each.id: each for each in requests}
+
+
 def make_request(request_id, kind="return", **changes):
     values = {"id": request_id, "kind": kind, "key": "k", "sent_at": 0.0}
     return RequestRecord(**(values | changes))
@@ -134,6 +157,56 @@
             found = violations(observations)
             self.assertThat(bool(found), Equals(is_violation), found)
 
+    def test_resumed_stream_that_does_not_follow(self):
+        for numbers, complete, text in (
+            ((4,), False, "gap"),
+            ((2, 3, 4), False, "gap"),
+            ((3,), True, "looks complete"),
+            ((3, 4, 5), False, "gap"),
+        ):
+            sent = make_resumption("a", (1, 2), numbers, complete=complete)
+            self.check(text, sent=sent)
+        whole = make_resumption("a", (1, 2), (3, 4), complete=True)
+        self.assertThat(violations(Observations(sent=whole)), Equals([]))
+
+    def test_streams_of_two_software_versions(self):
+        mixed = make_request("c", "ask", events=4, status=200)
+        mixed.body = make_body("c", (1, 2), ("v1", "v2"))
+        sent = make_resumption("a", (1, 2), (3,), ("v1", "v2")) | {"c": mixed}
+        self.assertThat(violations(Observations(sent=sent)), Equals([]))
+        sent |= make_resumption("b", (1,), (2, 3), ("v2", "v1"))
+        self.check("3 streams of two software versions", sent=sent)
+
+    def test_resumed_streams_that_do_not_go_on(self):
+        def check(is_violation, count=12, stuck=12, vm="e1", other="v1", **changes):
+            sent = {}
+            for number in range(count):
+                later = () if number < stuck else (3,)
+                sent |= make_resumption(f"a{number}", (1, 2), later, vm=vm, **changes)
+            observations = Observations(
+                sent=sent,
+                removed_keys={"old": 40.0},
+                server_versions={"m0": "v1", "m1": other, "m2": "v1"},
+                disturbances=[
+                    ("e2", 49.0, 51.0),
+                    ("m2", 49.0, 51.0),
+                    ("store", 90.0, float("inf")),
+                ],
+            )
+            found = violations(observations)
+            self.assertThat(len(found), Equals(int(is_violation)), found)
+
+        for sent_at, is_violation in ((50.0, True), (95.0, False)):
+            check(is_violation, sent_at=sent_at)
+        check(False, count=11, sent_at=50.0)
+        check(True, stuck=7, sent_at=50.0)
+        check(False, stuck=6, sent_at=50.0)
+        # A disturbed entry, one undisturbed server of the version, a removed key.
+        check(False, vm="e2", sent_at=50.0)
+        check(False, other="v2", sent_at=50.0)
+        check(True, other="v2", sent_at=60.0)
+        check(False, key="old", sent_at=50.0)
+
 
 class TestSoak(testtools.TestCase):
     """Runs a short seeded soak with entry processes."""
