State a software version in the backend server stand-in

Workers of several software versions may serve side by side in one service.

Change: BackendServerStandin has a software_version, "v1" by default, which its registration and each stream event name; a run records it and the last event that the request named. With the default the registration is the same as before.

--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -81,6 +81,10 @@
         Content of the request.
     version : int
         Weights version that served it; 0 for a plain service.
+    software_version : str
+        Software version of the server that ran it.
+    position : int
+        Last stream event that the request named; 0 if it runs from the start.
     events : int
         Number of stream events generated so far.
     ended, cancelled : bool
@@ -96,6 +100,8 @@
     body: bytes
     headers: dict[str, str]
     version: int
+    software_version: str = "v1"
+    position: int = 0
     events: int = 0
     ended: bool = False
     cancelled: bool = False
@@ -140,6 +146,8 @@
         Time to load weights, in seconds.
     slots : int
         Number of slots that it registers.
+    software_version : str
+        Version of the server's software; its stream events name it.
     faults : BackendServerFaults
         Injected faults.
     runs : list of Run
@@ -168,6 +176,7 @@
     event_s: float = 0.005
     load_s: float = 0.05
     slots: int = 16
+    software_version: str = "v1"
     faults: BackendServerFaults = attrs.field(factory=BackendServerFaults)
     runs: list[Run] = attrs.field(factory=list)
     orders: list[dict[str, Any]] = attrs.field(factory=list)
@@ -192,7 +201,7 @@
                 "service": self.service,
                 "address": address,
                 "zone": failure_domain,
-                "version": "v1",
+                "version": self.software_version,
                 "slots": self.slots,
                 "state": "draining" if self.draining else "ready",
                 "coldRemainingMs": 0,
@@ -302,6 +311,7 @@
             body=exchange.body,
             headers=dict(exchange.headers),
             version=version,
+            software_version=self.software_version,
             at=trio.current_time(),
             started_ms=self.started_ms,
         )
@@ -343,16 +353,16 @@
         """Stream one event for each output token, after the last event received."""
         # The header contains the prompt tokens and the largest number of output tokens.
         output_tokens = int(run.headers["x-foxtailcourse-token-counts"].split(",")[1])
-        first_number = int(run.headers.get("last-event-id", "0")) + 1
+        run.position = int(run.headers.get("last-event-id", "0"))
         headers |= {
             "content-type": "text/event-stream",
             "x-foxtailcourse-weight-versions": str(run.version),
         }
         await exchange.start_stream(200, headers)
-        for number in range(first_number, output_tokens + 1):
+        for number in range(run.position + 1, output_tokens + 1):
             await trio.sleep(self.event_s)
             run.events += 1
-            event = stream_event(run.request_id, number)
+            event = stream_event(run.request_id, number, run.software_version)
             if self.faults.cut_after_events and run.events > (
                 self.faults.cut_after_events
             ):
@@ -375,6 +385,7 @@
     return f"{run.request_id} {run.target} {digest}".encode()
 
 
-def stream_event(request_id: str, number: int) -> bytes:
+def stream_event(request_id: str, number: int, software_version: str = "v1") -> bytes:
     """Return one stream event, as sent; numbers start at 1."""
-    return f"id: {number}\ndata: {request_id} token {number}\n\n".encode()
+    data = f"{request_id} token {number} {software_version}"
+    return f"id: {number}\ndata: {data}\n\n".encode()
