Log the software version of servers and the stream that a request resumes

Cause: the log of a stream that holds events of two software versions names neither the versions nor the caller's attempt that it resumes, so a stream that an entry resumed cannot be told from one that its caller took up again.

Change: the version of a registration and the header Resumes are decoded; server_registered has software, request_done has software and resumes. A registration without a version stays usable. Nothing is decided by them.

Tests: test_resumed_request_and_its_software_version, test_server_without_a_software_version_is_used, test_resumed_stream_is_decoded_and_forwarded.

--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -222,6 +222,8 @@
         Loaded weights version by model.
     started_ms : int
         Wall-clock start time in milliseconds; 0 if not reported.
+    software_version : str
+        Version of the server's software; empty if not reported.
     """
 
     id: str
@@ -232,6 +234,7 @@
     leaving: bool
     weights: Mapping[str, int]
     started_ms: int = 0
+    software_version: str = ""
 
     @property
     def run(self) -> ServerRun:
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -139,6 +139,7 @@
             service=server.service,
             address=server.address,
             leaving=server.leaving,
+            software=server.software_version or None,
             weights=",".join(f"{k}:{v}" for k, v in server.weights.items()) or None,
         )
 
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -318,6 +318,8 @@
             queued_tokens=job.queued_tokens or None,
             to_read_tokens=int(choice.prefill_tokens) if choice else None,
             fetch_from=choice.fetch_from if choice else None,
+            resumes=job.request.resumes or None,
+            software=job.chosen_software or None,
             weights=job.chosen_version,
             weights_outdated_ms=_age_ms(job.outdated_s),
             servers_age_ms=_age_ms(age_s),
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -99,6 +99,13 @@
             return None
         return self.choice.candidate.server.weights.get(self.request.model)
 
+    @property
+    def chosen_software(self) -> str:
+        """Software version of the last selected server, empty if unknown."""
+        if self.choice is None:
+            return ""
+        return self.choice.candidate.server.software_version
+
     @property
     def account_name(self) -> str:
         """Name of the client account, empty without one."""
--- a/src/foxtailcourse/platform/_headers.py
+++ b/src/foxtailcourse/platform/_headers.py
@@ -21,6 +21,7 @@
 FETCH_FROM_HEADER = "x-foxtailcourse-kv-fetch-from"
 SAVE_TO_HEADER = "x-foxtailcourse-kv-save-to"
 LAST_EVENT_ID_HEADER = "last-event-id"
+RESUMES_HEADER = "resumes"
 SIGNATURE_HEADER = "x-foxtailcourse-response-signature"
 NOT_EXECUTED_HEADER = "x-foxtailcourse-not-executed"
 ACTUAL_INSTANCE_HEADER = "x-foxtailcourse-instance-id"
@@ -115,6 +116,9 @@
         Maximum number of tokens to generate; 0 if not known.
     last_event_id : str
         Event after which the caller resumes a stream, empty for a new one.
+    resumes : str
+        Identifier of the caller's attempt that brought the first event of the stream
+        that it resumes; empty if not given.
     headers : mapping of str to str
         Headers to forward to the backend server.
     """
@@ -128,6 +132,7 @@
     prompt_parts: tuple[PromptPart, ...]
     max_output_tokens: int
     last_event_id: str
+    resumes: str
     headers: Mapping[str, str]
 
     @property
@@ -250,6 +255,7 @@
         prompt_parts=_parse_prompt_parts(fields.get(PROMPT_PREFIX_HEADER, "")),
         max_output_tokens=_parse_max_output_tokens(fields.get(TOKEN_COUNTS_HEADER, "")),
         last_event_id=fields.get(LAST_EVENT_ID_HEADER, ""),
+        resumes=fields.get(RESUMES_HEADER, ""),
         headers={k: v for k, v in fields.items() if k not in dropped},
     )
 
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -179,6 +179,8 @@
     slots: float
     models: list[_Model] = []
     born: int = 0
+    # Version of the software; a value of another type leaves the server usable.
+    version: Any = ""
 
 
 class _Weights(msgspec.Struct):
@@ -244,6 +246,7 @@
         leaving=raw.state == LEAVING_STATE,
         weights={each.name: each.version for each in raw.models},
         started_ms=raw.born,
+        software_version=raw.version if isinstance(raw.version, str) else "",
     )
 
 
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -47,6 +47,17 @@
         self.assertThat(fields["weights"], Equals("1"))
         self.assertIn("weights_outdated_ms", fields)
 
+    @run_with("with_fleet")
+    async def test_resumed_request_and_its_software_version(self, fleet, entry):
+        await fleet.call(entry, "ask", stream=3)
+        await fleet.call(entry, "ask", stream=3, last_event_id="1", resumes="r1")
+        first, second = entry.events("request_done")
+        self.assertThat(first["software"], Equals("v1"))
+        self.assertNotIn("resumes", first)
+        self.assertThat(second["resumes"], Equals("r1"))
+        for fields in entry.events("server_registered"):
+            self.assertThat(fields["software"], Equals("v1"))
+
     @run_with("with_fleet")
     async def test_refused_request(self, fleet, entry):
         for name in ("c1", "c2"):
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -61,6 +61,14 @@
         self.assertThat(server.weights, Equals({"guide": 3}))
         self.assertThat((server.leaving, reasons), Equals((False, [])))
         self.assertThat(server.started_ms, Equals(1700000000000))
+        self.assertThat(server.software_version, Equals("v1"))
+
+    def test_server_without_a_software_version_is_used(self):
+        without = {k: v for k, v in SERVER.items() if k != "version"}
+        for entry in (without, SERVER | {"version": 3}, SERVER | {"version": None}):
+            server, reasons = self.dispatch(msgspec.json.encode(entry))
+            self.assertThat(server.software_version, Equals(""))
+            self.assertThat(reasons, Equals([]))
 
     def test_malformed_entries_give_no_server(self):
         changes = [
@@ -165,6 +173,12 @@
         self.assertThat(request.deadline_s, Equals(12.0))
         self.assertThat(request.max_output_tokens, Equals(80))
 
+    def test_resumed_stream_is_decoded_and_forwarded(self):
+        request = self.decode(last_event_id="4", resumes="5d2e")
+        self.assertThat((request.last_event_id, request.resumes), Equals(("4", "5d2e")))
+        self.assertThat(request.headers["resumes"], Equals("5d2e"))
+        self.assertThat(self.decode().resumes, Equals(""))
+
     def test_malformed_headers_are_rejected(self):
         for name, value in (
             ("x_foxtailcourse_deadline_ms", "-1"),
