Resume a broken stream only at the software version that began it

What callers saw: responses whose events come from servers of two software versions, after the server that began them had broken off.

Cause: the selection of a server for a resumed stream compared the version of the weights only. Ruled out: an entry that does not know the version; the registration states it, and a server's software changes only with its start.

Change: a job keeps the software version of its first event beside that of the weights, and CandidateFilter.select leaves out the other ones (other_software). Without such a server the response ends incomplete.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -206,7 +206,7 @@
             self._check_success(job, choice, head)
             job.sent_to.append(choice.candidate.server.id)
             try:
-                await self._relay(job, response, watched, on_first_event)
+                await self._relay(job, choice, response, watched, on_first_event)
             except ClientError:
                 # The exception handler in _exchange appends the server again.
                 job.sent_to.pop()
@@ -259,6 +259,7 @@
     async def _relay(
         self,
         job: Job,
+        choice: Choice,
         response: ClientResponse,
         watched: WatchedAttempt,
         on_first_event: Callable[[], None],
@@ -275,6 +276,7 @@
             if job.first_event_at is None:
                 job.first_event_at = self.clock()
                 job.weights_version = job.chosen_version
+                job.software_version = choice.candidate.server.software_version
             with watched.forwarding(self.clock):
                 if exchange.response_started:
                     await exchange.send(events)
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -76,6 +76,7 @@
         now: float,
         *,
         version: int | None = None,
+        software_version: str | None = None,
     ) -> Selection:
         """Return the servers that are eligible for the next attempt.
 
@@ -93,6 +94,8 @@
             Present time in seconds since boot.
         version : int or None
             The only version of the weights that may resume a stream.
+        software_version : str or None
+            The only version of the servers' software that may resume a stream.
         """
         serving = [
             each
@@ -101,6 +104,10 @@
         ]
         if not serving:
             return Selection(candidates=(), reason="no_server")
+        if software_version is not None:
+            serving = [e for e in serving if e.software_version == software_version]
+            if not serving:
+                return Selection(candidates=(), reason="other_software")
         usable = [each for each in serving if self._weights_usable(each, model, now)]
         if not usable:
             return Selection(candidates=(), reason="old_weights")
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -248,6 +248,7 @@
             tried,
             now,
             version=job.weights_version,
+            software_version=job.software_version,
         )
         if not selection.candidates:
             if job.verdict is Verdict.NOT_RUN:
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -41,6 +41,9 @@
     weights_version : int or None
         Version of the weights that the caller's first event came from. The stream is
         not resumed with another version.
+    software_version : str or None
+        Version of the server software that the caller's first event came from. The
+        stream is not resumed at another version, as their events do not fit together.
     first_event_at : float or None
         When the first event arrived, in seconds since boot.
     choice : Choice or None
@@ -72,6 +75,7 @@
     verdict: Verdict = Verdict.NOT_RUN
     last_event_id: str = ""
     weights_version: int | None = None
+    software_version: str | None = None
     first_event_at: float | None = None
     choice: Choice | None = None
     queued_tokens: int = 0
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -192,6 +192,8 @@
     "no_server": "no server of the service is registered for new work",
     "not_executed": "the server reported that it did not run the request",
     "old_weights": "every server has outdated weights that must no longer be used",
+    "other_software": "no server in service has the software version with which the "
+    "stream began",
     "other_weights": "no other server has the weights with which the stream began",
     "overloaded": "a long prompt could not be served before its caller gives up; the "
     "decision is based on `held_ms`, `queued_tokens`, `work_tokens` and `ahead_ms` "
