Continue a caller's stream only at the software version that began it

What callers saw: streams whose first part came from one software version and whose rest, after the caller took them up at another entry, came from another one.

Cause: Resumes was not used, and an entry knew nothing of streams that another entry had begun. Ruled out: keeping the version in the store (a write for each stream, none during an outage) and in the event identifiers (servers write them, and responses are returned unchanged).

Change: the entry that forwards the first event records service and software version under the identifier of the caller's attempt, and sends them to three owners on a ring of the registered entries. An entry that gets a resumed stream looks in its own table, then asks the owners: once more after 40 ms, for 150 ms at most. An unknown stream is refused and not run (unknown_stream) unless the service had one software version for the whole lifetime of a stream; without a server of its version it is refused too (other_software). Tables are bounded in time (30 s) and number (20,000).

The builder of exchanges in test_relays.py and test_peer_exchange.py moves to exchange_case.py.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -30,6 +30,8 @@
 from foxtailcourse.ingress._settings import IngressSettings
 from foxtailcourse.ingress._store_rate_limit import RateLimitedStore, RateLimiter
 from foxtailcourse.ingress._store_watcher import StoreWatcher
+from foxtailcourse.ingress._stream_origins import SoftwareHistory
+from foxtailcourse.ingress._stream_resumption import StreamResumption
 from foxtailcourse.ingress._watchdog import AttemptWatchdog
 from foxtailcourse.platform import (
     OPERATOR_PREFIX,
@@ -141,8 +143,10 @@
         self._peer_exchange.on_cache_update = self._cache_feed.apply_published
         self._peer_exchange.cache_snapshot = self._cache_feed.snapshot
         self._peer_exchange.weights_to_publish = self._rollout.weights_to_publish
+        software = SoftwareHistory()
         self._updates = FleetUpdates(
             view=self._view,
+            software=software,
             membership=self._membership,
             publish_leaving=self._peer_exchange.publish_leaving,
             apply_limits=self._apply_caller_limits,
@@ -173,6 +177,14 @@
         self._handler = IngressHandler(
             view=self._view,
             dispatcher=self._dispatcher,
+            resumption=StreamResumption(
+                view=self._view,
+                history=software,
+                exchange=self._peer_exchange.origins,
+                clock=boot_seconds,
+                events=self._events,
+                metrics=self._metrics,
+            ),
             refresh=self._refresh,
             key_age_limit_s=cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S,
             clock=boot_seconds,
@@ -198,6 +210,7 @@
                 self._cfg.connect_timeout_s,
                 boot_seconds,
                 self._updates.announce_leaving,
+                self._peer_exchange.origins.publish,
             ),
             retry_budget_for=self._retry_budget_for,
             clock=boot_seconds,
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -17,6 +17,7 @@
 from foxtailcourse.ingress._job import AttemptError, Job, ServerResponse
 from foxtailcourse.ingress._placement_types import Choice
 from foxtailcourse.ingress._server_loads import ServerLoads
+from foxtailcourse.ingress._stream_origins import StreamOrigin
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
 from foxtailcourse.platform import (
     REFUSED_STATUSES,
@@ -61,6 +62,9 @@
         Returns seconds since boot.
     on_leaving : callable
         Called with a server whose response says that it leaves.
+    on_stream_begun : callable
+        Called with the identifier of a caller's attempt and the origin of its stream,
+        before the first event is forwarded, if the stream may be resumed.
     """
 
     pool: ConnectionPool
@@ -71,6 +75,9 @@
     on_leaving: Callable[[BackendServer], None] = attrs.field(
         default=lambda server: None
     )
+    on_stream_begun: Callable[[str, StreamOrigin], None] = attrs.field(
+        default=lambda request_id, origin: None
+    )
 
     async def run(
         self, job: Job, choice: Choice, store: Address | None
@@ -277,6 +284,9 @@
                 job.first_event_at = self.clock()
                 job.weights_version = job.chosen_version
                 job.software_version = choice.candidate.server.software_version
+                if job.route.resumable and not job.request.last_event_id:
+                    origin = StreamOrigin(job.service, job.software_version)
+                    self.on_stream_begun(job.request.id, origin)
             with watched.forwarding(self.clock):
                 if exchange.response_started:
                     await exchange.send(events)
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -43,6 +43,7 @@
 RETRY_AFTER_S = {
     "no_server": 0.5,
     "old_weights": 0.5,
+    "other_software": 0.5,
     "loading_weights": 0.4,
     "connection_limit": 0.3,
     "all_tried": 0.15,
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -11,6 +11,7 @@
 )
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
 from foxtailcourse.ingress._store_watcher import StoreState
+from foxtailcourse.ingress._stream_origins import SoftwareHistory
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import RecordDispatcher
 
@@ -26,6 +27,8 @@
     ----------
     view : FleetView
         Last known state of the fleet.
+    software : SoftwareHistory
+        Recent software versions of each service.
     membership : Membership
         Registered entries and leader.
     publish_leaving : callable
@@ -51,6 +54,7 @@
         self,
         *,
         view: FleetView,
+        software: SoftwareHistory,
         membership: Membership,
         publish_leaving: Callable[[ServerRun], None],
         apply_limits: Callable[[CallerLimits], None],
@@ -60,6 +64,7 @@
         metrics: Metrics,
     ) -> None:
         self._view = view
+        self._software = software
         self._membership = membership
         self._publish_leaving = publish_leaving
         self._apply_limits = apply_limits
@@ -128,6 +133,9 @@
             server = server.with_newer_weights(previous)
         if server == previous:
             return
+        for each in (previous, server):
+            if each is not None:
+                self._software.record(each, self._clock())
         if server is None:
             del self._view.servers[server_id]
             self._events.emit("server_gone", backend_server=server_id)
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -10,6 +10,7 @@
 from foxtailcourse.http import Exchange
 from foxtailcourse.ingress._dispatcher import Dispatcher
 from foxtailcourse.ingress._job import AttemptError, Job, RefusedError, ServerResponse
+from foxtailcourse.ingress._stream_resumption import StreamResumption
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import (
     IngressRequest,
@@ -53,6 +54,8 @@
         Last known state of the fleet.
     dispatcher : Dispatcher
         Sends jobs to backend servers.
+    resumption : StreamResumption
+        Binds resumed streams to the software version that began them.
     refresh : coroutine function
         Reads the configuration again if it is older than the given number of seconds;
         does not raise, and keeps the present one if the store does not respond.
@@ -74,6 +77,7 @@
 
     view: FleetView
     dispatcher: Dispatcher
+    resumption: StreamResumption
     refresh: Callable[[float], Awaitable[None]]
     key_age_limit_s: float
     clock: Callable[[], float]
@@ -127,6 +131,7 @@
     async def _run_job(self, job: Job) -> str:
         """Dispatch a request, respond to the caller and return the outcome."""
         try:
+            await self.resumption.bind(job)
             response = await self.dispatcher.run(job)
             if response is not None:
                 await self._forward_response(job.exchange, response)
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -19,6 +19,7 @@
     LoadRelay,
     LoadRow,
 )
+from foxtailcourse.ingress._origin_exchange import OriginExchange
 from foxtailcourse.ingress._peer_messages import (
     MAX_DATAGRAM_BYTES,
     CacheBatch,
@@ -28,6 +29,9 @@
     LeavingUpdate,
     LoadsUpdate,
     Message,
+    OriginAnswer,
+    OriginQuery,
+    OriginsUpdate,
     SnapshotRequest,
     WeightsUpdate,
     decode,
@@ -36,6 +40,7 @@
 from foxtailcourse.ingress._peers import PeerDirectory
 from foxtailcourse.ingress._relays import RelayPlan
 from foxtailcourse.ingress._server_loads import RemoteLoad, ServerLoads
+from foxtailcourse.ingress._stream_origins import OwnerRing
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import fencing_token
 from foxtailcourse.settings import Address
@@ -105,6 +110,8 @@
         Where datagrams are received, with the actual port; set by ``bind``.
     plan : RelayPlan
         Which entries relay.
+    origins : OriginExchange
+        Which software versions began streams.
     """
 
     vm: str
@@ -126,6 +133,7 @@
     )
     address: Address = attrs.field(init=False)
     plan: RelayPlan = attrs.field(init=False)
+    origins: OriginExchange = attrs.field(init=False)
     _relay: LoadRelay = attrs.field(factory=LoadRelay, init=False)
     _relay_wakeup: trio.Event = attrs.field(factory=trio.Event, init=False)
     # Cache events to pass on to the members, by source and epoch.
@@ -146,6 +154,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.plan = RelayPlan(self.vm, self.peers)
+        ring = OwnerRing(self.vm, self.peers)
+        self.origins = OriginExchange(ring, self.send, self.clock, self.metrics)
 
     async def bind(self) -> None:
         """Open the socket."""
@@ -163,6 +173,7 @@
                 nursery.start_soon(self._publish_leaving)
                 nursery.start_soon(self._relay_loads)
                 nursery.start_soon(self._relay_caches)
+                nursery.start_soon(self.origins.run)
 
     # Receiving
 
@@ -204,6 +215,8 @@
             case CacheBatch(updates):
                 for update in updates:
                     self.on_cache_update(update)
+            case OriginsUpdate() | OriginQuery() | OriginAnswer():
+                self.origins.handle(message, sender)
 
     def _apply_loads(self, source: str, rows: Iterable[LoadRow], now: float) -> None:
         for server_id, prefill_tokens, in_flight, short_prompts in rows:
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -96,6 +96,46 @@
     started_ms: int
 
 
+class OriginsUpdate(msgspec.Struct, array_like=True, tag="origins"):
+    """What began streams, for the entries that own them.
+
+    Parameters
+    ----------
+    rows : list of tuple
+        Identifier of the caller's attempt that brought the first event, service and
+        software version of the server.
+    """
+
+    rows: list[tuple[str, str, str]]
+
+
+class OriginQuery(msgspec.Struct, array_like=True, tag="origin?"):
+    """Asks an owner what began a stream.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the caller's attempt that brought the first event.
+    """
+
+    request_id: str
+
+
+class OriginAnswer(msgspec.Struct, array_like=True, tag="origin"):
+    """Answer of an owner.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier in the query.
+    origin : tuple of str or None
+        Service and software version of the server; None if the stream is unknown.
+    """
+
+    request_id: str
+    origin: tuple[str, str] | None
+
+
 Message = (
     LoadsUpdate
     | DomainLoads
@@ -105,6 +145,9 @@
     | CacheBatch
     | SnapshotRequest
     | LeavingUpdate
+    | OriginsUpdate
+    | OriginQuery
+    | OriginAnswer
 )
 MAX_DATAGRAM_BYTES = 1400
 
--- /dev/null
+++ b/src/foxtailcourse/ingress/_stream_resumption.py
@@ -0,0 +1,105 @@
+"""Binds a stream that its caller takes up again to what began it."""
+
+from collections.abc import Callable
+
+import attrs
+
+from foxtailcourse.fleet import FleetView, RouteKind
+from foxtailcourse.ingress._job import Job, RefusedError
+from foxtailcourse.ingress._origin_exchange import OriginExchange
+from foxtailcourse.ingress._stream_origins import SoftwareHistory, StreamOrigin
+from foxtailcourse.observe import EventLog, Metrics
+
+# Another entry may know a stream that this one does not.
+UNKNOWN_STREAM_RETRY_AFTER_S = 0.3
+OTHER_SERVICE_RETRY_AFTER_S = 0.5
+# The list of servers must be at most this old for a conclusion from the versions in it.
+ONLY_VERSION_MAX_AGE_S = 3.0
+
+
+@attrs.define(kw_only=True)
+class StreamResumption:
+    """Finds the software version at which a caller's stream goes on.
+
+    Parameters
+    ----------
+    view : FleetView
+        Last known state of the fleet.
+    history : SoftwareHistory
+        Recent software versions of each service.
+    exchange : OriginExchange
+        Knows the origins of streams, or asks other entries for them.
+    clock : callable
+        Returns seconds since boot.
+    events : EventLog
+        Receives an event for each search.
+    metrics : Metrics
+        Counts the searches.
+    """
+
+    view: FleetView
+    history: SoftwareHistory
+    exchange: OriginExchange
+    clock: Callable[[], float]
+    events: EventLog
+    metrics: Metrics
+
+    async def bind(self, job: Job) -> None:
+        """Set service and software version of a job that resumes a stream.
+
+        Raises
+        ------
+        RefusedError
+            If it is not known what began the stream, or the route no longer uses that
+            service.
+        """
+        route, request = job.route, job.request
+        if (
+            route.kind is not RouteKind.STREAM
+            or not route.resumable
+            or not request.last_event_id
+        ):
+            return
+        started = self.clock()
+        lookup = await self.exchange.find(request.resumes)
+        origin, source = lookup.origin, "entry" if lookup.asked else "own"
+        if origin is None:
+            origin, source = self._assumed_origin(job.service), "only_version"
+        self._record(job, origin, source, lookup.asked, self.clock() - started)
+        if origin is None:
+            raise RefusedError("unknown_stream", UNKNOWN_STREAM_RETRY_AFTER_S)
+        if origin.service not in {each.service for each in route.backends}:
+            raise RefusedError("other_software", OTHER_SERVICE_RETRY_AFTER_S)
+        job.service, job.software_version = origin.service, origin.software_version
+
+    def _assumed_origin(self, service: str) -> StreamOrigin | None:
+        """Return what must have begun a stream if the service had one version only."""
+        now = self.clock()
+        if self.view.servers_freshness.age_s(now) > ONLY_VERSION_MAX_AGE_S:
+            return None
+        version = self.history.only_version(service, self.view.servers.values(), now)
+        return None if version is None else StreamOrigin(service, version)
+
+    def _record(
+        self,
+        job: Job,
+        origin: StreamOrigin | None,
+        source: str,
+        asked: int,
+        waited_s: float,
+    ) -> None:
+        """Log and count a search."""
+        found = origin is not None
+        self.metrics.count(
+            "foxtail_ingress_stream_origins_total", source=source if found else "none"
+        )
+        self.events.emit(
+            "stream_origin_found" if found else "stream_origin_unknown",
+            request_id=job.request.id,
+            resumes=job.request.resumes or None,
+            service=origin.service if origin else None,
+            software=origin.software_version if origin else None,
+            source=source if found else None,
+            waited_ms=int(waited_s * 1000),
+            asked=asked,
+        )
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -112,6 +112,11 @@
     "`era`; `prefix` is read again completely, and what this system wrote is written "
     "again",
     "store_regained": "the platform's store responds again for `prefix`",
+    "stream_origin_found": "a caller takes a stream up again that `software` began; "
+    "`source` is the entry's `own` table, another `entry`, or `only_version` if the "
+    "service had no other one",
+    "stream_origin_unknown": "a caller takes a stream up again of which neither this "
+    "entry nor the `asked` ones know what began it; it is refused",
     "stream_broken": "a stream ended with an explicit error",
     "vm_list_failed": "the VM list could not be read",
     "vm_list_malformed": "an entry of the VM list is malformed and ignored",
@@ -160,6 +165,10 @@
     "`verdict`; routes beyond the first hundred count as `other`",
     "foxtail_ingress_store_failures_total": "failed calls to the platform's store "
     "by `prefix`",
+    "foxtail_ingress_stream_origins_total": "streams that callers took up again, by "
+    "`source` of the software version that began them; `none` if it is unknown",
+    "foxtail_ingress_unrecorded_streams_total": "streams that cannot be taken up again "
+    "at other entries, as their request identifier is missing or too long",
     "foxtail_ingress_unreadable_records_total": "records of the platform that "
     "are malformed",
 }
@@ -206,6 +215,8 @@
     "spoiled_answer": "the response lacks the server's signature or has a content "
     "encoding",
     "timed_out": "the caller's deadline or the route's timeout expired",
+    "unknown_stream": "it is not known which software version began the stream that "
+    "the caller takes up again",
     "unknown_key": "no client account has the key",
     "unreachable": "no connection to the server could be made; nothing was sent",
 }
--- a/tests/ingress/test_peer_exchange.py
+++ b/tests/ingress/test_peer_exchange.py
@@ -1,13 +1,12 @@
 import random
-import time
 
 import trio
+from exchange_case import LOCAL, start_exchange
 from testtools.matchers import Equals
 
 from cluster import wait_until
 from foxtailcourse.fleet import BackendServer, FleetView
 from foxtailcourse.ingress._clock import boot_seconds
-from foxtailcourse.ingress._peer_exchange import PeerExchange
 from foxtailcourse.ingress._peer_messages import (
     MAX_DATAGRAM_BYTES,
     CacheUpdate,
@@ -16,14 +15,9 @@
     decode,
     encode,
 )
-from foxtailcourse.ingress._peers import Peer, PeerDirectory
-from foxtailcourse.ingress._server_loads import ServerLoads
-from foxtailcourse.observe import EventLog, HybridClock, Metrics
-from foxtailcourse.settings import Address
+from foxtailcourse.ingress._peers import PeerDirectory
 from support import AsyncTestCase
 
-LOCAL = Address("127.0.0.1", 0)
-
 
 def server(name):
     return BackendServer(
@@ -48,20 +42,10 @@
                 for number in range(count):
                     view = FleetView()
                     view.servers["s1"] = server("s1")
-                    each = PeerExchange(
-                        f"e{number}",
-                        LOCAL,
-                        ServerLoads(),
-                        view,
-                        peers,
-                        boot_seconds,
-                        EventLog("x", HybridClock(time.time)),
-                        Metrics(),
+                    each = await start_exchange(
+                        nursery, peers, number, view, **registration
                     )
-                    await each.bind()
-                    peers.add(each.vm, Peer(address=each.address, **registration))
                     entries.append(each)
-                    nursery.start_soon(each.run)
                 await check(*entries)
                 nursery.cancel_scope.cancel()
 
--- a/tests/ingress/test_relays.py
+++ b/tests/ingress/test_relays.py
@@ -1,16 +1,14 @@
 import random
-import time
 
 import testtools
 import trio
+from exchange_case import start_exchange
 from testtools.matchers import Equals
 
 from cluster import wait_until
-from foxtailcourse.fleet import FleetView
 from foxtailcourse.ingress._cache_feed import assign_relayed_subscriber
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._load_relay import LoadRelay
-from foxtailcourse.ingress._peer_exchange import PeerExchange
 from foxtailcourse.ingress._peer_messages import CacheUpdate, WeightsUpdate, encode
 from foxtailcourse.ingress._peers import Peer, PeerDirectory, decode_peer
 from foxtailcourse.ingress._relays import (
@@ -19,8 +17,7 @@
     RelayPlan,
     select_relays,
 )
-from foxtailcourse.ingress._server_loads import REMOTE_VALID_S, ServerLoads
-from foxtailcourse.observe import EventLog, HybridClock, Metrics
+from foxtailcourse.ingress._server_loads import REMOTE_VALID_S
 from foxtailcourse.settings import Address
 from support import AsyncTestCase
 
@@ -147,21 +144,9 @@
         self.run_async(main)
 
     async def start(self, nursery, peers, number):
-        entry = PeerExchange(
-            f"e{number}",
-            LOCAL,
-            ServerLoads(),
-            FleetView(),
-            peers,
-            boot_seconds,
-            EventLog("x", HybridClock(time.time)),
-            Metrics(),
+        return await start_exchange(
+            nursery, peers, number, failure_domain=DOMAINS[number % 2]
         )
-        await entry.bind()
-        domain = DOMAINS[number % 2]
-        peers.add(entry.vm, Peer(address=entry.address, failure_domain=domain))
-        nursery.start_soon(entry.run)
-        return entry
 
     def test_load_of_one_entry_reaches_all_others(self):
         async def check(nursery, peers, entries):
--- a/tests/ingress/test_stream_software.py
+++ b/tests/ingress/test_stream_software.py
@@ -200,6 +200,25 @@
             self.assertTrue(float(response.headers["retry-after"]) > 0)
         self.assertThat(self.runs(fleet), Equals([]))
 
+    @run_with("with_fleet")
+    async def test_stream_of_unknown_origin_goes_on_at_the_only_version(
+        self, fleet, entry
+    ):
+        async def take_up():
+            return await fleet.call(
+                entry, "ask", stream=6, last_event_id="3", resumes="lost"
+            )
+
+        # Another version may have served until shortly before this entry started.
+        self.assertThat((await take_up()).status, Equals(503))
+        self.assertThat(self.runs(fleet), Equals([]))
+        entry.app._handler.resumption.history._lifetime_s = 0.2
+        await trio.sleep(0.3)
+        response = await take_up()
+        self.assertThat((response.status, event_count(response)), Equals((200, 3)))
+        sources = [e.get("source") for e in entry.events("stream_origin_found")]
+        self.assertThat(sources, Equals(["only_version"]))
+
     @run_with("with_fleet")
     async def test_stream_is_refused_and_not_run_while_its_version_has_no_server(
         self, fleet, entry
