--- a/tests/ingress/test_stream_software.py
+++ b/tests/ingress/test_stream_software.py
@@ -219,6 +219,17 @@
         sources = [e.get("source") for e in entry.events("stream_origin_found")]
         self.assertThat(sources, Equals(["only_version"]))
 
+    @run_with("with_fleet")
+    async def test_request_of_a_route_that_is_not_resumable_is_forwarded(
+        self, fleet, entry
+    ):
+        await update_software(fleet, [entry], SOFTWARE)
+        response = await fleet.call(
+            entry, "brief", stream=6, last_event_id="3", resumes="lost"
+        )
+        self.assertThat(response.status, Equals(200))
+        self.assertThat(entry.events("stream_origin_unknown"), Equals([]))
+
     @run_with("with_fleet")
     async def test_stream_is_refused_and_not_run_while_its_version_has_no_server(
         self, fleet, entry
