--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -41,6 +41,9 @@
     weights_version : int or None
         Version of the weights that the caller's first event came from. The stream is
         not resumed with another version.
+    software_version : str or None
+        Version of the server software that the caller's first event came from. The
+        stream is not resumed at another version, as their events do not fit together.
     first_event_at : float or None
         When the first event arrived, in seconds since boot.
     choice : Choice or None
@@ -72,6 +75,7 @@
     verdict: Verdict = Verdict.NOT_RUN
     last_event_id: str = ""
     weights_version: int | None = None
+    software_version: str | None = None
     first_event_at: float | None = None
     choice: Choice | None = None
     queued_tokens: int = 0
@@ -99,6 +103,13 @@
             return None
         return self.choice.candidate.server.weights.get(self.request.model)
 
+    @property
+    def chosen_software(self) -> str:
+        """Software version of the last selected server, empty if unknown."""
+        if self.choice is None:
+            return ""
+        return self.choice.candidate.server.software_version
+
     @property
     def account_name(self) -> str:
         """Name of the client account, empty without one."""
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -112,6 +112,11 @@
     "`era`; `prefix` is read again completely, and what this system wrote is written "
     "again",
     "store_regained": "the platform's store responds again for `prefix`",
+    "stream_origin_found": "a caller takes a stream up again that `software` began; "
+    "`source` is the entry's `own` table, another `entry`, or `only_version` if the "
+    "service had no other one",
+    "stream_origin_unknown": "a caller takes a stream up again of which neither this "
+    "entry nor the `asked` ones know what began it; it is refused",
     "stream_broken": "a stream ended with an explicit error",
     "vm_list_failed": "the VM list could not be read",
     "vm_list_malformed": "an entry of the VM list is malformed and ignored",
@@ -164,6 +169,10 @@
     "`verdict`; routes beyond the first hundred count as `other`",
     "foxtail_ingress_store_failures_total": "failed calls to the platform's store "
     "by `prefix`",
+    "foxtail_ingress_stream_origins_total": "streams that callers took up again, by "
+    "`source` of the software version that began them; `none` if it is unknown",
+    "foxtail_ingress_unrecorded_streams_total": "streams that cannot be taken up again "
+    "at other entries, as their request identifier is missing or too long",
     "foxtail_ingress_unreadable_records_total": "records of the platform that "
     "are malformed",
 }
@@ -196,6 +205,8 @@
     "no_server": "no server of the service is registered for new work",
     "not_executed": "the server reported that it did not run the request",
     "old_weights": "every server has outdated weights that must no longer be used",
+    "other_software": "no server in service has the software version with which the "
+    "stream began",
     "other_weights": "no other server has the weights with which the stream began",
     "overloaded": "a long prompt could not be served before its caller gives up; the "
     "decision is based on `held_ms`, `queued_tokens`, `work_tokens` and `ahead_ms` "
@@ -208,6 +219,8 @@
     "spoiled_answer": "the response lacks the server's signature or has a content "
     "encoding",
     "timed_out": "the caller's deadline or the route's timeout expired",
+    "unknown_stream": "it is not known which software version began the stream that "
+    "the caller takes up again",
     "unknown_key": "no client account has the key",
     "unreachable": "no connection to the server could be made; nothing was sent",
 }
