Reproduce outdated weights in use past their limit because of a record

A record of recent weights outweighs the time since an entry read the version, and counts for 4 s after its end while the margin to the limit is 2 s.

Tests: three, which fail on this code; no logic is changed.

--- /dev/null
+++ b/tests/ingress/test_weights_limits.py
@@ -0,0 +1,41 @@
+import attrs
+import testtools
+from test_weights_age import LIMIT_S, is_used, make_entry, name_weights
+from testtools.matchers import Equals
+
+from foxtailcourse.ingress._clock import boot_seconds
+from foxtailcourse.ingress._recent_weights import recent_weights_key
+
+KEY = recent_weights_key("guide", 2)
+
+
+class TestRecordOfRecentWeights(testtools.TestCase):
+    """Guards against records that last longer than outdated weights may be used."""
+
+    def test_record_does_not_outweigh_the_time_since_the_version_was_read(self):
+        """Its lease may have started late, paused in an outage or been restored."""
+        app, now = make_entry(), boot_seconds()
+        app._view.configuration_freshness.advance(now)
+        name_weights(app, 2)
+        app._updates.apply_change(KEY, b"1", 8)
+        app._view.servers_freshness.advance(now + LIMIT_S)
+        self.assertThat(is_used(app, now + LIMIT_S), Equals(False))
+
+    def test_record_does_not_outweigh_the_time_since_the_entry_started(self):
+        app = make_entry()
+        name_weights(app, 2)
+        app._updates.apply_change(KEY, b"1", 8)
+        later = boot_seconds() + LIMIT_S
+        app._view.servers_freshness.advance(later)
+        self.assertThat(is_used(app, later), Equals(False))
+
+    def test_record_is_not_used_past_the_limit_while_its_end_is_unseen(self):
+        for limit_s in (15.0, 8.0):
+            app, now = make_entry(), boot_seconds()
+            app._cfg = attrs.evolve(app._cfg, weights_ms=1000 * limit_s)
+            app._apply_limits()
+            name_weights(app, 2)
+            app._updates.apply_change(KEY, b"1", 8)
+            # Another entry read the version at once; its record has just ended.
+            app._view.servers_freshness.advance(now + app._recent_weights.usable_s)
+            self.assertThat(is_used(app, now + limit_s), Equals(False), limit_s)
