--- a/tests/ingress/test_recent_weights.py
+++ b/tests/ingress/test_recent_weights.py
@@ -106,3 +106,20 @@
         self.assertThat(
             {k: v for k, v in store.ends().items() if v > LIMIT_S}, Equals({})
         )
+
+    def test_record_is_not_bound_to_a_lease_of_the_next_era(self):
+        """A restored store assigns the identifiers of leases again."""
+        now = [0.0]
+        store = LeasedStore(now)
+
+        def restore():
+            if store.era == 1:
+                store.era = 2
+                # Now the lease of an entry, which renews it.
+                store.lease_ends["1"] = float("inf")
+
+        store.before_txn = restore
+        self.run_recorder(store, now)
+        self.assertThat(
+            {k: v for k, v in store.ends().items() if v > LIMIT_S}, Equals({})
+        )
