--- a/tests/ingress/test_record_watch.py
+++ b/tests/ingress/test_record_watch.py
@@ -1,14 +1,18 @@
 import time
 
+import trio
+from ingress_case import IngressCase
 from testtools.matchers import Equals
 
+from cluster import wait_until
 from foxtailcourse.fleet import Freshness
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX
 from foxtailcourse.ingress._recent_weights import recent_weights_key
-from foxtailcourse.ingress._store_watcher import StoreWatcher
+from foxtailcourse.ingress._store_watcher import LAPSED_GRACE_S, StoreWatcher
 from foxtailcourse.observe import EventLog, HybridClock, Metrics
 from foxtailcourse.platform import KeyValue, PlatformError, RangeResult
-from support import AsyncTestCase
+from foxtailcourse.standin._backend_server import BackendServerFaults
+from support import AsyncTestCase, run_with
 
 KEY = recent_weights_key("guide", 2)
 
@@ -69,3 +73,22 @@
             self.assertThat(known, Equals({KEY: None}))
 
         self.run_async(main)
+
+
+class TestRecordInARestoredStore(IngressCase):
+    """Guards against a record that a restored store has from its copy."""
+
+    @run_with("with_fleet", weights_ms=60_000)
+    async def test_record_of_an_earlier_era_is_not_used(self, fleet, entry):
+        for name in ("m1", "m2"):
+            fleet.servers[name].faults = BackendServerFaults(late_orders_s=60)
+        fleet.set_desired_weights(2)
+        await wait_until(lambda: entry.app._view.recent_weights)
+        old = fleet.platform.revision
+        entry.app._recent_weights.usable_s = 0.0
+        fleet.platform.expire_leases()
+        await wait_until(lambda: not entry.app._view.recent_weights)
+        fleet.platform.restore(old)
+        await wait_until(lambda: entry.events("store_restored"))
+        await trio.sleep(LAPSED_GRACE_S + 1)
+        self.assertThat(entry.app._view.recent_weights, Equals(set()))
