--- a/tests/ingress/test_record_watch.py
+++ b/tests/ingress/test_record_watch.py
@@ -6,11 +6,12 @@
 
 from cluster import wait_until
 from foxtailcourse.fleet import Freshness
+from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX
 from foxtailcourse.ingress._recent_weights import recent_weights_key
 from foxtailcourse.ingress._store_watcher import LAPSED_GRACE_S, StoreWatcher
 from foxtailcourse.observe import EventLog, HybridClock, Metrics
-from foxtailcourse.platform import KeyValue, PlatformError, RangeResult
+from foxtailcourse.platform import KeyValue, PlatformError, RangeResult, WatchResult
 from foxtailcourse.standin._backend_server import BackendServerFaults
 from support import AsyncTestCase, run_with
 
@@ -92,3 +93,33 @@
         await wait_until(lambda: entry.events("store_restored"))
         await trio.sleep(LAPSED_GRACE_S + 1)
         self.assertThat(entry.app._view.recent_weights, Equals(set()))
+
+
+class TestFreshnessOfAWatch(AsyncTestCase):
+    """Guards the time as of which a watch confirms the state."""
+
+    def test_answer_without_own_changes_does_not_count_as_waited(self):
+        """It came as soon as another key changed, and was received late."""
+
+        class OtherChangesStore(ListedStore):
+            async def watch(self, prefixes, after, wait_s):
+                await trio.sleep(1.2)
+                return WatchResult(revision=after + 1, events=(), era=self.era)
+
+        async def main():
+            freshness = Freshness()
+            watcher = StoreWatcher(
+                OtherChangesStore([]),
+                {MEMBERSHIP_PREFIX: freshness},
+                1.5,
+                0.0,
+                lambda key, value, revision: None,
+                make_log(),
+                Metrics(),
+            )
+            revision = await watcher.scan()
+            sent_at = boot_seconds()
+            await watcher._watch(revision)
+            self.assertTrue(freshness.as_of <= sent_at, freshness.as_of - sent_at)
+
+        self.run_async(main)
