--- a/tests/ingress/test_weights_limits.py
+++ b/tests/ingress/test_weights_limits.py
@@ -5,6 +5,7 @@
 
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._recent_weights import recent_weights_key
+from foxtailcourse.ingress._server_loads import RemoteLoad
 
 KEY = recent_weights_key("guide", 2)
 
@@ -39,3 +40,21 @@
             # Another entry read the version at once; its record has just ended.
             app._view.servers_freshness.advance(now + app._recent_weights.usable_s)
             self.assertThat(is_used(app, now + limit_s), Equals(False), limit_s)
+
+
+class TestQueuesBeforeTheLimit(testtools.TestCase):
+    """Guards requests that wait at a server until its weights must not be used."""
+
+    def test_server_whose_queue_lasts_past_the_limit_gets_no_requests(self):
+        app, now = make_entry(), boot_seconds()
+        app._view.configuration_freshness.advance(now)
+        name_weights(app, 2)
+        load = RemoteLoad(
+            # Five seconds of prefill.
+            prefill_tokens=200_000,
+            in_flight=8,
+            short_prompts=0,
+            received_at=now + 12.5,
+        )
+        app._loads.update_remote("e2", "a", load)
+        self.assertThat(is_used(app, now + 12.5), Equals(False))
