--- a/tests/ingress/test_weights_limits.py
+++ b/tests/ingress/test_weights_limits.py
@@ -1,9 +1,11 @@
 import attrs
 import testtools
+from decision_case import server
 from test_weights_age import LIMIT_S, is_used, make_entry, name_weights
 from testtools.matchers import Equals
 
 from foxtailcourse.ingress._clock import boot_seconds
+from foxtailcourse.ingress._peer_messages import WeightsUpdate
 from foxtailcourse.ingress._recent_weights import recent_weights_key
 from foxtailcourse.ingress._server_loads import RemoteLoad
 
@@ -58,3 +60,19 @@
         )
         app._loads.update_remote("e2", "a", load)
         self.assertThat(is_used(app, now + 12.5), Equals(False))
+
+
+class TestWeightsThatOtherEntriesReport(testtools.TestCase):
+    """Guards entries that have lost the store, but not the other entries."""
+
+    def test_version_that_a_server_was_reported_to_have_counts_as_named(self):
+        app, now = make_entry(), boot_seconds()
+        app._view.servers["b"] = server("b", version=1)
+        app._view.configuration_freshness.advance(now)
+        update = WeightsUpdate(1, [], [("b", 0, "guide", 2)])
+        app._peer_exchange.handle(update, "e2")
+        selection = app._dispatcher.candidates.select(
+            "llm", "guide", None, (), now + 2 * LIMIT_S
+        )
+        names = [each.server.id for each in selection.candidates]
+        self.assertThat(names, Equals(["b"]))
