Stop using outdated weights when their record ends or their own time is up

Found by review of: an entry used servers with outdated weights while the store had the record of recent weights, whatever it knew itself; for up to 4 s after the record's end while cut off, with a margin of 2 s; and for another 2.3 s after an outage, as a missing record was kept like a registration. So one record that lasts too long could take all entries past the bound.

Change: what the store has never outweighs the time since this entry read the version; the record ends 3 s before the limit and is trusted for 3 s; records that are missing after an outage are removed at once. DesiredWeights keeps one row for each version.

Two figures in test_weights_age.py are stricter (6 s instead of 7 s, 4 s instead of 5 s).

--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -28,7 +28,7 @@
     Result,
 )
 from foxtailcourse.emulator.ingress.workload import Arrival, LoadGenerator
-from foxtailcourse.fleet import BackendServer, DesiredWeights, FleetView
+from foxtailcourse.fleet import BackendServer, FleetView
 from foxtailcourse.ingress import (
     AdmissionDecision,
     CacheIndex,
@@ -497,13 +497,7 @@
             name: attrs.evolve(each.description, weights={MODEL: each.weights_version})
             for name, each in up.items()
         }
-        view.desired_weights = {
-            MODEL: DesiredWeights(
-                model=MODEL,
-                version=self.desired_version,
-                desired_since=self._desired_since,
-            )
-        }
+        view.set_desired_weights(MODEL, self.desired_version, self._desired_since)
         busy = {name for name, each in up.items() if each.loading}
         loads = self.entries[0].loads
         for planned in plan_weight_loads(
--- a/src/foxtailcourse/fleet/__init__.py
+++ b/src/foxtailcourse/fleet/__init__.py
@@ -10,10 +10,17 @@
     RouteKind,
     Service,
 )
-from foxtailcourse.fleet._view import DesiredWeights, FleetView, Freshness
+from foxtailcourse.fleet._view import (
+    MAX_RECENT_STATE_AGE_S,
+    DesiredWeights,
+    FleetView,
+    Freshness,
+    NamedVersion,
+)
 from foxtailcourse.fleet._withdrawn import ServerRun, WithdrawnRuns
 
 __all__ = [
+    "MAX_RECENT_STATE_AGE_S",
     "Account",
     "BackendServer",
     "CallerLimits",
@@ -21,6 +28,7 @@
     "DesiredWeights",
     "FleetView",
     "Freshness",
+    "NamedVersion",
     "Route",
     "RouteBackend",
     "RouteKind",
--- a/src/foxtailcourse/fleet/_view.py
+++ b/src/foxtailcourse/fleet/_view.py
@@ -30,10 +30,30 @@
         return now - self.as_of
 
 
-# Earlier versions of a model's weights that are remembered.
-MAX_EARLIER_VERSIONS = 32
+# Versions of a model's weights that are remembered.
+MAX_NAMED_VERSIONS = 32
 # Weights count as named recently only while the store's state is at most this old.
-MAX_RECENT_STATE_AGE_S = 4.0
+MAX_RECENT_STATE_AGE_S = 3.0
+
+
+@attrs.frozen
+class NamedVersion:
+    """When the operators named a version of a model's weights.
+
+    Parameters
+    ----------
+    version : int
+        The version.
+    since : float
+        Earliest time at which it may have been named, in seconds since boot; minus
+        infinity if it is unknown.
+    read_at : float
+        When this process read it, in seconds since boot.
+    """
+
+    version: int
+    since: float
+    read_at: float
 
 
 @attrs.frozen(kw_only=True)
@@ -44,47 +64,30 @@
     ----------
     model : str
         Name of the model.
-    version : int
-        Version to serve.
-    desired_since : float
-        Earliest time at which the version may have been named, in seconds since boot;
-        minus infinity if it is unknown.
-    earlier : tuple of (int, float)
-        Earlier versions and the earliest times at which they may have been named,
-        oldest first.
+    named : tuple of NamedVersion
+        The versions that were named, the one to serve last.
     """
 
     model: str
-    version: int
-    desired_since: float
-    earlier: tuple[tuple[int, float], ...] = ()
+    named: tuple[NamedVersion, ...]
 
     @property
-    def versions(self) -> tuple[int, ...]:
-        """The version to serve and the earlier ones that are remembered."""
-        return (*(version for version, _ in self.earlier), self.version)
+    def version(self) -> int:
+        """Version to serve."""
+        return self.named[-1].version
 
-    def outdated_since(self, version: int) -> float | None:
-        """Return since when newer weights than a version are desired, or None.
+    def next_named(self, version: int) -> NamedVersion | None:
+        """Return what made a version outdated, or None if it is not.
 
         A version may be named before the previous one is in place everywhere, so the
         oldest one that is newer counts.
         """
-        named = (*self.earlier, (self.version, self.desired_since))
-        return next((since for newer, since in named if newer > version), None)
+        return next((each for each in self.named if each.version > version), None)
 
-    def followed_by(self, version: int, since: float) -> "DesiredWeights":
-        """Return the weights after a newer version was read."""
-        earlier = (*self.earlier, (self.version, self.desired_since))
-        if version > self.version + 1:
-            # A version in between may have been named without being read.
-            earlier = (*earlier, (version - 1, since))
-        return DesiredWeights(
-            model=self.model,
-            version=version,
-            desired_since=since,
-            earlier=earlier[-MAX_EARLIER_VERSIONS:],
-        )
+    def outdated_since(self, version: int) -> float | None:
+        """Return since when newer weights than a version are desired, or None."""
+        newer = self.next_named(version)
+        return None if newer is None else newer.since
 
 
 @attrs.define
@@ -149,7 +152,9 @@
         self.configuration_revision, self.configuration_era = revision, era
         return True
 
-    def set_desired_weights(self, model: str, version: int, since: float) -> bool:
+    def set_desired_weights(
+        self, model: str, version: int, since: float, now: float | None = None
+    ) -> bool:
         """Record the version to serve of a model; return whether it is newer.
 
         Parameters
@@ -160,19 +165,22 @@
             The version.
         since : float
             Earliest time at which it may have been named, in seconds since boot.
+        now : float or None
+            Present time in seconds since boot; None if it was just named.
         """
+        read_at = since if now is None else now
         current = self.desired_weights.get(model)
-        if current is not None and current.version >= version:
-            return False
-        self.desired_weights[model] = (
-            DesiredWeights(
-                model=model,
-                version=version,
-                desired_since=since,
-                earlier=((version - 1, since),),
-            )
-            if current is None
-            else current.followed_by(version, since)
+        named: tuple[NamedVersion, ...] = ()
+        if current is not None:
+            if current.version >= version:
+                return False
+            named = current.named
+        if current is None or version > current.version + 1:
+            # A version in between may have been named without being read.
+            named = (*named, NamedVersion(version - 1, since, read_at))
+        named = (*named, NamedVersion(version, since, read_at))
+        self.desired_weights[model] = DesiredWeights(
+            model=model, named=named[-MAX_NAMED_VERSIONS:]
         )
         return True
 
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -15,10 +15,7 @@
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._cache_feed import CacheFeed
 from foxtailcourse.ingress._cache_index import CacheIndex
-from foxtailcourse.ingress._candidates import (
-    OUTDATED_WEIGHTS_MARGIN_S,
-    CandidateFilter,
-)
+from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._dispatcher import Dispatcher
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
@@ -27,7 +24,10 @@
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
 from foxtailcourse.ingress._peer_exchange import PeerExchange
 from foxtailcourse.ingress._peers import Peer
-from foxtailcourse.ingress._recent_weights import RecentWeightsRecorder
+from foxtailcourse.ingress._recent_weights import (
+    RecentWeightsRecorder,
+    recorded_weights_s,
+)
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.ingress._rollout import Rollout
 from foxtailcourse.ingress._server_loads import ServerLoads
@@ -153,7 +153,7 @@
             view=self._view,
             store=self._store,
             is_leader=lambda: self._lease.fence > 0,
-            usable_s=cfg.weights_ms / 1000 - OUTDATED_WEIGHTS_MARGIN_S,
+            usable_s=recorded_weights_s(cfg.weights_ms / 1000),
             min_ttl_s=cfg.store_min_lease_ms / 1000,
             clock=boot_seconds,
             rng=self._rng,
@@ -411,9 +411,7 @@
         self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
         self._dispatcher.candidates.weights_limit_s = cfg.weights_ms / 1000
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
-        self._recent_weights.usable_s = (
-            cfg.weights_ms / 1000 - OUTDATED_WEIGHTS_MARGIN_S
-        )
+        self._recent_weights.usable_s = recorded_weights_s(cfg.weights_ms / 1000)
         for budget in self._retry_budgets.values():
             budget.ratio, budget.extra = cfg.retry_ratio, cfg.retry_extra
             budget.window_s = cfg.retry_window_s
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -162,12 +162,18 @@
 
     def _weights_usable(self, server: BackendServer, model: str, now: float) -> bool:
         """Whether weights are the desired ones, or not outdated for too long."""
-        outdated_s = self.outdated_s(server, model, now)
+        desired = self.view.desired_weights.get(model)
+        version = server.weights.get(model, 0)
+        newer = desired.next_named(version) if desired else None
+        if newer is None:
+            return True
         limit_s = self.weights_limit_s - OUTDATED_WEIGHTS_MARGIN_S
-        if outdated_s is None or outdated_s < limit_s:
+        if now - newer.since < limit_s:
             return True
-        next_version = server.weights.get(model, 0) + 1
-        return self.view.are_weights_recent(model, next_version, now)
+        # What the store has cannot make them younger than their time here.
+        return now - newer.read_at < limit_s and self.view.are_weights_recent(
+            model, version + 1, now
+        )
 
     def _has_capacity(self, server: BackendServer, now: float) -> bool:
         """Whether the connection limit of a server allows another request."""
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -112,9 +112,10 @@
     def _apply_weights(self, model: str, version: int) -> None:
         # It was named after the state that was last confirmed, which may be long ago.
         since = self._view.configuration_freshness.as_of
-        if not self._view.set_desired_weights(model, version, since):
+        now = self._clock()
+        if not self._view.set_desired_weights(model, version, since, now):
             return
-        max_age_s = self._clock() - since
+        max_age_s = now - since
         self._events.emit(
             "weights_named",
             model=model,
--- a/src/foxtailcourse/ingress/_recent_weights.py
+++ b/src/foxtailcourse/ingress/_recent_weights.py
@@ -13,7 +13,7 @@
 import attrs
 import trio
 
-from foxtailcourse.fleet import FleetView
+from foxtailcourse.fleet import MAX_RECENT_STATE_AGE_S, FleetView
 from foxtailcourse.ingress._settings import MAX_LEASE_MS
 from foxtailcourse.observe import EventLog
 from foxtailcourse.platform import KeyValueStore, PlatformError, Put
@@ -41,6 +41,19 @@
     return model, int(version)
 
 
+def recorded_weights_s(weights_limit_s: float) -> float:
+    """Return how long after a version was named its key may exist, in seconds.
+
+    An entry may use the key for MAX_RECENT_STATE_AGE_S after it ended.
+
+    Parameters
+    ----------
+    weights_limit_s : float
+        Time in seconds after which outdated weights must not be used.
+    """
+    return weights_limit_s - MAX_RECENT_STATE_AGE_S
+
+
 @attrs.define(kw_only=True)
 class RecentWeightsRecorder:
     """Writes the keys of the versions that this entry saw being named.
@@ -87,7 +100,8 @@
         """Return the keys to write now: model, version and time to live in seconds."""
         found = []
         for model, desired in self.view.desired_weights.items():
-            for version in desired.versions:
+            for each in desired.named:
+                version = each.version
                 ttl_s = self.remaining_s(model, version, now)
                 if ttl_s < self.min_ttl_s:
                     self._write_at.pop((model, version), None)
--- a/src/foxtailcourse/ingress/_store_watcher.py
+++ b/src/foxtailcourse/ingress/_store_watcher.py
@@ -7,6 +7,7 @@
 
 from foxtailcourse.fleet import Freshness
 from foxtailcourse.ingress._clock import boot_seconds
+from foxtailcourse.ingress._recent_weights import RECENT_WEIGHTS_PREFIX
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import (
     KeyValueStore,
@@ -194,7 +195,9 @@
             self._emit("store_regained")
         if restored or (lost_at is not None and now - lost_at >= MIN_OUTAGE_S):
             self._missing_until = now + LAPSED_GRACE_S
-            self._missing = set(missing)
+            self._missing = {
+                each for each in missing if not each.startswith(RECENT_WEIGHTS_PREFIX)
+            }
         self.state.era = era
         self._drop_missing(now, revision)
 
--- a/tests/ingress/test_weights_age.py
+++ b/tests/ingress/test_weights_age.py
@@ -77,7 +77,7 @@
         app._view.servers = {"a": server("a", version=2)}
         self.assertThat(is_used(app, now), Equals(True))
         # Without contact to the store, its end would not be seen.
-        self.assertThat(is_used(app, now + 5), Equals(False))
+        self.assertThat(is_used(app, now + 4), Equals(False))
         app._updates.apply_change(key, None, 9)
         self.assertThat(is_used(app, now), Equals(False))
 
@@ -97,7 +97,7 @@
         self.assertThat(recorder.remaining_s("guide", 2, now), Equals(0.0))
         app._view.configuration_freshness.advance(now)
         name_weights(app, 3)
-        self.assertThat(recorder.remaining_s("guide", 3, now + 6), Equals(7.0))
+        self.assertThat(recorder.remaining_s("guide", 3, now + 6), Equals(6.0))
         self.assertThat(recorder.remaining_s("guide", 3, now + 14), Equals(0.0))
         app._view.recent_weights.add(("guide", 3))
         self.assertThat(recorder.remaining_s("guide", 3, now), Equals(0.0))
