Bind the record of recent weights to a lease that ends in time

Found by review of: the time to live was computed before the call and for all due keys at once, but runs from when the store receives the call. An entry that was suspended for 10 s in between left a record that ended 8 s after the bound, for the whole fleet. A restored store could bring the record back from its copy, or bind it to a lease that it had assigned to another holder.

Change: the time to live is computed for each call; a lease that took more than 1 s is revoked; the record ends that much earlier. It is written without a precondition, so a copy without a lease is replaced, and deleted if the era changed meanwhile; records of a restored copy are not used.

--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -80,7 +80,7 @@
     def apply_change(self, key: str, value: bytes | None, revision: int) -> None:
         """Apply one change of a key; the value is None once the key is deleted."""
         if key.startswith(RECENT_WEIGHTS_PREFIX):
-            self._apply_recent_weights(key, value)
+            self._apply_recent_weights(key, value, revision)
         elif key.startswith(MEMBERSHIP_PREFIX):
             self._membership.apply_change(key, value, revision)
         else:
@@ -123,11 +123,13 @@
             max_age_ms=None if math.isinf(max_age_s) else int(max_age_s * 1000),
         )
 
-    def _apply_recent_weights(self, key: str, value: bytes | None) -> None:
+    def _apply_recent_weights(
+        self, key: str, value: bytes | None, revision: int
+    ) -> None:
         weights = parse_recent_weights_key(key)
         if weights is None:
             self._count_unreadable(key)
-        elif value is not None:
+        elif value is not None and revision > self.state.copy_revision:
             self._view.recent_weights.add(weights)
         else:
             self._view.recent_weights.discard(weights)
--- a/src/foxtailcourse/ingress/_recent_weights.py
+++ b/src/foxtailcourse/ingress/_recent_weights.py
@@ -16,7 +16,12 @@
 from foxtailcourse.fleet import MAX_RECENT_STATE_AGE_S, FleetView
 from foxtailcourse.ingress._settings import MAX_LEASE_MS
 from foxtailcourse.observe import EventLog
-from foxtailcourse.platform import KeyValueStore, PlatformError, Put
+from foxtailcourse.platform import (
+    KeyValueStore,
+    PlatformError,
+    Put,
+    StoreRestoredError,
+)
 
 RECENT_WEIGHTS_PREFIX = "ingress/weights/"
 CHECK_PERIOD_S = 0.2
@@ -24,6 +29,8 @@
 # and spread their calls by this time for each entry.
 MIN_FOLLOWER_DELAY_S = 1.5
 FOLLOWER_SPREAD_S = 0.1
+# Longest time in which a lease is granted; it runs from an unknown moment of it.
+MAX_GRANT_S = 1.0
 # Time until a key that was written must have been read, before it is written again.
 REWRITE_PAUSE_S = 2.0
 
@@ -44,14 +51,15 @@
 def recorded_weights_s(weights_limit_s: float) -> float:
     """Return how long after a version was named its key may exist, in seconds.
 
-    An entry may use the key for MAX_RECENT_STATE_AGE_S after it ended.
+    Its lease may begin MAX_GRANT_S late, and an entry may use the key for
+    MAX_RECENT_STATE_AGE_S after it ended.
 
     Parameters
     ----------
     weights_limit_s : float
         Time in seconds after which outdated weights must not be used.
     """
-    return weights_limit_s - MAX_RECENT_STATE_AGE_S
+    return weights_limit_s - MAX_GRANT_S - MAX_RECENT_STATE_AGE_S
 
 
 @attrs.define(kw_only=True)
@@ -93,11 +101,11 @@
         """Write keys until cancelled."""
         while True:
             await trio.sleep(CHECK_PERIOD_S)
-            for model, version, ttl_s in self.due(self.clock()):
-                await self._write(model, version, ttl_s)
+            for model, version in self.due(self.clock()):
+                await self._write(model, version)
 
-    def due(self, now: float) -> list[tuple[str, int, float]]:
-        """Return the keys to write now: model, version and time to live in seconds."""
+    def due(self, now: float) -> list[tuple[str, int]]:
+        """Return the models and versions whose keys are to be written now."""
         found = []
         for model, desired in self.view.desired_weights.items():
             for each in desired.named:
@@ -106,7 +114,7 @@
                 if ttl_s < self.min_ttl_s:
                     self._write_at.pop((model, version), None)
                 elif self._write_time(model, version, now) <= now:
-                    found.append((model, version, ttl_s))
+                    found.append((model, version))
         return found
 
     def _write_time(self, model: str, version: int, now: float) -> float:
@@ -132,13 +140,9 @@
             return 0.0
         return max(0.0, since + self.usable_s - now)
 
-    async def _write(self, model: str, version: int, ttl_s: float) -> None:
-        key = recent_weights_key(model, version)
+    async def _write(self, model: str, version: int) -> None:
         try:
-            lease = await self.store.lease_grant(min(ttl_s, MAX_LEASE_MS / 1000))
-            result = await self.store.txn(
-                {key: 0}, [Put(key=key, value=b"1", lease=lease)]
-            )
+            ttl_s = await self._write_leased(model, version)
         except PlatformError as exc:
             self.events.emit(
                 "weights_record_failed", model=model, version=version, error=exc
@@ -149,6 +153,34 @@
                 model=model,
                 version=version,
                 ttl_ms=int(ttl_s * 1000),
-                written=result.succeeded,
             )
         self._write_at[model, version] = self.clock() + REWRITE_PAUSE_S
+
+    async def _write_leased(self, model: str, version: int) -> float:
+        """Write a key that ends in time; return its time to live in seconds.
+
+        The lease runs from when the store receives the call, which may be long after
+        it was sent. A key that a restored store has from its copy is replaced.
+
+        Raises
+        ------
+        PlatformError
+            If the key may not have been written.
+        """
+        key, sent_at = recent_weights_key(model, version), self.clock()
+        ttl_s = min(self.remaining_s(model, version, sent_at), MAX_LEASE_MS / 1000)
+        if ttl_s < self.min_ttl_s:
+            raise PlatformError("too late for a lease", may_have_applied=False)
+        lease, era = await self.store.lease_grant(ttl_s), self.store.era
+        if self.clock() - sent_at > MAX_GRANT_S:
+            await self.store.lease_revoke(lease)
+            raise PlatformError("the lease took too long", may_have_applied=False)
+        written = await self.store.txn({}, [Put(key=key, value=b"1", lease=lease)])
+        if written.era != era:
+            # The restored store may have assigned the lease to another holder.
+            await self.store.txn({}, delete=[key])
+            raise StoreRestoredError(
+                f"the store went from era {era} to {written.era}",
+                may_have_applied=False,
+            )
+        return ttl_s
