Let a watch that returned early confirm the state as of its call only

Found by review: a response whose changes were all of other keys counted as a full wait, so the state could be believed up to 1.5 s newer than it was. No other keys are known to be written today.

Test: test_answer_without_own_changes_does_not_count_as_waited failed before.

--- a/src/foxtailcourse/ingress/_store_watcher.py
+++ b/src/foxtailcourse/ingress/_store_watcher.py
@@ -228,8 +228,8 @@
                 self._keys.add(event.key)
             self._missing.discard(event.key)
             self._apply_change(event.key, event.value, event.mod_revision)
-        # A watch without events took its full wait.
-        waited_s = 0.0 if result.events else wait_s
+        # A watch without changes took its full wait.
+        waited_s = wait_s if result.revision == after else 0.0
         now = boot_seconds()
         self._drop_missing(now, result.revision)
         for each in self._freshness.values():
