Learn of named weights from the leader without contact to the store

Found by review: an entry that was cut off from the store got the leader's report that a server had loaded a newer version, but went on using older weights without end.

Change: a version that the leader reports as loaded counts as named since the state that was last confirmed.

Test: test_version_that_a_server_was_reported_to_have_counts_as_named failed before and passes.

--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -235,6 +235,10 @@
         self._fence, self._weights_received_at = message.fence, self.clock()
         self.view.loading = set(message.loading)
         for server_id, started_ms, model, version in message.loaded:
+            # Without contact to the store, this is how the entry learns of a version.
+            since = self.view.configuration_freshness.as_of
+            if self.view.set_desired_weights(model, version, since, self.clock()):
+                self.events.emit("weights_reported", model=model, version=version)
             self.view.record_loaded_weights(server_id, started_ms, model, version)
 
     def _apply_leaving(self, server_id: str, started_ms: int, sender: str) -> None:
