--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -127,8 +127,7 @@
     "weights_record_failed": "the store did not record that weights were named",
     "weights_recorded": "the store has for entries that start that weights were named "
     "recently; they use older ones for `ttl_ms`",
-    "weights_reported": "the leader reported a version of weights that was not read from "
-    "the store before",
+    "weights_reported": "the leader reported weights that were not read from the store",
     "weights_version": "the engine serves a different weights version",
     "write_back_failed": "a record could not be written back",
 }
@@ -290,8 +289,6 @@
     "unsupported_content": "a message has parts that are not text",
     "unsupported_value": "a field has a value that is not supported",
     "weights_changed": "the engine's weights changed during the request",
-    "weights_reported": "the leader reported a version of weights that was not read from "
-    "the store before",
     "weights_version": "the engine serves another weights version than that of the "
     "prefix keys",
 }
