Leave out servers whose queue lasts until their weights must not be used

Found by review and listed as a hypothesis of the incident: the margin of 2 s before the limit did not depend on the queue, while callers of long prompts wait for up to 4 s.

Change: the margin is the time to prefill what is queued, and 0.5 s, if that is more than 2 s.

Test: test_server_whose_queue_lasts_past_the_limit_gets_no_requests failed before and passes. test_fleet_state and test_overload pass.

--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -10,12 +10,15 @@
 import attrs
 
 from foxtailcourse.fleet import Account, BackendServer, FleetView
+from foxtailcourse.ingress._admission import PREFILL_TOKENS_PER_S
 from foxtailcourse.ingress._cache_index import CacheIndex
 from foxtailcourse.ingress._placement_types import Candidate
 from foxtailcourse.ingress._server_loads import ServerLoads
 
 # Outdated weights are no longer used this long before the platform's limit.
 OUTDATED_WEIGHTS_MARGIN_S = 2.0
+# Time until a request reaches its server, and is the next one there.
+TRANSIT_S = 0.5
 # Fraction of a server's connection limit that all entries use together.
 USED_CONNECTIONS_FRACTION = 0.85
 # Number of entries that is assumed while none is registered.
@@ -167,7 +170,7 @@
         newer = desired.next_named(version) if desired else None
         if newer is None:
             return True
-        limit_s = self.weights_limit_s - OUTDATED_WEIGHTS_MARGIN_S
+        limit_s = self.weights_limit_s - self._weights_margin_s(server, now)
         if now - newer.since < limit_s:
             return True
         # What the store has cannot make them younger than their time here.
@@ -175,6 +178,14 @@
             model, version + 1, now
         )
 
+    def _weights_margin_s(self, server: BackendServer, now: float) -> float:
+        """Return how long before the limit a server with outdated weights is left out.
+
+        A request begins once the server has prefilled the prompts before it.
+        """
+        queued = self.loads.total(server.id, server.started_ms, now).prefill_tokens
+        return max(OUTDATED_WEIGHTS_MARGIN_S, queued / PREFILL_TOKENS_PER_S + TRANSIT_S)
+
     def _has_capacity(self, server: BackendServer, now: float) -> bool:
         """Whether the connection limit of a server allows another request."""
         configuration = self.view.configuration
