Do not count an outage of the store as the age of weights

Found by review of (trial on the stand-in): a version that is named as the store comes back counted as named before the outage, at all entries; with a bound of 8 s and an outage of 6.5 s all servers with the older weights were refused until they had loaded.

Change: a version counts as named after the last failed call, unless the VM was suspended since the last response; the clocks with and without suspension show it.

--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -111,8 +111,10 @@
 
     def _apply_weights(self, model: str, version: int) -> None:
         # It was named after the state that was last confirmed, which may be long ago.
-        since = self._view.configuration_freshness.as_of
-        now = self._clock()
+        # Nothing is named while the store is down.
+        now, since = self._clock(), self._view.configuration_freshness.as_of
+        if self.state.complete:
+            since = max(since, self.state.unreachable_until)
         if not self._view.set_desired_weights(model, version, since, now):
             return
         max_age_s = now - since
--- a/src/foxtailcourse/ingress/_store_watcher.py
+++ b/src/foxtailcourse/ingress/_store_watcher.py
@@ -6,7 +6,7 @@
 import trio
 
 from foxtailcourse.fleet import Freshness
-from foxtailcourse.ingress._clock import boot_seconds
+from foxtailcourse.ingress._clock import boot_seconds, suspended_seconds
 from foxtailcourse.ingress._recent_weights import RECENT_WEIGHTS_PREFIX
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import (
@@ -24,6 +24,8 @@
 # Registrations that lapsed while the store was away, or that a restored store lacks,
 # are written again within about two seconds of its return.
 LAPSED_GRACE_S = 2.3
+# A shorter suspension is a difference between readings of two clocks.
+MIN_SUSPENSION_S = 0.1
 # An outage must last this long for registrations to have lapsed meanwhile.
 MIN_OUTAGE_S = 1.0
 # Takes a key, its value (None once deleted) and the revision of the change.
@@ -43,11 +45,15 @@
         come from the copy that the store was restored from.
     complete : bool
         Whether all watched prefixes were read once.
+    unreachable_until : float
+        When a call last failed in an outage in which this VM was not suspended, in
+        seconds since boot.
     """
 
     era: int = 0
     copy_revision: int = 0
     complete: bool = False
+    unreachable_until: float = float("-inf")
 
 
 class StoreWatcher:
@@ -107,6 +113,8 @@
         self._keys: set[str] = set()
         self._scan_lock = trio.Lock()
         self._lost_at: float | None = None
+        # Suspension of the VM up to the last response.
+        self._suspended_s = suspended_seconds()
         self.state = StoreState()
         # Keys that the store lacks, and until when they are kept.
         self._missing: set[str] = set()
@@ -176,6 +184,7 @@
         self._keys |= present
         for prefix in prefixes:
             self._freshness[prefix].advance(sent_at)
+        self._suspended_s = suspended_seconds()
 
     def _note_return(self, era: int, revision: int, missing: set[str]) -> None:
         """Log that the store is back, and decide which missing keys to keep."""
@@ -234,10 +243,13 @@
         self._drop_missing(now, result.revision)
         for each in self._freshness.values():
             each.advance(min(now, sent_at + waited_s) - WATCH_BLACKOUT_S)
+        self._suspended_s = suspended_seconds()
         return result.revision
 
     def _record_loss(self, exc: PlatformError) -> None:
         self._metrics.count("foxtail_ingress_store_failures_total")
+        if suspended_seconds() - self._suspended_s < MIN_SUSPENSION_S:
+            self.state.unreachable_until = boot_seconds()
         if self._lost_at is None:
             self._lost_at = boot_seconds()
             oldest = min(self._freshness.values(), key=lambda each: each.as_of)
--- a/tests/ingress/test_weights_age.py
+++ b/tests/ingress/test_weights_age.py
@@ -13,6 +13,7 @@
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._recent_weights import recent_weights_key
 from foxtailcourse.observe import EventLog, HybridClock, Metrics
+from foxtailcourse.platform import PlatformError
 from foxtailcourse.process import DaemonContext, ProcessSettings
 from foxtailcourse.settings import Address
 from foxtailcourse.standin._backend_server import BackendServerFaults
@@ -66,6 +67,23 @@
         self.assertThat(is_used(app, now + 1), Equals(True))
         self.assertThat(is_used(app, now + LIMIT_S - 10), Equals(False))
 
+    def test_outage_of_the_store_does_not_make_weights_older(self):
+        app, now = make_entry(), boot_seconds()
+        app._updates.state.complete = True
+        app._view.configuration_freshness.advance(now - LIMIT_S)
+        app._watcher._record_loss(PlatformError("down", may_have_applied=False))
+        name_weights(app, 2)
+        self.assertThat(is_used(app, now + 5), Equals(True))
+
+    def test_outage_with_a_suspension_may_hide_that_a_version_was_named(self):
+        app, now = make_entry(), boot_seconds()
+        app._updates.state.complete = True
+        app._view.configuration_freshness.advance(now - LIMIT_S)
+        app._watcher._suspended_s -= LIMIT_S
+        app._watcher._record_loss(PlatformError("down", may_have_applied=False))
+        name_weights(app, 2)
+        self.assertThat(is_used(app, now), Equals(False))
+
     def test_entry_that_starts_uses_weights_that_the_store_has_as_recent(self):
         app, now = make_entry(), boot_seconds()
         name_weights(app, 3)
