Use no registration that lacks the version of the software

Cause: a registration without it, or with another type, was used with an empty version. By the pages of the platform such an entry comes from another writer and names no server to use; a stream could be resumed at one that is unknown.

Change: it is unreadable like one that lacks any other field.

Test: test_malformed_entries_give_no_server has three more cases, which failed before; test_server_without_a_software_version_is_used asserted the opposite and is removed.

--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -223,7 +223,7 @@
     started_ms : int
         Wall-clock start time in milliseconds; 0 if not reported.
     software_version : str
-        Version of the server's software; empty if not reported.
+        Version of the server's software.
     """
 
     id: str
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -174,13 +174,13 @@
     service: str
     address: str
     zone: str
+    # That of the software, not of the weights.
+    version: str
     state: str
     # May have a fraction, like each number that a scale can be applied to.
     slots: float
     models: list[_Model] = []
     born: int = 0
-    # Version of the software; a value of another type leaves the server usable.
-    version: Any = ""
 
 
 class _Weights(msgspec.Struct):
@@ -246,7 +246,7 @@
         leaving=raw.state == LEAVING_STATE,
         weights={each.name: each.version for each in raw.models},
         started_ms=raw.born,
-        software_version=raw.version if isinstance(raw.version, str) else "",
+        software_version=raw.version,
     )
 
 
