Log the size of prompts that were refused or abandoned

Change: request_refused and request_abandoned have the field prompt_tokens.

Test: test_refused_and_abandoned_prompts_state_their_size fails before.

--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -251,6 +251,7 @@
             reason=exc.reason,
             retry_after_ms=int(exc.retry_after_s * 1000),
             configuration_age_ms=-1 if age_s == float("inf") else int(age_s * 1000),
+            prompt_tokens=request.prompt_tokens or None,
             **exc.inputs,
         )
         if exc.reason in {"keys_stale", "no_configuration", "configuration_stale"}:
@@ -350,4 +351,5 @@
             servers=",".join(job.sent_to) or None,
             pending=job.choice.candidate.server.id if job.choice else None,
             duration_ms=int((self.clock() - job.started) * 1000),
+            prompt_tokens=job.request.prompt_tokens or None,
         )
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -45,6 +45,20 @@
         self.assertThat(text, Contains("Refused and not run"))
         self.assertThat(text, Contains("did not run the request"))
 
+    @run_with("with_fleet")
+    async def test_refused_and_abandoned_prompts_state_their_size(self, fleet, entry):
+        for fault, event in (
+            (BackendServerFaults(refuse=True), "request_refused"),
+            (BackendServerFaults(mute=True), "request_abandoned"),
+        ):
+            for name in ("m1", "m2"):
+                fleet.servers[name].faults = fault
+            with trio.move_on_after(0.3):
+                await fleet.call(entry, "brief", stream=3)
+            await wait_until(lambda event=event: entry.events(event))
+            (fields,) = entry.events(event)
+            self.assertTrue(int(fields["prompt_tokens"]) > 0, event)
+
     @run_with("with_fleet")
     async def test_retried_and_resumed_stream(self, fleet, entry):
         for name in ("m1", "m2"):
