--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -168,8 +168,9 @@
         # Last published tokens to prefill, by entry and server.
         self._published: dict[tuple[str, str], float] = {}
         self._request_numbers = itertools.count()
-        # Size from which a prompt belongs to the largest tenth of its kind.
-        self._large_tokens: dict[str, int] = {}
+        # Sizes from which a prompt belongs to the largest tenth of its kind, and to the
+        # largest three tenths.
+        self._large_tokens: dict[str, tuple[int, int]] = {}
         # Earned and offered worth, by the second of arrival.
         self._earned: dict[int, float] = defaultdict(float)
         self._offered: dict[int, float] = defaultdict(float)
@@ -182,7 +183,10 @@
         )
         for kind in scenario.kinds:
             sizes = sorted(each.tokens for each in arrivals if each.kind is kind)
-            self._large_tokens[kind.name] = sizes[len(sizes) * 9 // 10]
+            self._large_tokens[kind.name] = (
+                sizes[len(sizes) * 9 // 10],
+                sizes[len(sizes) * 7 // 10],
+            )
         for arrival in arrivals:
             self.scheduler.call_at(arrival.time, self._on_arrival, arrival)
         for time in scenario.weight_changes:
@@ -207,12 +211,16 @@
     def _on_arrival(self, arrival: Arrival, now: float) -> None:
         outcome = self.result.outcomes[arrival.kind.name]
         outcome.offered += 1
-        outcome.offered_largest += self._is_large(arrival)
+        is_largest, is_second_largest = self._size_tenths(arrival)
+        outcome.offered_largest += is_largest
+        outcome.offered_second_largest += is_second_largest
         self._offered[int(arrival.time)] += arrival.kind.worth
         self._start_attempt(_Attempt(arrival=arrival, started_at=now), now)
 
-    def _is_large(self, arrival: Arrival) -> bool:
-        return arrival.tokens >= self._large_tokens[arrival.kind.name]
+    def _size_tenths(self, arrival: Arrival) -> tuple[bool, bool]:
+        """Whether a prompt is in the largest tenth, and in the fifth below it."""
+        largest, second_largest = self._large_tokens[arrival.kind.name]
+        return arrival.tokens >= largest, second_largest <= arrival.tokens < largest
 
     def _start_attempt(self, attempt: _Attempt, now: float) -> None:
         entry = self.rng.choice(self.entries)
@@ -361,7 +369,9 @@
         outcome.first_event_s.append(elapsed_s)
         in_time = elapsed_s <= kind.target_s
         outcome.in_time += in_time
-        outcome.served_largest += self._is_large(arrival)
+        is_largest, is_second_largest = self._size_tenths(arrival)
+        outcome.served_largest += is_largest
+        outcome.served_second_largest += is_second_largest
         outcome.late += not in_time
         earned = kind.worth if in_time else kind.late_worth
         earned *= 1 - OUTDATED_WEIGHTS_LOSS_RATIO * outdated_weights
--- a/src/foxtailcourse/emulator/ingress/scenario.py
+++ b/src/foxtailcourse/emulator/ingress/scenario.py
@@ -88,6 +88,8 @@
     offered_largest, served_largest : int
         Number of requests with the largest tenth of the prompts, and of those
         answered.
+    offered_second_largest, served_second_largest : int
+        The same for the fifth of the prompts below the largest tenth.
     refused_after_s : list of float
         Age of each attempt when it was refused, in seconds.
     first_event_s : list of float
@@ -99,6 +101,8 @@
     late: int = 0
     offered_largest: int = 0
     served_largest: int = 0
+    offered_second_largest: int = 0
+    served_second_largest: int = 0
     refused_after_s: list[float] = attrs.field(factory=list)
     first_event_s: list[float] = attrs.field(factory=list)
 
--- a/tests/ingress/test_overload.py
+++ b/tests/ingress/test_overload.py
@@ -5,7 +5,14 @@
 from decision_case import candidate, prompt
 from testtools.matchers import Equals
 
-from foxtailcourse.emulator.ingress.deployments import COUNTER, LONG, SCENARIOS, SHORT
+from foxtailcourse.emulator.ingress.deployments import (
+    COUNTER,
+    GROWN_GUIDING,
+    GUIDING_SITE,
+    LONG,
+    SCENARIOS,
+    SHORT,
+)
 from foxtailcourse.emulator.ingress.fleet import FleetSimulation
 from foxtailcourse.emulator.ingress.policies import (
     AgeingDeferral,
@@ -167,6 +174,25 @@
                 largest = outcome.served_largest / outcome.offered_largest
                 self.assertTrue(largest >= served / 2, (name, largest, served))
 
+    def test_no_size_of_prompt_starves_while_smaller_ones_fill_the_fleet(self):
+        """Plays half of a grown fleet at twice its load, with empty caches."""
+        site = attrs.evolve(GUIDING_SITE, long_parts=100_000)
+        scenario = attrs.evolve(
+            GROWN_GUIDING,
+            servers=13,
+            entries=14,
+            kinds=site.kinds(0.5),
+            load_factor=2.0,
+            outage=(0.25, 0.0, 99.0),
+            duration_s=10.0,
+        )
+        outcome = self.simulate(ProductPolicy(), scenario).outcomes[LONG]
+        served = (outcome.in_time + outcome.late) / outcome.offered
+        largest = outcome.served_largest / outcome.offered_largest
+        below = outcome.served_second_largest / outcome.offered_second_largest
+        self.assertTrue(largest >= served / 2, (largest, served))
+        self.assertTrue(below >= served / 2, (below, served))
+
     def test_large_prompts_of_a_short_kind_meet_their_target_under_overload(self):
         """Plays tile workshops, whose short prompts are of 2,368 tokens on average."""
         scenario = attrs.evolve(SCENARIOS["grown-tile-dark"], duration_s=12.0)
