--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -173,9 +173,8 @@
     def watch_pause_s(self) -> float:
         """Pause after a watch that returned changes, in seconds.
 
-        Servers rewrite their registrations with each heartbeat; the pause collects the
-        changes in one call, well within the times to apply a configuration and to stop
-        sending requests to a server that leaves.
+        It collects the changes that follow in one call, well within the times to apply
+        a configuration and to stop sending requests to a server that leaves.
         """
         return WATCH_PAUSE_FRACTION * min(self.drain_ms, self.configuration_ms) / 1000
 
