Log the rate limits that backend servers name

The header is decoded once, into a number of requests per second or the unreadable text, for responses to requests, event polls, reports and orders. ServerLimits keeps the latest statement of each run of a server and logs each change. A response without a limit ends it only if its request was sent after the response that named the limit had arrived; responses overtake each other. No decision uses it yet: arrivals are as before. The stand-in gets a switch that names a limit.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -10,6 +10,7 @@
     CallerLimits,
     FleetView,
     Freshness,
+    ServerRun,
 )
 from foxtailcourse.http import ConnectionPool, Exchange, HttpLimits, HttpServer
 from foxtailcourse.ingress._attempt import AttemptRunner
@@ -30,6 +31,7 @@
 )
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.ingress._rollout import Rollout
+from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.ingress._settings import IngressSettings
 from foxtailcourse.ingress._store_rate_limit import RateLimitedStore, RateLimiter
@@ -42,6 +44,7 @@
     SERVERS_PREFIX,
     KeyValueClient,
     PlatformError,
+    ResponseHeaders,
     ServerClient,
 )
 from foxtailcourse.process import AdminServer, DaemonContext, Readiness
@@ -101,8 +104,12 @@
             entry_count=lambda: len(self._view.entries),
             clock=boot_seconds,
         )
+        self._limits = ServerLimits(self._events)
         self._client = ServerClient(
-            self._pool, SERVER_CALL_TIMEOUT_S, self._announce_leaving_at
+            self._pool,
+            SERVER_CALL_TIMEOUT_S,
+            self._announce_leaving_at,
+            self._record_limit_at,
         )
         self._membership = Membership(self._view, self._events)
         self._lease = EntryLease(
@@ -226,6 +233,7 @@
                 boot_seconds,
                 self._updates.announce_leaving,
                 self._peer_exchange.origins.publish,
+                self._record_limit_statement,
             ),
             retry_budget_for=self._retry_budget_for,
             clock=boot_seconds,
@@ -251,6 +259,17 @@
             if server.address == address:
                 self._updates.announce_leaving(server)
 
+    def _record_limit_at(self, address: Address, per_s: float) -> None:
+        """Record the limit that the server at an address named."""
+        for server in self._view.servers.values():
+            if server.address == address:
+                self._limits.record_limit(server.run, per_s, boot_seconds())
+
+    def _record_limit_statement(
+        self, run: ServerRun, head: ResponseHeaders, sent_at: float
+    ) -> None:
+        self._limits.record_response(run, head, sent_at, boot_seconds())
+
     async def _refresh(self, max_age_s: float) -> None:
         """Read the configuration again if it is older than ``max_age_s``.
 
@@ -360,7 +379,9 @@
             await trio.sleep(LOADS_MAINTENANCE_PERIOD_S)
             servers = self._view.servers.values()
             self._loads.discard_unregistered({(e.id, e.started_ms) for e in servers})
-            self._view.withdrawn.expire({e.run for e in servers}, boot_seconds())
+            runs = {e.run for e in servers}
+            self._view.withdrawn.expire(runs, boot_seconds())
+            self._limits.discard_unregistered(runs)
             self._update_gauges()
 
     def _update_gauges(self) -> None:
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from foxtailcourse.fleet import BackendServer, RouteKind
+from foxtailcourse.fleet import BackendServer, RouteKind, ServerRun
 from foxtailcourse.http import (
     ClientError,
     ClientResponse,
@@ -20,6 +20,7 @@
 from foxtailcourse.ingress._stream_origins import StreamOrigin
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
 from foxtailcourse.platform import (
+    MISDIRECTED_STATUS,
     REFUSED_STATUSES,
     AttemptHeaders,
     ResponseHeaders,
@@ -62,6 +63,9 @@
         Returns seconds since boot.
     on_leaving : callable
         Called with a server whose response says that it leaves.
+    on_limit_statement : callable
+        Called with the run of a server that answered a request, the decoded head of
+        the response and when the request was sent, in seconds since boot.
     on_stream_begun : callable
         Called with the identifier of a caller's attempt and the origin of its stream,
         before the first event is forwarded, if the stream may be resumed.
@@ -78,6 +82,9 @@
     on_stream_begun: Callable[[str, StreamOrigin], None] = attrs.field(
         default=lambda request_id, origin: None
     )
+    on_limit_statement: Callable[[ServerRun, ResponseHeaders, float], None] = (
+        attrs.field(default=lambda run, head, sent_at: None)
+    )
 
     async def run(
         self, job: Job, choice: Choice, store: Address | None
@@ -105,7 +112,7 @@
             If there is no response that may be forwarded to the caller.
         """
         server, load = choice.candidate.server, choice.candidate.own_load
-        now = self.clock()
+        now = job.attempt_sent_at = self.clock()
         headers = encode_attempt_headers(
             job.request,
             _attempt_headers(job, choice, store, job.deadline - now),
@@ -202,6 +209,10 @@
             )
         if head.request_id and head.request_id != job.request.id:
             raise self._rejected(job, choice, "foreign_answer", Verdict.MAY_HAVE_RUN)
+        if head.status != MISDIRECTED_STATUS:
+            # Another server at the address gives the status, and names its own limit.
+            run = choice.candidate.server.run
+            self.on_limit_statement(run, head, job.attempt_sent_at)
         if head.not_executed:
             raise self._not_executed(job, choice, head)
         content_type = response.headers.get("content-type", "")
@@ -255,7 +266,8 @@
         """Record that the server did not run the request and return the error."""
         job.sent_to.append(choice.candidate.server.id)
         choice.candidate.own_load.record_refusal(self.clock(), REFUSAL_SUSPENSION_S)
-        reason = "misdirected" if head.status == 421 else "not_executed"
+        misdirected = head.status == MISDIRECTED_STATUS
+        reason = "misdirected" if misdirected else "not_executed"
         return AttemptError(
             reason,
             Verdict.NOT_RUN,
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -55,6 +55,8 @@
         sent, in seconds; None if they were the desired ones.
     deferred_s : float
         Time that the request was deferred before it was sent, in seconds.
+    attempt_sent_at : float
+        When the last attempt was sent, in seconds since boot.
     attempt_pending : bool
         Whether an attempt was started and its outcome is not known.
     response_complete : bool
@@ -81,6 +83,7 @@
     queued_tokens: int = 0
     outdated_s: float | None = None
     deferred_s: float = 0.0
+    attempt_sent_at: float = 0.0
     attempt_pending: bool = False
     response_complete: bool = False
     typical_prompt_tokens: float = 0.0
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -97,6 +97,10 @@
     "had left before; it gets no requests until it registers again itself",
     "server_leaving": "a backend server says in its responses that it leaves; it gets "
     "no new requests. `by_entry` names the entry that it told, if it was another one",
+    "server_limit_changed": "a backend server names the requests per second that it "
+    "takes from all entries together, `per_s`; none if it no longer names a limit",
+    "server_limit_unreadable": "a backend server names a limit that is no number; "
+    "it is ignored",
     "server_reinstated": "a backend server that was leaving or gone registered again",
     "server_registered": "a backend server registered, or changed its registration",
     "reload_requested": "SIGHUP requested a reload of the settings file",
--- a/src/foxtailcourse/platform/_headers.py
+++ b/src/foxtailcourse/platform/_headers.py
@@ -28,6 +28,7 @@
 ACTUAL_WEIGHTS_HEADER = "x-foxtailcourse-weight-versions"
 LEAVING_HEADER = "server-leaving"
 RETRY_AFTER_HEADER = "retry-after"
+RATE_LIMIT_HEADER = "server-limit"
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -204,6 +205,11 @@
         this process, in seconds; at most MAX_RETRY_AFTER_S. None if it states none.
     retry_after_unreadable : str
         The stated time if it is no number of seconds, for the log; empty otherwise.
+    limit_per_s : float or None
+        Requests per second that the backend server takes from all entries together.
+        None if it states no limit.
+    limit_unreadable : str
+        The stated limit if it is no number, for the log; empty otherwise.
     """
 
     status: int
@@ -216,6 +222,8 @@
     leaving: bool = False
     retry_after_s: float | None = None
     retry_after_unreadable: str = ""
+    limit_per_s: float | None = None
+    limit_unreadable: str = ""
 
 
 def decode_request_headers(
@@ -346,6 +354,8 @@
     if status == UNAVAILABLE_STATUS:
         retry_after = fields.get(RETRY_AFTER_HEADER, "").strip()
     retry_after_s = _parse_number(retry_after)
+    limit = fields.get(RATE_LIMIT_HEADER, "").strip()
+    limit_per_s = _parse_number(limit)
     return ResponseHeaders(
         status=status,
         request_id=fields.get(REQUEST_ID_HEADER, ""),
@@ -359,6 +369,8 @@
             None if retry_after_s is None else min(retry_after_s, MAX_RETRY_AFTER_S)
         ),
         retry_after_unreadable=retry_after if retry_after_s is None else "",
+        limit_per_s=limit_per_s,
+        limit_unreadable=limit if limit_per_s is None else "",
     )
 
 
--- a/src/foxtailcourse/platform/_server_client.py
+++ b/src/foxtailcourse/platform/_server_client.py
@@ -179,6 +179,9 @@
         asks for.
     on_leaving : callable
         Called with the address of a server whose response says that it leaves.
+    on_limit : callable
+        Called with the address of a server whose response states a rate limit, and the
+        limit in requests per second.
     """
 
     def __init__(
@@ -186,10 +189,12 @@
         pool: ConnectionPool,
         timeout_s: float,
         on_leaving: Callable[[Address], None] = lambda address: None,
+        on_limit: Callable[[Address, float], None] = lambda address, per_s: None,
     ) -> None:
         self._pool = pool
         self._timeout_s = timeout_s
         self._on_leaving = on_leaving
+        self._on_limit = on_limit
 
     async def _call(
         self,
@@ -210,8 +215,11 @@
             async with self._pool.request(
                 address, method, target, headers=headers, body=body, options=options
             ) as response:
-                if decode_response_headers(response.status, response.headers).leaving:
+                head = decode_response_headers(response.status, response.headers)
+                if head.leaving:
                     self._on_leaving(address)
+                if head.limit_per_s is not None:
+                    self._on_limit(address, head.limit_per_s)
                 return response.status, await response.read()
         except ClientError as exc:
             raise ServerCallError(f"{method} {target} at {address}: {exc}") from exc
--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -15,6 +15,7 @@
 REQUEST_ID = "x-foxtailcourse-request-id"
 NOT_EXECUTED = "x-foxtailcourse-not-executed"
 LEAVING = "server-leaving"
+LIMIT = "server-limit"
 MAX_EVENTS_WAIT_S = 1.0
 
 
@@ -50,6 +51,9 @@
         Whether each response says that the server leaves.
     retry_after : str
         Retry-after header of refusals; empty for none.
+    limit : str
+        Requests per second that each response names as the server's limit; empty for
+        none. The server runs what it gets all the same.
     late_orders_s : float
         Delay of each order, in seconds; if it is then accepted, its connection is
         aborted.
@@ -68,6 +72,7 @@
     no_events: bool = False
     says_leaving: bool = False
     retry_after: str = ""
+    limit: str = ""
     late_orders_s: float = 0.0
 
 
@@ -216,6 +221,8 @@
         """Handle one request of an ingress."""
         if self.faults.says_leaving:
             exchange.common_fields[LEAVING] = "1"
+        if self.faults.limit:
+            exchange.common_fields[LIMIT] = self.faults.limit
         expected_id = exchange.headers.get("x-foxtailcourse-expected-instance", self.id)
         if expected_id != self.id:
             headers = {"x-foxtailcourse-instance-id": self.id}
