--- a/tests/ingress/test_server_limits.py
+++ b/tests/ingress/test_server_limits.py
@@ -1,9 +1,11 @@
 import time
 
 import testtools
+import trio
 from ingress_case import IngressCase
 from testtools.matchers import Equals, Is
 
+from cluster import wait_until
 from foxtailcourse.fleet import ServerRun
 from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.observe import EventLog, HybridClock
@@ -11,6 +13,10 @@
 from support import run_with
 
 RUN = ServerRun("s1", 5)
+# Bound of the platform: in any window so many times the limit, and some requests more.
+WINDOW_S, EXCESS_RATIO, EXTRA_REQUESTS = 4.0, 1.5, 5
+# An entry keeps a limit from this time after a response named it.
+TOLD_AFTER_S = 0.5
 
 
 def head(limit=None):
@@ -22,6 +28,37 @@
     return ServerLimits(EventLog("x", HybridClock(time.time)))
 
 
+def allowed_in_window(limit_per_s):
+    return EXCESS_RATIO * limit_per_s * WINDOW_S + EXTRA_REQUESTS
+
+
+def most_in_window(times):
+    """Return the largest number of times in any window."""
+    return max((sum(t <= u < t + WINDOW_S for u in times) for t in times), default=0)
+
+
+async def wait_until_named(fleet, entry):
+    """Send requests to an entry until it knows of a limit."""
+    while not entry.events("server_limit_changed"):
+        await fleet.call(entry, "look")
+
+
+async def send_for(fleet, entries, per_s, duration_s):
+    """Send requests to all entries in turn; return the statuses other than 200."""
+    failed = []
+
+    async def send(entry):
+        response = await fleet.call(entry, "look")
+        if response.status != 200:
+            failed.append(response.status)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(int(per_s * duration_s)):
+            nursery.start_soon(send, entries[number % len(entries)])
+            await trio.sleep(1 / per_s)
+    return failed
+
+
 class TestStatedLimits(testtools.TestCase):
     """Guards what an entry takes as the limit that a server names at present."""
 
@@ -74,3 +111,24 @@
                 ],
                 Equals(named),
             )
+
+    @run_with("with_fleet")
+    async def test_all_entries_together_keep_the_limit_of_a_server(self, fleet, entry):
+        entries = [entry, *[await fleet.start_entry(f"e{n}") for n in (2, 3)]]
+        for each in entries:
+            await wait_until(lambda each=each: each.app.readiness().ready)
+            await wait_until(lambda each=each: len(each.app.status()["entries"]) == 3)
+        server, limit_per_s = fleet.servers["c1"], 1.0
+        server.faults.limit = str(limit_per_s)
+        for each in entries:
+            await wait_until_named(fleet, each)
+        told_at = trio.current_time()
+        failed = await send_for(fleet, entries, per_s=60, duration_s=6.0)
+        self.assertThat(failed, Equals([]))
+        arrivals = [run.at for run in server.runs if run.at > told_at + TOLD_AFTER_S]
+        self.assertTrue(
+            most_in_window(arrivals) <= allowed_in_window(limit_per_s),
+            most_in_window(arrivals),
+        )
+        # The server takes these, so they are sent to it.
+        self.assertTrue(len(arrivals) >= limit_per_s * 6.0 / 3, len(arrivals))
