Share the limits that backend servers name among the entries

What callers saw: nothing directly. Servers in need got several times the requests per second that they had named, which delays and fails what they have accepted.

Cause: the limit was not read, and there was no way to keep a limit that concerns all entries together per server. The class of fault: a limit that all entries keep together.

Change: ServerLimits has a share of each named limit and CandidateFilter leaves out servers whose share is used up. An even split among all entries would not hold: each of 28 entries may send one request at once, at a server that takes 2 a second. So as many entries have a share as the limit has requests in a second; rendezvous hashing selects them. LimitShares says who counts: an entry that disappears counts for a hold time, and a new one, or one whose view of the registrations is old, has no share for as long, so that the sum stays below the limit at any time. Entries tell each other what servers say of their limits.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -22,6 +22,8 @@
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
 from foxtailcourse.ingress._handler import IngressHandler
 from foxtailcourse.ingress._lease import EntryLease
+from foxtailcourse.ingress._limit_exchange import LimitExchange
+from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
 from foxtailcourse.ingress._peer_exchange import PeerExchange
 from foxtailcourse.ingress._peers import Peer
@@ -35,7 +37,7 @@
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.ingress._settings import IngressSettings
 from foxtailcourse.ingress._store_rate_limit import RateLimitedStore, RateLimiter
-from foxtailcourse.ingress._store_watcher import StoreWatcher
+from foxtailcourse.ingress._store_watcher import WATCH_BLACKOUT_S, StoreWatcher
 from foxtailcourse.ingress._stream_origins import SoftwareHistory
 from foxtailcourse.ingress._stream_resumption import StreamResumption
 from foxtailcourse.ingress._watchdog import AttemptWatchdog
@@ -60,6 +62,9 @@
 STOP_MARGIN_S = 0.4
 # Longest wait for the store when a stopped entry gives up its registration.
 RELEASE_TIMEOUT_S = 0.1
+# An entry that disappeared keeps its share of the limits that all entries keep together
+# for this multiple of the longest time between confirmations of the registrations.
+SHARE_HOLD_MULTIPLE = 2.0
 READINESS_LIMITS = HttpLimits(max_connections=50, max_body_bytes=1024)
 SERVER_CALL_TIMEOUT_S = 0.5
 LOADS_MAINTENANCE_PERIOD_S = 5.0
@@ -104,7 +109,14 @@
             entry_count=lambda: len(self._view.entries),
             clock=boot_seconds,
         )
-        self._limits = ServerLimits(self._events)
+        membership_freshness = Freshness()
+        self._shares = LimitShares(
+            daemon.cfg.vm,
+            lambda: self._view.entries,
+            membership_freshness,
+            _share_hold_s(cfg),
+        )
+        self._limits = ServerLimits(daemon.cfg.vm, self._shares, self._events)
         self._client = ServerClient(
             self._pool,
             SERVER_CALL_TIMEOUT_S,
@@ -154,6 +166,13 @@
         )
         self._peer_exchange.store_era = lambda: self._store.era
         self._peer_exchange.on_cache_update = self._cache_feed.apply_published
+        self._limit_exchange = LimitExchange(
+            self._limits,
+            self._membership.peers,
+            self._peer_exchange.send,
+            boot_seconds,
+        )
+        self._peer_exchange.on_limits = self._limit_exchange.handle
         self._peer_exchange.cache_snapshot = self._cache_feed.snapshot
         self._peer_exchange.weights_to_publish = self._rollout.weights_to_publish
         self._recent_weights = RecentWeightsRecorder(
@@ -183,7 +202,7 @@
             {
                 OPERATOR_PREFIX: self._view.configuration_freshness,
                 SERVERS_PREFIX: self._view.servers_freshness,
-                MEMBERSHIP_PREFIX: Freshness(),
+                MEMBERSHIP_PREFIX: membership_freshness,
             },
             cfg.watch_wait_s,
             cfg.watch_pause_s,
@@ -223,7 +242,11 @@
         return Dispatcher(
             view=self._view,
             candidates=CandidateFilter(
-                self._view, self._loads, self._cache_indexes, weights_limit_s
+                self._view,
+                self._loads,
+                self._cache_indexes,
+                weights_limit_s,
+                self._limits,
             ),
             attempts=AttemptRunner(
                 self._pool,
@@ -337,6 +360,7 @@
                 capacity_cores=self._cfg.capacity_cores,
             ).encode()
             nursery.start_soon(self._peer_exchange.run)
+            nursery.start_soon(self._limit_exchange.run)
             nursery.start_soon(self._lease.run)
             nursery.start_soon(self._watchdog.run)
             nursery.start_soon(self._rollout.run)
@@ -381,7 +405,7 @@
             self._loads.discard_unregistered({(e.id, e.started_ms) for e in servers})
             runs = {e.run for e in servers}
             self._view.withdrawn.expire(runs, boot_seconds())
-            self._limits.discard_unregistered(runs)
+            self._limits.expire(runs, boot_seconds())
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -432,6 +456,7 @@
         self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
         self._dispatcher.candidates.weights_limit_s = cfg.weights_ms / 1000
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
+        self._shares.hold_s = _share_hold_s(cfg)
         self._recent_weights.usable_s = recorded_weights_s(cfg.weights_ms / 1000)
         for budget in self._retry_budgets.values():
             budget.ratio, budget.extra = cfg.retry_ratio, cfg.retry_extra
@@ -458,6 +483,12 @@
         self._events.emit("request_failed", path=exchange.path, error=repr(exc))
 
 
+def _share_hold_s(cfg: IngressSettings) -> float:
+    """Return the time for which an entry that disappeared keeps its shares."""
+    confirmed_s = cfg.watch_wait_s + cfg.call_timeout_s + WATCH_BLACKOUT_S
+    return SHARE_HOLD_MULTIPLE * confirmed_s
+
+
 async def serve(daemon: DaemonContext, cfg: IngressSettings) -> None:
     """Run the entry; this is the main function of the daemon."""
     await IngressApp(daemon, cfg).run()
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -13,6 +13,7 @@
 from foxtailcourse.ingress._admission import PREFILL_TOKENS_PER_S
 from foxtailcourse.ingress._cache_index import CacheIndex
 from foxtailcourse.ingress._placement_types import Candidate
+from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoads
 
 # Outdated weights are no longer used this long before the platform's limit.
@@ -63,12 +64,15 @@
         store.
     weights_limit_s : float
         Time in seconds after which outdated weights must not be used.
+    limits : ServerLimits
+        Rate limits that servers name.
     """
 
     view: FleetView
     loads: ServerLoads
     cache_indexes: dict[str, CacheIndex]
     weights_limit_s: float
+    limits: ServerLimits
 
     def select(
         self,
@@ -129,7 +133,15 @@
                 reason="servers_refuse",
                 available_in_s=available_at - now,
             )
-        with_capacity = [each for each in accepting if self._has_capacity(each, now)]
+        within_limits = [e for e in accepting if self._limit_wait_s(e, now) == 0]
+        if not within_limits:
+            waits_s = [self._limit_wait_s(each, now) for each in accepting]
+            return Selection(
+                candidates=(),
+                reason="server_limits",
+                available_in_s=min((w for w in waits_s if w is not None), default=None),
+            )
+        with_capacity = [e for e in within_limits if self._has_capacity(e, now)]
         if not with_capacity:
             return Selection(candidates=(), reason="connection_limit")
         not_loading = [
@@ -152,6 +164,13 @@
         """Return until when a server asked for no requests."""
         return self.loads.for_server(server.id, server.started_ms).refused_until
 
+    def _limit_wait_s(self, server: BackendServer, now: float) -> float | None:
+        """Return when the limit that a server names allows a request, in seconds.
+
+        It is None if this entry has no share of the limit.
+        """
+        return self.limits.available_in_s(server.run, now)
+
     def outdated_s(self, server: BackendServer, model: str, now: float) -> float | None:
         """Return for how long a server's weights have been outdated, in seconds.
 
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -46,6 +46,7 @@
     "other_software": 0.5,
     "loading_weights": 0.4,
     "connection_limit": 0.3,
+    "server_limits": 0.4,
     "all_tried": 0.15,
 }
 DEFAULT_RETRY_AFTER_S = 0.15
@@ -123,6 +124,9 @@
         while True:
             choice = await self._wait_for_admission(job)
             job.choice, job.attempt_pending = choice, True
+            self.candidates.limits.record_sent(
+                choice.candidate.server.run, self.clock()
+            )
             job.queued_tokens = int(choice.candidate.total_load.prefill_tokens)
             job.outdated_s = self.candidates.outdated_s(
                 choice.candidate.server, job.request.model, self.clock()
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -27,6 +27,7 @@
     DomainLoads,
     FleetLoads,
     LeavingUpdate,
+    LimitsUpdate,
     LoadsUpdate,
     Message,
     OriginAnswer,
@@ -98,6 +99,8 @@
         Returns the known contents of all caches, for an entry that has just started.
     on_leaving : callable
         Called with a server of which the entry ``by_entry`` says that it leaves.
+    on_limits : callable
+        Handles statements of servers on their limits that another entry published.
     store_era : callable
         Returns the era of the platform's store; weights from a leader of an earlier era
         are ignored.
@@ -127,6 +130,9 @@
     )
     cache_snapshot: Callable[[], list[CacheUpdate]] = attrs.field(default=list)
     on_leaving: Callable[..., None] = attrs.field(default=lambda server, by_entry: None)
+    on_limits: Callable[[LimitsUpdate, str], None] = attrs.field(
+        default=lambda message, sender: None
+    )
     store_era: Callable[[], int] = attrs.field(default=lambda: 0)
     weights_to_publish: Callable[[], WeightsUpdate | None] = attrs.field(
         default=lambda: None
@@ -215,6 +221,8 @@
             case CacheBatch(updates):
                 for update in updates:
                     self.on_cache_update(update)
+            case LimitsUpdate():
+                self.on_limits(message, sender)
             case OriginsUpdate() | OriginQuery() | OriginAnswer():
                 self.origins.handle(message, sender)
 
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -96,6 +96,20 @@
     started_ms: int
 
 
+class LimitsUpdate(msgspec.Struct, array_like=True, tag="limits"):
+    """What backend servers say of the requests per second that they take.
+
+    Parameters
+    ----------
+    rows : list of tuple
+        Identifier of the server, its start time in milliseconds, requests per second
+        from all entries together (None without a limit) and the age of the statement
+        in milliseconds.
+    """
+
+    rows: list[tuple[str, int, float | None, int]]
+
+
 class OriginsUpdate(msgspec.Struct, array_like=True, tag="origins"):
     """What began streams, for the entries that own them.
 
@@ -145,6 +159,7 @@
     | CacheBatch
     | SnapshotRequest
     | LeavingUpdate
+    | LimitsUpdate
     | OriginsUpdate
     | OriginQuery
     | OriginAnswer
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -98,7 +98,8 @@
     "server_leaving": "a backend server says in its responses that it leaves; it gets "
     "no new requests. `by_entry` names the entry that it told, if it was another one",
     "server_limit_changed": "a backend server names the requests per second that it "
-    "takes from all entries together, `per_s`; none if it no longer names a limit",
+    "takes from all entries together, `per_s`; none if it no longer names a limit. "
+    "`by_entry` names the entry that it told, if it was another one",
     "server_limit_unreadable": "a backend server names a limit that is no number; "
     "it is ignored",
     "server_reinstated": "a backend server that was leaving or gone registered again",
@@ -218,6 +219,8 @@
     "(time to process the prompts queued at the entry)",
     "refused_after_run": "the server refused without reporting that nothing was run",
     "server_error": "the server ran the request and failed",
+    "server_limits": "each server names a limit of requests per second, and this "
+    "entry's share of the limits is used up",
     "servers_refuse": "each server asked this entry for no requests for some time, by "
     "a retry-after header",
     "silent": "the server sent nothing for too long",
--- a/tests/ingress/decision_case.py
+++ b/tests/ingress/decision_case.py
@@ -1,9 +1,14 @@
 """Builders of servers, loads and prompts for tests of placement and admission."""
 
-from foxtailcourse.fleet import BackendServer
+import time
+
+from foxtailcourse.fleet import BackendServer, Freshness
 from foxtailcourse.ingress._cache_index import CacheIndex
+from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._placement_types import Candidate, Prompt
+from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoad, TotalLoad
+from foxtailcourse.observe import EventLog, HybridClock
 from foxtailcourse.platform import CacheEvent, CacheEvents, PromptPart
 from foxtailcourse.settings import Address
 
@@ -56,3 +61,10 @@
         PromptPart(id="zz", tokens=own_tokens),
     )
     return Prompt(parts=parts, tokens=shared_tokens + own_tokens)
+
+
+def make_limits(vm, registered, freshness=None, hold_s=5.0):
+    """Return the server limits of an entry; ``registered`` may change later."""
+    fresh = freshness or Freshness(as_of=float("inf"))
+    shares = LimitShares(vm, lambda: registered, fresh, hold_s)
+    return ServerLimits(vm, shares, EventLog(vm, HybridClock(time.time)))
--- a/tests/ingress/test_fleet_state.py
+++ b/tests/ingress/test_fleet_state.py
@@ -1,7 +1,7 @@
 import random
 
 import testtools
-from decision_case import NOW, server
+from decision_case import NOW, make_limits, server
 from testtools.matchers import Equals
 
 from foxtailcourse.fleet import (
@@ -76,7 +76,8 @@
         view.configuration = Configuration(
             version=1, routes={}, services=services, accounts={}, keys_required=False
         )
-        return CandidateFilter(view, ServerLoads(), {}, 15.0)
+        limits = make_limits("e1", view.entries)
+        return CandidateFilter(view, ServerLoads(), {}, 15.0, limits)
 
     def eligible_names(self, candidate_filter, now=NOW, tried=()):
         """Return the names of the eligible servers, and why there are none."""
--- a/tests/ingress/test_server_limits.py
+++ b/tests/ingress/test_server_limits.py
@@ -1,14 +1,11 @@
-import time
-
 import testtools
 import trio
+from decision_case import make_limits
 from ingress_case import IngressCase
 from testtools.matchers import Equals, Is
 
 from cluster import wait_until
 from foxtailcourse.fleet import ServerRun
-from foxtailcourse.ingress._server_limits import ServerLimits
-from foxtailcourse.observe import EventLog, HybridClock
 from foxtailcourse.platform import decode_response_headers
 from support import run_with
 
@@ -24,8 +21,8 @@
     return decode_response_headers(200, fields)
 
 
-def make_limits():
-    return ServerLimits(EventLog("x", HybridClock(time.time)))
+def run(server):
+    return ServerRun(server.id, server.started_ms)
 
 
 def allowed_in_window(limit_per_s):
@@ -72,7 +69,7 @@
         self.assertThat(head().limit_unreadable, Equals(""))
 
     def test_limit_ends_with_a_response_to_a_later_request_only(self):
-        limits = make_limits()
+        limits = make_limits("e1", {"e1"})
         limits.record_response(RUN, head("7.4"), sent_at=9.0, now=10.0)
         # This response was overtaken by the one that names the limit.
         limits.record_response(RUN, head(), sent_at=9.5, now=10.1)
@@ -83,11 +80,13 @@
         self.assertThat(limits.named(RUN), Is(None))
 
     def test_limit_ends_with_the_run_of_the_server(self):
-        limits = make_limits()
+        limits = make_limits("e1", {"e1"})
         limits.record_response(RUN, head("7.4"), sent_at=9.0, now=10.0)
         restarted = ServerRun("s1", 6)
         self.assertThat(limits.named(restarted), Is(None))
-        limits.discard_unregistered({restarted})
+        limits.expire({restarted}, now=20.0)
+        self.assertThat(limits.named(RUN), Equals(7.4))
+        limits.expire({restarted}, now=200.0)
         self.assertThat(limits.named(RUN), Is(None))
 
 
@@ -125,10 +124,46 @@
         told_at = trio.current_time()
         failed = await send_for(fleet, entries, per_s=60, duration_s=6.0)
         self.assertThat(failed, Equals([]))
-        arrivals = [run.at for run in server.runs if run.at > told_at + TOLD_AFTER_S]
+        arrivals = [r.at for r in server.runs if r.at > told_at + TOLD_AFTER_S]
         self.assertTrue(
             most_in_window(arrivals) <= allowed_in_window(limit_per_s),
             most_in_window(arrivals),
         )
         # The server takes these, so they are sent to it.
         self.assertTrue(len(arrivals) >= limit_per_s * 6.0 / 3, len(arrivals))
+
+    @run_with("with_fleet")
+    async def test_other_entries_hear_of_a_limit_and_of_its_end(self, fleet, entry):
+        second = await fleet.start_entry("e2")
+        for each in (entry, second):
+            await wait_until(lambda each=each: len(each.app.status()["entries"]) == 2)
+        server = fleet.servers["c1"]
+        server.faults.limit = "3"
+        await wait_until_named(fleet, entry)
+        await wait_until(lambda: second.events("server_limit_changed"))
+        (event,) = second.events("server_limit_changed")
+        self.assertThat(event["by_entry"], Equals("e1"))
+        # One that starts later hears of it before it asks the server.
+        third = await fleet.start_entry("e3")
+        await wait_until(lambda: third.events("server_limit_changed"))
+        server.faults.limit = ""
+        while len(entry.events("server_limit_changed")) < 2:
+            await fleet.call(entry, "look")
+        for each in (second, third):
+            await wait_until(
+                lambda each=each: each.app._limits.named(run(server)) is None
+            )
+
+    @run_with("with_fleet")
+    async def test_request_is_refused_at_once_if_all_servers_are_at_their_limits(
+        self, fleet, entry
+    ):
+        for name in ("c1", "c2"):
+            fleet.servers[name].faults.limit = "0.5"
+        responses = [await fleet.call(entry, "look") for _ in range(20)]
+        refused = [each for each in responses if each.status == 503]
+        self.assertTrue(len(refused) >= 15, [each.status for each in responses])
+        for response in refused:
+            self.assertThat(response.body, Equals(b"server_limits"))
+            self.assertTrue(0 < float(response.headers["retry-after"]) < 5)
+        self.assertThat(len(self.runs(fleet)), Equals(len(responses) - len(refused)))
