Do not take a second copy of a response for the next one

What callers saw: with a server that sends a response twice, the next request on the connection could get the response before it, of another caller.

Cause: the pool of connections looks for bytes in the socket before it uses a connection again, but a copy that arrived in the same read was in the parser already. And a copy that arrives after the connection is in use again cannot be seen at all, where nothing in the response names its request: completions and orders of the agent's engine used pooled connections. Requests of foxtail-ingress and calls that must run once use a new connection each and were not affected (ruled out by reading their options).

Change: a connection with bytes after the response is closed; completions and POST calls to an engine have connections of their own.

--- a/src/foxtailcourse/engine/_http.py
+++ b/src/foxtailcourse/engine/_http.py
@@ -164,7 +164,9 @@
             "/v1/chat/completions",
             headers=fields,
             body=msgspec.json.encode(dict(request.body) | {"stream": True}),
-            options=RequestOptions(idle_timeout_s=self._idle_timeout_s),
+            options=RequestOptions(
+                idle_timeout_s=self._idle_timeout_s, reuse=False, keep_alive=False
+            ),
         ) as response:
             if response.status != 200:
                 raise await _status_error(response)
@@ -229,7 +231,12 @@
         self, method: str, target: str, timeout_s: float, body: object = None
     ) -> object:
         data = b"" if body is None else msgspec.json.encode(body)
-        options = RequestOptions(idle_timeout_s=timeout_s)
+        # On a connection in use again, a late copy of the previous response would be
+        # taken for this one. Of the GET calls, the next one corrects it.
+        reuse = method == "GET"
+        options = RequestOptions(
+            idle_timeout_s=timeout_s, reuse=reuse, keep_alive=reuse
+        )
         async with self._pool.request(
             self._address, method, target, body=data, options=options
         ) as response:
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -300,8 +300,11 @@
         """Return a connection to the pool, or close it if it is not reusable."""
         idle = self._idle.setdefault(address, deque())
         complete = conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
+        # Bytes after the response would be taken for the next one.
+        has_extra_bytes = bool(conn.h11.trailing_data[0])
         if (
             not complete
+            or has_extra_bytes
             or not conn.request_fully_sent
             or len(idle) >= MAX_IDLE_PER_ADDRESS
         ):
