End calls whose response head or body never ends

What callers saw: a call to the store or to a server whose response came a byte now and then, or as interim responses without end, held its task for ever: a lease that is no longer renewed, a watch or a feed of cache events that stands still.

Cause: timeouts counted from the last byte received, and interim responses were skipped without limit.

Change: a head that has begun must be complete within its timeout, at most eight interim responses are skipped, read() has a total time, and calls to the store and to servers have smaller limits on the size of responses (8 and 4 MiB instead of 32).

--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -3,6 +3,7 @@
 Each failure has a verdict: whether the request may have run at the server.
 """
 
+import math
 from collections import deque
 from collections.abc import AsyncGenerator, AsyncIterator, Mapping
 from contextlib import asynccontextmanager
@@ -21,6 +22,8 @@
 # sending it cannot block.
 SMALL_REQUEST_BYTES = 8192
 FIRST_ERROR_STATUS = 400
+# Responses with status 1xx before the final one.
+MAX_INTERIM_RESPONSES = 8
 MAX_IDLE_PER_ADDRESS = 16
 MAX_IDLE_TIME_S = 30.0
 
@@ -53,7 +56,10 @@
     idle_timeout_s : float
         Longest time without progress in sending or receiving.
     head_timeout_s : float
-        Longest wait for the head of the response; 0 applies ``idle_timeout_s``.
+        Longest wait for the head of the response, and longest time from its first byte
+        to its last; 0 applies ``idle_timeout_s``.
+    body_timeout_s : float
+        Longest time in which ``read`` receives the whole body.
     reuse : bool
         Whether an idle connection may be used. A request that must not be retried
         needs a new connection, since the server may already have closed an idle one.
@@ -66,6 +72,7 @@
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
     head_timeout_s: float = 0.0
+    body_timeout_s: float = math.inf
     reuse: bool = True
     keep_alive: bool = True
     max_body_bytes: int = 32 * 1024 * 1024
@@ -166,13 +173,19 @@
         Raises
         ------
         ClientError
-            If the body is truncated or larger than ``max_body_bytes``.
+            If the body is truncated, larger than ``max_body_bytes`` or takes longer
+            than ``body_timeout_s``.
         """
         body = bytearray()
-        async for chunk in self.iter_chunks():
-            body += chunk
-            if len(body) > self._options.max_body_bytes:
-                raise ClientError("response body is too large", Verdict.MAY_HAVE_RUN)
+        with trio.move_on_after(self._options.body_timeout_s) as scope:
+            async for chunk in self.iter_chunks():
+                body += chunk
+                if len(body) > self._options.max_body_bytes:
+                    raise ClientError(
+                        "response body is too large", Verdict.MAY_HAVE_RUN
+                    )
+        if scope.cancelled_caught:
+            raise ClientError("response body takes too long", Verdict.MAY_HAVE_RUN)
         return bytes(body)
 
     async def json(self) -> object:
@@ -324,13 +337,24 @@
 async def _read_head(
     conn: _ClientConnection, address: Address, timeout_s: float
 ) -> h11.Response:
-    """Return the head of the final response; skips 1xx responses."""
-    while True:
-        event = await conn.next_event(timeout_s)
+    """Return the head of the final response; skips 1xx responses.
+
+    Raises TooSlowError if nothing arrives for ``timeout_s``, or if a head that has
+    begun is not complete after this time.
+    """
+    interim_responses = 0
+    while interim_responses <= MAX_INTERIM_RESPONSES:
+        event = conn.h11.next_event()
+        if event is h11.NEED_DATA:
+            await conn.receive(timeout_s)
+            with trio.fail_after(timeout_s):
+                event = await conn.next_event(timeout_s)
         if isinstance(event, h11.Response):
             return event
         if not isinstance(event, h11.InformationalResponse):
             raise ClientError(f"{address} closed the connection", Verdict.MAY_HAVE_RUN)
+        interim_responses += 1
+    raise ClientError(f"{address} sends no final response", Verdict.MAY_HAVE_RUN)
 
 
 async def _send_while_reading(
--- a/src/foxtailcourse/platform/_client.py
+++ b/src/foxtailcourse/platform/_client.py
@@ -28,6 +28,9 @@
 T = TypeVar("T")
 
 DEFAULT_TIMEOUT_S = 2.0
+# Largest response of a service: a page of the store has about 1 MB of values in base64,
+# or one value more than that.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 KV_TARGET_PREFIX = "/foxtailcourse/kv-"
 ERA_HEADER = "store-era"
 MAX_ERA_DIGITS = 9
@@ -170,6 +173,8 @@
         options = RequestOptions(
             connect_timeout_s=self._timeout_s,
             idle_timeout_s=self._timeout_s + wait_s,
+            body_timeout_s=self._timeout_s + wait_s,
+            max_body_bytes=MAX_RESPONSE_BYTES,
         )
         call = f"{method} {target}"
         body = b"" if payload is None else msgspec.json.encode(payload)
--- a/src/foxtailcourse/platform/_server_client.py
+++ b/src/foxtailcourse/platform/_server_client.py
@@ -22,6 +22,8 @@
 ORDER_TARGET = "/foxtailcourse/order"
 # The server finishes its running requests before it replaces the weights.
 LOAD_MODE = "wait"
+# Largest response to a report, an order or a poll of cache events.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 
 
 class ServerCallError(Exception):
@@ -209,6 +211,8 @@
         options = RequestOptions(
             connect_timeout_s=self._timeout_s,
             idle_timeout_s=self._timeout_s + wait_s,
+            body_timeout_s=self._timeout_s + wait_s,
+            max_body_bytes=MAX_RESPONSE_BYTES,
             reuse=method == "GET",
         )
         try:
