Count a stream that falls silent as one attempt

What callers saw: a stream whose server fell silent after the first event broke off on routes with two attempts, although another server could have resumed it.

Cause: the server was added to the attempted ones when the stream began, and again when the watchdog cancelled the attempt; the two filled the route's limit. Ruled out: the retry budget and the choice of servers (the log has attempt=2 and no refusal).

Change: an attempt that is in the list is not added again.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -113,6 +113,7 @@
         """
         server, load = choice.candidate.server, choice.candidate.own_load
         now = job.attempt_sent_at = self.clock()
+        attempts_before = len(job.sent_to)
         headers = encode_attempt_headers(
             job.request,
             _attempt_headers(job, choice, store, job.deadline - now),
@@ -129,7 +130,9 @@
         finally:
             self.watchdog.remove(watched)
         if watched.scope.cancelled_caught:
-            job.sent_to.append(server.id)
+            # A stream that has begun is in the list already.
+            if len(job.sent_to) == attempts_before:
+                job.sent_to.append(server.id)
             load.record_unreachable(self.clock())
             raise AttemptError("silent", Verdict.MAY_HAVE_RUN)
         load.record_success(self.clock())
