Keep the limit on retries while entries come and go

What callers saw: nothing yet. When entries start, disappear or are cut off, all entries together could use more retries than the platform allows, which multiplies a failure's load at its worst moment.

Cause, the same class as the servers' limits: an entry divided the additional retries by the registrations that it saw at the moment. A start began with a full share, the others took over the share of an entry that had just used it, and one that was cut off kept its own.

Change: the additional retries are divided by LimitShares, whose hold time is now at least the window of the limit. 60% are used by entries with a share; an entry without one has one retry in a window beside the ratio of its requests, if the rest allows that for all entries. The ratio of an entry's own requests needs no share (75% as before).

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -269,7 +269,7 @@
         if service not in self._retry_budgets:
             cfg = self._cfg
             self._retry_budgets[service] = RetryBudget(
-                cfg.retry_ratio, cfg.retry_extra, cfg.retry_window_s
+                cfg.retry_ratio, cfg.retry_extra, cfg.retry_window_s, self._shares
             )
         return self._retry_budgets[service]
 
@@ -486,7 +486,7 @@
 def _share_hold_s(cfg: IngressSettings) -> float:
     """Return the time for which an entry that disappeared keeps its shares."""
     confirmed_s = cfg.watch_wait_s + cfg.call_timeout_s + WATCH_BLACKOUT_S
-    return SHARE_HOLD_MULTIPLE * confirmed_s
+    return max(SHARE_HOLD_MULTIPLE * confirmed_s, cfg.retry_window_s)
 
 
 async def serve(daemon: DaemonContext, cfg: IngressSettings) -> None:
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -295,9 +295,7 @@
             return True
         if len(job.sent_to) >= job.route.max_attempts:
             return False
-        return self.retry_budget_for(job.service).try_acquire(
-            now, len(self.view.entries)
-        )
+        return self.retry_budget_for(job.service).try_acquire(now)
 
     def _raise_final_error(self, job: Job, exc: AttemptError) -> None:
         """Raise RefusedError if the request has not run, and the error otherwise."""
--- a/src/foxtailcourse/ingress/_retry_budget.py
+++ b/src/foxtailcourse/ingress/_retry_budget.py
@@ -1,18 +1,22 @@
-"""Retry budget, split evenly among the entries.
+"""Retry budget, shared by the entries.
 
 Retries stay below a fraction of the requests, so that failures of backend servers do
-not multiply the traffic.
+not multiply the traffic. The part that is a ratio of an entry's own requests needs no
+share.
 """
 
 from collections import deque
 
 import attrs
 
-# Fraction of the platform's limit that all entries use together. The rest covers the
-# differences between their windows.
-USED_FRACTION = 0.75
-# Number of entries that is assumed while none is registered.
-ASSUMED_ENTRIES = 8
+from foxtailcourse.ingress._limit_shares import LimitShares
+
+# Fraction of the platform's ratio that is used. The rest covers the differences between
+# the windows of the entries.
+USED_RATIO_FRACTION = 0.75
+# Fraction of the additional retries that entries with a share use together. Of the
+# rest, each entry without a share may use one in a window.
+USED_EXTRA_FRACTION = 0.6
 
 
 @attrs.define
@@ -27,11 +31,15 @@
         Allowed retries in a window in addition to the ratio, over all entries.
     window_s : float
         Length of the window in seconds.
+    shares : LimitShares
+        The entries that share the additional retries; ``hold_s`` is at least the window
+        there, so that a share is not used twice in it.
     """
 
     ratio: float
     extra: float
     window_s: float
+    shares: LimitShares
     _requests: deque[float] = attrs.field(factory=deque, init=False)
     _retries: deque[float] = attrs.field(factory=deque, init=False)
 
@@ -40,24 +48,15 @@
         self._requests.append(now)
         self._expire(now)
 
-    def try_acquire(self, now: float, entry_count: int) -> bool:
-        """Count a retry if the budget allows it; return whether it does.
-
-        Parameters
-        ----------
-        now : float
-            Present time in seconds.
-        entry_count : int
-            Number of entries that share the budget; 0 if unknown.
-
-        Returns
-        -------
-        bool
-            Whether the retry is allowed.
-        """
+    def try_acquire(self, now: float) -> bool:
+        """Count a retry if the budget allows it at time ``now``; return whether."""
         self._expire(now)
-        extra_per_entry = self.extra / (entry_count or ASSUMED_ENTRIES)
-        allowed = USED_FRACTION * (self.ratio * len(self._requests) + extra_per_entry)
+        entries = max(1, len(self.shares.members(now)))
+        if self.shares.is_settled(now):
+            extra = USED_EXTRA_FRACTION * self.extra / entries
+        else:
+            extra = float(entries <= (1 - USED_EXTRA_FRACTION) * self.extra)
+        allowed = USED_RATIO_FRACTION * self.ratio * len(self._requests) + extra
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
--- a/tests/ingress/ingress_case.py
+++ b/tests/ingress/ingress_case.py
@@ -127,6 +127,8 @@
             "call_timeout_s": 0.3,
             "lease_ms": 1000,
             "drain_ms": 300,
+            # An entry that has just started has no share of the additional retries.
+            "retry_ratio": 10.0,
         }
         cfg = IngressSettings(**(options | settings))
         process = ProcessSettings(vm=vm, failure_domain="palermo", admin_listen=LOCAL)
--- a/tests/ingress/test_endless_answers.py
+++ b/tests/ingress/test_endless_answers.py
@@ -76,7 +76,7 @@
 
     @run_with("with_fleet")
     async def test_events_without_end_are_cut(self, fleet, entry):
-        server = EndlessServer(STREAM, b": nothing\n\n" * 100)
+        server = EndlessServer(STREAM, b": " + b"x" * 32_768 + b"\n\n")
         await self.add_endless_server(fleet, entry, server, "llm", {"guide": 1}.items())
         response = await self.check_cut(fleet, entry, server, "ask", stream=3)
         self.assertFalse(response.complete)
--- a/tests/ingress/test_rate_limits.py
+++ b/tests/ingress/test_rate_limits.py
@@ -1,20 +1,40 @@
 import random
 
 import testtools
+from fleet_simulation import SimulatedFleet
 from testtools.matchers import Equals
 
+from foxtailcourse.fleet import Freshness
+from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.ingress._store_rate_limit import RateLimiter
 
+RATIO, EXTRA, RETRY_WINDOW_S = 0.2, 52, 10.0
+
+
+def make_budget(vm, registered, freshness=None):
+    fresh = freshness or Freshness(as_of=float("inf"))
+    shares = LimitShares(vm, lambda: registered, fresh, RETRY_WINDOW_S)
+    return RetryBudget(RATIO, EXTRA, RETRY_WINDOW_S, shares)
+
 
 class TestRetryBudget(testtools.TestCase):
     """Guards the platform's limit on retries, over all entries and in any window."""
 
+    def check_windows(self, requests, retries, seed):
+        for start in (t / 2 for t in range(0, 200)):
+            window_retries = [t for t in retries if start <= t < start + 10]
+            window_requests = [t for t in requests if start <= t < start + 10]
+            bound = RATIO * len(window_requests) + EXTRA
+            self.assertTrue(
+                len(window_retries) <= bound, (seed, start, len(window_retries), bound)
+            )
+
     def test_retries_of_all_entries_stay_within_the_limit(self):
         for seed in range(20):
             rng = random.Random(seed)
-            entries = rng.choice([1, 4, 25])
-            budgets = [RetryBudget(0.2, 52, 10.0) for _ in range(entries)]
+            vms = {f"e{n}" for n in range(rng.choice([1, 4, 25]))}
+            budgets = [make_budget(vm, vms) for vm in sorted(vms)]
             requests, retries, now = [], [], 0.0
             while now < 60:
                 now += rng.expovariate(40)
@@ -22,20 +42,59 @@
                 budget.record_request(now)
                 requests.append(now)
                 # Every request fails and is to be retried.
-                if budget.try_acquire(now, entries):
+                if budget.try_acquire(now):
                     retries.append(now)
-            for start in (t / 2 for t in range(0, 100)):
-                window_retries = [t for t in retries if start <= t < start + 10]
-                window_requests = [t for t in requests if start <= t < start + 10]
-                bound = 0.2 * len(window_requests) + 52
-                self.assertTrue(len(window_retries) <= bound, (seed, start))
+            self.check_windows(requests, retries, seed)
 
-    def test_unknown_number_of_entries_is_assumed_to_be_large(self):
+    def test_retries_stay_within_the_limit_while_entries_come_and_go(self):
+        for seed in range(20):
+            rng = random.Random(seed)
+            fleet = RetryingFleet(rng, rng.choice([2, 5, 28]))
+            while fleet.now < 60:
+                fleet.step()
+                if rng.random() < 0.01:
+                    fleet.inject_fault()
+            self.check_windows(fleet.requests, fleet.retries, seed)
+
+    def test_entry_without_a_share_retries_in_proportion_and_once_more(self):
+        budget = make_budget("e1", set())
+        for n in range(100):
+            budget.record_request(n / 100)
+        granted = sum(budget.try_acquire(1.0) for _ in range(100))
+        self.assertThat(granted, Equals(16))
+
+    def test_more_entries_have_smaller_shares(self):
         def granted_retries(entries):
-            budget = RetryBudget(0.2, 52, 10.0)
-            return sum(budget.try_acquire(1.0, entries) for _ in range(100))
+            budget = make_budget("e0", {f"e{n}" for n in range(entries)})
+            budget.try_acquire(0.0)
+            return sum(budget.try_acquire(RETRY_WINDOW_S) for _ in range(100))
+
+        self.assertTrue(0 < granted_retries(25) < granted_retries(4))
+        self.assertTrue(granted_retries(4) < granted_retries(1))
+
+
+class RetryingFleet(SimulatedFleet):
+    """Entries of which every request fails and is to be retried at once."""
+
+    def __init__(self, rng, size):
+        self.requests, self.retries = [], []
+        super().__init__(rng, size, 1.0)
+
+    def add(self, now, vm):
+        entry = super().add(now, vm)
+        entry.shares.hold_s = RETRY_WINDOW_S
+        entry.budget = RetryBudget(RATIO, EXTRA, RETRY_WINDOW_S, entry.shares)
+        return entry
 
-        self.assertTrue(granted_retries(0) < granted_retries(4) < granted_retries(1))
+    def step(self):
+        super().step()
+        for entry in self.entries:
+            if entry.runs(self.now):
+                for _ in range(2):
+                    entry.budget.record_request(self.now)
+                    self.requests.append(self.now)
+                if entry.budget.try_acquire(self.now):
+                    self.retries.append(self.now)
 
 
 class TestRateLimiter(testtools.TestCase):
--- a/tests/ingress/test_server_limits.py
+++ b/tests/ingress/test_server_limits.py
@@ -111,9 +111,14 @@
                 Equals(named),
             )
 
-    @run_with("with_fleet")
+    # An entry gets a share once it has been registered for the longer of the window of
+    # retries and 3 s.
+    @run_with("with_fleet", retry_window_s=1.0)
     async def test_all_entries_together_keep_the_limit_of_a_server(self, fleet, entry):
-        entries = [entry, *[await fleet.start_entry(f"e{n}") for n in (2, 3)]]
+        entries = [
+            entry,
+            *[await fleet.start_entry(f"e{n}", retry_window_s=1.0) for n in (2, 3)],
+        ]
         for each in entries:
             await wait_until(lambda each=each: each.app.readiness().ready)
             await wait_until(lambda each=each: len(each.app.status()["entries"]) == 3)
