Keep the rates of the store while entries start

What callers saw: nothing yet. When many entries start at once, as after a loss of power, each took the store for its own or shared it with eight, and together they could exceed its rates at the moment when all of them need it.

Cause, the same class as the limits that servers name: the rate was divided by the registrations known at the moment.

An entry that disappears counts for the hold time.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -102,13 +102,6 @@
         self._cache_indexes: dict[str, CacheIndex] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._draining = False
-        self._store = RateLimitedStore(
-            store=KeyValueClient(self._pool, cfg.store, cfg.call_timeout_s),
-            reads=RateLimiter(cfg.store_reads_per_s),
-            writes=RateLimiter(cfg.store_writes_per_s),
-            entry_count=lambda: len(self._view.entries),
-            clock=boot_seconds,
-        )
         membership_freshness = Freshness()
         self._shares = LimitShares(
             daemon.cfg.vm,
@@ -116,6 +109,13 @@
             membership_freshness,
             _share_hold_s(cfg),
         )
+        self._store = RateLimitedStore(
+            store=KeyValueClient(self._pool, cfg.store, cfg.call_timeout_s),
+            reads=RateLimiter(cfg.store_reads_per_s),
+            writes=RateLimiter(cfg.store_writes_per_s),
+            entry_count=lambda: self._shares.count(boot_seconds()),
+            clock=boot_seconds,
+        )
         self._limits = ServerLimits(daemon.cfg.vm, self._shares, self._events)
         self._client = ServerClient(
             self._pool,
--- a/src/foxtailcourse/ingress/_store_rate_limit.py
+++ b/src/foxtailcourse/ingress/_store_rate_limit.py
@@ -9,6 +9,7 @@
 import attrs
 import trio
 
+from foxtailcourse.ingress._limit_shares import ASSUMED_ENTRIES
 from foxtailcourse.platform import (
     KeyValueStore,
     Put,
@@ -20,8 +21,6 @@
 # Fraction of the store's rates that all entries use together. Operators and servers
 # call the store as well.
 USED_FRACTION = 0.5
-# Number of entries that is assumed while none is registered.
-ASSUMED_ENTRIES = 8
 # Size of the token bucket, as the time in which it fills.
 BURST_S = 1.0
 # The store counts the renewal of a lease as this fraction of a read.
--- a/tests/ingress/fleet_simulation.py
+++ b/tests/ingress/fleet_simulation.py
@@ -7,6 +7,7 @@
 from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.ingress._server_limits import ServerLimits
+from foxtailcourse.ingress._store_rate_limit import RateLimiter
 
 RUN = ServerRun("s1", 5)
 STEP_S = 0.1
@@ -35,6 +36,9 @@
     down_until: float = 0.0
     next_news_at: float = 0.0
     budget: RetryBudget | None = None
+    limiter: RateLimiter | None = None
+    # When the call to the store that has been counted last is made.
+    next_call_at: float | None = None
 
     def __attrs_post_init__(self):
         self.limits = make_limits(self.vm, self.registered, self.freshness, HOLD_S)
@@ -59,6 +63,7 @@
 
     def add(self, now, vm):
         entry = SimulatedEntry(vm, now)
+        entry.next_news_at = now + self.rng.uniform(0, NEWS_S)
         entry.limits.record_limit(RUN, self.limit_per_s, now)
         return entry
 
--- a/tests/ingress/test_rate_limits.py
+++ b/tests/ingress/test_rate_limits.py
@@ -9,6 +9,8 @@
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.ingress._store_rate_limit import RateLimiter
 
+CALLS_PER_S = 400.0
+MAX_CALLS = 100_000
 RATIO, EXTRA, RETRY_WINDOW_S = 0.2, 52, 10.0
 
 
@@ -97,6 +99,34 @@
                     self.retries.append(self.now)
 
 
+class CallingFleet(SimulatedFleet):
+    """Entries that call the store whenever their rate limit allows it."""
+
+    def __init__(self, rng, size):
+        self.calls = []
+        super().__init__(rng, size, 1.0)
+
+    def add(self, now, vm):
+        entry = super().add(now, vm)
+        entry.limiter = RateLimiter(CALLS_PER_S)
+        return entry
+
+    def step(self):
+        super().step()
+        for entry in self.entries:
+            while entry.runs(self.now):
+                if entry.next_call_at is None:
+                    count = entry.shares.count(self.now)
+                    wait_s = entry.limiter.reserve(self.now, count)
+                    entry.next_call_at = self.now + wait_s
+                if entry.next_call_at > self.now:
+                    break
+                self.calls.append(self.now)
+                entry.next_call_at = None
+                if len(self.calls) > MAX_CALLS:
+                    raise AssertionError("the rate does not limit the calls")
+
+
 class TestRateLimiter(testtools.TestCase):
     """Guards the rates of the store against the calls of all entries together."""
 
@@ -112,6 +142,18 @@
             # Half of the store's rate for 10 s, plus one burst.
             self.assertTrue(calls <= 0.5 * 400 * 11 + entries, (entries, calls))
 
+    def test_calls_stay_within_the_rate_while_entries_come_and_go(self):
+        for seed in range(10):
+            rng = random.Random(seed)
+            fleet = CallingFleet(rng, rng.choice([2, 5, 28, 60]))
+            while fleet.now < 40:
+                fleet.step()
+                if rng.random() < 0.02:
+                    fleet.inject_fault()
+            for start in fleet.calls[::20]:
+                calls = sum(start <= at < start + 1 for at in fleet.calls)
+                self.assertTrue(calls <= CALLS_PER_S, (seed, start, calls))
+
     def test_occasional_calls_do_not_wait(self):
         limiter = RateLimiter(400.0)
         waits_s = [limiter.reserve(n * 0.4, 25) for n in range(200)]
