Keep the connection limit of servers when loads are not heard of

What callers saw: nothing yet. If entries did not hear of each other's loads, all together could open 1.275 times the connections that a server accepts (a share of 1.5 times an even split of 85%), and the server resets the rest. An entry that disappeared, for example because it was cut off from the store, lost its share to the others at once and kept it itself.

Cause: the class of the servers' limits. Ruled out: the published loads, which hold the total while they arrive.

Change: a share is 1.15 times an even split of 85%, rounded down, and the split counts the entries that may still use theirs (LimitShares).

Tests without a bench: test_entries_that_hear_of_no_loads_keep_the_connection_limit (before: two entries had 14 of 10) and test_entry_that_disappeared_keeps_its_share_of_ the_connections failed before and pass now, with all tests of the ingress.

--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -24,9 +24,9 @@
 USED_CONNECTIONS_FRACTION = 0.85
 # Number of entries that is assumed while none is registered.
 ASSUMED_ENTRIES = 8
-# Multiple of an even split of a server's connections that one entry may use while the
-# other entries use less.
-FAIR_SHARE_MULTIPLE = 1.5
+# Multiple of an even split of these that one entry may use while the others use less.
+# If entries do not hear of each other's loads, they use at most the whole limit.
+FAIR_SHARE_MULTIPLE = 1.15
 
 
 @attrs.frozen(kw_only=True)
@@ -215,10 +215,10 @@
         total = self.loads.total(server.id, server.started_ms, now)
         if total.in_flight >= limit:
             return False
-        entries = len(self.view.entries) or ASSUMED_ENTRIES
+        entries = len(self.limits.shares.members(now)) or ASSUMED_ENTRIES
         own = self.loads.for_server(server.id, server.started_ms).in_flight
         # Loads of other entries may be missing, so each entry also limits itself.
-        return own < max(1.0, FAIR_SHARE_MULTIPLE * limit / entries)
+        return own + 1 <= max(1.0, FAIR_SHARE_MULTIPLE * limit / entries)
 
     def _candidate(
         self, server: BackendServer, model: str, account: Account | None, now: float
--- a/tests/ingress/test_fleet_state.py
+++ b/tests/ingress/test_fleet_state.py
@@ -1,5 +1,6 @@
 import random
 
+import attrs
 import testtools
 from decision_case import NOW, make_limits, server
 from testtools.matchers import Equals
@@ -127,6 +128,33 @@
         candidate_filter.loads.for_server("b", 0).record_unreachable(NOW)
         self.assertThat(self.eligible_names(candidate_filter), Equals((["a", "b"], "")))
 
+    def test_entries_that_hear_of_no_loads_keep_the_connection_limit(self):
+        for entries, limit in ((2, 10), (5, 110), (28, 420), (68, 540)):
+            candidate_filter = self.make_filter(server("a"))
+            view = candidate_filter.view
+            view.entries.update(f"e{n}" for n in range(1, entries + 1))
+            view.configuration = attrs.evolve(
+                view.configuration,
+                services={"llm": Service(name="llm", connection_limit=limit)},
+            )
+            load = candidate_filter.loads.for_server("a", 0)
+            while self.eligible_names(candidate_filter)[0]:
+                load.in_flight += 1
+            self.assertTrue(entries * load.in_flight <= limit, (entries, load))
+
+    def test_entry_that_disappeared_keeps_its_share_of_the_connections(self):
+        candidate_filter = self.make_filter(server("a"))
+        self.eligible_names(candidate_filter)
+        candidate_filter.view.entries.remove("e2")
+        load = candidate_filter.loads.for_server("a", 0)
+        load.in_flight = 5
+        self.assertThat(
+            self.eligible_names(candidate_filter), Equals(([], "connection_limit"))
+        )
+        self.assertThat(
+            self.eligible_names(candidate_filter, NOW + 60), Equals((["a"], ""))
+        )
+
     def test_connection_limit_counts_all_entries(self):
         candidate_filter = self.make_filter(server("a"))
         load = RemoteLoad(
