Let the soak name limits of servers and check them

A server stand-in names a limit for a while; entries that were told and are not disturbed must keep it together.

--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -98,6 +98,8 @@
         When it began, in seconds of the trio clock.
     started_ms : int
         Start time of the server that ran it.
+    limit : str
+        Requests per second that the server named as its limit; empty for none.
     """
 
     request_id: str
@@ -112,6 +114,7 @@
     cancelled: bool = False
     at: float = 0.0
     started_ms: int = 0
+    limit: str = ""
 
 
 @attrs.frozen
@@ -321,6 +324,7 @@
             software_version=self.software_version,
             at=trio.current_time(),
             started_ms=self.started_ms,
+            limit=self.faults.limit,
         )
         self.runs.append(run)
         try:
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -12,6 +12,12 @@
 # Requests that may reach a server in the time for which it asked for none, and the time
 # before they count.
 MAX_ARRIVALS_AFTER_REFUSAL = 2
+# Bound of the platform on requests to a server that names a limit: in any window so
+# many times the limit, and some more; an entry reacts in LIMIT_REACTION_S.
+LIMIT_WINDOW_S, LIMIT_EXCESS, LIMIT_EXTRA = 4.0, 1.5, 5
+LIMIT_REACTION_S = 0.5
+# Time until the response to a request has arrived, unless it is delayed by a fault.
+ANSWER_S = 0.5
 REFUSAL_SLACK_S = 0.5
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 REPEATABLE_KINDS = {"look", "ask"}
@@ -159,6 +165,7 @@
         *found,
         *_drain_violations(observations),
         *_refusal_violations(observations),
+        *_limit_violations(observations),
         *_version_violations(observations),
         *_resumption_violations(observations),
     ]
@@ -220,6 +227,36 @@
     ]
 
 
+def _limit_violations(observations: Observations) -> list[str]:
+    """Return the servers that got more requests than the limit that they named.
+
+    An entry is bound by a limit some time after a request of its own was answered with
+    it.
+    """
+    found = []
+    for server, runs in observations.runs_by_server.items():
+        told_at: dict[tuple[str, int], float] = {}
+        arrivals = []
+        for run in sorted(runs, key=lambda each: each.at):
+            request = observations.sent.get(run.request_id)
+            if not run.limit or request is None or request.vm in observations.disturbed:
+                continue
+            told = told_at.setdefault((request.vm, run.started_ms), run.at)
+            if run.at > told + ANSWER_S + LIMIT_REACTION_S:
+                arrivals.append((run.at, float(run.limit)))
+        for start, _ in arrivals:
+            window = [x for x in arrivals if start <= x[0] < start + LIMIT_WINDOW_S]
+            limit_per_s = max(limit for _, limit in window)
+            allowed = LIMIT_EXCESS * limit_per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+            if len(window) > allowed:
+                found.append(
+                    f"{server}: {len(window)} requests in {LIMIT_WINDOW_S:.0f} s, its "
+                    f"limit allows {allowed:.0f}"
+                )
+                break
+    return found
+
+
 def _version_violations(observations: Observations) -> list[str]:
     """Return whether too many streams hold events of two software versions."""
     versions: dict[str, set[str]] = {}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -52,6 +52,9 @@
 MODEL_SERVERS = ("m0", "m1", "m2", "m3")
 # Long enough that streams are in progress when a fault begins.
 MODEL_EVENT_S = 0.02
+# A server that names a limit does so longer than other faults last, in seconds for each
+# second; the limit is judged over windows of some seconds.
+LIMIT_FAULT_FACTOR = 2.0
 # Further requests of a caller for one stream, and the fraction of its streams of which
 # it loses the connection by itself.
 MAX_RESUMPTIONS = 4
@@ -101,6 +104,7 @@
                 [
                     *("refuse", "fail", "lose_answer", "foreign", "unsigned"),
                     *("unframed", "says_leaving", "retry_after", "cut"),
+                    "limit",
                 ],
                 servers,
             ),
@@ -285,6 +289,9 @@
         faults: dict = {fault_mode: True}
         if fault_mode == "retry_after":
             faults = {"refuse": True, "retry_after": f"{duration_s}"}
+        elif fault_mode == "limit":
+            faults = {"limit": f"{duration_s}"}
+            duration_s *= LIMIT_FAULT_FACTOR
         elif fault_mode == "cut":
             faults = {"cut_after_events": 1 + int(3 * duration_s)}
         server.faults = BackendServerFaults(**faults)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -157,6 +157,32 @@
             found = violations(observations)
             self.assertThat(bool(found), Equals(is_violation), found)
 
+    def test_more_requests_than_a_server_takes(self):
+        for limit, count, vm, disturbed, is_violation in (
+            ("1", 12, "e1", set(), True),
+            ("1", 11, "e1", set(), False),
+            ("2", 12, "e1", set(), False),
+            ("", 12, "e1", set(), False),
+            ("1", 12, "e1", {"e1"}, False),
+            ("1", 12, "e2", set(), False),
+        ):
+            sent = {"a": make_request("a", "look", vm="e1", status=200)}
+            runs = [make_run("a")]
+            for number in range(count):
+                sent[f"b{number}"] = make_request(f"b{number}", "look", vm=vm)
+                runs.append(make_run(f"b{number}"))
+                runs[-1].at = 2.0 + number / 100
+            for run in runs:
+                run.limit = limit
+            observations = Observations(
+                sent=sent,
+                runs=runs,
+                runs_by_server={"c0": runs},
+                disturbed=disturbed,
+            )
+            found = violations(observations)
+            self.assertThat(bool(found), Equals(is_violation), found)
+
     def test_resumed_stream_that_does_not_follow(self):
         for numbers, complete, text in (
             ((4,), False, "gap"),
