Treat deeply nested JSON as malformed

What callers saw: a response of an engine that is nested some thousand levels deep ended the agent that polls it, with all its requests.

Ruled out: bytes that are no UTF-8 (DecodeError), datagrams (typed, so nothing nests) and the platform's records (caught already).

--- a/src/foxtailcourse/agent/_service.py
+++ b/src/foxtailcourse/agent/_service.py
@@ -74,7 +74,7 @@
         attempt = context.read_attempt(exchange)
         try:
             key_request = msgspec.json.decode(exchange.body, type=_KeyRequest)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             raise context.refusal(
                 attempt.attempt_id, 400, "malformed_body", str(exc)
             ) from exc
--- a/src/foxtailcourse/engine/_http.py
+++ b/src/foxtailcourse/engine/_http.py
@@ -120,7 +120,7 @@
 def _make_chunk(data: str) -> EngineChunk:
     try:
         chunk = _DECODE_CHUNK(data)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise EngineError(f"engine chunk is malformed: {exc}") from exc
     choice = chunk.choices[0] if chunk.choices else _Choice()
     return EngineChunk(
--- a/src/foxtailcourse/entry/_at_most_once.py
+++ b/src/foxtailcourse/entry/_at_most_once.py
@@ -112,7 +112,7 @@
             # Issuing a key runs no call, even if an attempt to get one may have run.
             exc.verdict = Verdict.NOT_RUN
             raise
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             raise HttpError(502, "malformed_key", "the agent sent no key") from exc
 
     def _issuing_vm(self, call: Call) -> Vm:
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -192,7 +192,7 @@
         """Return the decoded JSON body; raises ClientError if it is malformed."""
         try:
             return msgspec.json.decode(await self.read())
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             raise ClientError(
                 f"response is not valid JSON: {exc}", Verdict.MAY_HAVE_RUN
             ) from exc
--- a/tests/engine/test_engine_stream.py
+++ b/tests/engine/test_engine_stream.py
@@ -51,7 +51,14 @@
 
     def test_valid_chunks_before_a_malformed_one_are_delivered(self):
         done = b"data: [DONE]\n\n"
-        for malformed in (b"data: {\n\n", b"data: \xff\n\n", done + chunk("late"), b""):
+        nested = b'data: {"choices":[{"delta":{"content":' + b"[" * 10_000 + b"\n\n"
+        for malformed in (
+            b"data: {\n\n",
+            b"data: \xff\n\n",
+            nested,
+            done + chunk("late"),
+            b"",
+        ):
             texts, error = trio.run(read, [chunk("a") + chunk("b") + malformed])
             self.assertThat(texts, Equals([["a", "b"]]))
             self.assertThat(isinstance(error, EngineError), Equals(True))
--- a/tests/http/test_malformed_input.py
+++ b/tests/http/test_malformed_input.py
@@ -3,6 +3,7 @@
 
 import testtools
 import trio
+from test_body_chunks import serve_bytes
 from test_server import ServerTestCase
 from testtools.matchers import Equals
 
@@ -104,6 +105,20 @@
         # Some mutated responses are still valid, so the mutations are not too coarse.
         self.assertTrue(0 < len(errors) < CASE_COUNT, len(errors))
 
+    def test_deeply_nested_response_raises_only_client_error(self):
+        body = b"[" * 100_000
+        data = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                address = await serve_bytes(data, nursery)
+                pool = ConnectionPool()
+                async with pool.request(address, "GET", "/") as response:
+                    await self.catch_error(ClientError, response.json)
+                await pool.aclose()
+
+        self.run_async(main)
+
     def test_malformed_platform_response_raises_only_platform_error(self):
         errors = []
 
