Leave out impossible limits in messages of other entries

What callers saw: nothing yet. A limit that is no number, negative or infinite in a message of another entry was adopted. Then the server got no requests from entries without a share, and an entry with one would have ended (rounding it raises).

Cause: messages of entries are decoded into types, but a float may be anything. A server's header was checked already.

test_limits_that_are_no_number_are_left_out failed before (NaN was adopted: no request allowed, instead of no limit) and passes now.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -172,6 +172,7 @@
             self._membership.peers,
             self._peer_exchange.send,
             boot_seconds,
+            self._events,
         )
         self._peer_exchange.on_limits = self._limit_exchange.handle
         self._peer_exchange.cache_snapshot = self._cache_feed.snapshot
--- a/src/foxtailcourse/ingress/_limit_exchange.py
+++ b/src/foxtailcourse/ingress/_limit_exchange.py
@@ -9,6 +9,7 @@
 from foxtailcourse.ingress._peer_messages import LimitsUpdate, Message
 from foxtailcourse.ingress._peers import PeerDirectory
 from foxtailcourse.ingress._server_limits import LimitStatement, ServerLimits
+from foxtailcourse.observe import EventLog
 
 # Shortest time between two messages for changes.
 CHANGES_SPACING_S = 0.02
@@ -17,6 +18,8 @@
 REPEAT_PERIOD_S = 1.0
 # Rows that fit into a datagram.
 ROWS_PER_MESSAGE = 20
+# No server takes more.
+MAX_LIMIT_PER_S = 1e9
 
 
 @attrs.define
@@ -33,17 +36,25 @@
         Sends a message to entries.
     clock : callable
         Returns seconds since boot.
+    events : EventLog
+        Receives an event for each limit that is no possible number.
     """
 
     limits: ServerLimits
     peers: PeerDirectory
     send: Callable[[Message, Iterable[str]], Awaitable[None]]
     clock: Callable[[], float]
+    events: EventLog
 
     def handle(self, message: LimitsUpdate, sender: str) -> None:
         """Adopt the statements in a message of another entry."""
         now = self.clock()
         for server_id, started_ms, per_s, age_ms in message.rows:
+            if per_s is not None and not 0 <= per_s <= MAX_LIMIT_PER_S:
+                self.events.emit(
+                    "server_limit_unreadable", backend_server=server_id, value=per_s
+                )
+                continue
             run = ServerRun(server_id, started_ms)
             self.limits.adopt(run, per_s, age_ms / 1000, now, by_entry=sender)
 
--- a/tests/ingress/test_limit_shares.py
+++ b/tests/ingress/test_limit_shares.py
@@ -1,7 +1,15 @@
+import math
 import random
 
 import testtools
-from fleet_simulation import STEP_S, SimulatedFleet
+from decision_case import make_limits
+from fleet_simulation import RUN, STEP_S, SimulatedFleet
+from testtools.matchers import Equals
+
+from foxtailcourse.fleet import ServerRun
+from foxtailcourse.ingress._limit_exchange import LimitExchange
+from foxtailcourse.ingress._peer_messages import LimitsUpdate, decode, encode
+from foxtailcourse.ingress._peers import PeerDirectory
 
 # Bound of the platform: in any window so many times the limit, and some requests more.
 WINDOW_S, EXCESS_RATIO, EXTRA_REQUESTS = 4.0, 1.5, 5
@@ -36,3 +44,18 @@
                 fleet.step()
             sent = sum(at > 20.0 for at in fleet.arrivals)
             self.assertTrue(sent >= 0.8 * limit_per_s * 40.0, (size, sent))
+
+
+class TestReceivedStatements(testtools.TestCase):
+    """Guards the process against statements that no server can have made."""
+
+    def test_limits_that_are_no_number_are_left_out(self):
+        limits = make_limits("e1", {"e1", "e2"})
+        exchange = LimitExchange(
+            limits, PeerDirectory(), None, lambda: 10.0, limits.events
+        )
+        for per_s in (math.nan, math.inf, -1.0, 1e300):
+            message = LimitsUpdate([("s1", 5, per_s, 0), ("s2", 5, 2.0, -7)])
+            exchange.handle(decode(encode(message)), "e2")
+            self.assertThat(limits.available_in_s(RUN, 20.0), Equals(0.0))
+        self.assertThat(limits.named(ServerRun("s2", 5)), Equals(2.0))
