Leave some servers of a large fleet to large prompts

Change: of ten servers or more a fifth is left to prompts above 1.3 times the typical size of their route; smaller long prompts use these only at the surcharge that keeps them off the servers for short prompts.

--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -57,6 +57,12 @@
 # Prefill work of a short prompt that is assumed until some were seen, in tokens.
 ASSUMED_SHORT_WORK_TOKENS = 800.0
 MIN_SERVERS_TO_RESERVE = 3
+# Under overload the smaller long prompts fill every server beyond what a large one
+# accepts. A large fleet leaves this fraction of its servers to large prompts, those of
+# more than LARGE_PROMPT_MULTIPLE times the typical tokens of their route.
+LARGE_RESERVED_FRACTION = 0.2
+MIN_SERVERS_TO_RESERVE_FOR_LARGE = 10
+LARGE_PROMPT_MULTIPLE = 1.3
 # Largest fraction of the servers that may be reserved.
 MAX_RESERVED_FRACTION = 0.6
 
@@ -154,7 +160,8 @@
     """Return the choice with the lowest cost.
 
     The preferred server of the prompt's largest part gets a discount. Long prompts on
-    reserved servers and short prompts on others get a surcharge.
+    servers that are reserved for short or for large ones and short prompts on servers
+    that are not reserved for them get a surcharge.
 
     Parameters
     ----------
@@ -170,6 +177,8 @@
     candidates = [each.candidate for each in choices]
     preferred = preferred_candidate(prompt.largest_part.id, candidates)
     reserved = reserved_for_short(candidates, short_work_tokens)
+    is_large = prompt.tokens > LARGE_PROMPT_MULTIPLE * prompt.typical_tokens
+    for_large = reserved_for_large(candidates, reserved)
     entries = max(each.entry_count for each in candidates)
     spreads = rng is not None and entries >= MIN_ENTRIES_TO_SPREAD
 
@@ -182,6 +191,7 @@
             cost_tokens += rng.uniform(0, spread_tokens)
         is_reserved = choice.candidate.server.id in reserved
         if prompt.is_long:
+            is_reserved |= not is_large and choice.candidate.server.id in for_large
             return cost_tokens + is_reserved * RESERVED_COST_TOKENS
         return cost_tokens + (not is_reserved) * UNRESERVED_COST_TOKENS
 
@@ -248,6 +258,25 @@
     return frozenset(heapq.nsmallest(count, ids, key=_short_rank))
 
 
+def reserved_for_large(
+    candidates: Sequence[Candidate], for_short: frozenset[str]
+) -> frozenset[str]:
+    """Return the identifiers of the servers that are reserved for large prompts.
+
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+        The servers.
+    for_short : frozenset of str
+        Identifiers of the servers that are reserved for short prompts.
+    """
+    if len(candidates) < MIN_SERVERS_TO_RESERVE_FOR_LARGE:
+        return frozenset()
+    count = int(len(candidates) * LARGE_RESERVED_FRACTION)
+    ids = [e.server.id for e in candidates if e.server.id not in for_short]
+    return frozenset(heapq.nlargest(count, ids, key=_short_rank))
+
+
 @functools.lru_cache(maxsize=4096)
 def _short_rank(server_id: str) -> bytes:
     return _rendezvous_weight("short", server_id)
--- a/tests/ingress/test_ingress_placement.py
+++ b/tests/ingress/test_ingress_placement.py
@@ -14,6 +14,7 @@
     choose_without_prompt,
     preferred_store,
     prefill_work_tokens,
+    reserved_for_large,
     reserved_for_short,
 )
 from foxtailcourse.ingress._placement_types import CacheStore, Candidate, Prompt
@@ -26,6 +27,22 @@
 class TestPlacement(testtools.TestCase):
     """Guards the tradeoff between cached parts and queues."""
 
+    def test_large_fleet_leaves_some_servers_to_large_prompts(self):
+        candidates = [candidate(f"s{n}") for n in range(20)]
+        for_short = reserved_for_short(candidates)
+        for_large = reserved_for_large(candidates, for_short)
+        self.assertThat(len(for_large), Equals(4))
+        self.assertFalse(for_large & for_short)
+        self.assertThat(reserved_for_large(candidates[:9], for_short), Equals(set()))
+        loaded = [
+            candidate(name, queued_tokens=0.0 if name in for_large else 20_000.0)
+            for name in (f"s{n}" for n in range(20))
+        ]
+        for own_tokens, is_large in ((2_000, False), (6_000, True)):
+            sized = attrs.evolve(prompt(own_tokens=own_tokens), typical_tokens=14_000.0)
+            choice = choose_for_prompt(loaded, sized, None, NOW)
+            self.assertThat(choice.candidate.server.id in for_large, Equals(is_large))
+
     def test_server_with_cached_part_is_preferred_until_its_queue_costs_more(self):
         index = cached_index(aa=13_000)
         rest = [candidate(name) for name in ("s2", "s3", "s4", "s5")]
