Give slow responses of the store time to arrive

What callers saw: nothing, found by reading the change. The time to receive a whole body was that of a call (0.8 s), so an entry with a link of 5 Mbit/s could never have read a page of 1 MB.

Change: a body may take five times the timeout of a call.

test_slow_response_of_the_store_that_makes_progress_is_read failed before and passes now; responses that never end still fail (tests/http).

--- a/src/foxtailcourse/platform/_client.py
+++ b/src/foxtailcourse/platform/_client.py
@@ -31,6 +31,9 @@
 # Largest response of a service: a page of the store has about 1 MB of values in base64,
 # or one value more than that.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Longest time to receive a body, as a multiple of the timeout of a call. A large page
+# takes some seconds over a slow link.
+BODY_TIMEOUT_MULTIPLE = 5.0
 KV_TARGET_PREFIX = "/foxtailcourse/kv-"
 ERA_HEADER = "store-era"
 MAX_ERA_DIGITS = 9
@@ -173,7 +176,7 @@
         options = RequestOptions(
             connect_timeout_s=self._timeout_s,
             idle_timeout_s=self._timeout_s + wait_s,
-            body_timeout_s=self._timeout_s + wait_s,
+            body_timeout_s=BODY_TIMEOUT_MULTIPLE * self._timeout_s,
             max_body_bytes=MAX_RESPONSE_BYTES,
         )
         call = f"{method} {target}"
--- a/src/foxtailcourse/platform/_server_client.py
+++ b/src/foxtailcourse/platform/_server_client.py
@@ -24,6 +24,8 @@
 LOAD_MODE = "wait"
 # Largest response to a report, an order or a poll of cache events.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+# Longest time to receive a body, as a multiple of the timeout of a call.
+BODY_TIMEOUT_MULTIPLE = 5.0
 
 
 class ServerCallError(Exception):
@@ -211,7 +213,7 @@
         options = RequestOptions(
             connect_timeout_s=self._timeout_s,
             idle_timeout_s=self._timeout_s + wait_s,
-            body_timeout_s=self._timeout_s + wait_s,
+            body_timeout_s=BODY_TIMEOUT_MULTIPLE * self._timeout_s,
             max_body_bytes=MAX_RESPONSE_BYTES,
             reuse=method == "GET",
         )
--- a/tests/http/test_endless_responses.py
+++ b/tests/http/test_endless_responses.py
@@ -5,6 +5,7 @@
 from foxtailcourse.http import ClientError, ConnectionPool, RequestOptions
 from foxtailcourse.platform import KeyValueClient, PlatformError
 from foxtailcourse.protocol import Verdict
+from foxtailcourse.settings import Address
 from support import AsyncTestCase
 
 # What the operating system buffers on both sides of a connection.
@@ -74,6 +75,31 @@
         head = OK + b"connection: close\r\n\r\n"
         self.check_ended(EndlessServer(head, b"x", pause_s=0.2), self.read)
 
+    def test_slow_response_of_the_store_that_makes_progress_is_read(self):
+        body = b'{"asOf": 1, "items": []}'
+        head = OK + b"content-length: %d\r\n\r\n" % len(body)
+
+        async def respond(stream):
+            async with stream:
+                await stream.receive_some(4096)
+                await stream.send_all(head)
+                for start in range(0, len(body), 4):
+                    await trio.sleep(0.2)
+                    await stream.send_all(body[start : start + 4])
+
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, respond, listeners)
+                client = KeyValueClient(
+                    ConnectionPool(), Address("127.0.0.1", port), 0.5
+                )
+                self.assertThat((await client.range("a/")).revision, Equals(1))
+                nursery.cancel_scope.cancel()
+
+        self.run_async(main)
+
     def test_call_to_the_store_that_comes_a_byte_now_and_then_fails(self):
         async def call(pool, address):
             await KeyValueClient(pool, address, 0.5).range("contracts/")
