--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -19,7 +19,7 @@
         Bytes that each connection took before the client closed it, the oldest first.
     """
 
-    def __init__(self, head=b"", piece=b"x" * 4096, pause_s=0.0):
+    def __init__(self, head=b"", piece=b"x" * 65_536, pause_s=0.0):
         self.head, self.piece, self.pause_s = head, piece, pause_s
         self.sent_bytes = []
         self.closed = trio.Event()
--- a/tests/ingress/test_endless_answers.py
+++ b/tests/ingress/test_endless_answers.py
@@ -52,7 +52,7 @@
 
     @run_with("with_fleet")
     async def test_answer_that_is_none_fails_at_once(self, fleet, entry):
-        server = EndlessServer(OK + UNFRAMED, b"x" * 4096)
+        server = EndlessServer(OK + UNFRAMED, b"x" * 65_536)
         await self.add_endless_server(fleet, entry, server, "coats")
         response = await self.check_cut(fleet, entry, server, "return", body=b"x")
         self.assertThat(response.status, Equals(502))
@@ -61,7 +61,7 @@
 
     @run_with("with_fleet")
     async def test_signed_body_without_end_fails(self, fleet, entry):
-        server = EndlessServer(SIGNED + UNFRAMED, b"x" * 4096)
+        server = EndlessServer(SIGNED + UNFRAMED, b"x" * 65_536)
         await self.add_endless_server(fleet, entry, server, "coats")
         response = await self.check_cut(fleet, entry, server, "return", body=b"x")
         self.assertThat(response.status, Equals(502))
@@ -69,7 +69,7 @@
 
     @run_with("with_fleet")
     async def test_event_without_end_fails(self, fleet, entry):
-        server = EndlessServer(STREAM, b"data: " + b"x" * 4096)
+        server = EndlessServer(STREAM, b"data: " + b"x" * 65_536)
         await self.add_endless_server(fleet, entry, server, "llm", {"guide": 1}.items())
         response = await self.check_cut(fleet, entry, server, "ask", stream=3)
         self.assertThat(response.status, Equals(502))
