Count the entries that share a limit once for each selection

Since the connection limit counts LimitShares, each candidate built the set of entries again. Behaviour is the same; python -m pytest tests/ingress passed.

--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -141,7 +141,10 @@
                 reason="server_limits",
                 available_in_s=min((w for w in waits_s if w is not None), default=None),
             )
-        with_capacity = [e for e in within_limits if self._has_capacity(e, now)]
+        entries = len(self.limits.shares.members(now)) or ASSUMED_ENTRIES
+        with_capacity = [
+            each for each in within_limits if self._has_capacity(each, entries, now)
+        ]
         if not with_capacity:
             return Selection(candidates=(), reason="connection_limit")
         not_loading = [
@@ -205,7 +208,7 @@
         queued = self.loads.total(server.id, server.started_ms, now).prefill_tokens
         return max(OUTDATED_WEIGHTS_MARGIN_S, queued / PREFILL_TOKENS_PER_S + TRANSIT_S)
 
-    def _has_capacity(self, server: BackendServer, now: float) -> bool:
+    def _has_capacity(self, server: BackendServer, entries: int, now: float) -> bool:
         """Whether the connection limit of a server allows another request."""
         configuration = self.view.configuration
         service = configuration.services.get(server.service) if configuration else None
@@ -215,7 +218,6 @@
         total = self.loads.total(server.id, server.started_ms, now)
         if total.in_flight >= limit:
             return False
-        entries = len(self.limits.shares.members(now)) or ASSUMED_ENTRIES
         own = self.loads.for_server(server.id, server.started_ms).in_flight
         # Loads of other entries may be missing, so each entry also limits itself.
         return own + 1 <= max(1.0, FAIR_SHARE_MULTIPLE * limit / entries)
--- a/src/foxtailcourse/ingress/_limit_shares.py
+++ b/src/foxtailcourse/ingress/_limit_shares.py
@@ -4,7 +4,7 @@
 different times, and the sum of their shares must stay below the limit meanwhile.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Set
 
 import attrs
 
@@ -42,7 +42,7 @@
     """
 
     vm: str
-    registered: Callable[[], Collection[str]]
+    registered: Callable[[], Set[str]]
     freshness: Freshness
     hold_s: float
     version: int = attrs.field(default=0, init=False)
@@ -52,11 +52,17 @@
     # Since when this entry has known without interruption that it is registered.
     _own_since: float | None = attrs.field(default=None, init=False)
     _confirmed_at: float = attrs.field(default=float("-inf"), init=False)
+    # The members, and the version that they belong to.
+    _members: frozenset[str] = attrs.field(default=frozenset(), init=False)
+    _members_version: int = attrs.field(default=0, init=False)
 
     def members(self, now: float) -> frozenset[str]:
         """Return the entries that count at present, in seconds since boot ``now``."""
         self.update(now)
-        return self._present.union(self._left_at)
+        if self._members_version != self.version:
+            self._members_version = self.version
+            self._members = self._present.union(self._left_at)
+        return self._members
 
     def count(self, now: float) -> int:
         """Return by how many entries a limit is divided."""
@@ -76,8 +82,9 @@
 
     def update(self, now: float) -> None:
         """Follow the registrations; called at least each second."""
-        present = frozenset(self.registered())
-        if present != self._present:
+        registered = self.registered()
+        if registered != self._present:
+            present = frozenset(registered)
             self._left_at |= dict.fromkeys(self._present - present, now)
             for vm in present:
                 self._left_at.pop(vm, None)
@@ -89,7 +96,7 @@
                 self.version += 1
         as_of = self.freshness.as_of
         is_continuous = now - self._confirmed_at <= self.hold_s
-        if self.vm not in present or now - as_of > self.hold_s:
+        if self.vm not in registered or now - as_of > self.hold_s:
             self._own_since = None
         elif self._own_since is None or not is_continuous:
             self._own_since = now
