Send unframed responses of the stand-in without chunks

What was seen: the fault "unframed" of the backend server stand-in sent chunked bodies, since h11 frames each response to a client of HTTP/1.1, and streams never had it.

Streams of such a server that are cut close their connection like complete ones.

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -127,6 +127,11 @@
         """Add ``connection: close`` to the response."""
         self._closing = True
 
+    def end_with_connection(self) -> None:
+        """Send the streamed response without framing; its end closes the connection."""
+        # h11 leaves the framing out for a client of HTTP/1.0.
+        self._conn.h11.their_http_version = b"1.0"
+
     def _response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
         closing = {"connection": "close"} if self._closing else {}
         return _response(status, {**fields, **self.common_fields, **closing})
--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -42,7 +42,8 @@
     plain_503 : bool
         Whether executed requests get status 503 without the not-executed header.
     unframed : bool
-        Whether response bodies have no length and end with the connection.
+        Whether answers and streams have neither a length nor chunks and end with their
+        connection. If such a stream is cut, its connection is closed, not reset.
     lose_orders : bool
         Whether the connection is aborted after an order is accepted.
     no_events : bool
@@ -352,7 +353,8 @@
         elif self.faults.plain_503:
             await exchange.respond(503, b"", headers)
         elif self.faults.unframed:
-            headers |= {"connection": "close", "content-type": "text/plain"}
+            exchange.end_with_connection()
+            headers["content-type"] = "text/plain"
             await exchange.start_stream(200, headers, plain_body(run))
             await exchange.end_stream()
         else:
@@ -369,6 +371,8 @@
             "content-type": "text/event-stream",
             "x-foxtailcourse-weight-versions": str(run.version),
         }
+        if self.faults.unframed:
+            exchange.end_with_connection()
         await exchange.start_stream(200, headers)
         for number in range(run.position + 1, output_tokens + 1):
             await trio.sleep(self.event_s)
--- a/tests/standin/test_backend_server_standin.py
+++ b/tests/standin/test_backend_server_standin.py
@@ -2,8 +2,12 @@
 from testtools.matchers import Equals
 
 from cluster import serve
-from foxtailcourse.http import ConnectionPool
-from foxtailcourse.standin._backend_server import BackendServerStandin, stream_event
+from foxtailcourse.http import ConnectionPool, Framing
+from foxtailcourse.standin._backend_server import (
+    BackendServerFaults,
+    BackendServerStandin,
+    stream_event,
+)
 from support import AsyncTestCase, run_trio
 
 
@@ -36,3 +40,18 @@
         )
         (run,) = server.runs
         self.assertThat((run.software_version, run.position), Equals(("v2", 2)))
+
+    @run_trio
+    async def test_unframed_answers_and_streams_end_with_their_connection(self):
+        server = BackendServerStandin("m1", "llm")
+        server.faults = BackendServerFaults(unframed=True)
+        for tokens in ({}, {"x-foxtailcourse-token-counts": "100,4"}):
+            fields = {"x-foxtailcourse-request-id": "r1", **tokens}
+            pool = ConnectionPool()
+            async with (
+                serve(server.handle) as address,
+                pool.request(address, "GET", "/ask/x", headers=fields) as response,
+            ):
+                self.assertThat(response.framing, Equals(Framing.CLOSE))
+                self.assertTrue(await response.read())
+            await pool.aclose()
