Log how responses are framed and what they left unfinished

The incident's logs cannot tell whether a short stream ended with its connection or with a last chunk. request_done and attempt_failed now state the framing of the server's response, the last event forwarded, and the bytes of an unfinished one.

test_how_a_response_ended fails before (no such field): an unframed stream that is cut in its third event gives framing=close last_event=2 unfinished_bytes>0. No decision is changed.

--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import AsyncGenerator, AsyncIterator, Mapping
 from contextlib import asynccontextmanager
+from enum import Enum
 from typing import Any
 
 import attrs
@@ -22,12 +23,29 @@
 # sending it cannot block.
 SMALL_REQUEST_BYTES = 8192
 FIRST_ERROR_STATUS = 400
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 # Responses with status 1xx before the final one.
 MAX_INTERIM_RESPONSES = 8
 MAX_IDLE_PER_ADDRESS = 16
 MAX_IDLE_TIME_S = 30.0
 
 
+class Framing(Enum):
+    """How the end of a response body is marked.
+
+    LENGTH
+        By a length, or the response cannot have a body.
+    CHUNKED
+        By the last chunk of the chunked transfer coding.
+    CLOSE
+        By the end of the connection, which a failed server causes as well.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 class ClientError(Exception):
     """A request failed before its whole response was read.
 
@@ -134,10 +152,16 @@
         HTTP status.
     headers : dict of str to str
         Header fields by lower-case name; the last one of a repeated field.
+    framing : Framing
+        How the end of the body is marked.
     """
 
     def __init__(
-        self, conn: _ClientConnection, head: h11.Response, options: RequestOptions
+        self,
+        conn: _ClientConnection,
+        method: str,
+        head: h11.Response,
+        options: RequestOptions,
     ) -> None:
         self._conn = conn
         self._options = options
@@ -146,6 +170,7 @@
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
         }
+        self.framing = _framing(method, self.status, self.headers)
 
     async def iter_chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks; raises ClientError if it is truncated.
@@ -237,7 +262,7 @@
             head = await self._send_request(
                 conn, address, method, target, headers, body, options
             )
-            yield ClientResponse(conn, head, options)
+            yield ClientResponse(conn, method, head, options)
         except BaseException:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(conn.stream)
@@ -334,6 +359,15 @@
                 await trio.aclose_forcefully(idle.pop().stream)
 
 
+def _framing(method: str, status: int, headers: Mapping[str, str]) -> Framing:
+    """Return how the end of a response body is marked (RFC 9112, section 6.3)."""
+    if method == "HEAD" or status in STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
+    if "transfer-encoding" in headers:
+        return Framing.CHUNKED
+    return Framing.LENGTH if "content-length" in headers else Framing.CLOSE
+
+
 async def _read_head(
     conn: _ClientConnection, address: Address, timeout_s: float
 ) -> h11.Response:
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -182,6 +182,7 @@
                 options=options,
             ) as response:
                 watched.record_progress(self.clock())
+                job.framing = response.framing
                 return await self._receive(
                     job, choice, response, watched, on_first_event
                 )
@@ -357,6 +358,7 @@
                     fields = forwarded_response_headers(response.headers)
                     await exchange.start_stream(response.status, fields, events)
             job.last_event_id = splitter.last_id
+        job.unfinished_bytes = splitter.unfinished_bytes
         with watched.forwarding(self.clock):
             if not exchange.response_started:
                 fields = forwarded_response_headers(response.headers)
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -124,6 +124,7 @@
         while True:
             choice = await self._wait_for_admission(job)
             job.choice, job.attempt_pending = choice, True
+            job.framing, job.unfinished_bytes = None, 0
             self.candidates.limits.record_sent(
                 choice.candidate.server.run, self.clock()
             )
@@ -327,6 +328,8 @@
             attempt=len(job.sent_to),
             age_ms=int((self.clock() - job.started) * 1000),
             last_event=job.last_event_id or None,
+            framing=job.framing.value if job.framing else None,
+            unfinished_bytes=job.unfinished_bytes or None,
             retry_after_ms=(
                 None if exc.retry_after_s is None else int(exc.retry_after_s * 1000)
             ),
--- a/src/foxtailcourse/ingress/_event_splitter.py
+++ b/src/foxtailcourse/ingress/_event_splitter.py
@@ -60,6 +60,11 @@
             )
         return complete
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._incomplete)
+
     def flush(self) -> bytes:
         """Return the bytes after the last complete event."""
         incomplete, self._incomplete = self._incomplete, bytearray()
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -3,7 +3,7 @@
 import attrs
 
 from foxtailcourse.fleet import Account, Route
-from foxtailcourse.http import Exchange
+from foxtailcourse.http import Exchange, Framing
 from foxtailcourse.ingress._placement_types import Choice, Prompt
 from foxtailcourse.platform import IngressRequest
 from foxtailcourse.protocol import Verdict
@@ -65,6 +65,10 @@
         Whether the complete response was sent to the caller.
     typical_prompt_tokens : float
         Mean tokens of the prompts of the route; 0 if unknown.
+    framing : Framing or None
+        How the last response of a server marks its end; None without a response.
+    unfinished_bytes : int
+        Bytes after the last whole event of the last stream that ended.
     """
 
     exchange: Exchange
@@ -90,6 +94,8 @@
     attempt_pending: bool = False
     response_complete: bool = False
     typical_prompt_tokens: float = 0.0
+    framing: Framing | None = None
+    unfinished_bytes: int = 0
 
     @property
     def prompt(self) -> Prompt | None:
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -36,6 +36,19 @@
         for name in ("route", "client_account", "servers_age_ms", "revision"):
             self.assertIn(name, fields)
 
+    @run_with("with_fleet")
+    async def test_how_a_response_ended(self, fleet, entry):
+        for name in ("m1", "m2"):
+            fleet.servers[name].faults = BackendServerFaults(
+                unframed=True, cut_after_events=2
+            )
+        await fleet.call(entry, "brief", stream=3)
+        await wait_until(lambda: entry.events("request_done"))
+        (fields,) = entry.events("request_done")
+        self.assertThat(fields["framing"], Equals("close"))
+        self.assertThat(fields["last_event"], Equals("2"))
+        self.assertGreater(int(fields["unfinished_bytes"]), 0)
+
     @run_with("with_fleet", weights_ms=60_000)
     async def test_request_on_outdated_weights(self, fleet, entry):
         for name in ("m1", "m2"):
