--- /dev/null
+++ b/tests/ingress/test_broken_off_streams.py
@@ -0,0 +1,35 @@
+from ingress_case import IngressCase
+from testtools.matchers import Equals
+
+from foxtailcourse.standin._backend_server import BackendServerFaults, stream_event
+from support import run_with
+
+
+class TestBrokenOffStreams(IngressCase):
+    """Guards streams whose end is the end of their connection."""
+
+    def break_off(self, fleet, *names):
+        faults = BackendServerFaults(unframed=True, cut_after_events=2)
+        for name in names:
+            fleet.servers[name].faults = faults
+
+    @run_with("with_fleet")
+    async def test_stream_that_ends_inside_an_event_is_not_framed_as_complete(
+        self, fleet, entry
+    ):
+        self.break_off(fleet, "m1", "m2")
+        response = await fleet.call(entry, "brief", stream=4)
+        self.assertFalse(response.complete)
+        events = b"".join(stream_event("r1", number) for number in (1, 2))
+        self.assertThat(response.body, Equals(events))
+
+    @run_with("with_fleet")
+    async def test_stream_that_ends_inside_an_event_goes_on_at_another_server(
+        self, fleet, entry
+    ):
+        # Each server breaks off after two events.
+        self.break_off(fleet, "m1", "m2")
+        response = await fleet.call(entry, "ask", stream=4)
+        self.assertTrue(response.complete)
+        events = [stream_event("r1", number) for number in range(1, 5)]
+        self.assertThat(response.body, Equals(b"".join(events)))
