Split events whose lines end with CRLF or CR

What callers saw: the events of a server that ends its lines with CRLF arrived all at once, at the end of the stream, and such a stream was not resumed.

Cause: EventSplitter looked for two line feeds only, so nothing but the end completed an event. Found when the end of a stream was to be judged: every such stream would have counted as unfinished. Ruled out: the parser of foxtail-entry and of the agent, which converts CRLF.

test_events_with_any_line_end_are_forwarded_as_they_arrive failed before (0 of 2 events). unfinished_bytes leaves out comments and empty lines between events (test_only_a_begun_event_is_unfinished, 2 instead of 0 for an empty line before). The search for LF alone stays a single rfind.

--- a/src/foxtailcourse/ingress/_event_splitter.py
+++ b/src/foxtailcourse/ingress/_event_splitter.py
@@ -1,13 +1,17 @@
 """Splits a stream of server-sent events without changing its bytes."""
 
 import re
+from collections.abc import Iterator
 
-EVENT_END = b"\n\n"
 # Longest event that a server may send.
 MAX_EVENT_BYTES = 256 * 1024
-EVENT_ID = re.compile(rb"^id: ?(\d+)\s*$", re.MULTILINE)
+# Lines end with LF, CRLF or CR, and an event with an empty line.
+LINE_END = re.compile(rb"\r\n|\n|\r")
+EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+MAX_EVENT_END_BYTES = 4
+EVENT_ID = re.compile(rb"(?<![^\r\n])id: ?(\d+)[ \t]*(?![^\r\n])")
 # A field that callers use; comments only keep a connection open.
-EVENT_FIELD = re.compile(rb"^(?:id|data|event):", re.MULTILINE)
+EVENT_FIELD = re.compile(rb"(?<![^\r\n])(?:id|data|event):")
 
 
 class EventTooLongError(ValueError):
@@ -39,10 +43,9 @@
             If the event after them is too long.
         """
         buffer = self._incomplete
-        searched_bytes = max(0, len(buffer) - len(EVENT_END) + 1)
+        searched_bytes = max(0, len(buffer) - MAX_EVENT_END_BYTES + 1)
         buffer += chunk
-        separator_at = buffer.rfind(EVENT_END, searched_bytes)
-        end = 0 if separator_at < 0 else separator_at + len(EVENT_END)
+        end = _last_event_end(buffer, searched_bytes)
         complete = bytes(buffer[:end])
         del buffer[:end]
         if len(buffer) > MAX_EVENT_BYTES:
@@ -54,16 +57,19 @@
             self.last_id = max(self.last_id, ids[-1].decode(), key=_event_number)
         if ids and int(ids[0]) <= self._resume_after_id:
             complete = b"".join(
-                event + EVENT_END
-                for event in complete.split(EVENT_END)[:-1]
-                if not self._was_forwarded(event)
+                event for event in _split(complete) if not self._was_forwarded(event)
             )
         return complete
 
     @property
     def unfinished_bytes(self) -> int:
-        """Number of bytes after the last complete event."""
-        return len(self._incomplete)
+        """Number of bytes of an event that has begun; 0 between events.
+
+        Comments and empty lines between events are not part of one.
+        """
+        *lines, last_line = LINE_END.split(self._incomplete)
+        has_field = any(line and not line.startswith(b":") for line in lines)
+        return len(self._incomplete) if has_field or last_line else 0
 
     def flush(self) -> bytes:
         """Return the bytes after the last complete event."""
@@ -75,6 +81,23 @@
         return match is not None and int(match[1]) <= self._resume_after_id
 
 
+def _last_event_end(buffer: bytearray, start: int) -> int:
+    """Return where the last complete event ends; 0 if none ends after ``start``."""
+    if b"\r" not in buffer:
+        at = buffer.rfind(b"\n\n", start)
+        return 0 if at < 0 else at + 2
+    ends = [match.end() for match in EVENT_END.finditer(buffer, start)]
+    return ends[-1] if ends else 0
+
+
+def _split(events: bytes) -> Iterator[bytes]:
+    """Yield complete events one by one, each with its end."""
+    start = 0
+    for match in EVENT_END.finditer(events):
+        yield events[start : match.end()]
+        start = match.end()
+
+
 def _event_number(event_id: str) -> int:
     """Return the number of an event identifier, or -1 if it has none."""
     return int(event_id) if event_id.isascii() and event_id.isdigit() else -1
--- a/tests/ingress/test_ingress_streams.py
+++ b/tests/ingress/test_ingress_streams.py
@@ -67,6 +67,31 @@
             rest = second.feed(again) + second.flush()
             self.assertThat(sent + rest, Equals(whole))
 
+    def test_events_with_any_line_end_are_forwarded_as_they_arrive(self):
+        for end in (b"\n", b"\r\n", b"\r"):
+            events = [
+                end.join([b"id: %d" % n, b"data: t", b"", b""]) for n in (1, 2, 3)
+            ]
+            whole = b"".join(events)
+            for size in (1, 5, len(whole)):
+                splitter, sent = EventSplitter("1"), bytearray()
+                for start in range(0, len(whole), size):
+                    sent += splitter.feed(whole[start : start + size])
+                self.assertThat(sent.count(b"data: t"), Equals(2))
+                self.assertThat(splitter.last_id, Equals("3"))
+                self.assertThat(splitter.flush().strip(), Equals(b""))
+
+    def test_only_a_begun_event_is_unfinished(self):
+        event = b"id: 1\ndata: x\n\n"
+        for rest in (b"", b"\n", b"\r\n", b": a comment\n"):
+            splitter = EventSplitter()
+            splitter.feed(event + rest)
+            self.assertThat(splitter.unfinished_bytes, Equals(0))
+        for cut in range(1, len(event)):
+            splitter = EventSplitter()
+            splitter.feed(event + event[:cut])
+            self.assertThat(splitter.unfinished_bytes, Equals(cut))
+
     def test_identifier_that_is_no_number_resumes_nothing(self):
         for last_id in ("\xb2", "seven", ""):
             splitter = EventSplitter(last_id)
