Treat a stream that ends inside an event as broken off

Cause: a response with neither a length nor chunks ends with its connection. A server whose run crashes closes it too, and AttemptRunner took any end of the body for the end of the stream: it forwarded the unfinished event and the last chunk, and did not resume the stream. The class of fault: an end taken for completeness.

Resumed streams: the short ones had one attempt.

Change: a stream with an unfinished event ends its attempt as broken_off, whatever its framing. A resumable one goes on at another server, the response of another is cut without its last chunk.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -326,7 +326,13 @@
         watched: WatchedAttempt,
         on_first_event: Callable[[], None],
     ) -> None:
-        """Forward complete events to the caller as they arrive."""
+        """Forward complete events to the caller as they arrive.
+
+        Raises
+        ------
+        ClientError
+            If the stream broke off.
+        """
         exchange = job.exchange
         splitter = EventSplitter(job.last_event_id)
         remaining_bytes = _max_stream_bytes(job)
@@ -359,6 +365,8 @@
                     await exchange.start_stream(response.status, fields, events)
             job.last_event_id = splitter.last_id
         job.unfinished_bytes = splitter.unfinished_bytes
+        if job.unfinished_bytes:
+            raise ClientError("stream ends inside an event", Verdict.MAY_HAVE_RUN)
         with watched.forwarding(self.clock):
             if not exchange.response_started:
                 fields = forwarded_response_headers(response.headers)
