Do not take an unframed answer that ends too early for a whole one

What callers would have seen: half of an answer, complete by its framing, if a server fails that sends answers with neither a length nor chunks. The same held for calls of the agent to plain services, whose outcome is then kept for a key, and for calls to the store, engines and servers. Found by looking for the class of the broken-off streams.

Cause: the end of the connection counted as the end of the body, whatever had arrived.

Change: ClientResponse.check_whole lets the content tell: an unframed success must not be empty, its JSON must be complete, and its last event too. Other content cannot be judged and is accepted, as the platform allows such answers. Errors are not judged.

What ends an event is defined once.

--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -15,6 +15,7 @@
 import msgspec
 import trio
 
+from foxtailcourse.http._sse import ends_between_events
 from foxtailcourse.protocol import Verdict
 from foxtailcourse.settings import Address
 
@@ -211,8 +212,28 @@
                     )
         if scope.cancelled_caught:
             raise ClientError("response body takes too long", Verdict.MAY_HAVE_RUN)
+        self.check_whole(body)
         return bytes(body)
 
+    def check_whole(self, body: bytes | bytearray) -> None:
+        """Check that a body which ended with its connection shows no sign of a cut.
+
+        A server that fails also closes its connections, so its content has to tell.
+        Only successful responses are checked.
+
+        Raises
+        ------
+        ClientError
+            If the body is empty, or its content type shows that it is not whole.
+        """
+        if self.framing is not Framing.CLOSE or self.status >= FIRST_ERROR_STATUS:
+            return
+        content_type = self.headers.get("content-type", "")
+        if not body or not _is_whole(content_type, bytes(body)):
+            raise ClientError(
+                "connection ended within the response body", Verdict.MAY_HAVE_RUN
+            )
+
     async def json(self) -> object:
         """Return the decoded JSON body; raises ClientError if it is malformed."""
         try:
@@ -368,6 +389,19 @@
     return Framing.LENGTH if "content-length" in headers else Framing.CLOSE
 
 
+def _is_whole(content_type: str, body: bytes) -> bool:
+    """Return False if the end of a body is missing, as far as its type tells."""
+    media_type = content_type.partition(";")[0].strip().lower()
+    if media_type == "text/event-stream":
+        return ends_between_events(body)
+    if media_type == "application/json" or media_type.endswith("+json"):
+        try:
+            msgspec.json.decode(body)
+        except (msgspec.DecodeError, RecursionError):
+            return False
+    return True
+
+
 async def _read_head(
     conn: _ClientConnection, address: Address, timeout_s: float
 ) -> h11.Response:
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -288,6 +288,7 @@
             job.buffered_bytes += counted_bytes if fits else 0
             if not fits or len(body) > MAX_ANSWER_BYTES:
                 raise self._rejected(job, choice, "too_large", Verdict.MAY_HAVE_RUN)
+        response.check_whole(body)
         return bytes(body)
 
     def _check_success(self, job: Job, choice: Choice, head: ResponseHeaders) -> None:
--- a/src/foxtailcourse/ingress/_event_splitter.py
+++ b/src/foxtailcourse/ingress/_event_splitter.py
@@ -3,11 +3,10 @@
 import re
 from collections.abc import Iterator
 
+from foxtailcourse.http import EVENT_END, ends_between_events
+
 # Longest event that a server may send.
 MAX_EVENT_BYTES = 256 * 1024
-# Lines end with LF, CRLF or CR, and an event with an empty line.
-LINE_END = re.compile(rb"\r\n|\n|\r")
-EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 MAX_EVENT_END_BYTES = 4
 EVENT_ID = re.compile(rb"(?<![^\r\n])id: ?(\d+)[ \t]*(?![^\r\n])")
 # A field that callers use; comments only keep a connection open.
@@ -63,13 +62,9 @@
 
     @property
     def unfinished_bytes(self) -> int:
-        """Number of bytes of an event that has begun; 0 between events.
-
-        Comments and empty lines between events are not part of one.
-        """
-        *lines, last_line = LINE_END.split(self._incomplete)
-        has_field = any(line and not line.startswith(b":") for line in lines)
-        return len(self._incomplete) if has_field or last_line else 0
+        """Number of bytes of an event that has begun; 0 between events."""
+        incomplete = self._incomplete
+        return 0 if ends_between_events(incomplete) else len(incomplete)
 
     def flush(self) -> bytes:
         """Return the bytes after the last complete event."""
