Treat an unframed stream without events as broken off

What callers would have seen: status 200 and a complete, empty stream, if a server fails after the head of a stream that ends with its connection.

Cause: as of the streams that end inside an event; here nothing has begun, so only the missing framing tells. Ruled out: framed streams without events, whose server says that they are complete, as after a resumption at the last event.

test_stream_that_ends_without_events_is_not_framed_as_complete failed before (200 and an empty stream instead of 502).

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -12,6 +12,7 @@
     ClientError,
     ClientResponse,
     ConnectionPool,
+    Framing,
     RequestOptions,
 )
 from foxtailcourse.ingress._event_splitter import (
@@ -336,6 +337,7 @@
         """
         exchange = job.exchange
         splitter = EventSplitter(job.last_event_id)
+        has_events = False
         remaining_bytes = _max_stream_bytes(job)
         async for chunk in response.iter_chunks():
             remaining_bytes -= len(chunk)
@@ -347,6 +349,7 @@
                 raise _StreamTooLargeError from exc
             if not events:
                 continue
+            has_events = True
             if EVENT_FIELD.search(events):
                 # Comments and parts of an event do not show that the stream goes on.
                 watched.record_progress(self.clock())
@@ -368,6 +371,8 @@
         job.unfinished_bytes = splitter.unfinished_bytes
         if job.unfinished_bytes:
             raise ClientError("stream ends inside an event", Verdict.MAY_HAVE_RUN)
+        if response.framing is Framing.CLOSE and not has_events:
+            raise ClientError("connection ends without events", Verdict.MAY_HAVE_RUN)
         with watched.forwarding(self.clock):
             if not exchange.response_started:
                 fields = forwarded_response_headers(response.headers)
--- a/tests/ingress/test_broken_off_streams.py
+++ b/tests/ingress/test_broken_off_streams.py
@@ -1,4 +1,4 @@
-from ingress_case import IngressCase
+from ingress_case import MODEL, IngressCase
 from testtools.matchers import Contains, Equals
 
 from cluster import wait_until
@@ -10,6 +10,8 @@
 from raw_server import serve_bytes
 from support import run_with
 
+HEAD = b"HTTP/1.1 200 OK\r\nx-foxtailcourse-response-signature: a\r\n"
+
 
 class TestBrokenOffStreams(IngressCase):
     """Guards responses whose end is the end of their connection."""
@@ -40,18 +42,33 @@
         events = [stream_event("r1", number) for number in range(1, 5)]
         self.assertThat(response.body, Equals(b"".join(events)))
 
+    @run_with("with_fleet")
+    async def test_stream_that_ends_without_events_is_not_framed_as_complete(
+        self, fleet, entry
+    ):
+        head = HEAD + b"content-type: text/event-stream\r\n\r\n"
+        await self.replace_servers(fleet, entry, ("m1", "m2"), "llm", head)
+        response = await fleet.call(entry, "brief", stream=2)
+        self.assertThat((response.status, response.body), Equals((502, b"broken_off")))
+
     @run_with("with_fleet")
     async def test_answer_that_ends_too_early_is_sent_to_another_server(
         self, fleet, entry
     ):
-        fleet.remove(fleet.servers["c2"])
-        head = b"HTTP/1.1 200 OK\r\nx-foxtailcourse-response-signature: a\r\n"
-        answer = head + b'content-type: application/json\r\n\r\n{"seats": 1'
-        fleet.addresses["x1"] = await serve_bytes(fleet._nursery, answer)
-        fleet.register(BackendServerStandin("x1", "coats"))
-        await wait_until(lambda: "x1" in entry.app._view.servers)
+        answer = HEAD + b'content-type: application/json\r\n\r\n{"seats": 1'
+        await self.replace_servers(fleet, entry, ("c2",), "coats", answer)
         for _ in range(8):
             response = await fleet.call(entry, "look")
             self.assertThat(response.status, Equals(200))
             self.assertThat(response.body, Contains(b"/look/x?y=1"))
         self.assertTrue(entry.events("attempt_failed"))
+
+    async def replace_servers(self, fleet, entry, names, service, response):
+        """Replace servers by one that answers with given bytes and closes."""
+        for name in names:
+            fleet.remove(fleet.servers[name])
+        fleet.addresses["x1"] = await serve_bytes(fleet._nursery, response)
+        models = {MODEL: 1} if service == "llm" else {}
+        fleet.register(BackendServerStandin("x1", service, models))
+        known = entry.app._view.servers
+        await wait_until(lambda: "x1" in known and known.keys().isdisjoint(names))
