Do not accept replies of agents without framing

What callers would have seen: a part of an answer as the whole one, if the connection between entry and agent is closed within a response that ends with it. Streams were safe, as their end event has the number of events; other answers were not.

Cause: the end of the connection counted as the end of the body. Agents always send a length or chunks, so a reply without is an error whatever its content.

test_unframed_reply_of_an_agent_is_not_taken_for_a_whole_one failed before (200 with half of the body, instead of 502).

--- a/src/foxtailcourse/entry/_agent_client.py
+++ b/src/foxtailcourse/entry/_agent_client.py
@@ -16,6 +16,7 @@
     ClientError,
     ClientResponse,
     ConnectionPool,
+    Framing,
     RequestOptions,
 )
 from foxtailcourse.protocol import Attempt, FieldError, Reply, Verdict
@@ -214,6 +215,9 @@
 
 
 def _check_reply(vm: Vm, attempt: Attempt, response: ClientResponse) -> Reply:
+    if response.framing is Framing.CLOSE:
+        # Agents frame their responses, so what passed this one on may have cut it.
+        raise AttemptBroken("malformed_reply", f"{vm.vm}: response without framing")
     try:
         reply = Reply.from_headers(response.headers)
     except FieldError as exc:
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -1,7 +1,7 @@
 from functools import partial
 
 import msgspec
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Contains, Equals, Not
 
 from entry_support import FakeAgent, record, running_entry, serve_complete
 from support import AsyncTestCase
@@ -83,6 +83,22 @@
 
         self.run_async(main)
 
+    def test_unframed_reply_of_an_agent_is_not_taken_for_a_whole_one(self):
+        async def close_early(agent, exchange, attempt):
+            exchange.end_with_connection()
+            fields = agent.reply_fields(attempt) | {"content-type": "text/plain"}
+            await exchange.start_stream(200, fields, b"half of")
+            await exchange.end_stream()
+
+        async def main():
+            agent = FakeAgent("c1", serves="seats", script=close_early)
+            async with running_entry([agent]) as entry:
+                status, _, body = await entry.call("GET", "/services/seats/9")
+            self.assertThat(status, Equals(502))
+            self.assertThat(body, Not(Contains(b"half of")))
+
+        self.run_async(main)
+
     def test_higher_revision_in_a_reply_is_passed_to_the_follower(self):
         async def reply_with_higher_revision(agent, exchange, attempt):
             fields = agent.reply_fields(attempt, config_revision=7)
