Do not take a page of the store that does not advance for the last one

What could happen: a process reads only a part of the configuration or of the servers and takes the rest for removed, if the store sends a page without items that says that more follow. If it repeats a page, the process read it for ever.

Cause: range() ended at an empty page, whatever hasMore said. Of the class of the broken-off streams: an end taken for completeness.

test_page_that_does_not_advance_is_not_the_last_one failed before (no error). The callers of range() keep their last state and read again.

--- a/src/foxtailcourse/platform/_client.py
+++ b/src/foxtailcourse/platform/_client.py
@@ -285,6 +285,8 @@
         ------
         StoreRestoredError
             If the store was restored between two pages.
+        PlatformError
+            If a page states that more follow and does not advance.
         """
         items: list[KeyValue] = []
         revision, first_era = 0, -1
@@ -303,8 +305,13 @@
                     )
                 revision = min(revision, page.asOf) if revision else page.asOf
                 items += [each.decode() for each in page.items]
-                if not page.hasMore or not page.items:
+                if not page.hasMore:
                     break
+                if not page.items or page.items[-1].key <= after:
+                    raise PlatformError(
+                        f"pages of {prefix!r} end after {after!r} though more follow",
+                        may_have_applied=False,
+                    )
                 after = page.items[-1].key
         return RangeResult(revision=revision, items=tuple(items), era=self.era)
 
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -1,5 +1,5 @@
 import trio
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
 
 from cluster import serve
 from foxtailcourse.http import ConnectionPool
@@ -142,6 +142,23 @@
         await self.catch_error(PlatformError, client.range, "a")
         self.assertThat(client.era, Equals(3))
 
+    def test_page_that_does_not_advance_is_not_the_last_one(self):
+        item = {"key": "a/1", "revision": 3, "value": ""}
+        for second_page in ([], [item]):
+            pages = iter(([item], second_page))
+
+            async def respond(exchange, pages=pages):
+                page = {"items": next(pages), "asOf": 9, "hasMore": True}
+                await exchange.respond_json(200, page)
+
+            async def main(respond=respond):
+                async with serve(respond) as address:
+                    client = KeyValueClient(ConnectionPool(), address)
+                    exc = await self.catch_error(PlatformError, client.range, "a/")
+                    self.assertThat(str(exc), Contains("though more follow"))
+
+            self.run_async(main)
+
     def test_late_response_of_an_earlier_era_is_not_used(self):
         eras = iter(("4", "3", "x", "", "\xb2"))
 
