Do not take a stream of only the end marker for complete

Cause: the agent asked for a finish reason only if there was a chunk. A stream that continues an earlier one may have nothing left; others have at least one chunk.

test_stream_of_only_the_end_marker_is_not_complete failed before (no error); test_continued_stream_may_have_nothing_left passed before and after.

--- a/src/foxtailcourse/agent/_chat.py
+++ b/src/foxtailcourse/agent/_chat.py
@@ -341,7 +341,9 @@
                     yield valid
                 if error is not None:
                     raise error
-        if finish_reason == "":
+        # Nothing is left to generate only for a stream that is continued.
+        is_empty = finish_reason is None and not self._resume_from
+        if finish_reason == "" or is_empty:
             raise EngineError("engine stream ended without a finish reason")
 
     def _split_valid(
--- a/tests/agent/test_agent_chat.py
+++ b/tests/agent/test_agent_chat.py
@@ -2,6 +2,8 @@
 import trio
 from testtools.matchers import Equals
 
+from foxtailcourse.agent import _chat
+from foxtailcourse.engine import EngineError
 from foxtailcourse.standin import answer_text, prompt_text
 from standins import (
     MESSAGES,
@@ -13,7 +15,7 @@
     start_engine,
     wait_until,
 )
-from support import AsyncTestCase, with_server
+from support import AsyncTestCase, run_trio, with_server
 
 PROMPT = prompt_text(MESSAGES)
 
@@ -107,3 +109,27 @@
         expected = ["deadline", "weights_version", "leaving", "leaving"]
         self.assertThat(codes, Equals(expected))
         self.assertThat(engine.completed, Equals(0))
+
+
+class EmptyStream:
+    """An engine's stream that ends regularly without a chunk."""
+
+    async def batches(self):
+        for batch in ():
+            yield batch
+
+
+class TestEmptyStream(AsyncTestCase):
+    """Guards the end of a stream that never began."""
+
+    async def count_batches(self, resume_from):
+        relay = _chat._Relay(None, EmptyStream(), None, resume_from)
+        return len([each async for each in relay.batches()])
+
+    @run_trio
+    async def test_stream_of_only_the_end_marker_is_not_complete(self):
+        await self.catch_error(EngineError, self.count_batches, 0)
+
+    @run_trio
+    async def test_continued_stream_may_have_nothing_left(self):
+        self.assertThat(await self.count_batches(5), Equals(0))
