Reset the connection of an HTTP/1.0 client whose response breaks off

What callers would have seen: a proxy or a client of HTTP/1.0 takes half of a stream for the whole one. Responses to it are not chunked, so their end is that of the connection, and an aborted one ended like a complete one.

Change: such a connection is reset. Others keep their regular close, so that events that were sent are not lost; they lack the last chunk.

test_truncated_response_to_a_client_of_http_1_0_is_reset failed before (regular end). The stand-in's unframed streams still close regularly when they are cut.

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -211,6 +211,16 @@
         arrived = self.h11.trailing_data[0] or self.stream.socket.is_readable()
         return self.h11.their_state is h11.IDLE and not arrived
 
+    @property
+    def end_marks_response(self) -> bool:
+        """Whether only the end of the connection marks that of the present response.
+
+        It is so for a client of HTTP/1.0.
+        """
+        version = self.h11.their_http_version
+        is_sending = self.h11.our_state is h11.SEND_BODY
+        return is_sending and version is not None and version < b"1.1"
+
     async def send(self, *events: h11.Event) -> None:
         """Send h11 events; a failure or timeout aborts the connection."""
         data = b"".join(self.h11.send(event) or b"" for event in events)
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 server with one task per connection."""
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -17,6 +19,9 @@
     h11.LocalProtocolError,
 )
 
+# Linger for no time: closing the connection resets it.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 Handler = Callable[[Exchange], Awaitable[None]]
 # Accepted connections beyond the limit that wait for one to end; further ones are
 # closed at once, so that they do not take up the descriptors of the process.
@@ -99,6 +104,10 @@
                     pass
                 if not conn.aborted:
                     await stream.send_eof()
+                elif conn.end_marks_response:
+                    stream.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                    )
             except* _CONNECTION_ERRORS:
                 pass
             finally:
--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -383,7 +383,10 @@
             ):
                 # Without its last bytes, the event is incomplete.
                 await exchange.send(event[:-3])
-                exchange.abort()
+                if self.faults.unframed:
+                    await exchange.end_stream()
+                else:
+                    exchange.abort()
                 return
             await exchange.send(event)
         await exchange.end_stream()
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -57,6 +57,21 @@
 class TestHttpServer(ServerTestCase):
     """Guards against callers that are slow, send malformed data or disconnect."""
 
+    def test_truncated_response_to_a_client_of_http_1_0_is_reset(self):
+        request = b"GET /%s HTTP/1.0\r\nhost: a\r\n\r\n"
+
+        async def check(address, server):
+            whole = await self.send_bytes(address, request % b"whole")
+            self.assertThat(whole, Contains(b"HTTP/1.1 200"))
+            await self.catch_error(
+                trio.BrokenResourceError,
+                self.send_bytes,
+                address,
+                request % b"truncate",
+            )
+
+        self.serve(check)
+
     def test_connection_is_reused_for_the_next_request(self):
         async def check(address, server):
             pool = ConnectionPool()
