--- a/src/foxtailcourse/engine/_http.py
+++ b/src/foxtailcourse/engine/_http.py
@@ -317,7 +317,12 @@
     async def count_stored_blocks(self, salt: str, keys: Sequence[bytes]) -> int:
         """Return how many of the leading blocks are in the store.
 
-        Raises ClientError if the call fails. A response without a count counts as 0.
+        Raises
+        ------
+        ClientError
+            If the call fails.
+        EngineError
+            If the response is an error or has no count.
         """
         body = {"salt": salt, "keys": [key.hex() for key in keys]}
         options = RequestOptions(idle_timeout_s=STATE_TIMEOUT_S)
@@ -325,6 +330,10 @@
         async with self._pool.request(
             self._address, "POST", "/held", body=data, options=options
         ) as response:
+            if response.status != 200:
+                raise await _status_error(response)
             value = await response.json()
         count = value.get("held") if isinstance(value, dict) else None
-        return count if isinstance(count, int) else 0
+        if not isinstance(count, int):
+            raise EngineError("response of the store has no count of blocks")
+        return count
--- a/tests/agent/test_agent_transfer.py
+++ b/tests/agent/test_agent_transfer.py
@@ -2,6 +2,7 @@
 import trio
 from testtools.matchers import Equals
 
+from foxtailcourse.agent._transfer import BlockTransfer
 from foxtailcourse.cache import HotPrefixes, TransferCosts, TransferPolicy
 from foxtailcourse.standin import (
     KvStoreStandin,
@@ -10,6 +11,7 @@
     serve_handler,
 )
 from standins import (
+    LOOPBACK,
     MESSAGES,
     chain_keys,
     chat,
@@ -95,3 +97,41 @@
         """Control: without a store the second engine has no block cached."""
         cached = await self.read_on_second_engine(kv_store=False)
         self.assertThat(cached, Equals("0"))
+
+
+class FakeTransferPeer:
+    """An engine and a store of 20 blocks, with the result of the engine's orders."""
+
+    def __init__(self, result):
+        self.result = result
+
+    async def send_order(self, order):
+        return self.result
+
+    async def count_stored_blocks(self, salt, keys):
+        return 20
+
+
+class TestTransferResults(AsyncTestCase):
+    """Guards against counting blocks that were ordered and not moved."""
+
+    async def import_blocks(self, result):
+        """Return the events of an import of 20 blocks."""
+        context = make_agent(LOOPBACK).context
+        peer = FakeTransferPeer(result)
+        transfer = BlockTransfer(context, peer, peer, TransferPolicy(COSTS))
+        keys = chain_keys("teatro", 20)
+        attempt = make_attempt("a", prefix_keys=keys, cache_salt="s")
+        await transfer.import_missing(attempt)
+        return {each.name: each.fields for each in context.events.recent()}
+
+    @run_trio
+    async def test_only_imported_blocks_are_counted(self):
+        events = await self.import_blocks({"imported": 7})
+        self.assertThat(events["blocks_imported"]["blocks"], Equals("7"))
+
+    @run_trio
+    async def test_import_without_a_result_has_failed(self):
+        for result in ({}, {"imported": "7"}, {"imported": -1}):
+            events = await self.import_blocks(result)
+            self.assertThat(events.keys(), Equals({"import_failed"}))
