--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -104,7 +104,7 @@
                 [
                     *("refuse", "fail", "lose_answer", "foreign", "unsigned"),
                     *("unframed", "says_leaving", "retry_after", "cut"),
-                    "limit",
+                    *("limit", "unframed cut"),
                 ],
                 servers,
             ),
@@ -292,8 +292,11 @@
         elif fault_mode == "limit":
             faults = {"limit": f"{duration_s}"}
             duration_s *= LIMIT_FAULT_FACTOR
-        elif fault_mode == "cut":
-            faults = {"cut_after_events": 1 + int(3 * duration_s)}
+        elif fault_mode in {"cut", "unframed cut"}:
+            faults = {
+                "cut_after_events": 1 + int(3 * duration_s),
+                "unframed": fault_mode == "unframed cut",
+            }
         server.faults = BackendServerFaults(**faults)
         await trio.sleep(duration_s)
         server.faults = BackendServerFaults()
