--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -52,6 +52,9 @@
 DEFAULT_RETRY_AFTER_S = 0.15
 # Characters of an unreadable header value that are logged.
 MAX_LOGGED_VALUE = 40
+# Parts of a prompt that are logged, and characters of each name.
+MAX_LOGGED_PARTS = 6
+MAX_PART_CHARS = 16
 # Shortest retry-after time of an overloaded entry. By then it may have fewer deferred
 # prompts.
 MIN_OVERLOAD_RETRY_S = 0.5
@@ -330,9 +333,16 @@
             last_event=job.last_event_id or None,
             framing=job.framing.value if job.framing else None,
             unfinished_bytes=job.unfinished_bytes or None,
+            parts=_part_names(job),
             retry_after_ms=(
                 None if exc.retry_after_s is None else int(exc.retry_after_s * 1000)
             ),
             retry_after_unreadable=exc.retry_after_unreadable[:MAX_LOGGED_VALUE]
             or None,
         )
+
+
+def _part_names(job: Job) -> str | None:
+    """Return the names of the parts that a prompt may share, for the log."""
+    names = [each.id[:MAX_PART_CHARS] for each in job.request.prompt_parts[:-1]]
+    return ",".join(names[:MAX_LOGGED_PARTS]) or None
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -46,6 +46,8 @@
         await wait_until(lambda: entry.events("request_done"))
         (fields,) = entry.events("request_done")
         self.assertThat(fields["framing"], Equals("close"))
+        (failed,) = entry.events("attempt_failed")
+        self.assertThat(failed["parts"], Equals("aa"))
         self.assertThat(fields["last_event"], Equals("2"))
         self.assertGreater(int(fields["unfinished_bytes"]), 0)
 
