Add the failing tests for a prompt part that crashes servers

The stand-in has the fault: a server that begins to answer a prompt with the part crashes, breaks off all its connections and starts again.

--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -58,6 +58,9 @@
     late_orders_s : float
         Delay of each order, in seconds; if it is then accepted, its connection is
         aborted.
+    deadly_part : str
+        Part of a prompt that crashes the server when it begins to answer; empty for
+        none.
     """
 
     refuse: bool = False
@@ -75,6 +78,7 @@
     retry_after: str = ""
     limit: str = ""
     late_orders_s: float = 0.0
+    deadly_part: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -175,8 +179,14 @@
         Highest fencing token received; orders with a lower one are refused.
     started_ms : int
         Start time in milliseconds since 1970.
+    restart_s : float
+        Time from a crash until the server has started again, in seconds.
+    down : bool
+        Whether it has crashed and not started again. All connections then break off.
+    crashed_at : list of float
+        Times of its crashes, in seconds of the trio clock.
     on_change : callable
-        Called with the server after each weight load.
+        Called with the server after each weight load, crash and start.
     """
 
     id: str
@@ -195,9 +205,13 @@
     draining: bool = False
     highest_fencing_token: int = 0
     started_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    restart_s: float = 0.3
+    down: bool = False
+    crashed_at: list[float] = attrs.field(factory=list)
     on_change: Callable[["BackendServerStandin"], None] = attrs.field(
         default=lambda server: None
     )
+    _running: set[trio.CancelScope] = attrs.field(factory=set, init=False)
 
     def registration(self, address: str, failure_domain: str) -> bytes:
         """Return the JSON value that the server registers in the platform's store."""
@@ -223,6 +237,34 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request of an ingress."""
+        if self.down:
+            exchange.abort()
+            return
+        with trio.CancelScope() as scope:
+            self._running.add(scope)
+            try:
+                await self._respond(exchange)
+            finally:
+                self._running.discard(scope)
+        if scope.cancelled_caught:
+            exchange.abort()
+
+    def crash(self) -> None:
+        """Break off all connections, and start again after ``restart_s``."""
+        self.down = True
+        self.crashed_at.append(trio.current_time())
+        for scope in self._running:
+            scope.cancel()
+        self.on_change(self)
+        trio.lowlevel.spawn_system_task(self._restart)
+
+    async def _restart(self) -> None:
+        await trio.sleep(self.restart_s)
+        self.started_ms += 1
+        self.down = False
+        self.on_change(self)
+
+    async def _respond(self, exchange: Exchange) -> None:
         if self.faults.says_leaving:
             exchange.common_fields[LEAVING] = "1"
         if self.faults.limit:
@@ -374,6 +416,9 @@
         if self.faults.unframed:
             exchange.end_with_connection()
         await exchange.start_stream(200, headers)
+        if self.faults.deadly_part in part_names(run.headers):
+            self.crash()
+            await trio.sleep_forever()
         for number in range(run.position + 1, output_tokens + 1):
             await trio.sleep(self.event_s)
             run.events += 1
@@ -392,6 +437,12 @@
         await exchange.end_stream()
 
 
+def part_names(headers: Mapping[str, str]) -> list[str]:
+    """Return the names of the parts of a prompt, without the last one."""
+    parts = headers.get("x-foxtailcourse-prompt-prefix", "").split(",")
+    return [each.partition(":")[0] for each in parts[:-1]]
+
+
 def sign(run: Run) -> str:
     """Return the signature header's value for the response of an execution."""
     return hashlib.blake2b(run.request_id.encode(), digest_size=8).hexdigest()
--- a/tests/ingress/ingress_case.py
+++ b/tests/ingress/ingress_case.py
@@ -105,6 +105,9 @@
     def register(self, server):
         address = str(self.addresses[server.id])
         key = f"servers/{server.id}"
+        if server.down:
+            self.remove(server)
+            return
         self.platform.put(key, server.registration(address, "palermo"))
 
     def remove(self, server):
@@ -147,7 +150,17 @@
                 task_status.started()
         entry.ended.set()
 
-    async def call(self, entry, name, *, key="key-1", body=b"", stream=0, **headers):
+    async def call(
+        self,
+        entry,
+        name,
+        *,
+        key="key-1",
+        body=b"",
+        stream=0,
+        parts="aa:60,bb:40",
+        **headers,
+    ):
         """Send one request to a route of an entry and return its CallerResponse.
 
         With ``stream``, the request has a prompt and asks for that many events.
@@ -164,7 +177,7 @@
             fields |= {
                 "x-foxtailcourse-model": MODEL,
                 "x-foxtailcourse-token-counts": f"100,{stream}",
-                "x-foxtailcourse-prompt-prefix": "aa:60,bb:40",
+                "x-foxtailcourse-prompt-prefix": parts,
             }
         fields |= {k.replace("_", "-"): v for k, v in headers.items()}
         method = "POST" if body or stream else "GET"
--- /dev/null
+++ b/tests/ingress/test_deadly_parts.py
@@ -0,0 +1,61 @@
+import trio
+from ingress_case import IngressCase
+from testtools.matchers import Equals
+
+from cluster import wait_until
+from foxtailcourse.standin._backend_server import BackendServerFaults, part_names
+from support import run_with
+
+# Bound of the platform: so many further requests with a part under which so many
+# servers have crashed.
+CRASHES, MAX_FURTHER_REQUESTS = 5, 3
+
+
+class TestDeadlyParts(IngressCase):
+    """Guards servers against a prompt part that crashes each of them."""
+
+    def make_deadly(self, fleet, part):
+        for name in ("m1", "m2"):
+            fleet.servers[name].faults = BackendServerFaults(deadly_part=part)
+
+    async def start_second_entry(self, fleet):
+        second = await fleet.start_entry("e2")
+        await wait_until(lambda: len(second.app.status()["servers"]) == 4)
+        await wait_until(lambda: len(second.app.status()["entries"]) == 2)
+        return second
+
+    def deadly_runs(self, fleet, part):
+        return [run for run in self.runs(fleet) if part in part_names(run.headers)]
+
+    @run_with("with_fleet")
+    async def test_requests_with_a_part_that_crashes_servers_are_not_sent_on(
+        self, fleet, entry
+    ):
+        entries = [entry, await self.start_second_entry(fleet)]
+        self.make_deadly(fleet, "dd")
+        for number in range(14):
+            await fleet.call(
+                entries[number % 2], "brief", stream=3, parts=f"a{number}:60,dd:9,x:5"
+            )
+            await trio.sleep(0.4)
+        runs = self.deadly_runs(fleet, "dd")
+        self.assertLessEqual(len(runs), CRASHES + MAX_FURTHER_REQUESTS)
+
+    @run_with("with_fleet")
+    async def test_sound_requests_with_the_other_parts_are_served(self, fleet, entry):
+        entries = [entry, await self.start_second_entry(fleet)]
+        self.make_deadly(fleet, "dd")
+        for number in range(10):
+            await fleet.call(
+                entries[number % 2], "brief", stream=3, parts="aa:60,dd:9,x:5"
+            )
+            await fleet.call(
+                entries[(number + 1) % 2], "brief", stream=3, parts="aa:60,bb:9,x:5"
+            )
+            await trio.sleep(0.4)
+        for each in entries:
+            response = await fleet.call(each, "brief", stream=3, parts="aa:60,bb:9,x:5")
+            self.assertThat((response.status, response.complete), Equals((200, True)))
+        self.assertLessEqual(
+            len(self.deadly_runs(fleet, "dd")), CRASHES + MAX_FURTHER_REQUESTS
+        )
