Refuse requests with prompt parts under which servers crash

What callers saw: one request in twenty crashes the server that begins to answer it, and the next one crashes the next server; all streams there break off.

Cause: nothing links a crash with the requests that were in progress at the server. With the parts in the log each of 11 crashes has one request with a response head and no event, all with the same two parts, of which sound requests have the first. Ruled out: second attempts of the same request, and load.

Change: entries report to each other what they lose without an event; what begun requests of two crashes have in common is blocked as a whole, at all entries and in the store. Answers anywhere contradict it, and a block ends by itself, with trials one by one. The class is a count that holds over all entries, so the block is repeated by three entries, and a record with a lease reaches those that start; the leased write of the recent weights is now shared.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -26,6 +26,9 @@
 from foxtailcourse.ingress._limit_exchange import LimitExchange
 from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
+from foxtailcourse.ingress._part_exchange import PartExchange
+from foxtailcourse.ingress._part_records import PartRecords
+from foxtailcourse.ingress._part_suspicions import PartSuspicions
 from foxtailcourse.ingress._peer_exchange import PeerExchange
 from foxtailcourse.ingress._peers import Peer
 from foxtailcourse.ingress._recent_weights import (
@@ -175,6 +178,23 @@
             self._events,
         )
         self._peer_exchange.on_limits = self._limit_exchange.handle
+        self._parts = PartExchange(
+            vm=daemon.cfg.vm,
+            suspicions=PartSuspicions(),
+            shares=self._shares,
+            peers=self._membership.peers,
+            send=self._peer_exchange.send,
+            clock=boot_seconds,
+            events=self._events,
+        )
+        self._peer_exchange.on_parts = self._parts.handle
+        self._part_records = PartRecords(
+            exchange=self._parts,
+            store=self._store,
+            min_ttl_s=cfg.store_min_lease_ms / 1000,
+            clock=boot_seconds,
+            events=self._events,
+        )
         self._peer_exchange.cache_snapshot = self._cache_feed.snapshot
         self._peer_exchange.weights_to_publish = self._rollout.weights_to_publish
         self._recent_weights = RecentWeightsRecorder(
@@ -198,6 +218,7 @@
             events=self._events,
             metrics=self._metrics,
         )
+        self._updates.on_parts_record = self._part_records.apply_change
         self._peer_exchange.on_leaving = self._updates.announce_leaving
         self._watcher = StoreWatcher(
             self._store,
@@ -272,7 +293,9 @@
                 self._updates.announce_leaving,
                 self._peer_exchange.origins.publish,
                 self._record_limit_statement,
+                self._parts.record_answered,
             ),
+            parts=self._parts,
             retry_budget_for=self._retry_budget_for,
             clock=boot_seconds,
             rng=self._rng,
@@ -378,6 +401,8 @@
             ).encode()
             nursery.start_soon(self._peer_exchange.run)
             nursery.start_soon(self._limit_exchange.run)
+            nursery.start_soon(self._parts.run)
+            nursery.start_soon(self._part_records.run)
             nursery.start_soon(self._configuration_exchange.run)
             nursery.start_soon(self._lease.run)
             nursery.start_soon(self._watchdog.run)
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -21,6 +21,7 @@
     EventTooLongError,
 )
 from foxtailcourse.ingress._job import AttemptError, Job, ServerResponse
+from foxtailcourse.ingress._part_suspicions import Parts
 from foxtailcourse.ingress._placement_types import Choice
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.ingress._stream_origins import StreamOrigin
@@ -59,6 +60,8 @@
 # multiple of the route's target latency, and at least for MIN_IDLE_TIMEOUT_S.
 IDLE_TIMEOUT_TARGET_MULTIPLE = 2.5
 MIN_IDLE_TIMEOUT_S = 0.6
+# A server that crashes because of a request does so as it begins to answer.
+ANSWERED_AFTER_S = 0.25
 
 
 @attrs.define
@@ -85,6 +88,9 @@
     on_stream_begun : callable
         Called with the identifier of a caller's attempt and the origin of its stream,
         before the first event is forwarded, if the stream may be resumed.
+    on_answered : callable
+        Called once for an attempt with the parts of its prompt that others may share,
+        when its stream goes on for ANSWERED_AFTER_S or is complete.
     """
 
     pool: ConnectionPool
@@ -104,6 +110,7 @@
     on_limit_statement: Callable[[ServerRun, ResponseHeaders, float], None] = (
         attrs.field(default=lambda run, head, sent_at: None)
     )
+    on_answered: Callable[[Parts], None] = attrs.field(default=lambda parts: None)
 
     async def run(
         self, job: Job, choice: Choice, store: Address | None
@@ -183,7 +190,7 @@
                 options=options,
             ) as response:
                 watched.record_progress(self.clock())
-                job.framing = response.framing
+                job.attempt.framing = response.framing
                 return await self._receive(
                     job, choice, response, watched, on_first_event
                 )
@@ -354,6 +361,7 @@
                 # Comments and parts of an event do not show that the stream goes on.
                 watched.record_progress(self.clock())
             on_first_event()
+            self._record_event(job)
             if job.first_event_at is None:
                 job.first_event_at = self.clock()
                 job.weights_version = job.chosen_version
@@ -368,8 +376,8 @@
                     fields = forwarded_response_headers(response.headers)
                     await exchange.start_stream(response.status, fields, events)
             job.last_event_id = splitter.last_id
-        job.unfinished_bytes = splitter.unfinished_bytes
-        if job.unfinished_bytes:
+        job.attempt.unfinished_bytes = splitter.unfinished_bytes
+        if job.attempt.unfinished_bytes:
             raise ClientError("stream ends inside an event", Verdict.MAY_HAVE_RUN)
         if response.framing is Framing.CLOSE and not has_events:
             raise ClientError("connection ends without events", Verdict.MAY_HAVE_RUN)
@@ -379,6 +387,20 @@
                 await exchange.start_stream(response.status, fields)
             await exchange.end_stream(splitter.flush())
         job.response_complete = True
+        self._record_answered(job)
+
+    def _record_event(self, job: Job) -> None:
+        """Record the time of an event; a server that goes on has not crashed."""
+        now = self.clock()
+        if job.attempt.first_event_at is None:
+            job.attempt.first_event_at = now
+        elif now - job.attempt.first_event_at >= ANSWERED_AFTER_S:
+            self._record_answered(job)
+
+    def _record_answered(self, job: Job) -> None:
+        if not job.attempt.is_answered:
+            job.attempt.is_answered = True
+            self.on_answered(job.shared_parts)
 
     @contextmanager
     def _tracked_load(
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -16,7 +16,15 @@
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._fetch_sources import should_save
-from foxtailcourse.ingress._job import AttemptError, Job, RefusedError, ServerResponse
+from foxtailcourse.ingress._job import (
+    AttemptError,
+    AttemptState,
+    Job,
+    RefusedError,
+    ServerResponse,
+)
+from foxtailcourse.ingress._part_exchange import PartExchange
+from foxtailcourse.ingress._part_suspicions import request_parts
 from foxtailcourse.ingress._placement import (
     ASSUMED_SHORT_WORK_TOKENS,
     choose_for_prompt,
@@ -72,6 +80,8 @@
         Selects the servers that are eligible for an attempt.
     attempts : AttemptRunner
         Runs attempts.
+    parts : PartExchange
+        Prompt parts that crash servers.
     retry_budget_for : callable
         Returns the retry budget of a service.
     clock : callable
@@ -91,6 +101,7 @@
     view: FleetView
     candidates: CandidateFilter
     attempts: AttemptRunner
+    parts: PartExchange
     retry_budget_for: Callable[[str], RetryBudget]
     clock: Callable[[], float]
     rng: random.Random
@@ -121,13 +132,17 @@
         """
         self.retry_budget_for(job.service).record_request(self.clock())
         if job.prompt is not None:
+            job.shared_parts = request_parts(
+                job.service, [each.id for each in job.request.prompt_parts]
+            )
             job.typical_prompt_tokens = self.sizes.record_prompt(
                 job.route.name, job.request.prompt_tokens
             )
         while True:
             choice = await self._wait_for_admission(job)
             job.choice, job.attempt_pending = choice, True
-            job.framing, job.unfinished_bytes = None, 0
+            job.attempt = AttemptState()
+            self.parts.record_sent(job.shared_parts)
             self.candidates.limits.record_sent(
                 choice.candidate.server.run, self.clock()
             )
@@ -139,6 +154,12 @@
                 response = await self._attempt(job, choice)
             except AttemptError as exc:
                 job.attempt_pending = False
+                if exc.reason == "broken_off" and not job.attempt.is_answered:
+                    self.parts.record_broken_off(
+                        choice.candidate.server.run,
+                        job.shared_parts,
+                        begun=job.attempt.framing is not None,
+                    )
                 self._record_failed_attempt(job, choice, exc)
                 if exc.verdict is not Verdict.NOT_RUN:
                     job.verdict = Verdict.MAY_HAVE_RUN
@@ -249,6 +270,11 @@
             If no server is eligible and the request may have run.
         """
         now = self.clock()
+        blocked_s = self.parts.wait_s(job.shared_parts)
+        if blocked_s > 0:
+            if job.verdict is Verdict.NOT_RUN:
+                raise RefusedError("blocked_parts", blocked_s)
+            raise AttemptError("blocked_parts", job.verdict)
         tried = {*job.sent_to, *job.unreachable}
         selection = self.candidates.select(
             job.service,
@@ -331,8 +357,8 @@
             attempt=len(job.sent_to),
             age_ms=int((self.clock() - job.started) * 1000),
             last_event=job.last_event_id or None,
-            framing=job.framing.value if job.framing else None,
-            unfinished_bytes=job.unfinished_bytes or None,
+            framing=job.attempt.framing.value if job.attempt.framing else None,
+            unfinished_bytes=job.attempt.unfinished_bytes or None,
             parts=_part_names(job),
             retry_after_ms=(
                 None if exc.retry_after_s is None else int(exc.retry_after_s * 1000)
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -11,6 +11,7 @@
     ServerRun,
 )
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
+from foxtailcourse.ingress._part_records import BLOCKED_PARTS_PREFIX
 from foxtailcourse.ingress._recent_weights import (
     RECENT_WEIGHTS_PREFIX,
     parse_recent_weights_key,
@@ -47,6 +48,8 @@
     ----------
     state : StoreState
         Which state of the store the changes belong to.
+    on_parts_record : callable
+        Called with the key and the value of a changed record of blocked prompt parts.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         self._events = events
         self._metrics = metrics
         self.state = StoreState()
+        self.on_parts_record: Callable[[str, bytes | None], None] = lambda k, v: None
         self._records = RecordDispatcher(
             on_configuration=self._apply_configuration,
             on_weights=self._apply_weights,
@@ -81,6 +85,8 @@
         """Apply one change of a key; the value is None once the key is deleted."""
         if key.startswith(RECENT_WEIGHTS_PREFIX):
             self._apply_recent_weights(key, value, revision)
+        elif key.startswith(BLOCKED_PARTS_PREFIX):
+            self.on_parts_record(key, value)
         elif key.startswith(MEMBERSHIP_PREFIX):
             self._membership.apply_change(key, value, revision)
         else:
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -4,6 +4,7 @@
 
 from foxtailcourse.fleet import Account, Route
 from foxtailcourse.http import Exchange, Framing
+from foxtailcourse.ingress._part_suspicions import Parts
 from foxtailcourse.ingress._placement_types import Choice, Prompt
 from foxtailcourse.platform import IngressRequest
 from foxtailcourse.protocol import Verdict
@@ -65,10 +66,10 @@
         Whether the complete response was sent to the caller.
     typical_prompt_tokens : float
         Mean tokens of the prompts of the route; 0 if unknown.
-    framing : Framing or None
-        How the last response of a server marks its end; None without a response.
-    unfinished_bytes : int
-        Bytes after the last whole event of the last stream that ended.
+    attempt : AttemptState
+        State of the last attempt.
+    shared_parts : frozenset of str
+        Keys of the parts of the prompt that other requests may have as well.
     """
 
     exchange: Exchange
@@ -94,8 +95,8 @@
     attempt_pending: bool = False
     response_complete: bool = False
     typical_prompt_tokens: float = 0.0
-    framing: Framing | None = None
-    unfinished_bytes: int = 0
+    attempt: "AttemptState" = attrs.field(factory=lambda: AttemptState())
+    shared_parts: Parts = frozenset()
 
     @property
     def prompt(self) -> Prompt | None:
@@ -138,6 +139,29 @@
         return max(0, min(9, rank))
 
 
+@attrs.define(kw_only=True)
+class AttemptState:
+    """What has arrived of the response to one attempt.
+
+    Parameters
+    ----------
+    framing : Framing or None
+        How the response marks its end; None before its head.
+    unfinished_bytes : int
+        Bytes of an event that a stream ended in.
+    first_event_at : float or None
+        When the first event arrived, in seconds since boot.
+    is_answered : bool
+        Whether the server has answered for long enough to show that the request does
+        not crash it.
+    """
+
+    framing: Framing | None = None
+    unfinished_bytes: int = 0
+    first_event_at: float | None = None
+    is_answered: bool = False
+
+
 class AttemptError(Exception):
     """An attempt failed without a response that may be forwarded to the caller.
 
--- /dev/null
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -0,0 +1,259 @@
+"""Tells the other entries which requests servers lost, and which parts are blocked.
+
+An entry sees only some of the requests that crash servers, so all entries judge the
+same reports. A few repeat the blocks, for entries that missed a message or have just
+started.
+"""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import attrs
+import trio
+
+from foxtailcourse.fleet import ServerRun
+from foxtailcourse.ingress._limit_shares import LimitShares
+from foxtailcourse.ingress._part_suspicions import (
+    Block,
+    BreakReport,
+    Parts,
+    PartSuspicions,
+)
+from foxtailcourse.ingress._peer_messages import (
+    AnsweredPartsUpdate,
+    BlockedPartsUpdate,
+    BreaksUpdate,
+    Message,
+)
+from foxtailcourse.ingress._peers import PeerDirectory
+from foxtailcourse.ingress._relays import weighted_rank
+from foxtailcourse.observe import EventLog
+
+# Requests that break off together are reported together.
+BATCH_S = 0.02
+# Crashes are judged in this period while reports may still arrive.
+JUDGE_PERIOD_S = 0.05
+# Blocks are sent again in this period, by so many entries.
+REPEAT_PERIOD_S = 1.0
+PUBLISHERS = 3
+# An entry that ends a block repeats this for so long.
+REPEAT_CLEARED_S = 5.0
+# Parts of a request, and requests, that fit into a datagram.
+MAX_PARTS = 12
+REQUESTS_PER_MESSAGE = 4
+# No other entry blocks parts for longer.
+MAX_REMAINING_MS = 3_600_000
+
+
+@attrs.define(kw_only=True)
+class PartExchange:
+    """Judges crashes with the other entries, and keeps their blocks.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    suspicions : PartSuspicions
+        The crashes and blocks.
+    shares : LimitShares
+        The entries that may be sending requests.
+    peers : PeerDirectory
+        The registered entries.
+    send : coroutine function
+        Sends a message to entries.
+    clock : callable
+        Returns seconds since boot.
+    events : EventLog
+        Receives an event for each block that begins or is ended by an answer.
+    """
+
+    vm: str
+    suspicions: PartSuspicions
+    shares: LimitShares
+    peers: PeerDirectory
+    send: Callable[[Message, Iterable[str]], Awaitable[None]]
+    clock: Callable[[], float]
+    events: EventLog
+    _pending: list[Message] = attrs.field(factory=list, init=False)
+    # When this entry ended blocks, by their parts.
+    _cleared_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
+    _wakeup: trio.Event = attrs.field(factory=trio.Event, init=False)
+
+    # Requests of this entry
+
+    def wait_s(self, request: Parts) -> float:
+        """Return for how long a request must not be sent, in seconds."""
+        return self.suspicions.wait_s(request, self.rank, self.clock())
+
+    def record_sent(self, request: Parts) -> None:
+        """Record a request that is sent to a server."""
+        self.suspicions.record_sent(request, self.clock())
+
+    def record_broken_off(self, run: ServerRun, request: Parts, *, begun: bool) -> None:
+        """Record a request without an event that broke off.
+
+        Parameters
+        ----------
+        run : ServerRun
+            Run of the server.
+        request : frozenset of str
+            Parts of the request.
+        begun : bool
+            Whether the head of the response had arrived.
+        """
+        if not request or len(request) > MAX_PARTS:
+            return
+        lost = (request,)
+        report = BreakReport(run, lost if begun else (), () if begun else lost)
+        self.suspicions.report(report, self.clock())
+        rows = [sorted(request)]
+        self._publish(
+            BreaksUpdate(
+                run.server_id,
+                run.started_ms,
+                rows if begun else [],
+                [] if begun else rows,
+            )
+        )
+
+    def record_answered(self, request: Parts) -> None:
+        """Record that a server answers a request."""
+        if not request:
+            return
+        now = self.clock()
+        for parts in self.suspicions.record_answered(request, now):
+            self._log_cleared(parts)
+            self._cleared_at[parts] = now
+            self._publish(AnsweredPartsUpdate(sorted(parts), 0))
+
+    def rank(self, parts: Parts) -> int:
+        """Return how many entries come before this one for some parts."""
+        now = self.clock()
+        members = self.shares.members(now)
+        if not self.shares.is_settled(now):
+            return len(members)
+        key = "parts/" + "+".join(sorted(parts))
+        own = weighted_rank(key, self.vm, 1.0)
+        others = members - {self.vm}
+        return sum(weighted_rank(key, each, 1.0) < own for each in others)
+
+    # Messages
+
+    def handle(
+        self,
+        message: BreaksUpdate | BlockedPartsUpdate | AnsweredPartsUpdate,
+        sender: str,
+    ) -> None:
+        """Handle one message of the registered entry ``sender``."""
+        now = self.clock()
+        match message:
+            case BreaksUpdate(server_id, started_ms, begun, waiting):
+                report = BreakReport(
+                    ServerRun(server_id, started_ms),
+                    _requests(begun),
+                    _requests(waiting),
+                )
+                self.suspicions.report(report, now)
+                self._wakeup.set()
+            case BlockedPartsUpdate(row, remaining_ms, times):
+                if row and 0 < remaining_ms <= MAX_REMAINING_MS and times > 0:
+                    parts = frozenset(row)
+                    self.adopt(parts, remaining_ms / 1000, times, by_entry=sender)
+            case AnsweredPartsUpdate(row, age_ms):
+                parts, answered_at = frozenset(row), now - max(0, age_ms) / 1000
+                if self.suspicions.record_answered_elsewhere(parts, answered_at, now):
+                    self._log_cleared(parts, by_entry=sender)
+
+    def adopt(
+        self, parts: Parts, remaining_s: float, times: int, *, by_entry: str = ""
+    ) -> None:
+        """Block parts as another entry does, or tell all why not.
+
+        ``by_entry`` is the other entry; empty if the block was read from the store.
+        """
+        now = self.clock()
+        if self.suspicions.contradicts(parts, now):
+            age_s = now - self.suspicions.answered_at(parts)
+            self._publish(AnsweredPartsUpdate(sorted(parts), int(age_s * 1000)))
+        elif self.suspicions.adopt(parts, remaining_s, times, now):
+            self._log_blocked(parts, remaining_s, times, by_entry or "store")
+
+    def _publish(self, message: Message) -> None:
+        self._pending.append(message)
+        self._wakeup.set()
+
+    async def run(self) -> None:
+        """Judge crashes and send messages until cancelled."""
+        repeated_at = self.clock()
+        while True:
+            pause_s = JUDGE_PERIOD_S if self.suspicions.has_unjudged else 1.0
+            with trio.move_on_after(pause_s):
+                await self._wakeup.wait()
+            self._wakeup = trio.Event()
+            await trio.sleep(BATCH_S)
+            pending, self._pending = self._pending, []
+            for message in _merged(pending):
+                await self.send(message, self.peers)
+            now = self.clock()
+            blocked = self.suspicions.judge(now)
+            for parts, block in blocked.items():
+                self._log_blocked(parts, block.until - now, block.times)
+            if now - repeated_at >= REPEAT_PERIOD_S:
+                repeated_at = now
+                blocked = self.suspicions.active_blocks(now)
+                self._repeat_cleared(now)
+            await self._send_blocks(blocked, now)
+
+    def _repeat_cleared(self, now: float) -> None:
+        """Repeat for a while which blocks this entry has ended."""
+        for parts, cleared_at in list(self._cleared_at.items()):
+            age_s = now - cleared_at
+            if age_s >= REPEAT_CLEARED_S:
+                del self._cleared_at[parts]
+            else:
+                self._publish(AnsweredPartsUpdate(sorted(parts), int(age_s * 1000)))
+
+    async def _send_blocks(self, blocks: dict[Parts, Block], now: float) -> None:
+        for parts, block in blocks.items():
+            if self.rank(parts) < PUBLISHERS:
+                remaining_ms = int((block.until - now) * 1000)
+                message = BlockedPartsUpdate(sorted(parts), remaining_ms, block.times)
+                await self.send(message, self.peers)
+
+    def _log_blocked(
+        self, parts: Parts, remaining_s: float, times: int, by_entry: str = ""
+    ) -> None:
+        self.events.emit(
+            "parts_blocked",
+            parts=",".join(sorted(parts)),
+            remaining_ms=int(remaining_s * 1000),
+            times=times,
+            by_entry=by_entry or None,
+        )
+
+    def _log_cleared(self, parts: Parts, by_entry: str = "") -> None:
+        self.events.emit(
+            "parts_cleared", parts=",".join(sorted(parts)), by_entry=by_entry or None
+        )
+
+
+def _requests(rows: list[list[str]]) -> tuple[Parts, ...]:
+    return tuple(frozenset(row) for row in rows if row)
+
+
+def _merged(messages: list[Message]) -> list[Message]:
+    """Return messages with the reports of each run in as few as fit a datagram."""
+    merged: list[Message] = []
+    open_reports: dict[ServerRun, BreaksUpdate] = {}
+    for message in messages:
+        if not isinstance(message, BreaksUpdate):
+            merged.append(message)
+            continue
+        run = ServerRun(message.server_id, message.started_ms)
+        report = open_reports.get(run)
+        if report is None or len(report) >= REQUESTS_PER_MESSAGE:
+            open_reports[run] = message
+            merged.append(message)
+        else:
+            report.begun += message.begun
+            report.waiting += message.waiting
+    return merged
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -22,6 +22,9 @@
 from foxtailcourse.ingress._origin_exchange import OriginExchange
 from foxtailcourse.ingress._peer_messages import (
     MAX_DATAGRAM_BYTES,
+    AnsweredPartsUpdate,
+    BlockedPartsUpdate,
+    BreaksUpdate,
     CacheBatch,
     CacheUpdate,
     ConfigurationNotice,
@@ -107,6 +110,8 @@
         Called with a server of which the entry ``by_entry`` says that it leaves.
     on_limits : callable
         Handles statements of servers on their limits that another entry published.
+    on_parts : callable
+        Handles what another entry tells of crashes and of blocked prompt parts.
     on_configuration_query : coroutine function
         Answers a query for the version of the configuration, given its address.
     on_configuration_notice : callable
@@ -140,6 +145,9 @@
     )
     cache_snapshot: Callable[[], list[CacheUpdate]] = attrs.field(default=list)
     on_leaving: Callable[..., None] = attrs.field(default=lambda server, by_entry: None)
+    on_parts: Callable[
+        [BreaksUpdate | BlockedPartsUpdate | AnsweredPartsUpdate, str], None
+    ] = attrs.field(default=lambda message, sender: None)
     on_limits: Callable[[LimitsUpdate, str], None] = attrs.field(
         default=lambda message, sender: None
     )
@@ -243,6 +251,8 @@
                     self.on_cache_update(update)
             case LimitsUpdate():
                 self.on_limits(message, sender)
+            case BreaksUpdate() | BlockedPartsUpdate() | AnsweredPartsUpdate():
+                self.on_parts(message, sender)
             case ConfigurationNotice():
                 self.on_configuration_notice(message, sender)
             case OriginsUpdate() | OriginQuery() | OriginAnswer():
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -110,6 +110,63 @@
     rows: list[tuple[str, int, float | None, int]]
 
 
+class BreaksUpdate(msgspec.Struct, array_like=True, tag="breaks"):
+    """Requests without an event that the sending entry lost as a server broke off.
+
+    Parameters
+    ----------
+    server_id : str
+        Identifier of the server.
+    started_ms : int
+        Its start time in milliseconds.
+    begun : list of list of str
+        Keys of the parts of each request that the server had begun to answer.
+    waiting : list of list of str
+        The same of the others.
+    """
+
+    server_id: str
+    started_ms: int
+    begun: list[list[str]]
+    waiting: list[list[str]]
+
+    def __len__(self) -> int:
+        return len(self.begun) + len(self.waiting)
+
+
+class BlockedPartsUpdate(msgspec.Struct, array_like=True, tag="blocked"):
+    """Requests with all of some parts are refused.
+
+    Parameters
+    ----------
+    parts : list of str
+        Keys of the parts.
+    remaining_ms : int
+        For how much longer, in milliseconds.
+    times : int
+        How many times the parts have been blocked so far.
+    """
+
+    parts: list[str]
+    remaining_ms: int
+    times: int
+
+
+class AnsweredPartsUpdate(msgspec.Struct, array_like=True, tag="answered"):
+    """A server answered a request with parts that are blocked.
+
+    Parameters
+    ----------
+    parts : list of str
+        Keys of the parts.
+    age_ms : int
+        How long ago, in milliseconds.
+    """
+
+    parts: list[str]
+    age_ms: int
+
+
 class ConfigurationQuery(msgspec.Struct, array_like=True, tag="config?"):
     """Asks which version of the configuration an entry uses.
 
@@ -179,6 +236,9 @@
     | SnapshotRequest
     | LeavingUpdate
     | LimitsUpdate
+    | BreaksUpdate
+    | BlockedPartsUpdate
+    | AnsweredPartsUpdate
     | ConfigurationQuery
     | ConfigurationNotice
     | OriginsUpdate
--- a/src/foxtailcourse/ingress/_recent_weights.py
+++ b/src/foxtailcourse/ingress/_recent_weights.py
@@ -14,14 +14,10 @@
 import trio
 
 from foxtailcourse.fleet import MAX_RECENT_STATE_AGE_S, FleetView
+from foxtailcourse.ingress._leased_record import MAX_GRANT_S, write_leased_record
 from foxtailcourse.ingress._settings import MAX_LEASE_MS
 from foxtailcourse.observe import EventLog
-from foxtailcourse.platform import (
-    KeyValueStore,
-    PlatformError,
-    Put,
-    StoreRestoredError,
-)
+from foxtailcourse.platform import KeyValueStore, PlatformError
 
 RECENT_WEIGHTS_PREFIX = "ingress/weights/"
 CHECK_PERIOD_S = 0.2
@@ -29,8 +25,6 @@
 # and spread their calls by this time for each entry.
 MIN_FOLLOWER_DELAY_S = 1.5
 FOLLOWER_SPREAD_S = 0.1
-# Longest time in which a lease is granted; it runs from an unknown moment of it.
-MAX_GRANT_S = 1.0
 # Time until a key that was written must have been read, before it is written again.
 REWRITE_PAUSE_S = 2.0
 
@@ -159,28 +153,14 @@
     async def _write_leased(self, model: str, version: int) -> float:
         """Write a key that ends in time; return its time to live in seconds.
 
-        The lease runs from when the store receives the call, which may be long after
-        it was sent. A key that a restored store has from its copy is replaced.
-
         Raises
         ------
         PlatformError
             If the key may not have been written.
         """
-        key, sent_at = recent_weights_key(model, version), self.clock()
-        ttl_s = min(self.remaining_s(model, version, sent_at), MAX_LEASE_MS / 1000)
+        key = recent_weights_key(model, version)
+        ttl_s = min(self.remaining_s(model, version, self.clock()), MAX_LEASE_MS / 1000)
         if ttl_s < self.min_ttl_s:
             raise PlatformError("too late for a lease", may_have_applied=False)
-        lease, era = await self.store.lease_grant(ttl_s), self.store.era
-        if self.clock() - sent_at > MAX_GRANT_S:
-            await self.store.lease_revoke(lease)
-            raise PlatformError("the lease took too long", may_have_applied=False)
-        written = await self.store.txn({}, [Put(key=key, value=b"1", lease=lease)])
-        if written.era != era:
-            # The restored store may have assigned the lease to another holder.
-            await self.store.txn({}, delete=[key])
-            raise StoreRestoredError(
-                f"the store went from era {era} to {written.era}",
-                may_have_applied=False,
-            )
+        await write_leased_record(self.store, key, b"1", ttl_s, self.clock)
         return ttl_s
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -64,6 +64,13 @@
     "time, with `fence`",
     "orders_lost": "this entry is no longer the leader that sends orders, for `reason`",
     "out_of_service": "the agent accepts no work while its engine loads weights",
+    "parts_blocked": "requests with all of `parts` are refused, as such requests crash "
+    "servers; `by_entry` names the entry that told, or `store`",
+    "parts_cleared": "a server answered a request with `parts`, which are no longer "
+    "blocked; `by_entry` names the entry that told, if it was another one",
+    "parts_record_failed": "a record of blocked parts could not be written or removed; "
+    "it is tried again",
+    "parts_recorded": "blocked parts were written to the store for `ttl_ms`",
     "peer_unreadable": "the registration of another entry cannot be decoded; it gets "
     "no messages",
     "peer_failed": "the configuration could not be read from a peer",
@@ -201,6 +208,7 @@
 
 REASONS = {
     "all_tried": "every server that could take the request has been tried",
+    "blocked_parts": "requests with the same parts of the prompt crash servers",
     "broken_off": "the server's connection broke before the response was complete",
     "configuration_stale": "the configuration is too old to base a denial on",
     "connection_limit": "every server is at its connection limit",
--- a/tests/ingress/test_deadly_parts.py
+++ b/tests/ingress/test_deadly_parts.py
@@ -3,6 +3,8 @@
 from testtools.matchers import Equals
 
 from cluster import wait_until
+from foxtailcourse.ingress._part_records import record_key
+from foxtailcourse.ingress._part_suspicions import request_parts
 from foxtailcourse.standin._backend_server import BackendServerFaults, part_names
 from support import run_with
 
@@ -18,10 +20,10 @@
         for name in ("m1", "m2"):
             fleet.servers[name].faults = BackendServerFaults(deadly_part=part)
 
-    async def start_second_entry(self, fleet):
+    async def start_second_entry(self, fleet, entries=2):
         second = await fleet.start_entry("e2")
         await wait_until(lambda: len(second.app.status()["servers"]) == 4)
-        await wait_until(lambda: len(second.app.status()["entries"]) == 2)
+        await wait_until(lambda: len(second.app.status()["entries"]) >= entries)
         return second
 
     def deadly_runs(self, fleet, part):
@@ -59,3 +61,39 @@
         self.assertLessEqual(
             len(self.deadly_runs(fleet, "dd")), CRASHES + MAX_FURTHER_REQUESTS
         )
+
+    async def block(self, fleet, entry):
+        """Let servers crash until the entry refuses requests with the part."""
+        self.make_deadly(fleet, "dd")
+        while not entry.events("parts_blocked"):
+            await fleet.call(entry, "brief", stream=3, parts="aa:60,dd:9,x:5")
+            await trio.sleep(0.3)
+        await wait_until(lambda: entry.events("parts_recorded"))
+        await wait_until(lambda: not any(e.down for e in fleet.servers.values()))
+
+    @run_with("with_fleet")
+    async def test_entry_that_starts_later_refuses_the_part(self, fleet, entry):
+        await self.block(fleet, entry)
+        count = len(self.deadly_runs(fleet, "dd"))
+        # No other entry is left to tell of the block.
+        entry.scope.cancel()
+        await entry.ended.wait()
+        second = await self.start_second_entry(fleet, entries=1)
+        await wait_until(lambda: second.app.readiness().ready)
+        response = await fleet.call(second, "brief", stream=3, parts="aa:9,dd:9,x:5")
+        self.assertThat(response.status, Equals(503))
+        self.assertThat(response.body, Equals(b"blocked_parts"))
+        self.assertGreater(float(response.headers["retry-after"]), 1.0)
+        self.assertThat(len(self.deadly_runs(fleet, "dd")), Equals(count))
+
+    @run_with("with_fleet")
+    async def test_block_is_written_again_to_a_restored_store(self, fleet, entry):
+        before = fleet.platform.revision
+        await self.block(fleet, entry)
+        fleet.platform.restore(before)
+        fleet.configure()
+        for server in fleet.servers.values():
+            fleet.register(server)
+        await wait_until(lambda: len(entry.events("parts_recorded")) > 1)
+        key = record_key(request_parts("llm", ["aa", "dd", "x"]))
+        self.assertIsNotNone(fleet.platform.get(key))
--- /dev/null
+++ b/tests/ingress/test_part_suspicions.py
@@ -0,0 +1,141 @@
+import testtools
+from testtools.matchers import Equals
+
+from foxtailcourse.fleet import ServerRun
+from foxtailcourse.ingress._part_suspicions import (
+    FIRST_BLOCK_S,
+    MIN_SEPARATION_S,
+    PAROLE_S,
+    SETTLE_S,
+    TRIAL_SPACING_S,
+    BreakReport,
+    PartSuspicions,
+    block_s,
+)
+
+NOW = 100.0
+JUDGED_S = SETTLE_S + 0.01
+DEADLY = frozenset({"deadly"})
+
+
+def parts(*names):
+    return frozenset(names)
+
+
+class TestPartSuspicions(testtools.TestCase):
+    """Guards servers against deadly parts, and sound requests against suspicions."""
+
+    def setUp(self):
+        super().setUp()
+        self.suspicions = PartSuspicions()
+        self.crashes = 0
+
+    def crash(self, at, *begun, waiting=()):
+        """Report a crash of another server and return the parts then blocked."""
+        self.crashes += 1
+        run = ServerRun(f"m{self.crashes}", 1)
+        for request in begun:
+            self.suspicions.report(BreakReport(run, begun=(parts(*request),)), at)
+        for request in waiting:
+            self.suspicions.report(BreakReport(run, waiting=(parts(*request),)), at)
+        return set(self.suspicions.judge(at + JUDGED_S))
+
+    def wait_s(self, *names, at, rank=0):
+        return self.suspicions.wait_s(parts(*names), lambda blocked: rank, at)
+
+    def test_common_part_of_two_crashes_is_blocked_and_no_other(self):
+        self.assertThat(self.crash(NOW, ("a", "deadly")), Equals(set()))
+        self.assertThat(self.crash(NOW + 2, ("b", "deadly")), Equals({DEADLY}))
+        self.assertTrue(self.wait_s("c", "deadly", at=NOW + 3) > 0)
+        for name in ("a", "b"):
+            self.assertThat(self.wait_s(name, "c", at=NOW + 3), Equals(0.0))
+
+    def test_requests_with_a_part_of_the_blocked_ones_are_served(self):
+        for at in (NOW, NOW + 2):
+            blocked = self.crash(at, ("a", "deadly"))
+        self.assertThat(blocked, Equals({parts("a", "deadly")}))
+        self.assertThat(self.wait_s("a", at=NOW + 3), Equals(0.0))
+        # A crash without the companion shows which part it is.
+        self.assertThat(self.crash(NOW + 4, ("b", "deadly")), Equals({DEADLY}))
+        self.assertTrue(self.wait_s("c", "deadly", at=NOW + 5) > 0)
+
+    def test_begun_requests_explain_a_crash_before_waiting_ones(self):
+        self.crash(NOW, ("a", "deadly"), waiting=[("hot", "x")])
+        blocked = self.crash(NOW + 2, ("b", "deadly"), waiting=[("hot", "x")])
+        self.assertThat(blocked, Equals({DEADLY}))
+
+    def test_waiting_requests_are_suspected_if_none_had_begun(self):
+        self.crash(NOW, waiting=[("a", "deadly"), ("b",)])
+        blocked = self.crash(NOW + 2, waiting=[("c", "deadly"), ("d",)])
+        self.assertThat(blocked, Equals({DEADLY}))
+
+    def test_servers_that_fail_together_count_as_one_crash(self):
+        for delay_s in (0.0, 0.1, 0.9 * MIN_SEPARATION_S):
+            self.assertThat(self.crash(NOW + delay_s, ("hot",)), Equals(set()))
+
+    def test_part_that_is_answered_between_crashes_is_not_blocked(self):
+        for number in range(8):
+            self.assertThat(self.crash(NOW + 2 * number, ("hot",)), Equals(set()))
+            self.suspicions.record_answered(parts("hot", "x"), NOW + 2 * number + 1)
+
+    def test_part_that_was_sound_before_is_blocked_after_three_crashes(self):
+        self.suspicions.record_answered(parts("a", "deadly"), NOW - 9)
+        blocked = [self.crash(NOW + 2 * n, (str(n), "deadly")) for n in range(3)]
+        self.assertThat(blocked, Equals([set(), set(), {DEADLY}]))
+
+    def test_suspicion_ends_by_itself_and_each_entry_tries_once(self):
+        self.crash(NOW, ("a", "sound"))
+        self.crash(NOW + 2, ("b", "sound"))
+        end = NOW + 2 + JUDGED_S + FIRST_BLOCK_S
+        self.assertTrue(self.wait_s("sound", at=end - 0.1) > 0)
+        self.assertThat(self.wait_s("sound", at=end + 0.1), Equals(0.0))
+        later = self.wait_s("sound", at=end, rank=3)
+        self.assertThat(later, Equals(3 * TRIAL_SPACING_S))
+        self.suspicions.record_sent(parts("sound"), end + 0.1)
+        self.assertTrue(self.wait_s("sound", at=end + 0.2) > 0)
+        ended = self.suspicions.record_answered(parts("sound", "c"), end + 1)
+        self.assertThat(ended, Equals([parts("sound")]))
+        self.assertThat(self.wait_s("sound", at=end + 1, rank=9), Equals(0.0))
+
+    def test_crash_after_the_end_of_a_block_begins_a_longer_one(self):
+        self.crash(NOW, ("a", "deadly"))
+        self.crash(NOW + 2, ("b", "deadly"))
+        at = NOW + 2 + FIRST_BLOCK_S + 5
+        # A request that was sent before the block changes nothing.
+        self.assertThat(self.crash(NOW + 3, ("c", "deadly")), Equals(set()))
+        self.assertThat(self.crash(at, ("d", "deadly", "e")), Equals({DEADLY}))
+        remaining_s = self.wait_s("deadly", at=at + JUDGED_S)
+        self.assertAlmostEqual(remaining_s, block_s(2))
+        self.suspicions.judge(at + block_s(2) + PAROLE_S + 1)
+        self.assertThat(self.wait_s("deadly", at=at, rank=9), Equals(0.0))
+
+    def test_straggler_that_is_answered_ends_a_wrong_block(self):
+        self.crash(NOW, ("sound",))
+        self.crash(NOW + 2, ("sound",))
+        self.assertTrue(self.wait_s("sound", at=NOW + 3) > 0)
+        self.suspicions.record_answered(parts("sound"), NOW + 3)
+        self.assertThat(self.wait_s("sound", at=NOW + 3), Equals(0.0))
+
+    def test_entry_that_saw_an_answer_contradicts_a_block(self):
+        self.suspicions.record_answered(parts("sound", "x"), NOW)
+        self.assertTrue(self.suspicions.contradicts(parts("sound"), NOW + 1))
+        other = PartSuspicions()
+        self.assertFalse(other.contradicts(parts("sound"), NOW + 1))
+        other.adopt(parts("sound"), 20.0, 1, NOW + 1)
+        self.assertTrue(other.record_answered_elsewhere(parts("sound"), NOW, NOW + 1))
+        self.assertThat(other.active_blocks(NOW + 1), Equals({}))
+
+    def test_crashes_of_a_part_outweigh_answers_before_them(self):
+        for number in range(3):
+            self.crash(NOW + 2 * number, (str(number), "deadly"))
+        self.assertFalse(
+            self.suspicions.record_answered_elsewhere(DEADLY, NOW - 1, NOW + 6)
+        )
+        self.assertTrue(self.wait_s("deadly", at=NOW + 6) > 0)
+
+    def test_shorter_block_of_another_entry_changes_nothing(self):
+        self.suspicions.adopt(DEADLY, 25.0, 1, NOW)
+        self.assertFalse(self.suspicions.adopt(DEADLY, 5.0, 1, NOW))
+        self.assertFalse(self.suspicions.adopt(frozenset(), 5.0, 1, NOW))
+        self.assertTrue(self.suspicions.adopt(DEADLY, 1e9, 2, NOW))
+        self.assertAlmostEqual(self.wait_s("deadly", at=NOW), block_s(2))
