Let the soak crash servers with a prompt part

15% of the streams have, for some seconds, a part that crashes each model server that begins to answer them. Two checks: at most three such requests reach a server later than three seconds after the fifth crash, and sound streams begin at least half as often as before.

--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -17,6 +17,7 @@
 LEAVING = "server-leaving"
 LIMIT = "server-limit"
 MAX_EVENTS_WAIT_S = 1.0
+BEGUN_EVENT = b"id: "
 
 
 class BackendServerFaults(msgspec.Struct, kw_only=True):
@@ -58,9 +59,6 @@
     late_orders_s : float
         Delay of each order, in seconds; if it is then accepted, its connection is
         aborted.
-    deadly_part : str
-        Part of a prompt that crashes the server when it begins to answer; empty for
-        none.
     """
 
     refuse: bool = False
@@ -78,7 +76,6 @@
     retry_after: str = ""
     limit: str = ""
     late_orders_s: float = 0.0
-    deadly_part: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -179,6 +176,9 @@
         Highest fencing token received; orders with a lower one are refused.
     started_ms : int
         Start time in milliseconds since 1970.
+    deadly_part : str
+        Part of a prompt that crashes the server when it begins to answer; empty for
+        none.
     restart_s : float
         Time from a crash until the server has started again, in seconds.
     down : bool
@@ -205,6 +205,7 @@
     draining: bool = False
     highest_fencing_token: int = 0
     started_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    deadly_part: str = ""
     restart_s: float = 0.3
     down: bool = False
     crashed_at: list[float] = attrs.field(factory=list)
@@ -246,7 +247,13 @@
                 await self._respond(exchange)
             finally:
                 self._running.discard(scope)
-        if scope.cancelled_caught:
+        if not scope.cancelled_caught:
+            return
+        if self.faults.unframed and exchange.response_started:
+            # Between events, the end would be that of a complete stream.
+            await exchange.send(BEGUN_EVENT)
+            await exchange.end_stream()
+        else:
             exchange.abort()
 
     def crash(self) -> None:
@@ -416,7 +423,7 @@
         if self.faults.unframed:
             exchange.end_with_connection()
         await exchange.start_stream(200, headers)
-        if self.faults.deadly_part in part_names(run.headers):
+        if self.deadly_part in part_names(run.headers):
             self.crash()
             await trio.sleep_forever()
         for number in range(run.position + 1, output_tokens + 1):
--- a/tests/ingress/test_deadly_parts.py
+++ b/tests/ingress/test_deadly_parts.py
@@ -5,7 +5,7 @@
 from cluster import wait_until
 from foxtailcourse.ingress._part_records import record_key
 from foxtailcourse.ingress._part_suspicions import request_parts
-from foxtailcourse.standin._backend_server import BackendServerFaults, part_names
+from foxtailcourse.standin._backend_server import part_names
 from support import run_with
 
 # Bound of the platform: so many further requests with a part under which so many
@@ -18,7 +18,7 @@
 
     def make_deadly(self, fleet, part):
         for name in ("m1", "m2"):
-            fleet.servers[name].faults = BackendServerFaults(deadly_part=part)
+            fleet.servers[name].deadly_part = part
 
     async def start_second_entry(self, fleet, entries=2):
         second = await fleet.start_entry("e2")
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -30,6 +30,12 @@
 MIN_RESUMED_STREAMS = 12
 CONTACT_S = 1.5
 REACTION_S = 0.5
+# Bounds of the platform: so many requests with a part that crashes servers reach them,
+# later than this after so many crashes; the share of sound streams that begin is
+# compared with that before from so many on.
+DEADLY_CRASHES, MAX_DEADLY_REQUESTS = 5, 3
+DEADLY_CONTACT_S = 3.0
+MIN_SOUND_STREAMS = 20
 
 
 @attrs.define(kw_only=True)
@@ -61,6 +67,8 @@
     resumes : str
         Request whose response had the first events of the stream that this one
         resumes; empty for a new stream.
+    deadly : bool
+        Whether its prompt has the part that crashes servers.
     """
 
     id: str
@@ -74,6 +82,7 @@
     vm: str = ""
     leaving_at: float = 0.0
     resumes: str = ""
+    deadly: bool = False
 
     @property
     def software_versions(self) -> list[str]:
@@ -108,6 +117,8 @@
         also disturbed before it registers and from when it leaves.
     server_versions : dict of str to str
         Software version of each server of the model service.
+    crashes : list of float
+        Times at which requests crashed servers.
     """
 
     sent: dict[str, RequestRecord] = attrs.field(factory=dict)
@@ -119,6 +130,7 @@
     disturbed: set[str] = attrs.field(factory=set)
     disturbances: list[tuple[str, float, float]] = attrs.field(factory=list)
     server_versions: dict[str, str] = attrs.field(factory=dict)
+    crashes: list[float] = attrs.field(factory=list)
 
     def is_calm(self, name: str, at: float) -> bool:
         """Return whether no fault at an entry, server or store is near a time."""
@@ -168,6 +180,8 @@
         *_limit_violations(observations),
         *_version_violations(observations),
         *_resumption_violations(observations),
+        *_deadly_violations(observations),
+        *_sound_violations(observations),
     ]
 
 
@@ -286,6 +300,7 @@
         at = request.sent_at
         if (
             request.kind != "ask"
+            or request.deadly
             or at > observations.removed_keys.get(request.key, at)
             or not all(observations.is_calm(each, at) for each in (request.vm, "store"))
         ):
@@ -318,6 +333,73 @@
     ]
 
 
+def _deadly_violations(observations: Observations) -> list[str]:
+    """Return whether too many requests with a deadly part reached servers.
+
+    Those near a fault of their entry or of the store do not count.
+    """
+    crashes = sorted(observations.crashes)
+    if len(crashes) < DEADLY_CRASHES:
+        return []
+    start = crashes[DEADLY_CRASHES - 1] + DEADLY_CONTACT_S
+    late = [
+        run.request_id
+        for run in observations.runs
+        if run.at > start
+        and (request := observations.sent.get(run.request_id)) is not None
+        and request.deadly
+        and all(observations.is_calm(each, run.at) for each in (request.vm, "store"))
+    ]
+    if len(late) <= MAX_DEADLY_REQUESTS:
+        return []
+    return [
+        f"{len(late)} requests with a part that crashes servers after "
+        f"{DEADLY_CRASHES} crashes, as {late[0]}; {len(crashes)} crashes in all"
+    ]
+
+
+def sound_outcomes(observations: Observations) -> tuple[list[bool], list[bool]]:
+    """Return which sound streams began before the first crash, and long after.
+
+    Long after are those while requests with the deadly part still come, from twice the
+    reaction time after the fifth crash, or the last one if there are fewer.
+    """
+    crashes = sorted(observations.crashes)
+    deadly_at = [each.sent_at for each in observations.sent.values() if each.deadly]
+    if not crashes or not deadly_at:
+        return [], []
+    last = crashes[min(len(crashes), DEADLY_CRASHES) - 1]
+    before, after = [], []
+    for request in observations.sent.values():
+        at = request.sent_at
+        if (
+            not request.events
+            or request.deadly
+            or request.resumes
+            or at > observations.removed_keys.get(request.key, at)
+            or not all(observations.is_calm(each, at) for each in (request.vm, "store"))
+        ):
+            continue
+        if at < crashes[0]:
+            before.append(bool(request.software_versions))
+        elif last + 2 * DEADLY_CONTACT_S < at < max(deadly_at):
+            after.append(bool(request.software_versions))
+    return before, after
+
+
+def _sound_violations(observations: Observations) -> list[str]:
+    """Return whether sound streams begin far less often because of deadly ones."""
+    before, after = sound_outcomes(observations)
+    if min(len(before), len(after)) < MIN_SOUND_STREAMS:
+        return []
+    if 2 * sum(after) * len(before) >= sum(before) * len(after):
+        return []
+    return [
+        f"{sum(after)} of {len(after)} sound streams began after the crashes, and "
+        f"{sum(before)} of {len(before)} before"
+    ]
+
+
 def _response_violations(request: RequestRecord, received: int) -> list[str]:
     """Return violations in one response.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -55,6 +55,11 @@
 # A server that names a limit does so longer than other faults last, in seconds for each
 # second; the limit is judged over windows of some seconds.
 LIMIT_FAULT_FACTOR = 2.0
+# Part that crashes a model server, and the fraction of streams that have it while it is
+# in use; the time of its use, as a multiple of that of other faults.
+DEADLY_PART = "dead"
+DEADLY_FRACTION = 0.15
+DEADLY_FAULT_FACTOR = 4.0
 # Further requests of a caller for one stream, and the fraction of its streams of which
 # it loses the connection by itself.
 MAX_RESUMPTIONS = 4
@@ -72,6 +77,7 @@
         self.version = 1
         self.desired_weights = 0
         self.interrupted = False
+        self._deadly_uses = 0
         self._entries = entries
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
@@ -93,7 +99,8 @@
         "server", a proxy fault; "worker", a refused, failed or wrong response of a
         backend server; "signal", a signal to an entry; "outage", a fault of the store
         itself; and "operator", a change of the configuration or of a registration, or
-        a release, which replaces the servers of the model service.
+        a release, which replaces the servers of the model service; and "callers",
+        requests with a prompt part that crashes servers.
         """
         entries = [f"e{n}" for n in range(self._entries)]
         servers = ["c0", "c1", "c2", *MODEL_SERVERS]
@@ -114,6 +121,7 @@
                 ["store"],
             ),
             "operator": (["config", "key", "weights", "drain", "release"], ["store"]),
+            "callers": (["deadly"], ["callers"]),
         }
         plan, now = [], 1.0
         while now < self.seconds:
@@ -150,6 +158,10 @@
                 (server.id, each) for each in server.refusals
             ]
             self.observations.orders += [(server.id, order) for order in server.orders]
+            self.observations.crashes += server.crashed_at
+            self.observations.disturbances += [
+                (server.id, at, at + server.restart_s) for at in server.crashed_at
+            ]
         return violations(self.observations)
 
     async def _start_fleet(self, nursery) -> None:
@@ -171,6 +183,7 @@
             {MODEL: max(1, self.desired_weights)},
             event_s=MODEL_EVENT_S,
             software_version=version,
+            deadly_part=DEADLY_PART,
         )
         self.observations.server_versions[server.id] = version
         await self._start_server(nursery, slot, server)
@@ -193,7 +206,7 @@
 
     def _register_server(self, server) -> None:
         key = f"servers/{server.id}"
-        if server.id in self._ended_servers:
+        if server.id in self._ended_servers or server.down:
             self.platform._apply([], [key])
             return
         entry = server.registration(str(self._addresses[server.id]), "palermo")
@@ -268,6 +281,11 @@
         if kind == "operator":
             await self._run_operator_action(nursery, fault_mode, duration_s)
             return
+        if kind == "callers":
+            self._deadly_uses += 1
+            await trio.sleep(DEADLY_FAULT_FACTOR * duration_s)
+            self._deadly_uses -= 1
+            return
         server = self.backend_servers.get(target)
         name = server.id if server else target
         with self._disturbing(name):
@@ -437,6 +455,9 @@
                 sent_at=trio.current_time(),
                 events=rng.randint(1, 25) if kind in {"brief", "ask"} else 0,
             )
+            request.deadly = bool(
+                request.events and self._deadly_uses and rng.random() < DEADLY_FRACTION
+            )
             received = await self._send_request(request, rng, 0)
             for attempt in range(MAX_RESUMPTIONS):
                 is_partial = kind == "ask" and 0 < received < request.events
@@ -476,10 +497,11 @@
         if request.events:
             # Callers' prompts differ, so that streams begin at several servers.
             caller = request.id[1:].split("-")[0]
+            part = f"{DEADLY_PART}:9," if request.deadly else ""
             fields |= {
                 "x-foxtailcourse-model": MODEL,
                 "x-foxtailcourse-token-counts": f"100,{request.events}",
-                "x-foxtailcourse-prompt-prefix": f"a{caller}:60,bb:40",
+                "x-foxtailcourse-prompt-prefix": f"a{caller}:60,{part}bb:40",
             }
         if request.resumes:
             fields |= {"last-event-id": str(received), "resumes": request.resumes}
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -117,6 +117,46 @@
         ]
         self.check("fence 5 of", orders=shared)
 
+    def test_requests_with_a_deadly_part_after_five_crashes(self):
+        for count, at, disturbances, is_violation in (
+            (4, 8.5, [("e1", 2.0, 3.0)], True),
+            (3, 8.5, [], False),
+            (4, 7.5, [], False),
+            (4, 8.5, [("e1", 8.0, 8.1)], False),
+        ):
+            names = [f"q{number}" for number in range(count)]
+            observations = Observations(
+                sent={n: make_request(n, "look", vm="e1", deadly=True) for n in names},
+                runs=[make_run(name) for name in names],
+                crashes=[1.0, 2.0, 3.0, 4.0, 5.0, 6.0],
+                disturbances=disturbances,
+            )
+            for run in observations.runs:
+                run.at = at
+            found = violations(observations)
+            self.assertThat(len(found), Equals(int(is_violation)), found)
+
+    def test_sound_streams_that_do_not_begin_after_the_crashes(self):
+        for begun_after, is_violation in ((9, True), (10, False)):
+            sent = {}
+            for number in range(40):
+                is_late = number >= 20
+                has_events = not is_late or number < 20 + begun_after
+                body = make_body(f"q{number}", [1]) if has_events else b""
+                sent[f"q{number}"] = make_request(
+                    f"q{number}",
+                    "ask",
+                    vm="e1",
+                    sent_at=8.0 if is_late else 0.5,
+                    events=2,
+                    status=200,
+                    body=body,
+                )
+            sent["d"] = make_request("d", "ask", sent_at=9.0, events=2, deadly=True)
+            observations = Observations(sent=sent, crashes=[1.0, 1.5])
+            found = violations(observations)
+            self.assertThat(len(found), Equals(int(is_violation)), found)
+
     def test_request_to_a_server_that_said_it_leaves(self):
         first = make_request("a", "look", vm="e1", leaving_at=1.0)
         for sent_at, vm, started_ms, is_violation in (
