Repeat blocked parts also right after all entries have started

What would have happened: if all entries start at once, none repeats or records a block for the first ten seconds, since entries that others may not know rank last; one that missed the reports goes on to send the requests.

Cause: one rank served both the trials after a block, where an unknown entry must wait, and the choice of the entries that repeat and record it, where it need not.

test_entry_that_was_cut_off_follows_within_two_seconds failed before with entries that have just started.

--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -82,7 +82,7 @@
 
     def wait_s(self, request: Parts) -> float:
         """Return for how long a request must not be sent, in seconds."""
-        return self.suspicions.wait_s(request, self.rank, self.clock())
+        return self.suspicions.wait_s(request, self._trial_rank, self.clock())
 
     def record_sent(self, request: Parts) -> None:
         """Record a request that is sent to a server."""
@@ -127,15 +127,18 @@
 
     def rank(self, parts: Parts) -> int:
         """Return how many entries come before this one for some parts."""
-        now = self.clock()
-        members = self.shares.members(now)
-        if not self.shares.is_settled(now):
-            return len(members)
         key = "parts/" + "+".join(sorted(parts))
         own = weighted_rank(key, self.vm, 1.0)
-        others = members - {self.vm}
+        others = self.shares.members(self.clock()) - {self.vm}
         return sum(weighted_rank(key, each, 1.0) < own for each in others)
 
+    def _trial_rank(self, parts: Parts) -> int:
+        """Return the rank for trials; an entry that others may not know is the last."""
+        now = self.clock()
+        if not self.shares.is_settled(now):
+            return len(self.shares.members(now))
+        return self.rank(parts)
+
     # Messages
 
     def handle(
--- a/tests/ingress/test_part_exchange.py
+++ b/tests/ingress/test_part_exchange.py
@@ -19,22 +19,23 @@
 
 @attrs.define
 class StaticShares:
-    """Entries that all know each other."""
+    """Entries that all know each other, or have all just started."""
 
     names: frozenset
+    settled: bool = True
 
     def members(self, now):
         return self.names
 
     def is_settled(self, now):
-        return True
+        return self.settled
 
 
 class Network:
     """Entries that lose a fraction of the messages to each other."""
 
-    def __init__(self, count, loss, seed):
-        self.rng, self.loss = random.Random(seed), loss
+    def __init__(self, count, loss, seed, settled):
+        self.rng, self.loss, self.settled = random.Random(seed), loss, settled
         self.cut_off = set()
         names = frozenset(f"e{number}" for number in range(count))
         self.entries = {name: self._make(name, names) for name in names}
@@ -50,7 +51,7 @@
         return PartExchange(
             vm=name,
             suspicions=PartSuspicions(),
-            shares=StaticShares(names),
+            shares=StaticShares(names, self.settled),
             peers=names,
             send=send,
             clock=trio.current_time,
@@ -75,9 +76,9 @@
 class TestPartExchange(testtools.TestCase):
     """Guards the count of requests with a deadly part over all entries."""
 
-    def play(self, check, count=24, loss=0.1, seed=1):
+    def play(self, check, count=24, loss=0.1, seed=1, *, settled=True):
         async def main():
-            network = Network(count, loss, seed)
+            network = Network(count, loss, seed, settled)
             async with trio.open_nursery() as nursery:
                 for entry in network.entries.values():
                     nursery.start_soon(entry.run)
@@ -141,4 +142,5 @@
             for entry in network.entries.values():
                 self.assertTrue(entry.wait_s(DEADLY) > 0)
 
-        self.play(check)
+        for settled in (True, False):
+            self.play(check, settled=settled)
