Count crashes half a second apart for a prompt part

Servers that fail together do so within milliseconds; the answers of other servers come within half a second for prompts that are frequent enough to be in progress at several servers.

The tests of the decisions take the constant and pass unchanged.

--- a/src/foxtailcourse/ingress/_part_suspicions.py
+++ b/src/foxtailcourse/ingress/_part_suspicions.py
@@ -22,7 +22,7 @@
 CRASH_S = 1.0
 # Crashes that are closer together count as one, since servers also fail together and
 # then hold many requests with the same parts.
-MIN_SEPARATION_S = 1.0
+MIN_SEPARATION_S = 0.5
 # Crashes from which on parts are blocked, if no request with them was ever answered,
 # and if one was before the first of these crashes.
 CRASHES_TO_BLOCK = 2
