Judge crashes of servers sooner

Servers that fail together do so within milliseconds. The tests of the decisions take the constants and pass unchanged.

--- a/src/foxtailcourse/ingress/_part_suspicions.py
+++ b/src/foxtailcourse/ingress/_part_suspicions.py
@@ -17,12 +17,12 @@
 """Keys of prompt parts, see ``part_key``."""
 
 # Reports of all entries on a crash arrive within this time.
-SETTLE_S = 0.2
+SETTLE_S = 0.15
 # A server that breaks off again later than this has crashed or failed again.
 CRASH_S = 1.0
 # Crashes that are closer together count as one, since servers also fail together and
 # then hold many requests with the same parts.
-MIN_SEPARATION_S = 0.5
+MIN_SEPARATION_S = 0.2
 # Crashes from which on parts are blocked, if no request with them was ever answered,
 # and if one was before the first of these crashes.
 CRASHES_TO_BLOCK = 2
