Wait for the registrations of the others on a restored store

Cause: the entry asks the registered entries which configuration they use. A copy may lack their registrations, which come back with the next renewal of their leases; then there is no one to ask, and silence counted as agreement.

Change: in an era after the first one an entry without an answer goes on asking for the time in which the others are registered again (1.9 s with the platform's settings), not ready meanwhile. One answer ends the wait, so a single restart is not delayed.

test_entry_that_starts_on_a_copy_without_registrations_waits_for_them failed before (200 instead of 503); test_entry_that_starts_alone_on_a_copy_serves_after_a_while guards the end of the wait.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -22,7 +22,7 @@
 from foxtailcourse.ingress._dispatcher import Dispatcher
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
 from foxtailcourse.ingress._handler import IngressHandler
-from foxtailcourse.ingress._lease import EntryLease
+from foxtailcourse.ingress._lease import EntryLease, registration_wait_s
 from foxtailcourse.ingress._limit_exchange import LimitExchange
 from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
@@ -242,6 +242,7 @@
             self._peer_exchange.send,
             self._peer_exchange.reply,
             self._events,
+            registration_wait_s(cfg.lease_ttl_s, cfg.watch_pause_s),
         )
         self._peer_exchange.on_configuration_query = self._configuration_exchange.answer
         self._peer_exchange.on_configuration_notice = (
--- a/src/foxtailcourse/ingress/_configuration_exchange.py
+++ b/src/foxtailcourse/ingress/_configuration_exchange.py
@@ -24,6 +24,8 @@
 # this period, since datagrams are lost.
 ANSWER_WAIT_S = 0.15
 QUERY_PERIOD_S = 0.05
+# Era of a store that was never restored.
+FIRST_ERA = 1
 # Entries that keep a configuration which the store lacks tell the others this often.
 NOTICE_PERIOD_S = 0.2
 
@@ -49,6 +51,9 @@
         Sends a message to the address of a sender, which need not be registered.
     events : EventLog
         Receives an event when another entry uses a newer configuration.
+    registration_wait_s : float
+        Time in seconds in which the entries that ran before are registered again in a
+        restored store, and this entry has read it.
     """
 
     vm: str
@@ -58,6 +63,7 @@
     send: Callable[[Message, Iterable[str]], Awaitable[None]]
     reply: Callable[[Message, tuple[str, int]], Awaitable[None]]
     events: EventLog
+    registration_wait_s: float
     _answered: set[str] = attrs.field(factory=set, init=False)
 
     def handle(self, message: ConfigurationNotice, sender: str) -> None:
@@ -87,6 +93,10 @@
         await self.state.first_read.wait()
         with trio.move_on_after(ANSWER_WAIT_S):
             await self._ask()
+        if self.state.era > FIRST_ERA and not self._answered:
+            # The copy may lack the registrations of the entries that can tell.
+            with trio.move_on_after(self.registration_wait_s):
+                await self._ask_until_answered()
         self.view.configuration_checked = True
         while True:
             await trio.sleep(NOTICE_PERIOD_S)
@@ -99,3 +109,9 @@
         while missing := set(self.peers) - self._answered - {self.vm}:
             await self.send(ConfigurationQuery(), missing)
             await trio.sleep(QUERY_PERIOD_S)
+
+    async def _ask_until_answered(self) -> None:
+        """Ask the others that are known at the time until one has answered."""
+        while not self._answered:
+            await self.send(ConfigurationQuery(), set(self.peers) - {self.vm})
+            await trio.sleep(QUERY_PERIOD_S)
--- a/src/foxtailcourse/ingress/_lease.py
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -22,6 +22,26 @@
 # the era: the former one may give orders for half of it, and a whole one lies between.
 NEW_ERA_PAUSE_TTLS = 1.5
 
+# The pause between two renewals varies by this fraction of it.
+RENEWAL_JITTER = 0.2
+# Time of the calls of a renewal that registers an entry again.
+REGISTRATION_CALLS_S = 0.5
+
+
+def registration_wait_s(ttl_s: float, watch_pause_s: float) -> float:
+    """Return within what time entries are known again after a restore of the store.
+
+    Parameters
+    ----------
+    ttl_s : float
+        Time to live of the entries' leases, in seconds; they register again when they
+        renew it.
+    watch_pause_s : float
+        Time for which a watch collects changes, in seconds.
+    """
+    renewal_s = (1 + RENEWAL_JITTER) * ttl_s / RENEWALS_PER_TTL
+    return renewal_s + REGISTRATION_CALLS_S + watch_pause_s
+
 
 class EntryLease:
     """Keeps a lease, registers the entry under it and competes for leadership.
@@ -117,7 +137,9 @@
                 await trio.sleep(RETRY_PAUSE_S * self._rng.uniform(0.5, 1.5))
                 continue
             pause_s = self._ttl_s / RENEWALS_PER_TTL
-            with trio.move_on_after(pause_s * self._rng.uniform(0.8, 1.2)):
+            with trio.move_on_after(
+                pause_s * self._rng.uniform(1 - RENEWAL_JITTER, 1 + RENEWAL_JITTER)
+            ):
                 await self._membership.wait_for_vacancy(bool(self.fence))
 
     async def follow_era(self) -> None:
--- a/tests/ingress/test_store_era.py
+++ b/tests/ingress/test_store_era.py
@@ -64,6 +64,38 @@
         answered = await fleet.call(second, "look", key="key-2")
         self.assertThat(answered.status, Equals(200))
 
+    @run_with("with_fleet")
+    async def test_entry_that_starts_on_a_copy_without_registrations_waits_for_them(
+        self, fleet, entry
+    ):
+        # The servers and the configuration were written before the entry registered.
+        old = fleet.platform.get("op/config").mod_revision
+        fleet.configure(version=4, keys=["key-2"])
+        await wait_until(lambda: entry.app.status()["configuration_revision"] > old)
+        fleet.platform.restore(old)
+        second = await fleet.start_entry("e2")
+        await wait_until(lambda: second.events("configuration_applied"))
+        for _ in range(60):
+            self.assertThat((await fleet.call(second, "look")).status, Equals(503))
+            await trio.sleep(0.02)
+        self.assertThat(len(self.runs(fleet)), Equals(0))
+        fleet.configure(version=4, keys=["key-2"])
+        await wait_until(lambda: second.app.readiness().ready)
+        answered = await fleet.call(second, "look", key="key-2")
+        self.assertThat(answered.status, Equals(200))
+
+    @run_with("with_fleet")
+    async def test_entry_that_starts_alone_on_a_copy_serves_after_a_while(
+        self, fleet, entry
+    ):
+        fleet.platform.restore(fleet.platform.revision)
+        entry.scope.cancel()
+        await entry.ended.wait()
+        fleet.platform.expire_leases()
+        second = await fleet.start_entry("e2")
+        await wait_until(lambda: second.app.readiness().ready)
+        self.assertThat((await fleet.call(second, "look")).status, Equals(200))
+
     @run_with("with_fleet")
     async def test_revisions_that_are_assigned_again_are_read(self, fleet, entry):
         """The restored store reaches the watched revision with other changes."""
