Bound the work of judging a crash

Found by reading: with many servers that fail and many requests lost at each, the comparison of all their parts with all remembered answers could take a second of an entry's only thread. Eight requests of each of thirty crashes are now compared, and answers are looked up for the 32 sets of parts with the most crashes.

test_work_is_bounded_however_many_requests_are_lost guards the counts; the other tests of the decisions pass unchanged.

--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -89,7 +89,7 @@
         self.suspicions.record_sent(request, self.clock())
 
     def record_broken_off(self, run: ServerRun, request: Parts, *, begun: bool) -> None:
-        """Record a request without an event that broke off.
+        """Record a request that broke off without a second event.
 
         Parameters
         ----------
--- a/src/foxtailcourse/ingress/_part_suspicions.py
+++ b/src/foxtailcourse/ingress/_part_suspicions.py
@@ -29,9 +29,12 @@
 CRASHES_TO_BLOCK_KNOWN = 3
 # Crashes are forgotten after this time, and the oldest ones if there are more.
 CRASH_MEMORY_S = 120.0
-MAX_CRASHES = 100
-# Requests without an event that are reported of one crash.
-MAX_REPORTED_REQUESTS = 16
+MAX_CRASHES = 30
+# Requests of one crash that are compared with those of others.
+MAX_REQUESTS = 8
+# Sets of parts that requests of several crashes share, of which it is looked up whether
+# they were answered; those of the most crashes come first.
+MAX_CANDIDATES = 32
 # Answered requests that are remembered.
 MAX_ANSWERED = 2000
 # Answers at other entries are forgotten after this time.
@@ -57,7 +60,7 @@
 
 @attrs.frozen
 class BreakReport:
-    """Requests without an event that an entry lost as a server broke off.
+    """Requests without a second event that an entry lost as a server broke off.
 
     Parameters
     ----------
@@ -131,10 +134,10 @@
     _blocks: dict[Parts, Block] = attrs.field(factory=dict, init=False)
     # When requests with these parts were last answered, the least recent first.
     _answered_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
-    # When this entry began to try parts whose block has ended.
-    _trials: dict[Parts, float] = attrs.field(factory=dict, init=False)
     # The same of other entries, which tell it of blocked parts only.
     _answered_elsewhere_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
+    # When this entry began to try parts whose block has ended.
+    _trials: dict[Parts, float] = attrs.field(factory=dict, init=False)
 
     # Crashes
 
@@ -146,8 +149,11 @@
         else:
             crash = _Crash(report.run, now)
             self._crashes.append(crash)
-        crash.begun.update(report.begun[:MAX_REPORTED_REQUESTS])
-        crash.waiting.update(report.waiting[:MAX_REPORTED_REQUESTS])
+        for requests, reported in (
+            (crash.begun, report.begun),
+            (crash.waiting, report.waiting),
+        ):
+            requests.update(reported[: MAX_REQUESTS - len(requests)])
 
     def judge(self, now: float) -> dict[Parts, Block]:
         """Judge the crashes whose reports are complete; return the new blocks."""
@@ -185,25 +191,35 @@
         """
         earlier = {r for e in self._crashes if e.at < crash.at for r in e.requests}
         shared = {mine & other for mine in crash.requests for other in earlier}
-        found = [
-            (count, len(parts), sorted(parts))
-            for parts in shared
-            if parts and (count := self._count_crashes(parts, crash.at))
-        ]
-        return frozenset(max(found)[2]) if found else None
-
-    def _count_crashes(self, parts: Parts, until: float) -> int:
-        """Return the crashes that parts may have caused; 0 if these are not enough."""
+        candidates = sorted(
+            (
+                (count, len(parts), sorted(parts))
+                for parts in shared
+                if parts
+                and (count := self._count(parts, float("-inf"), crash.at))
+                >= CRASHES_TO_BLOCK
+            ),
+            reverse=True,
+        )
+        suspects = (frozenset(names) for _, _, names in candidates[:MAX_CANDIDATES])
+        return next((e for e in suspects if self._is_suspect(e, crash.at)), None)
+
+    def _is_suspect(self, parts: Parts, until: float) -> bool:
+        """Whether parts are in enough crashes that came after they were answered."""
         answered_at = self.answered_at(parts)
+        was_answered = answered_at > float("-inf")
+        needed = CRASHES_TO_BLOCK_KNOWN if was_answered else CRASHES_TO_BLOCK
+        return self._count(parts, answered_at, until) >= needed
+
+    def _count(self, parts: Parts, after: float, until: float) -> int:
+        """Return in how many separate crashes of a time a request had some parts."""
         count, counted_at = 0, float("-inf")
         for crash in self._crashes:
-            is_later = answered_at < crash.at <= until
             is_separate = crash.at - counted_at >= MIN_SEPARATION_S
-            if is_later and is_separate and any(parts <= e for e in crash.requests):
+            is_counted = after < crash.at <= until and is_separate
+            if is_counted and any(parts <= each for each in crash.requests):
                 count, counted_at = count + 1, crash.at
-        was_answered = answered_at > float("-inf")
-        needed = CRASHES_TO_BLOCK_KNOWN if was_answered else CRASHES_TO_BLOCK
-        return count if count >= needed else 0
+        return count
 
     def _block(self, parts: Parts, now: float, times: int = 0) -> Block:
         former = self._blocks.get(parts)
@@ -295,7 +311,7 @@
         """
         known_at = self._answered_elsewhere_at.get(parts, float("-inf"))
         self._answered_elsewhere_at[parts] = max(known_at, answered_at)
-        return not self._count_crashes(parts, now) and self._unblock(parts)
+        return not self._is_suspect(parts, now) and self._unblock(parts)
 
     def adopt(self, parts: Parts, remaining_s: float, times: int, now: float) -> bool:
         """Block parts that another entry has blocked; return whether that is new."""
@@ -309,7 +325,7 @@
     def contradicts(self, parts: Parts, now: float) -> bool:
         """Whether this entry knows of answers that exclude a block of parts."""
         was_answered = self.answered_at(parts) > float("-inf")
-        return was_answered and not self._count_crashes(parts, now)
+        return was_answered and not self._is_suspect(parts, now)
 
     def active_blocks(self, now: float) -> dict[Parts, Block]:
         """Return the parts that are blocked at present."""
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -111,7 +111,7 @@
 
 
 class BreaksUpdate(msgspec.Struct, array_like=True, tag="breaks"):
-    """Requests without an event that the sending entry lost as a server broke off.
+    """Requests without a second event that the sender lost as a server broke off.
 
     Parameters
     ----------
--- a/tests/ingress/test_part_suspicions.py
+++ b/tests/ingress/test_part_suspicions.py
@@ -4,6 +4,9 @@
 from foxtailcourse.fleet import ServerRun
 from foxtailcourse.ingress._part_suspicions import (
     FIRST_BLOCK_S,
+    MAX_CANDIDATES,
+    MAX_CRASHES,
+    MAX_REQUESTS,
     MIN_SEPARATION_S,
     PAROLE_S,
     SETTLE_S,
@@ -133,6 +136,20 @@
         )
         self.assertTrue(self.wait_s("deadly", at=NOW + 6) > 0)
 
+    def test_work_is_bounded_however_many_requests_are_lost(self):
+        looked_up = []
+        self.patch(
+            PartSuspicions, "answered_at", lambda s, p: looked_up.append(p) or NOW
+        )
+        names = [f"p{number}" for number in range(40)]
+        for number in range(2 * MAX_CRASHES):
+            lost = [(name, f"{name}-{number}") for name in names]
+            self.crash(NOW + number, waiting=lost)
+        self.assertTrue(len(looked_up) <= MAX_CANDIDATES * 2 * MAX_CRASHES)
+        self.assertThat(len(self.suspicions._crashes), Equals(MAX_CRASHES))
+        for crash in self.suspicions._crashes:
+            self.assertThat(len(crash.requests), Equals(MAX_REQUESTS))
+
     def test_shorter_block_of_another_entry_changes_nothing(self):
         self.suspicions.adopt(DEADLY, 25.0, 1, NOW)
         self.assertFalse(self.suspicions.adopt(DEADLY, 5.0, 1, NOW))
