--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -59,7 +59,7 @@
 }
 DEFAULT_RETRY_AFTER_S = 0.15
 # A server that crashes as it begins to answer may have sent the first event.
-FIRST_EVENT = 1
+MAX_EVENTS_BEFORE_CRASH = 1
 # Characters of an unreadable header value that are logged.
 MAX_LOGGED_VALUE = 40
 # Parts of a prompt that are logged, and characters of each name.
@@ -156,7 +156,10 @@
                 response = await self._attempt(job, choice)
             except AttemptError as exc:
                 job.attempt_pending = False
-                if exc.reason == "broken_off" and job.attempt.events <= FIRST_EVENT:
+                if (
+                    exc.reason == "broken_off"
+                    and job.attempt.events <= MAX_EVENTS_BEFORE_CRASH
+                ):
                     self.parts.record_broken_off(
                         choice.candidate.server.run,
                         job.shared_parts,
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -152,7 +152,7 @@
     first_event_at : float or None
         When the first event arrived, in seconds since boot.
     events : int
-        Number of events that arrived, or less.
+        Lower bound of the number of events that arrived.
     is_answered : bool
         Whether the server has answered for long enough to show that the request does
         not crash it.
