Log why a failed attempt is not retried

Of a stream that was given up because its server was silent, the log told neither that nothing else could take it nor why: `attempt_failed` and then `request_done` look the same whether the retry budget was used up, the route allows no more attempts or no time was left. That is what tells a needless end of a request from one that could not be helped.

`attempt_failed` now has `no_retry`. The decision itself is unchanged. test_why_a_failed_attempt_is_not_retried failed before (no such field).

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -165,10 +165,11 @@
                         job.shared_parts,
                         begun=job.attempt.framing is not None,
                     )
-                self._record_failed_attempt(job, choice, exc)
                 if exc.verdict is not Verdict.NOT_RUN:
                     job.verdict = Verdict.MAY_HAVE_RUN
-                if not self._may_retry(job, exc):
+                refusal = self._retry_refusal(job, exc)
+                self._record_failed_attempt(job, choice, exc, refusal)
+                if refusal:
                     self._raise_final_error(job, exc)
                 continue
             self.metrics.count("foxtail_ingress_attempts_total", outcome="answered")
@@ -316,21 +317,24 @@
             self.sizes.record_short_work(choice.work_tokens)
         return choice, len(eligible)
 
-    def _may_retry(self, job: Job, exc: AttemptError) -> bool:
-        """Whether to retry; counts the retry unless the server was unreachable."""
+    def _retry_refusal(self, job: Job, exc: AttemptError) -> str:
+        """Return why there is no retry, empty if there is one.
+
+        A retry is counted unless the server was unreachable.
+        """
         now = self.clock()
         min_attempt_s = max(
             MIN_ATTEMPT_S, MIN_ATTEMPT_TARGET_FRACTION * job.route.target_latency_s
         )
         if job.deadline - now < min_attempt_s:
-            return False
+            return "deadline"
         if exc.verdict is not Verdict.NOT_RUN and not job.route.idempotent:
-            return False
+            return "not_idempotent"
         if exc.reason == "unreachable":
-            return True
+            return ""
         if len(job.sent_to) >= job.route.max_attempts:
-            return False
-        return self.retry_budget_for(job.service).try_acquire(now)
+            return "attempts"
+        return "" if self.retry_budget_for(job.service).try_acquire(now) else "budget"
 
     def _raise_final_error(self, job: Job, exc: AttemptError) -> None:
         """Raise RefusedError if the request has not run, and the error otherwise."""
@@ -350,7 +354,7 @@
         return base_s * self.rng.uniform(0.75, 1.25)
 
     def _record_failed_attempt(
-        self, job: Job, choice: Choice, exc: AttemptError
+        self, job: Job, choice: Choice, exc: AttemptError, retry_refusal: str
     ) -> None:
         self.metrics.count("foxtail_ingress_attempts_total", outcome=exc.reason)
         self.events.emit(
@@ -359,6 +363,7 @@
             backend_server=choice.candidate.server.id,
             reason=exc.reason,
             verdict=exc.verdict.value,
+            no_retry=retry_refusal or None,
             attempt=len(job.sent_to),
             age_ms=int((self.clock() - job.started) * 1000),
             last_event=job.last_event_id or None,
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -22,7 +22,8 @@
     "attempt_ended": "an attempt ended; `result` is `whole`, `refused`, `cancelled`"
     " or the code of its failure",
     "attempt_failed": "an attempt at `backend_server` gave no response that may be "
-    "sent to the caller, for `reason`",
+    "sent to the caller, for `reason`; `no_retry` says why none follows (`deadline`, "
+    "`not_idempotent`, `attempts` of the route, `budget`)",
     "attempt_sent": "the entry sends an attempt to `backend_server`; `resume_from` "
     "tokens were already delivered",
     "blocks_exported": "hot blocks were exported to the KV-cache store",
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -107,6 +107,16 @@
         (fields,) = entry.events("attempt_failed")
         self.assertThat(fields["last_event"], Equals("2"))
 
+    @run_with("with_fleet", retry_ratio=0.0, retry_extra=0.0)
+    async def test_why_a_failed_attempt_is_not_retried(self, fleet, entry):
+        for name in ("c1", "c2"):
+            fleet.servers[name].faults = BackendServerFaults(lose_answer=True)
+        await fleet.call(entry, "return", body=b"a")
+        await fleet.call(entry, "look")
+        await fleet.call(entry, "look", x_foxtailcourse_deadline_ms="30")
+        reasons = [each["no_retry"] for each in entry.events("attempt_failed")]
+        self.assertThat(reasons, Equals(["not_idempotent", "budget", "deadline"]))
+
     @run_with("with_fleet")
     async def test_interrupted_stream_and_unknown_outcome(self, fleet, entry):
         fleet.servers["m1"].faults = fleet.servers["m2"].faults = BackendServerFaults(
