Give up a silent server only if another one takes the request

What callers saw: a stream was cut, or a request ended with 502, at a server that sent nothing for about a second and then went on.

Cause: the watchdog cancelled an attempt after its idle timeout, and only then did the dispatcher look for another server. A silent server has many requests of an entry, which are all given up in the same 0.1 s, so the retry budget is used up after the first ones; or no other server fits (all tried, other weights or software, rate limits). What had been given up could not be taken back.

Ruled out: a longer idle timeout, as a server that hangs for good would then cost its callers more; no timeout, as requests at such a server would be lost with it.

Change: the watchdog reserves the retry first: time left, a server that may take the request and a place in the retry budget. Without one the request stays where it is, and the watchdog asks again each 0.1 s. The reserved retry is not counted a second time.

The four tests of tests/ingress/test_silent_servers.py that failed (three streams cut, one 502) pass; the one for a server that hangs for good passed before and does now.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -113,7 +113,11 @@
     on_answered: Callable[[Parts], None] = attrs.field(default=lambda parts: None)
 
     async def run(
-        self, job: Job, choice: Choice, store: Address | None
+        self,
+        job: Job,
+        choice: Choice,
+        store: Address | None,
+        reserve_retry: Callable[[], bool],
     ) -> ServerResponse | None:
         """Send a request to a server.
 
@@ -126,6 +130,9 @@
         store : Address or None
             KV-cache store where the server should save the prompt; None if it should
             not.
+        reserve_retry : callable
+            Reserves a retry at another server; returns whether there is one. A silent
+            server is not given up without.
 
         Returns
         -------
@@ -146,7 +153,9 @@
             len(job.exchange.body),
         )
         is_short = job.prompt is not None and not job.prompt.is_long
-        watched = WatchedAttempt(load, self._idle_timeout_s(job, now), now)
+        watched = WatchedAttempt(
+            load, self._idle_timeout_s(job, now), now, reserve_retry
+        )
         self.watchdog.add(watched)
         try:
             with self._tracked_load(choice, is_short) as on_first_event, watched.scope:
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -1,7 +1,7 @@
 """Sends one request: selects servers, defers, retries and gives up."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 import trio
@@ -14,7 +14,7 @@
     decide_admission,
 )
 from foxtailcourse.ingress._attempt import AttemptRunner
-from foxtailcourse.ingress._candidates import CandidateFilter
+from foxtailcourse.ingress._candidates import CandidateFilter, Selection
 from foxtailcourse.ingress._fetch_sources import should_save
 from foxtailcourse.ingress._job import (
     AttemptError,
@@ -245,7 +245,26 @@
             store = self._cache_store(prompt)
             if store is not None and should_save(store, candidate.salt, prompt):
                 store_address = store.address
-        return await self.attempts.run(job, choice, store_address)
+        return await self.attempts.run(
+            job, choice, store_address, lambda: self._reserve_retry(job, choice)
+        )
+
+    def _reserve_retry(self, job: Job, choice: Choice) -> bool:
+        """Count a retry of a request whose server is silent, if there can be one.
+
+        Otherwise the request stays at its server, which may be sound and go on.
+        """
+        now = self.clock()
+        tried = {*job.sent_to, *job.unreachable, choice.candidate.server.id}
+        if (
+            self._lacks_time(job, now)
+            or self.parts.wait_s(job.shared_parts) > 0
+            or not self._select(job, tried, now).candidates
+            or not self.retry_budget_for(job.service).try_acquire(now)
+        ):
+            return False
+        job.retry_reserved = True
+        return True
 
     def _cache_store(self, prompt: Prompt) -> CacheStore | None:
         """Return the KV-cache store of a prompt's largest part.
@@ -281,16 +300,7 @@
             if job.verdict is Verdict.NOT_RUN:
                 raise RefusedError("blocked_parts", blocked_s)
             raise AttemptError("blocked_parts", job.verdict)
-        tried = {*job.sent_to, *job.unreachable}
-        selection = self.candidates.select(
-            job.service,
-            job.request.model,
-            job.account,
-            tried,
-            now,
-            version=job.weights_version,
-            software_version=job.software_version,
-        )
+        selection = self._select(job, {*job.sent_to, *job.unreachable}, now)
         if not selection.candidates:
             if job.verdict is Verdict.NOT_RUN:
                 raise RefusedError(
@@ -317,16 +327,35 @@
             self.sizes.record_short_work(choice.work_tokens)
         return choice, len(eligible)
 
+    def _select(self, job: Job, tried: Collection[str], now: float) -> Selection:
+        """Return the servers that may get the request, without those in ``tried``."""
+        return self.candidates.select(
+            job.service,
+            job.request.model,
+            job.account,
+            tried,
+            now,
+            version=job.weights_version,
+            software_version=job.software_version,
+        )
+
+    def _lacks_time(self, job: Job, now: float) -> bool:
+        """Whether too little time is left for another attempt."""
+        min_attempt_s = max(
+            MIN_ATTEMPT_S, MIN_ATTEMPT_TARGET_FRACTION * job.route.target_latency_s
+        )
+        return job.deadline - now < min_attempt_s
+
     def _retry_refusal(self, job: Job, exc: AttemptError) -> str:
         """Return why there is no retry, empty if there is one.
 
         A retry is counted unless the server was unreachable.
         """
         now = self.clock()
-        min_attempt_s = max(
-            MIN_ATTEMPT_S, MIN_ATTEMPT_TARGET_FRACTION * job.route.target_latency_s
-        )
-        if job.deadline - now < min_attempt_s:
+        if job.retry_reserved:
+            job.retry_reserved = False
+            return ""
+        if self._lacks_time(job, now):
             return "deadline"
         if exc.verdict is not Verdict.NOT_RUN and not job.route.idempotent:
             return "not_idempotent"
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -62,6 +62,8 @@
         When the last attempt was sent, in seconds since boot.
     attempt_pending : bool
         Whether an attempt was started and its outcome is not known.
+    retry_reserved : bool
+        Whether the retry after the last attempt is already counted.
     response_complete : bool
         Whether the complete response was sent to the caller.
     typical_prompt_tokens : float
@@ -93,6 +95,7 @@
     buffered_bytes: int = 0
     attempt_sent_at: float = 0.0
     attempt_pending: bool = False
+    retry_reserved: bool = False
     response_complete: bool = False
     typical_prompt_tokens: float = 0.0
     attempt: "AttemptState" = attrs.field(factory=lambda: AttemptState())
--- a/src/foxtailcourse/ingress/_watchdog.py
+++ b/src/foxtailcourse/ingress/_watchdog.py
@@ -3,7 +3,8 @@
 A server may fail without closing its connections, or it may only be overloaded. An
 idempotent request is retried elsewhere only if its server sends nothing at all to this
 entry, since retrying the requests of a busy server multiplies the load that made it
-slow.
+slow. A sound server may also be silent for a while, so an attempt is cancelled only if
+the request can go on elsewhere.
 """
 
 from collections.abc import Callable, Iterator
@@ -31,6 +32,8 @@
         Longest time without a byte of this attempt, in seconds.
     last_byte_at : float
         When the latest byte of this attempt arrived, in seconds since boot.
+    reserve_retry : callable
+        Reserves a retry at another server; returns whether there is one.
     scope : trio.CancelScope
         Cancelled when the server counts as unresponsive.
     is_forwarding : bool
@@ -40,6 +43,7 @@
     load: ServerLoad
     idle_timeout_s: float
     last_byte_at: float
+    reserve_retry: Callable[[], bool] = attrs.field(default=lambda: True)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     is_forwarding: bool = False
 
@@ -95,5 +99,5 @@
             await trio.sleep(CHECK_PERIOD_S)
             now = self._clock()
             for watched in self._watched:
-                if watched.is_unresponsive(now):
+                if watched.is_unresponsive(now) and watched.reserve_retry():
                     watched.scope.cancel()
