Do not defer or refuse the retry of a request that may have run

What callers saw: a begun stream of a long prompt broke off, or stalled until its caller left, while the servers were busy.

Cause: a retry passed admission control like a new prompt. A new prompt can be deferred or refused at no loss; a retry can not: its request is lost, and what its first server has done with it.

Ruled out: that the retries add to the overload, as the retry budget bounds them.

Change: a request that may have run is sent without admission control. test_begun_stream_is_resumed_although_new_prompts_are_deferred failed before (the stream stalled until the deadline and was cut).

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -184,8 +184,12 @@
                 choice, server_count = self._choose(job, was_deferred)
                 now = self.clock()
                 age_s = now - job.started
-                if prompt is None or self._is_admitted(
-                    job, prompt, choice, server_count, now
+                # A request that may have run would be lost if it were refused now.
+                is_retry = job.verdict is not Verdict.NOT_RUN
+                if (
+                    prompt is None
+                    or is_retry
+                    or self._is_admitted(job, prompt, choice, server_count, now)
                 ):
                     job.deferred_s += now - wait_started
                     return choice
@@ -200,14 +204,12 @@
     def _is_admitted(
         self, job: Job, prompt: Prompt, choice: Choice, server_count: int, now: float
     ) -> bool:
-        """Return whether a prompt is sent now.
+        """Return whether a prompt that has not run is sent now.
 
         Raises
         ------
         RefusedError
-            If the prompt is refused and the request has not run.
-        AttemptError
-            If the prompt is refused and the request may have run.
+            If the prompt is refused.
         """
         route = job.route
         timing = RequestTiming(
@@ -219,8 +221,6 @@
         backlog_s = self.deferred.backlog_s(server_count, len(self.view.entries))
         decision = decide_admission(choice, prompt, timing, backlog_s)
         if decision is AdmissionDecision.REFUSE:
-            if job.verdict is not Verdict.NOT_RUN:
-                raise AttemptError("overloaded", job.verdict)
             retry_after_s = max(MIN_OVERLOAD_RETRY_S, backlog_s) * self.rng.uniform(
                 0.75, 1.25
             )
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -4,7 +4,10 @@
 from testtools.matchers import Equals
 
 from cluster import wait_until
-from foxtailcourse.standin._backend_server import BackendServerStandin
+from foxtailcourse.standin._backend_server import (
+    BackendServerFaults,
+    BackendServerStandin,
+)
 from support import run_with
 
 # Longer than an entry waits for a silent server before it looks for another one.
@@ -86,3 +89,31 @@
         self.assertThat(response.status, Equals(200))
         (failed,) = entry.events("attempt_failed")
         self.assertThat(failed["reason"], Equals("silent"))
+
+
+class TestResumedPrompts(IngressCase):
+    """Guards begun streams of long prompts against admission control."""
+
+    @run_with("with_fleet")
+    async def test_begun_stream_is_resumed_although_new_prompts_are_deferred(
+        self, fleet, entry
+    ):
+        for name in ("m1", "m2"):
+            fleet.servers[name].event_s = 0.05
+            fleet.servers[name].faults = BackendServerFaults(cut_after_events=2)
+
+        async def overload():
+            await wait_until(lambda: any(run.events for run in self.runs(fleet)))
+            for server in entry.app._view.servers.values():
+                load = entry.app._loads.for_server(server.id, server.started_ms)
+                load.prefill_tokens += 10_000_000
+
+        fleet._nursery.start_soon(overload)
+        response = await fleet.call(
+            entry,
+            "ask",
+            stream=4,
+            parts="aa:9000,bb:900",
+            x_foxtailcourse_token_counts="9900,4",
+        )
+        self.assertTrue(response.complete)
