Do not give up servers for time in which the entry did not run

What callers saw: after an entry had been suspended for some seconds, its requests were repeated elsewhere or broke off, though their answers had arrived.

Cause: the watchdog compares the present time with that of the last byte. After a suspension all of them are old, and the watchdog may run before the tasks that read the sockets.

Ruled out: the timeouts of trio, which handles arrived bytes before expired deadlines.

Change: a check that comes later than 0.2 s after it was due moves the times of the last bytes by this delay. test_attempts_are_not_given_up_when_their_entry_wakes failed before (all attempts given up at the first check).

--- a/src/foxtailcourse/ingress/_watchdog.py
+++ b/src/foxtailcourse/ingress/_watchdog.py
@@ -16,6 +16,8 @@
 from foxtailcourse.ingress._server_loads import ServerLoad
 
 CHECK_PERIOD_S = 0.1
+# After a longer delay of a check, the process counts as having been suspended.
+MAX_CHECK_DELAY_S = 0.2
 # A server that sent any byte to this entry within this time is busy, not unresponsive.
 SERVER_ALIVE_S = 0.6
 
@@ -84,6 +86,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._watched: set[WatchedAttempt] = set()
+        self._checked_at = clock()
 
     def add(self, watched: WatchedAttempt) -> None:
         """Start watching an attempt."""
@@ -93,11 +96,21 @@
         """Stop watching an attempt."""
         self._watched.discard(watched)
 
+    def check(self, now: float) -> None:
+        """Cancel the attempts at unresponsive servers.
+
+        Time in which this process did not run does not count, as bytes that arrived in
+        it have not been read.
+        """
+        lost_s, self._checked_at = now - self._checked_at - CHECK_PERIOD_S, now
+        for watched in self._watched:
+            if lost_s > MAX_CHECK_DELAY_S:
+                watched.last_byte_at = min(now, watched.last_byte_at + lost_s)
+            elif watched.is_unresponsive(now) and watched.reserve_retry():
+                watched.scope.cancel()
+
     async def run(self) -> None:
         """Check the attempts until cancelled."""
         while True:
             await trio.sleep(CHECK_PERIOD_S)
-            now = self._clock()
-            for watched in self._watched:
-                if watched.is_unresponsive(now) and watched.reserve_retry():
-                    watched.scope.cancel()
+            self.check(self._clock())
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -1,9 +1,12 @@
 import math
 
+import testtools
 from ingress_case import MODEL, IngressCase
 from testtools.matchers import Equals
 
 from cluster import wait_until
+from foxtailcourse.ingress._server_loads import ServerLoad
+from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
 from foxtailcourse.standin._backend_server import (
     BackendServerFaults,
     BackendServerStandin,
@@ -14,6 +17,26 @@
 SILENCE_S = 1.0
 
 
+class TestSuspendedEntry(testtools.TestCase):
+    """Guards attempts in progress while their entry does not run."""
+
+    def test_attempts_are_not_given_up_when_their_entry_wakes(self):
+        given_up = []
+
+        def give_up():
+            given_up.append(True)
+            return False
+
+        watchdog = AttemptWatchdog(lambda: 0.0)
+        watchdog.add(WatchedAttempt(ServerLoad(), 0.6, 0.0, give_up))
+        watchdog.check(0.1)
+        watchdog.check(5.0)
+        self.assertThat(given_up, Equals([]))
+        for tenths in range(51, 60):
+            watchdog.check(tenths / 10)
+        self.assertTrue(given_up)
+
+
 class TestSilentServers(IngressCase):
     """Guards requests at servers that fall silent for a while and then go on."""
 
