Let one reading of the configuration serve all waiting requests

What callers saw: a request on a route or with a key that the entry did not know got no answer before its deadline while the store did not respond. The store was read again before a denial, under a lock and once for each request, one after the other, each for as long as the time limit of a call, and the caller's deadline did not apply yet. When the reading had failed, the request was denied with 404 or 401, which callers do not repeat, by a configuration of up to revocationMs of age.

Now a task of the entry makes the readings, and one serves all requests that wait, whether it succeeds or fails. A request waits for at most half of its caller's time or 1 s, and gets 503 configuration_stale with Retry-After if the configuration is not confirmed by then.

Ruled out: the rate limit of the store and the reading of all prefixes by the watch cannot hold a request any more, as the wait has a limit of its own.

Before the change both tests fail: "None matches Is(None)" (no response within the deadline) and "4 != 1" (readings for four requests).

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -19,6 +19,7 @@
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._configuration_exchange import ConfigurationExchange
+from foxtailcourse.ingress._configuration_refresh import ConfigurationRefresh
 from foxtailcourse.ingress._dispatcher import Dispatcher
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
 from foxtailcourse.ingress._handler import IngressHandler
@@ -49,7 +50,6 @@
     OPERATOR_PREFIX,
     SERVERS_PREFIX,
     KeyValueClient,
-    PlatformError,
     ResponseHeaders,
     ServerClient,
 )
@@ -248,7 +248,12 @@
         self._peer_exchange.on_configuration_notice = (
             self._configuration_exchange.handle
         )
-        self._refresh_lock = trio.Lock()
+        self._refresh = ConfigurationRefresh(
+            read=self._read_configuration,
+            freshness=self._view.configuration_freshness,
+            clock=boot_seconds,
+            events=self._events,
+        )
         self.address = cfg.listen
         self.listening = False
         self._dispatcher = self._build_dispatcher()
@@ -263,7 +268,7 @@
                 events=self._events,
                 metrics=self._metrics,
             ),
-            refresh=self._refresh,
+            confirm=self._refresh.confirm,
             key_age_limit_s=cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S,
             clock=boot_seconds,
             rng=self._rng,
@@ -332,18 +337,8 @@
     ) -> None:
         self._limits.record_response(run, head, sent_at, boot_seconds())
 
-    async def _refresh(self, max_age_s: float) -> None:
-        """Read the configuration again if it is older than ``max_age_s``.
-
-        Concurrent callers share one call to the store.
-        """
-        async with self._refresh_lock:
-            if self._view.configuration_freshness.age_s(boot_seconds()) <= max_age_s:
-                return
-            try:
-                await self._watcher.refresh(OPERATOR_PREFIX)
-            except PlatformError as exc:
-                self._events.emit("refresh_failed", error=exc)
+    async def _read_configuration(self) -> None:
+        await self._watcher.refresh(OPERATOR_PREFIX)
 
     # Life cycle of the process
 
@@ -393,6 +388,7 @@
                 self._listen, self._http_server, self._cfg.listen, closed
             )
             nursery.start_soon(self._watcher.run)
+            nursery.start_soon(self._refresh.run)
             nursery.start_soon(self._recent_weights.run)
             await self._peer_exchange.bind()
             self._lease.registration = Peer(
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -24,6 +24,10 @@
 STALE_RETRY_AFTER_S = 0.2
 # A request is denied only by a configuration that was confirmed at most this long ago.
 DENIAL_MAX_AGE_S = 0.3
+# Longest wait for that, and as a fraction of the time that the caller waits: a refused
+# caller must have time to try another entry.
+CONFIRMATION_WAIT_S = 1.0
+CONFIRMATION_DEADLINE_FRACTION = 0.5
 # Results of IngressHandler._run_job; a failed request has the reason of its error.
 ANSWERED, REFUSED = "answered", "refused"
 # Number of routes with a metric label of their own. The others share one label, so that
@@ -60,9 +64,9 @@
         Sends jobs to backend servers.
     resumption : StreamResumption
         Binds resumed streams to the software version that began them.
-    refresh : coroutine function
-        Reads the configuration again if it is older than the given number of seconds;
-        does not raise, and keeps the present one if the store does not respond.
+    confirm : coroutine function
+        Takes an age and a longest wait, in seconds; returns whether the configuration
+        is confirmed as of that long ago, and reads it again if need be.
     key_age_limit_s : float
         Age of the configuration in seconds above which keys are not accepted.
     clock : callable
@@ -82,7 +86,7 @@
     view: FleetView
     dispatcher: Dispatcher
     resumption: StreamResumption
-    refresh: Callable[[float], Awaitable[None]]
+    confirm: Callable[[float, float], Awaitable[bool]]
     key_age_limit_s: float
     clock: Callable[[], float]
     rng: random.Random
@@ -179,17 +183,13 @@
         DeniedError
             If the configuration does not allow the request.
         RefusedError
-            If there is no configuration, or it is too old to decide.
+            If there is no configuration, or it cannot be confirmed in time.
         """
         try:
             return self._find_route_and_account(request)
         except DeniedError:
             # A newer configuration may allow the request, so it is read again first.
-            await self.refresh(DENIAL_MAX_AGE_S)
-            if (
-                self.view.configuration_freshness.age_s(self.clock())
-                > self.key_age_limit_s
-            ):
+            if not await self.confirm(DENIAL_MAX_AGE_S, _confirmation_wait_s(request)):
                 raise RefusedError("configuration_stale", STALE_RETRY_AFTER_S) from None
             return self._find_route_and_account(request)
 
@@ -375,6 +375,14 @@
         )
 
 
+def _confirmation_wait_s(request: IngressRequest) -> float:
+    """Return how long a request may wait for the configuration to be confirmed."""
+    if request.deadline_s is None:
+        return CONFIRMATION_WAIT_S
+    deadline_s = max(0.0, request.deadline_s)
+    return min(CONFIRMATION_WAIT_S, CONFIRMATION_DEADLINE_FRACTION * deadline_s)
+
+
 def _age_ms(age_s: float | None) -> int | None:
     """Return an age in milliseconds for the log, or None if it is not known."""
     if age_s is None or age_s >= MAX_REPORTED_AGE_S:
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -211,7 +211,7 @@
     "all_tried": "every server that could take the request has been tried",
     "blocked_parts": "requests with the same parts of the prompt crash servers",
     "broken_off": "the server's connection broke before the response was complete",
-    "configuration_stale": "the configuration is too old to base a denial on",
+    "configuration_stale": "the configuration could not be confirmed before a denial",
     "connection_limit": "every server is at its connection limit",
     "foreign_answer": "the server sent the response to another request",
     "keys_stale": "the configuration is too old for an API key to be accepted",
