Answer the requests that a planned stop ends

What callers saw: requests that had not ended shortly before the platform's limit on a planned stop, such as those at a silent server or deferred by admission control, ended with their connection, without an answer or a refusal.

Cause: the entry cancelled all tasks at the end of the stop. Its wait for the load balancer and for the revocation of its leadership also did not count towards that limit.

Now the handler ends them with an error 0.4 s before the limit: 503 stopping with Retry-After if the request has not run, else 502. A begun stream can only be cut; that it is not ended as if it were complete has a test, which passed before. The waits for the load balancer and for the store are bounded by the limit.

Before the change two of the three tests fail, as the caller gets no response: "ClientError: no response from 127.0.0.1:45581".

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -62,8 +62,10 @@
 # Time until the load balancer sends no more connections to an entry that is not ready:
 # it probes every second and removes an entry after two failures.
 LOAD_BALANCER_NOTICE_S = 2.3
-# Time at the end of a stop that is reserved for closing down.
+# Time at the end of a stop that is reserved for closing down, and the part of it in
+# which callers receive the errors for requests that did not end in time.
 STOP_MARGIN_S = 0.4
+INTERRUPT_TIMEOUT_S = 0.2
 # Longest wait for the store when a stopped entry gives up its registration.
 RELEASE_TIMEOUT_S = 0.1
 # An entry that disappeared keeps its share of the limits that all entries keep together
@@ -507,14 +509,20 @@
         started = boot_seconds()
         self._draining = self._handler.draining = True
         self._events.emit("drain_started", active=self._http_server.active)
-        await self._lease.stand_down()
-        await trio.sleep(max(0.0, LOAD_BALANCER_NOTICE_S - (boot_seconds() - started)))
+        stop_s = self._cfg.stop_s - STOP_MARGIN_S
+        notice_s = min(LOAD_BALANCER_NOTICE_S, stop_s)
+        with trio.move_on_after(notice_s):
+            await self._lease.stand_down()
+        await trio.sleep(max(0.0, notice_s - (boot_seconds() - started)))
         self._http_server.stop_accepting()
         self._http_server.drain()
-        remaining_s = self._cfg.stop_s - (boot_seconds() - started) - STOP_MARGIN_S
+        remaining_s = stop_s - (boot_seconds() - started)
         with trio.move_on_after(max(0.0, remaining_s)):
             await closed.wait()
         self._events.emit("drain_ended", active=self._http_server.active)
+        self._handler.interrupt()
+        with trio.move_on_after(INTERRUPT_TIMEOUT_S):
+            await closed.wait()
         with trio.move_on_after(RELEASE_TIMEOUT_S):
             await self._lease.release()
 
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -1,7 +1,8 @@
 """Handles the HTTP requests of callers on the platform."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 import attrs
 import trio
@@ -22,6 +23,8 @@
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 STALE_RETRY_AFTER_S = 0.2
+# Another entry can serve the request at once.
+STOPPING_RETRY_AFTER_S = 0.1
 # A request is denied only by a configuration that was confirmed at most this long ago.
 DENIAL_MAX_AGE_S = 0.3
 # Longest wait for that, and as a fraction of the time that the caller waits: a refused
@@ -30,6 +33,8 @@
 CONFIRMATION_DEADLINE_FRACTION = 0.5
 # Results of IngressHandler._run_job; a failed request has the reason of its error.
 ANSWERED, REFUSED = "answered", "refused"
+# Reason and result of requests that a planned stop ends.
+STOPPING = "stopping"
 # Number of routes with a metric label of their own. The others share one label, so that
 # a large configuration does not add more time series.
 MAX_ROUTE_LABELS = 100
@@ -94,6 +99,24 @@
     metrics: Metrics
     draining: bool = False
     route_labels: set[str] = attrs.field(factory=set)
+    _interrupted: bool = attrs.field(default=False, init=False)
+    _scopes: set[trio.CancelScope] = attrs.field(factory=set, init=False)
+
+    def interrupt(self) -> None:
+        """End all requests with an error now, as the process is about to end."""
+        self._interrupted = True
+        for scope in tuple(self._scopes):
+            scope.cancel()
+
+    @contextmanager
+    def _interruptible(self, timeout_s: float) -> Iterator[trio.CancelScope]:
+        """Bound a wait by a time, and by ``interrupt``."""
+        with trio.move_on_after(timeout_s) as scope:
+            self._scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request, from its headers to the end of its response."""
@@ -122,7 +145,7 @@
         outcome = "timed_out"
         remaining_s = max(0.0, job.deadline - self.clock())
         try:
-            with trio.move_on_after(remaining_s) as scope:
+            with self._interruptible(remaining_s) as scope:
                 outcome = await self._run_job(job)
         except trio.Cancelled:
             # A caller may close the connection once it has the complete response.
@@ -133,7 +156,9 @@
             raise
         finally:
             self.dispatcher.attempts.buffered.release(job.buffered_bytes)
-        if scope.cancelled_caught:
+        if scope.cancelled_caught and self._interrupted:
+            outcome = await self._respond_stopping(job)
+        elif scope.cancelled_caught:
             await self._respond_timeout(job)
         if outcome != REFUSED:
             self._record_finished(job, outcome)
@@ -189,7 +214,10 @@
             return self._find_route_and_account(request)
         except DeniedError:
             # A newer configuration may allow the request, so it is read again first.
-            if not await self.confirm(DENIAL_MAX_AGE_S, _confirmation_wait_s(request)):
+            wait_s, is_confirmed = _confirmation_wait_s(request), False
+            with self._interruptible(wait_s):
+                is_confirmed = await self.confirm(DENIAL_MAX_AGE_S, wait_s)
+            if not is_confirmed:
                 raise RefusedError("configuration_stale", STALE_RETRY_AFTER_S) from None
             return self._find_route_and_account(request)
 
@@ -197,6 +225,8 @@
         self, request: IngressRequest
     ) -> tuple[Route, Account | None]:
         """Authorize a request by the present configuration; see ``_authorize``."""
+        if self._interrupted:
+            raise RefusedError(STOPPING, STOPPING_RETRY_AFTER_S)
         configuration = self.view.configuration
         if configuration is None:
             raise RefusedError("no_configuration", NO_CONFIGURATION_RETRY_AFTER_S)
@@ -251,6 +281,20 @@
             job.exchange, job.request, GATEWAY_TIMEOUT, "timed_out"
         )
 
+    async def _respond_stopping(self, job: Job) -> str:
+        """Respond that the process ends before the request; return the outcome."""
+        exchange = job.exchange
+        exchange.close_after_response()
+        if exchange.response_started:
+            exchange.abort()
+        elif self._verdict(job) is Verdict.NOT_RUN:
+            exc = RefusedError(STOPPING, STOPPING_RETRY_AFTER_S)
+            await self._refuse(exchange, job.request, exc)
+            return REFUSED
+        else:
+            await self._respond_error(exchange, job.request, BAD_GATEWAY, STOPPING)
+        return STOPPING
+
     async def _refuse(
         self, exchange: Exchange, request: IngressRequest, exc: RefusedError
     ) -> None:
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -239,6 +239,7 @@
     "silent": "the server sent nothing for too long",
     "spoiled_answer": "the response lacks the server's signature or has a content "
     "encoding",
+    "stopping": "a planned stop of the entry ended the request",
     "too_large": "the server sent more than an answer or a stream may have",
     "timed_out": "the caller's deadline or the route's timeout expired",
     "unknown_stream": "it is not known which software version began the stream that "
