--- a/tests/support.py
+++ b/tests/support.py
@@ -12,14 +12,17 @@
 class AsyncTestCase(testtools.TestCase):
     """A test case that runs coroutines under trio."""
 
-    def run_async(self, main: Callable[[], Awaitable[None]]) -> None:
-        """Run a coroutine function; raises TooSlowError if it hangs."""
+    def run_async(self, main: Callable[[], Awaitable[None]], **options: object) -> None:
+        """Run a coroutine function; raises TooSlowError if it hangs.
+
+        The options are passed to trio.
+        """
 
         async def run_with_timeout() -> None:
             with trio.fail_after(TEST_TIMEOUT_S):
                 await main()
 
-        trio.run(run_with_timeout)
+        trio.run(run_with_timeout, **options)
 
     async def catch_error(
         self, error_type: type, call: Callable, *args: object
