Ignore limits of callers that are negative

What callers saw, in a trial: after a configuration with a negative headerTimeoutMs or idleTimeoutMs, all connections of an entry were reset and the process ended, with all its requests.

Cause: trio raises ValueError for a negative timeout, in the task of a connection, where nothing expects it.

Before the change the test fails: "no response from 127.0.0.1:39807: BrokenResourceError", and the nursery of the entry raises.

--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -149,12 +149,17 @@
 
 
 def _whole(limit: float | None) -> int | None:
-    """Return an upper limit rounded down, so that it is kept; None if there is none."""
-    return None if limit is None else math.floor(limit)
+    """Return an upper limit rounded down, so that it is kept; None if there is none.
+
+    0 and less stand for no limit, here and in ``_seconds``.
+    """
+    return None if limit is None or limit <= 0 else math.floor(limit)
 
 
 def _seconds(milliseconds: float | None) -> float | None:
-    return None if milliseconds is None else milliseconds / 1000
+    if milliseconds is None or milliseconds <= 0:
+        return None
+    return milliseconds / 1000
 
 
 class _Configuration(msgspec.Struct, rename="camel"):
--- /dev/null
+++ b/tests/ingress/test_odd_configurations.py
@@ -0,0 +1,24 @@
+from ingress_case import IngressCase
+from testtools.matchers import Equals
+
+from cluster import wait_until
+from support import run_with
+
+# Limits of a configuration that cannot be kept.
+NEGATIVE_LIMITS = {"headerTimeoutMs": -1, "idleTimeoutMs": -1, "maxBodyBytes": -1}
+
+
+class TestOddConfigurations(IngressCase):
+    """Guards requests under a configuration with values that make no sense."""
+
+    async def call_configured(self, fleet, entry, **options):
+        fleet.configure(version=2, **options)
+        await wait_until(
+            lambda: entry.events("configuration_applied")[-1]["version"] == "2"
+        )
+        return await fleet.call(entry, "look")
+
+    @run_with("with_fleet")
+    async def test_negative_limits_do_not_end_the_process(self, fleet, entry):
+        response = await self.call_configured(fleet, entry, limits=NEGATIVE_LIMITS)
+        self.assertThat(response.status, Equals(200))
