Refuse requests on a route whose services have no share

What callers saw: 500 internal_error, which does not say that the request has not run, under a trial configuration that gave all services of the route the share 0.

Cause: random.choices raises ValueError if no weight is positive. Negative shares now count as 0, and without any share the request gets 503 no_server with Retry-After.

Before the change the test fails: "500 != 503".

--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -187,7 +187,9 @@
         time_limits_s = [route.timeout_s]
         if request.deadline_s is not None:
             time_limits_s.append(request.deadline_s)
-        split_weights = [each.weight for each in route.backends]
+        split_weights = [max(0.0, each.weight) for each in route.backends]
+        if not any(split_weights):
+            raise RefusedError("no_server", NO_CONFIGURATION_RETRY_AFTER_S)
         backend = self.rng.choices(route.backends, split_weights)[0]
         return Job(
             exchange=exchange,
--- a/tests/ingress/test_odd_configurations.py
+++ b/tests/ingress/test_odd_configurations.py
@@ -1,4 +1,4 @@
-from ingress_case import IngressCase
+from ingress_case import IngressCase, route
 from testtools.matchers import Equals
 
 from cluster import wait_until
@@ -22,3 +22,11 @@
     async def test_negative_limits_do_not_end_the_process(self, fleet, entry):
         response = await self.call_configured(fleet, entry, limits=NEGATIVE_LIMITS)
         self.assertThat(response.status, Equals(200))
+
+    @run_with("with_fleet")
+    async def test_route_whose_services_have_no_share_is_refused(self, fleet, entry):
+        split = [{"service": "coats", "weight": weight} for weight in (0, -1)]
+        routes = [route("look", service="", trafficSplit=split)]
+        response = await self.call_configured(fleet, entry, routes=routes)
+        self.assertThat(response.status, Equals(503))
+        self.assertIn("retry-after", response.headers)
