--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -19,6 +19,7 @@
 from foxtailcourse.ingress._candidates import CandidateFilter
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._configuration_exchange import ConfigurationExchange
+from foxtailcourse.ingress._configuration_refresh import ConfigurationRefresh
 from foxtailcourse.ingress._dispatcher import Dispatcher
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
 from foxtailcourse.ingress._handler import IngressHandler
@@ -49,7 +50,6 @@
     OPERATOR_PREFIX,
     SERVERS_PREFIX,
     KeyValueClient,
-    PlatformError,
     ResponseHeaders,
     ServerClient,
 )
@@ -62,8 +62,10 @@
 # Time until the load balancer sends no more connections to an entry that is not ready:
 # it probes every second and removes an entry after two failures.
 LOAD_BALANCER_NOTICE_S = 2.3
-# Time at the end of a stop that is reserved for closing down.
+# Time at the end of a stop that is reserved for closing down, and the part of it in
+# which callers receive the errors for requests that did not end in time.
 STOP_MARGIN_S = 0.4
+INTERRUPT_TIMEOUT_S = 0.2
 # Longest wait for the store when a stopped entry gives up its registration.
 RELEASE_TIMEOUT_S = 0.1
 # An entry that disappeared keeps its share of the limits that all entries keep together
@@ -248,7 +250,12 @@
         self._peer_exchange.on_configuration_notice = (
             self._configuration_exchange.handle
         )
-        self._refresh_lock = trio.Lock()
+        self._refresh = ConfigurationRefresh(
+            read=self._read_configuration,
+            freshness=self._view.configuration_freshness,
+            clock=boot_seconds,
+            events=self._events,
+        )
         self.address = cfg.listen
         self.listening = False
         self._dispatcher = self._build_dispatcher()
@@ -263,7 +270,7 @@
                 events=self._events,
                 metrics=self._metrics,
             ),
-            refresh=self._refresh,
+            confirm=self._refresh.confirm,
             key_age_limit_s=cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S,
             clock=boot_seconds,
             rng=self._rng,
@@ -332,18 +339,8 @@
     ) -> None:
         self._limits.record_response(run, head, sent_at, boot_seconds())
 
-    async def _refresh(self, max_age_s: float) -> None:
-        """Read the configuration again if it is older than ``max_age_s``.
-
-        Concurrent callers share one call to the store.
-        """
-        async with self._refresh_lock:
-            if self._view.configuration_freshness.age_s(boot_seconds()) <= max_age_s:
-                return
-            try:
-                await self._watcher.refresh(OPERATOR_PREFIX)
-            except PlatformError as exc:
-                self._events.emit("refresh_failed", error=exc)
+    async def _read_configuration(self) -> None:
+        await self._watcher.refresh(OPERATOR_PREFIX)
 
     # Life cycle of the process
 
@@ -393,6 +390,7 @@
                 self._listen, self._http_server, self._cfg.listen, closed
             )
             nursery.start_soon(self._watcher.run)
+            nursery.start_soon(self._refresh.run)
             nursery.start_soon(self._recent_weights.run)
             await self._peer_exchange.bind()
             self._lease.registration = Peer(
@@ -511,14 +509,20 @@
         started = boot_seconds()
         self._draining = self._handler.draining = True
         self._events.emit("drain_started", active=self._http_server.active)
-        await self._lease.stand_down()
-        await trio.sleep(max(0.0, LOAD_BALANCER_NOTICE_S - (boot_seconds() - started)))
+        stop_s = self._cfg.stop_s - STOP_MARGIN_S
+        notice_s = min(LOAD_BALANCER_NOTICE_S, stop_s)
+        with trio.move_on_after(notice_s):
+            await self._lease.stand_down()
+        await trio.sleep(max(0.0, notice_s - (boot_seconds() - started)))
         self._http_server.stop_accepting()
         self._http_server.drain()
-        remaining_s = self._cfg.stop_s - (boot_seconds() - started) - STOP_MARGIN_S
+        remaining_s = stop_s - (boot_seconds() - started)
         with trio.move_on_after(max(0.0, remaining_s)):
             await closed.wait()
         self._events.emit("drain_ended", active=self._http_server.active)
+        self._handler.interrupt()
+        with trio.move_on_after(INTERRUPT_TIMEOUT_S):
+            await closed.wait()
         with trio.move_on_after(RELEASE_TIMEOUT_S):
             await self._lease.release()
 
