Keep the requests of an entry or agent at SIGHUP

What callers saw: every request in progress at foxtail-entry or foxtail-agent ended without a byte when the process received SIGHUP, for instance from an operator who asked for a reload of the settings as at foxtail-ingress.

Cause: only foxtail-ingress handles SIGHUP, and only while it serves. In all other cases the default action of the signal ended the process. Ruled out: the shutdown path, which is not run then; the log ends without `stop_requested`.

test_sighup_under_load_interrupts_no_stream failed before: "foxtailcourse.agent.run ended before the event", with six streams cut.

--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -114,6 +114,8 @@
     "it is ignored",
     "server_reinstated": "a backend server that was leaving or gone registered again",
     "server_registered": "a backend server registered, or changed its registration",
+    "reload_ignored": "the process received SIGHUP, but applies changed settings only "
+    "at its next start",
     "reload_requested": "SIGHUP requested a reload of the settings file",
     "settings_changed": "the changed settings in `keys` were applied",
     "settings_refused": "the changed settings file is unreadable or invalid; the "
--- a/tests/agent/test_agent_processes.py
+++ b/tests/agent/test_agent_processes.py
@@ -32,12 +32,12 @@
 
 
 class TestStop(ProcessTestCase):
-    """Guards against a planned stop that interrupts requests.
+    """Guards against a planned stop or a reload that interrupts requests.
 
     SIGTERM must not end the process before the running streams are complete.
     """
 
-    async def stop_under_load(self, nursery, folder, process_lines):
+    async def stop_under_load(self, nursery, folder, process_lines="", reload=False):
         addresses = await start_standin(nursery, folder, ENGINE)
         agent, address = await start_agent_process(
             nursery, folder, addresses, kind="engine", process_lines=process_lines
@@ -56,6 +56,9 @@
             for number in range(STREAMS):
                 callers.start_soon(read_stream, number)
             await agent.wait_event("request_started", STREAMS)
+            if reload:
+                agent.send_signal(signal.SIGHUP)
+                await agent.wait_event("reload_ignored")
             agent.send_signal(signal.SIGTERM)
             await agent.wait_event("stop_requested")
         await agent.process.wait()
@@ -63,7 +66,13 @@
 
     @with_server()
     async def test_sigterm_under_load_interrupts_no_stream(self, nursery, folder):
-        texts = await self.stop_under_load(nursery, folder, "")
+        texts = await self.stop_under_load(nursery, folder)
+        expected = answer_text(PROMPT, TOKENS, "v1")
+        self.assertThat(texts, Equals([expected] * STREAMS))
+
+    @with_server()
+    async def test_sighup_under_load_interrupts_no_stream(self, nursery, folder):
+        texts = await self.stop_under_load(nursery, folder, reload=True)
         expected = answer_text(PROMPT, TOKENS, "v1")
         self.assertThat(texts, Equals([expected] * STREAMS))
 
