Await a silent agent if no other server can take the request

What callers saw: 502 `backend_failed`, or 503 `outcome_unknown` for a call with an idempotency key, about two seconds after their agent had fallen silent, though it would have gone on: the only server, with no attempt or retry budget left, after all others had been tried, or the only agent that may run the call.

Cause: a liveness probe without a response ended the attempt before another server was looked for. Ruled out: the timeouts of the response head, which end after the deadline.

The next attempt is now reserved first, including its share of the retry budget. If there is none, the agent is awaited until the deadline of the request, and at least for the contract's deadline after the first probe without a response; `agent_awaited` is logged. The agent is still recorded as unreachable, so that other requests avoid it.

--- a/src/foxtailcourse/entry/_agent_client.py
+++ b/src/foxtailcourse/entry/_agent_client.py
@@ -154,7 +154,7 @@
     options : RequestOptions
         Timeouts.
     wait_unresponsive : callable
-        Returns when the agent is unresponsive, which ends the wait for its response.
+        Returns when the agent is unresponsive and its response is no longer awaited.
 
     Raises
     ------
--- a/src/foxtailcourse/entry/_at_most_once.py
+++ b/src/foxtailcourse/entry/_at_most_once.py
@@ -150,7 +150,7 @@
                 break
             try:
                 async with self._dispatcher.attempt(
-                    call, target, outgoing, options
+                    call, target, outgoing, options, reserve_other=lambda: False
                 ) as (_, response):
                     body = await response.http.read()
             except AttemptRefused as exc:
--- a/src/foxtailcourse/entry/_dispatcher.py
+++ b/src/foxtailcourse/entry/_dispatcher.py
@@ -3,10 +3,11 @@
 import secrets
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
+from functools import partial
 
 import trio
 
-from foxtailcourse.config import ConfigStore
+from foxtailcourse.config import ConfigStore, Vm
 from foxtailcourse.entry._agent_client import (
     AgentResponse,
     AttemptBroken,
@@ -77,7 +78,9 @@
 
     def record_agent_state(self, reply: Reply) -> None:
         """Record the state that an agent reports about itself in a reply."""
-        self.servers.record_reply(reply, trio.current_time())
+        now = trio.current_time()
+        self.servers.record_reply(reply, now)
+        self.probes.record_response(reply.backend_server, now)
         self.events.clock.receive(reply.clock)
         if reply.config_revision > self.store.revision:
             self._on_config_revision(reply.config_revision, reply.backend_server)
@@ -100,6 +103,9 @@
             Weights version of the stream to continue, which the server must serve;
             None for a request whose response has not started.
         """
+        reserved, history.reserved = history.reserved, None
+        if reserved is not None and version in (None, reserved.version):
+            return reserved
         now = trio.current_time()
         if history.attempt_count >= self.cfg.max_attempts:
             return None
@@ -121,6 +127,28 @@
         history.attempt_count += 1
         return target
 
+    def reserve_other(
+        self,
+        call: Call,
+        history: AttemptHistory,
+        target: Target,
+        version: str | None = None,
+    ) -> bool:
+        """Reserve an attempt at another server than that of the present attempt.
+
+        Returns
+        -------
+        bool
+            Whether there is one. If not, giving up the present attempt would lose the
+            request.
+        """
+        vm = target.vm.vm
+        history.excluded_vms.add(vm)
+        history.reserved = self.next_target(call, history, version)
+        if history.reserved is None:
+            history.excluded_vms.discard(vm)
+        return history.reserved is not None
+
     def _acquire_continuation(self, call: Call, history: AttemptHistory) -> bool:
         """Return whether a started stream may be continued.
 
@@ -219,6 +247,7 @@
         outgoing: OutgoingRequest,
         options: RequestOptions,
         *,
+        reserve_other: Callable[[], bool],
         resume_from: int = 0,
     ) -> AsyncIterator[tuple[Attempt, AgentResponse]]:
         """Send one attempt, yield it with its response, and record how it ends.
@@ -233,6 +262,9 @@
             Request line, header fields and body.
         options : RequestOptions
             Timeouts.
+        reserve_other : callable
+            Returns whether another server takes the request if this attempt is given
+            up; called while the agent is unresponsive.
         resume_from : int
             Identifier of the first stream event to send; above 0 to continue a stream.
 
@@ -278,7 +310,7 @@
                 attempt,
                 outgoing,
                 options,
-                self.probes.wait_unresponsive,
+                partial(self._wait_given_up, call, reserve_other),
             ) as response:
                 self._record_reply(call, target, response.reply, refused=False)
                 self._count_tokens(call, prompt.tokens, response.reply)
@@ -304,6 +336,36 @@
                 result=result,
             )
 
+    async def _wait_given_up(
+        self, call: Call, reserve_other: Callable[[], bool], vm: Vm
+    ) -> None:
+        """Return when an unresponsive agent's response is no longer awaited.
+
+        It is awaited for as long as the contract allows if no other server can take
+        the request.
+        """
+        limit_s = call.contract.deadline_ms(call.request_class) / 1000
+        logged = False
+        while True:
+            unresponsive_since = await self.probes.wait_unresponsive(vm)
+            now = trio.current_time()
+            if reserve_other() or now >= max(
+                call.deadline, unresponsive_since + limit_s
+            ):
+                return
+            self._record_unreachable(vm.vm, now)
+            if not logged:
+                logged = True
+                self.events.emit(
+                    "agent_awaited",
+                    request_id=call.request_id,
+                    backend_server=vm.vm,
+                )
+
+    def _record_unreachable(self, vm: str, now: float) -> None:
+        self.servers.record_unreachable(vm, now)
+        self.placement.record_unreachable(vm, now)
+
     def _record_reply(
         self, call: Call, target: Target, reply: Reply, *, refused: bool
     ) -> None:
@@ -331,8 +393,7 @@
     def _record_broken(self, call: Call, target: Target, exc: AttemptBroken) -> None:
         now = trio.current_time()
         if exc.code in {"unreachable", "wrong_server", "frozen"}:
-            self.servers.record_unreachable(target.vm.vm, now)
-            self.placement.record_unreachable(target.vm.vm, now)
+            self._record_unreachable(target.vm.vm, now)
         self.events.emit(
             "attempt_broken",
             request_id=call.request_id,
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -1,6 +1,7 @@
 """Relaying of agents' responses to callers, complete or streamed."""
 
 from contextlib import aclosing
+from functools import partial
 
 import msgspec
 import trio
@@ -87,9 +88,12 @@
             head_timeout_s=call.answer_timeout_s,
         )
         while (target := self._dispatcher.next_target(call, history)) is not None:
+            reserve_other = partial(
+                self._dispatcher.reserve_other, call, history, target
+            )
             try:
                 async with self._dispatcher.attempt(
-                    call, target, outgoing, options
+                    call, target, outgoing, options, reserve_other=reserve_other
                 ) as (_, response):
                     body = await response.http.read()
             except AttemptError as exc:
@@ -116,7 +120,7 @@
             if target is None:
                 break
             try:
-                await self._relay_attempt(exchange, call, target, delivery)
+                await self._relay_attempt(exchange, call, history, target, delivery)
             except AttemptError as exc:
                 if not self._dispatcher.record_failure(call, history, target, exc):
                     break
@@ -131,6 +135,7 @@
         self,
         exchange: Exchange,
         call: Call,
+        history: AttemptHistory,
         target: Target,
         delivery: Delivery,
     ) -> None:
@@ -147,8 +152,17 @@
             head_timeout_s=self._dispatcher.head_timeout_s(call),
         )
         outgoing = _outgoing(call, _continuation_body(call, delivery))
+        version = delivery.version if delivery.started else None
+        reserve_other = partial(
+            self._dispatcher.reserve_other, call, history, target, version
+        )
         async with self._dispatcher.attempt(
-            call, target, outgoing, options, resume_from=delivery.next_id
+            call,
+            target,
+            outgoing,
+            options,
+            reserve_other=reserve_other,
+            resume_from=delivery.next_id,
         ) as (attempt, response):
             _check_stream_head(response, delivery)
             checker = StreamChecker(attempt.attempt_id, delivery.next_id)
