Repeat a request whose reused connection was closed unanswered

What callers saw: 502 `backend_failed` for a request that the entry had sent on a reused connection just as the agent closed it, if no other server, attempt or retry was left.

Cause: the failure counted like that of an attempt that ran. Ruled out: connections that were closed before the request was sent; the pool notices these.

The client now marks a failure as stale if a reused connection ended before a byte of the response. The entry repeats such an attempt once at the same server, on a new connection and outside of the limits on attempts and retries; the other idle connections to that address are closed first. Only repeatable requests use reused connections.

--- a/src/foxtailcourse/entry/_agent_client.py
+++ b/src/foxtailcourse/entry/_agent_client.py
@@ -77,12 +77,20 @@
     ----------
     code, message, verdict
         As for ``AttemptError``.
+    stale : bool
+        As for ``ClientError``.
     """
 
     def __init__(
-        self, code: str, message: str, verdict: Verdict = Verdict.MAY_HAVE_RUN
+        self,
+        code: str,
+        message: str,
+        verdict: Verdict = Verdict.MAY_HAVE_RUN,
+        *,
+        stale: bool = False,
     ) -> None:
         super().__init__(code, message, verdict)
+        self.stale = stale
 
 
 @attrs.frozen(kw_only=True)
@@ -184,7 +192,7 @@
             yield AgentResponse(reply, response)
     except ClientError as exc:
         code = "unreachable" if exc.verdict is Verdict.NOT_RUN else "cut"
-        raise AttemptBroken(code, str(exc), exc.verdict) from exc
+        raise AttemptBroken(code, str(exc), exc.verdict, stale=exc.stale) from exc
 
 
 async def _receive_head(
--- a/src/foxtailcourse/entry/_dispatcher.py
+++ b/src/foxtailcourse/entry/_dispatcher.py
@@ -409,25 +409,30 @@
         history.failures.append(exc)
         if isinstance(exc, AttemptRefused) and not exc.retryable:
             return False
+        vm = target.vm.vm
+        is_stale = isinstance(exc, AttemptBroken) and exc.stale
+        if is_stale and vm not in history.reconnected_vms:
+            # The agent probably closed the connection before it read the request, so
+            # the repetition uses neither an attempt nor the retry budget.
+            history.reconnected_vms.add(vm)
+            history.reserved = target
+            return True
         if exc.code in CAPACITY_CODES and isinstance(exc, AttemptRefused):
             self.feasibility.record_refusal(
-                target.vm.vm,
+                vm,
                 call.contract.client_account,
                 call.request_class,
                 exc.reply.retry_after_ms,
                 trio.current_time(),
             )
-        served_version = self.servers.served_version(target.vm.vm, target.version)
-        if (
-            served_version != target.version
-            and target.vm.vm not in history.version_updated_vms
-        ):
+        served_version = self.servers.served_version(vm, target.version)
+        if served_version != target.version and vm not in history.version_updated_vms:
             # The reply reported the served version, so the next attempt sends the
             # keys of that version. During a change of weights this server may be the
             # only one in service, so it is not excluded after its first mismatch.
-            history.version_updated_vms.add(target.vm.vm)
+            history.version_updated_vms.add(vm)
             return True
-        history.excluded_vms.add(target.vm.vm)
+        history.excluded_vms.add(vm)
         return True
 
     def head_timeout_s(self, call: Call) -> float:
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -57,11 +57,16 @@
     verdict : Verdict
         NOT_RUN if no byte of the request was passed to the operating system, else
         MAY_HAVE_RUN.
+    stale : bool
+        Whether the request was sent on a reused connection that ended without a byte
+        of the response. The server has then probably closed it before it read the
+        request.
     """
 
-    def __init__(self, message: str, verdict: Verdict) -> None:
+    def __init__(self, message: str, verdict: Verdict, *, stale: bool = False) -> None:
         super().__init__(message)
         self.verdict = verdict
+        self.stale = stale
 
 
 @attrs.frozen(kw_only=True)
@@ -106,6 +111,9 @@
     idle_since: float = 0.0
     # False if the response began before the whole request was sent.
     request_fully_sent: bool = True
+    reused: bool = False
+    # Whether a byte of the response to the present request has arrived.
+    responded: bool = False
 
     async def next_event(self, timeout_s: float) -> Any:
         """Return the next h11 event of the server; raises TooSlowError on a timeout."""
@@ -126,6 +134,7 @@
             if not self.stream.socket.is_readable():
                 raise trio.TooSlowError
             data = await self.stream.receive_some(MAX_READ_BYTES)
+        self.responded = self.responded or bool(data)
         self.h11.receive_data(data)
 
     def read_buffered_body(self) -> tuple[bytes, bool]:
@@ -291,9 +300,11 @@
                 conn, address, method, target, headers, body, options
             )
             yield ClientResponse(conn, method, head, options)
-        except BaseException:
+        except BaseException as exc:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(conn.stream)
+                if isinstance(exc, ClientError) and exc.stale:
+                    await self._close_idle(self._idle.get(address, deque()))
             raise
         if options.keep_alive:
             await self._release(address, conn)
@@ -308,6 +319,7 @@
         while options.reuse and idle:
             conn = idle.pop()
             if await self._is_reusable(conn):
+                conn.reused, conn.responded = True, False
                 return conn
         try:
             stream = await _open_stream(address, options.connect_timeout_s)
@@ -359,7 +371,9 @@
             return await _send_while_reading(conn, address, data, timeout_s)
         except _CONNECTION_ERRORS as exc:
             message = f"no response from {address}: {exc!r}"
-            raise ClientError(message, Verdict.MAY_HAVE_RUN) from exc
+            timed_out = isinstance(exc, trio.TooSlowError)
+            stale = conn.reused and not conn.responded and not timed_out
+            raise ClientError(message, Verdict.MAY_HAVE_RUN, stale=stale) from exc
 
     async def _release(self, address: Address, conn: _ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
@@ -382,8 +396,11 @@
     async def aclose(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
-            while idle:
-                await trio.aclose_forcefully(idle.pop().stream)
+            await self._close_idle(idle)
+
+    async def _close_idle(self, idle: deque[_ClientConnection]) -> None:
+        while idle:
+            await trio.aclose_forcefully(idle.pop().stream)
 
 
 def _framing(method: str, status: int, headers: Mapping[str, str]) -> Framing:
