Answer requests that arrive at an agent as its drain ends

What callers saw: at a planned stop of an agent, a request of which only a part had been read ended with a closed connection.

Cause: the drain counts requests that have been read completely. With none of these left, the agent ended its connections by cancelling their tasks. Ruled out: the entry, which waits for its connections to end.

test_request_that_arrives_during_the_stop_is_answered failed before ("b'' != b'HTTP/1.1 400'").

--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -94,6 +94,7 @@
             max_connections=cfg.max_connections, max_header_bytes=MAX_HEADER_BYTES
         )
         self.server = HttpServer(self._handle, limits, self._on_error)
+        self._closed = trio.Event()
         self.port = 0
 
     def _make_transfer(self, engine: HttpEngineClient) -> BlockTransfer | None:
@@ -138,13 +139,31 @@
             if self.engine_monitor is not None:
                 await self.engine_monitor.start()
                 nursery.start_soon(self.engine_monitor.run)
-            await nursery.start(self.server.serve, listeners)
+            await nursery.start(self._serve, listeners)
             task_status.started(self.port)
 
+    async def _serve(
+        self,
+        listeners: list[trio.SocketListener],
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await self.server.serve(listeners, task_status=task_status)
+        self._closed.set()
+
     def stop(self) -> None:
         """Begin a planned stop: accept no new requests."""
         self.context.stopping = True
 
+    async def close(self) -> None:
+        """Accept no more connections, and wait until the last one has ended.
+
+        Idle connections end at once. A request that has begun to arrive is answered.
+        """
+        self.server.stop_accepting()
+        self.server.drain()
+        await self._closed.wait()
+
     def active(self) -> int:
         """Return the number of requests and background tasks in progress."""
         return self.server.active + self.context.background_tasks
--- a/tests/agent/test_agent_processes.py
+++ b/tests/agent/test_agent_processes.py
@@ -1,3 +1,4 @@
+import contextlib
 import signal
 import tempfile
 from functools import partial
@@ -76,6 +77,25 @@
         expected = answer_text(PROMPT, TOKENS, "v1")
         self.assertThat(texts, Equals([expected] * STREAMS))
 
+    @with_server()
+    async def test_request_that_arrives_during_the_stop_is_answered(
+        self, nursery, folder
+    ):
+        addresses = await start_standin(nursery, folder, ENGINE)
+        agent, address = await start_agent_process(
+            nursery, folder, addresses, kind="engine"
+        )
+        async with await trio.open_tcp_stream(address.host, address.port) as stream:
+            await stream.send_all(b"POST /v1/chat/completions HTTP/1.1\r\n")
+            agent.send_signal(signal.SIGTERM)
+            await agent.wait_event("drain_ended")
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(b"host: a\r\ncontent-length: 0\r\n\r\n")
+            with contextlib.suppress(trio.BrokenResourceError):
+                self.assertThat(await stream.receive_some(12), Equals(b"HTTP/1.1 400"))
+                return
+        self.fail("the connection was reset")
+
     @with_server()
     async def test_without_the_drain_streams_are_interrupted(self, nursery, folder):
         """Control: without a drain the same streams are interrupted."""
