Await the rest of a response if no other server can go on

What callers saw: a stream that had begun ended with `stream_broken`, or a complete response with 502, after its agent had paused for `stream_idle_timeout_s`, though no other server could go on and the paused one would have.

Cause: the timeout between two chunks broke the attempt off before another server was looked for. Ruled out: the liveness probes, which end with the head of the response.

The client asks after each such time whether to go on waiting. The entry does so, and logs `agent_awaited`, unless the next attempt at another server could be reserved or the pause lasts as long as the contract's deadline.

test_response_of_the_only_server_goes_on_after_a_pause and test_response_goes_on_after_a_pause_if_no_attempt_is_left failed before ("peer closed connection without sending complete message body").

--- a/src/foxtailcourse/entry/_at_most_once.py
+++ b/src/foxtailcourse/entry/_at_most_once.py
@@ -1,5 +1,7 @@
 """At-most-once calls, which carry an idempotency key."""
 
+from functools import partial
+
 import attrs
 import msgspec
 import trio
@@ -139,6 +141,9 @@
             connect_timeout_s=self._dispatcher.cfg.connect_timeout_s,
             idle_timeout_s=self._dispatcher.cfg.stream_idle_timeout_s,
             head_timeout_s=call.answer_timeout_s,
+            keep_waiting=partial(
+                self._dispatcher.keeps_waiting, call, target, _no_other_server
+            ),
             # The agent may already have closed a pooled connection; whether it received
             # the call would then be unknown.
             reuse=False,
@@ -150,7 +155,7 @@
                 break
             try:
                 async with self._dispatcher.attempt(
-                    call, target, outgoing, options, reserve_other=lambda: False
+                    call, target, outgoing, options, reserve_other=_no_other_server
                 ) as (_, response):
                     body = await response.http.read()
             except AttemptRefused as exc:
@@ -170,6 +175,10 @@
         return self._dispatcher.acquire_retry(call)
 
 
+def _no_other_server() -> bool:
+    return False
+
+
 def _refusal_error(exc: AttemptRefused, sent: bool) -> HttpError:
     # An earlier attempt that was sent may still reach the agent and run.
     verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
--- a/src/foxtailcourse/entry/_dispatcher.py
+++ b/src/foxtailcourse/entry/_dispatcher.py
@@ -356,11 +356,35 @@
             self._record_unreachable(vm.vm, now)
             if not logged:
                 logged = True
-                self.events.emit(
-                    "agent_awaited",
-                    request_id=call.request_id,
-                    backend_server=vm.vm,
-                )
+                self._log_awaited(call, vm.vm)
+
+    def keeps_waiting(
+        self,
+        call: Call,
+        target: Target,
+        reserve_other: Callable[[], bool],
+        silent_s: float,
+    ) -> bool:
+        """Return whether the rest of a response is still awaited.
+
+        It is awaited for the time of the contract's deadline if no other server can
+        take the request.
+
+        Parameters
+        ----------
+        call, target, reserve_other
+            As for ``attempt``.
+        silent_s : float
+            Time since the last data of the response, in seconds.
+        """
+        limit_s = call.contract.deadline_ms(call.request_class) / 1000
+        if silent_s >= limit_s or reserve_other():
+            return False
+        self._log_awaited(call, target.vm.vm)
+        return True
+
+    def _log_awaited(self, call: Call, vm: str) -> None:
+        self.events.emit("agent_awaited", request_id=call.request_id, backend_server=vm)
 
     def _record_unreachable(self, vm: str, now: float) -> None:
         self.servers.record_unreachable(vm, now)
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -1,5 +1,6 @@
 """Relaying of agents' responses to callers, complete or streamed."""
 
+from collections.abc import Callable
 from contextlib import aclosing
 from functools import partial
 
@@ -82,15 +83,13 @@
         """
         history = AttemptHistory()
         outgoing = _outgoing(call, call.body)
-        options = RequestOptions(
-            connect_timeout_s=self._cfg.connect_timeout_s,
-            idle_timeout_s=self._cfg.stream_idle_timeout_s,
-            head_timeout_s=call.answer_timeout_s,
-        )
         while (target := self._dispatcher.next_target(call, history)) is not None:
             reserve_other = partial(
                 self._dispatcher.reserve_other, call, history, target
             )
+            options = self._options(
+                call, target, reserve_other, head_timeout_s=call.answer_timeout_s
+            )
             try:
                 async with self._dispatcher.attempt(
                     call, target, outgoing, options, reserve_other=reserve_other
@@ -103,6 +102,23 @@
             return response, body
         raise history.to_http_error()
 
+    def _options(
+        self,
+        call: Call,
+        target: Target,
+        reserve_other: Callable[[], bool],
+        *,
+        head_timeout_s: float,
+    ) -> RequestOptions:
+        return RequestOptions(
+            connect_timeout_s=self._cfg.connect_timeout_s,
+            idle_timeout_s=self._cfg.stream_idle_timeout_s,
+            head_timeout_s=head_timeout_s,
+            keep_waiting=partial(
+                self._dispatcher.keeps_waiting, call, target, reserve_other
+            ),
+        )
+
     async def respond_stream(self, exchange: Exchange, call: Call) -> None:
         """Run a chat request and stream the response.
 
@@ -115,8 +131,9 @@
         """
         history, delivery = AttemptHistory(), Delivery()
         while True:
-            version = delivery.version if delivery.started else None
-            target = self._dispatcher.next_target(call, history, version)
+            target = self._dispatcher.next_target(
+                call, history, delivery.required_version
+            )
             if target is None:
                 break
             try:
@@ -146,16 +163,18 @@
         AttemptError
             If the attempt failed; ``delivery`` tells where to continue.
         """
-        options = RequestOptions(
-            connect_timeout_s=self._cfg.connect_timeout_s,
-            idle_timeout_s=self._cfg.stream_idle_timeout_s,
+
+        def reserve_other() -> bool:
+            version = delivery.required_version
+            return self._dispatcher.reserve_other(call, history, target, version)
+
+        options = self._options(
+            call,
+            target,
+            reserve_other,
             head_timeout_s=self._dispatcher.head_timeout_s(call),
         )
         outgoing = _outgoing(call, _continuation_body(call, delivery))
-        version = delivery.version if delivery.started else None
-        reserve_other = partial(
-            self._dispatcher.reserve_other, call, history, target, version
-        )
         async with self._dispatcher.attempt(
             call,
             target,
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -5,7 +5,7 @@
 
 import math
 from collections import deque
-from collections.abc import AsyncGenerator, AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from enum import Enum
 from typing import Any
@@ -82,6 +82,9 @@
     head_timeout_s : float
         Longest wait for the head of the response, and longest time from its first byte
         to its last; 0 applies ``idle_timeout_s``.
+    keep_waiting : callable
+        Called each time when no data of the body has arrived for ``idle_timeout_s``,
+        with the seconds of silence; returns whether to wait for that long again.
     body_timeout_s : float
         Longest time in which ``read`` receives the whole body.
     reuse : bool
@@ -96,6 +99,7 @@
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
     head_timeout_s: float = 0.0
+    keep_waiting: Callable[[float], bool] = lambda silent_s: False
     body_timeout_s: float = math.inf
     reuse: bool = True
     keep_alive: bool = True
@@ -203,12 +207,22 @@
                 if chunk:
                     yield chunk
                 elif not ended:
-                    await self._conn.receive(self._options.idle_timeout_s)
+                    await self._receive()
         except _CONNECTION_ERRORS as exc:
             raise ClientError(
                 f"response is truncated: {exc!r}", Verdict.MAY_HAVE_RUN
             ) from exc
 
+    async def _receive(self) -> None:
+        """Read from the socket once; raises TooSlowError if the wait is given up."""
+        started_at = trio.current_time()
+        while True:
+            try:
+                return await self._conn.receive(self._options.idle_timeout_s)
+            except trio.TooSlowError:
+                if not self._options.keep_waiting(trio.current_time() - started_at):
+                    raise
+
     async def read(self) -> bytes:
         """Return the whole body.
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -16,8 +16,8 @@
 
 EVENTS = {
     "admin_error": "a request to `admin_listen` failed with an internal error",
-    "agent_awaited": "an agent responds neither to a request nor to a probe, and no "
-    "other backend server can take the request, so that it waits",
+    "agent_awaited": "an agent responds neither to a request nor to a probe, or pauses "
+    "within a response; no other backend server can take the request, so that it waits",
     "agent_listening": "the agent accepts connections on `port`",
     "attempt_broken": "an attempt gave no complete response; `code` is in the table "
     "below",
--- a/tests/entry/test_silent_agents.py
+++ b/tests/entry/test_silent_agents.py
@@ -75,6 +75,38 @@
         contract = {"short_deadline_ms": 200}
         self.run_entry(check, silent, contract=contract)
 
+    def pause_within_the_response(self, n_agents=1, **options):
+        """Check that a response is complete whose agent pauses after its first part."""
+
+        async def script(agent, exchange, attempt):
+            if b'"stream":true' not in exchange.body:
+                fields = agent.reply_fields(attempt)
+                await exchange.start_stream(200, fields, b"[")
+                await self.wait_event("agent_awaited")
+                await exchange.end_stream(b"]")
+                return
+            await agent.start_stream(exchange, attempt)
+            await agent.send_tokens(exchange, range(2))
+            await self.wait_event("agent_awaited")
+            await agent.send_tokens(exchange, range(2, 5))
+            await agent.end_stream(exchange, attempt, 5)
+
+        async def check(entry, agents):
+            self.entry = entry
+            _, _, body = await entry.chat(stream=self.stream)
+            self.assertTrue(is_complete(body, 5) if self.stream else body == b"[]")
+
+        for self.stream in (True, False):
+            self.run_entry(
+                check, script, n_agents, stream_idle_timeout_s=0.05, **options
+            )
+
+    def test_response_of_the_only_server_goes_on_after_a_pause(self):
+        self.pause_within_the_response()
+
+    def test_response_goes_on_after_a_pause_if_no_attempt_is_left(self):
+        self.pause_within_the_response(n_agents=2, max_attempts=1)
+
     def test_keyed_call_waits_for_its_silent_agent(self):
         async def script(agent, exchange, attempt):
             if exchange.path.startswith("/services"):
