Accept connections at an agent after the first poll of its engine

What callers saw: requests at a starting agent were neither answered nor refused for up to ten seconds if its engine was silent, and ended with 502 at the end of the entry's timeout.

Cause: the agent listened before it polled the engine's state and events, each with a timeout of five seconds, and accepted connections after that. Ruled out: the liveness probes, which do not notice it since the administration listener responds.

The agent now listens after the poll. Until then connections are refused, so that an entry goes to another server and knows that the request did not run.

test_no_connection_is_accepted_before_the_first_poll_has_ended failed before ("[38129] != [0]").

--- a/src/foxtailcourse/agent/_agent.py
+++ b/src/foxtailcourse/agent/_agent.py
@@ -131,14 +131,15 @@
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled; report the bound port as the task status."""
-        listen = self.context.cfg.listen
-        listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
-        self.port = listeners[0].socket.getsockname()[1]
         async with trio.open_nursery() as nursery:
             self.context.nursery = nursery
             if self.engine_monitor is not None:
+                # Before the listener, where requests would wait for a silent engine.
                 await self.engine_monitor.start()
                 nursery.start_soon(self.engine_monitor.run)
+            listen = self.context.cfg.listen
+            listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
+            self.port = listeners[0].socket.getsockname()[1]
             await nursery.start(self._serve, listeners)
             task_status.started(self.port)
 
--- a/tests/agent/test_agent_failures.py
+++ b/tests/agent/test_agent_failures.py
@@ -6,6 +6,7 @@
 from foxtailcourse.http import ClientError
 from foxtailcourse.standin import answer_text, prompt_text
 from standins import (
+    LOOPBACK,
     MESSAGES,
     chain_keys,
     chat,
@@ -16,7 +17,7 @@
     start_truncating_proxy,
     wait_until,
 )
-from support import AsyncTestCase, with_server
+from support import AsyncTestCase, run_trio, with_server
 
 PROMPT = prompt_text(MESSAGES)
 EXPECTED_TEXT = answer_text(PROMPT, 16, "v1")
@@ -52,6 +53,24 @@
         self.patch(owner, name, replacement)
 
 
+class TestStart(AsyncTestCase):
+    """Guards requests that arrive while the agent waits for a silent engine."""
+
+    @run_trio
+    async def test_no_connection_is_accepted_before_the_first_poll_has_ended(self):
+        ports = []
+
+        async def poll():
+            ports.append(agent.port)
+
+        async with trio.open_nursery() as nursery:
+            agent = make_agent(LOOPBACK)
+            agent.engine_monitor.start = poll
+            await start_agent(nursery, agent)
+            nursery.cancel_scope.cancel()
+        self.assertThat(ports, Equals([0]))
+
+
 class TestEngineLoss(FailureTestCase):
     """Guards against stale index entries and incomplete streams after a crash.
 
