Do not end a call over an older configuration of its agent

What callers saw: beside a change of the configuration that made a route repeatable, or at an agent that had just started, a call without an idempotency key ended with 400 `key_required`, which neither the entry nor a caller repeats.

Cause: an agent that does not know the route takes its default values, by which the call needs a key, and judged the call by these although the attempt named a newer revision. Ruled out: the entry, which judges a call by one view of the configuration.

The agent now refuses such a call with 503 `older_configuration`, or `no_configuration`; both verdicts are not-run, so that another server may take the call.

test_older_configuration_does_not_end_a_call_that_has_no_key failed before ("400 != 503").

--- a/src/foxtailcourse/agent/_service.py
+++ b/src/foxtailcourse/agent/_service.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from foxtailcourse.agent._context import AgentContext
+from foxtailcourse.agent._context import NEW_WORK_RETRY_AFTER_MS, AgentContext
 from foxtailcourse.agent._keyed_calls import KeyedCalls
 from foxtailcourse.agent._scheduler import RefusedError
 from foxtailcourse.config import ServiceRoute
 from foxtailcourse.engine import ServiceClient, ServiceRequest, ServiceResponse
-from foxtailcourse.http import ClientError, Exchange
+from foxtailcourse.http import ClientError, Exchange, HttpError
 from foxtailcourse.idempotency import (
     KeyIssuer,
     KeyLimitError,
@@ -115,8 +115,7 @@
                 attempt, checked_key, request, queued_request
             )
         elif not route.repeatable:
-            message = f"route {route.route} needs an issued idempotency key"
-            raise context.refusal(attempt.attempt_id, 400, "key_required", message)
+            raise self._missing_key(attempt, route)
         else:
             response = await self._run_unkeyed(attempt, request)
         fields = context.make_reply(attempt.attempt_id, Verdict.RAN).to_headers()
@@ -124,6 +123,25 @@
             response.status, response.body, fields, content_type=response.content_type
         )
 
+    def _missing_key(self, attempt: Attempt, route: ServiceRoute) -> HttpError:
+        """Return the refusal of a call without a key on a route that needs one.
+
+        An entry with a newer configuration may know that the route needs none.
+        """
+        context = self._context
+        if not context.configured():
+            return context.new_work_refusal(attempt.attempt_id)
+        if attempt.config_revision > context.store.revision:
+            return context.refusal(
+                attempt.attempt_id,
+                503,
+                "older_configuration",
+                f"backend server {context.vm} has an older configuration of the route",
+                retry_after_ms=NEW_WORK_RETRY_AFTER_MS,
+            )
+        message = f"route {route.route} needs an issued idempotency key"
+        return context.refusal(attempt.attempt_id, 400, "key_required", message)
+
     async def _run_unkeyed(
         self, attempt: Attempt, request: ServiceRequest
     ) -> ServiceResponse:
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -299,6 +299,8 @@
     "no_backend_server": "no backend server of the model or route is in service",
     "no_capacity": "all candidates recently refused this account and class",
     "no_configuration": "the process has no configuration yet",
+    "older_configuration": "the agent received a call without a key and may not know "
+    "yet that the route needs none",
     "outcome_unknown": "the call may have run; retry it with the same key",
     "queue_full": "the backend server's queue is full",
     "request_timeout": "the caller sent the request too slowly",
--- a/tests/agent/test_agent_service.py
+++ b/tests/agent/test_agent_service.py
@@ -108,6 +108,19 @@
         response = await return_coat(address, "")
         self.assertThat(summary(response), Equals(("ok", "ran")))
 
+    @with_server()
+    async def test_older_configuration_does_not_end_a_call_that_has_no_key(
+        self, address, agent, service
+    ):
+        """A newer configuration may allow the call without a key."""
+        newer = agent.context.store.revision + 1
+        refused = await return_coat(address, "", config_revision=newer)
+        self.assertThat(refused.status, Equals(503))
+        self.assertThat(summary(refused), Equals(("older_configuration", "not-run")))
+        agent.context.configured = lambda: False
+        refused = await return_coat(address, "", "a2")
+        self.assertThat(summary(refused), Equals(("no_configuration", "not-run")))
+
     @with_server()
     async def test_foreign_expired_and_reused_keys_are_may_have_run_and_do_not_run(
         self, address, agent, service
