End requests with an error at the drain limit of an entry

What callers saw: at a planned stop of an entry, a request without an answer at the end of `drain_limit_s`, for instance one that waited in the queue of an agent, ended with a closed connection.

Cause: the entry cancelled the tasks of its connections. Ruled out: stops within the limit, which wait for all requests.

The entry now first ends each request in progress with 502 `stopping`, whose verdict is may-have-run, and gives the errors a second to be sent. A response that has started is still cut without a regular end.

--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -22,6 +22,9 @@
 from foxtailcourse.settings import Address
 from foxtailcourse.sharing import AccountLimiter
 
+# Longest time to send errors to the requests that the drain has not finished.
+END_TIMEOUT_S = 1.0
+
 
 class EntryApp:
     """Wires the components of one entry and runs them until shutdown.
@@ -161,7 +164,7 @@
 
         New requests are still accepted for ``drain_grace_s``, so that the load balancer
         can see that this entry is not ready. The active requests then have
-        ``drain_limit_s`` to end.
+        ``drain_limit_s`` to end; those without a response by then get an error.
         """
         cfg, events = self._daemon.cfg, self._daemon.events
         self._gateway.draining = True
@@ -172,6 +175,9 @@
         with trio.move_on_after(cfg.drain_limit_s):
             await closed.wait()
         events.emit("drain_ended", active=self._server.active)
+        self._gateway.end_requests()
+        with trio.move_on_after(END_TIMEOUT_S):
+            await closed.wait()
 
     def _on_error(self, exchange: Exchange, exc: Exception) -> None:
         self._daemon.metrics.count("foxtail_entry_requests_total", code="internal")
--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -21,7 +21,7 @@
 from foxtailcourse.entry._settings import EntrySettings
 from foxtailcourse.http import Exchange, HttpError
 from foxtailcourse.observe import EventLog, Metrics
-from foxtailcourse.protocol import RequestClass, headers
+from foxtailcourse.protocol import RequestClass, Verdict, headers
 from foxtailcourse.routing import Prompt, prompt_from_messages
 from foxtailcourse.sharing import AccountLimiter, Refusal
 
@@ -74,6 +74,12 @@
         self._metrics = metrics
         self._authenticator = Authenticator()
         self.draining = False
+        self._request_scopes: set[trio.CancelScope] = set()
+
+    def end_requests(self) -> None:
+        """End all requests in progress, with an error if no response has started."""
+        for scope in self._request_scopes:
+            scope.cancel()
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request; raises HttpError if it is refused or fails."""
@@ -85,13 +91,26 @@
         try:
             contract = self._authenticate(exchange)
             account = contract.client_account
-            await self._route_request(exchange, contract, request_id)
+            await self._respond(exchange, contract, request_id)
         except HttpError as exc:
             exc.fields[headers.REQUEST_ID] = request_id
             self._record_refusal(request_id, account, exc)
             raise
         self._metrics.count("foxtail_entry_requests_total", code="ok")
 
+    async def _respond(
+        self, exchange: Exchange, contract: Contract, request_id: str
+    ) -> None:
+        with trio.CancelScope() as scope:
+            self._request_scopes.add(scope)
+            try:
+                await self._route_request(exchange, contract, request_id)
+            finally:
+                self._request_scopes.discard(scope)
+        if scope.cancelled_caught:
+            message = "this entry stopped before the request was complete"
+            raise HttpError(502, "stopping", message, verdict=Verdict.MAY_HAVE_RUN)
+
     def _record_refusal(self, request_id: str, account: str, exc: HttpError) -> None:
         self._metrics.count("foxtail_entry_requests_total", code=exc.code)
         self._events.emit(
