--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -1,6 +1,8 @@
 """Relaying of agents' responses to callers, complete or streamed."""
 
+from collections.abc import Callable
 from contextlib import aclosing
+from functools import partial
 
 import msgspec
 import trio
@@ -81,15 +83,16 @@
         """
         history = AttemptHistory()
         outgoing = _outgoing(call, call.body)
-        options = RequestOptions(
-            connect_timeout_s=self._cfg.connect_timeout_s,
-            idle_timeout_s=self._cfg.stream_idle_timeout_s,
-            head_timeout_s=call.answer_timeout_s,
-        )
         while (target := self._dispatcher.next_target(call, history)) is not None:
+            reserve_other = partial(
+                self._dispatcher.reserve_other, call, history, target
+            )
+            options = self._options(
+                call, target, reserve_other, head_timeout_s=call.answer_timeout_s
+            )
             try:
                 async with self._dispatcher.attempt(
-                    call, target, outgoing, options
+                    call, target, outgoing, options, reserve_other=reserve_other
                 ) as (_, response):
                     body = await response.http.read()
             except AttemptError as exc:
@@ -99,6 +102,23 @@
             return response, body
         raise history.to_http_error()
 
+    def _options(
+        self,
+        call: Call,
+        target: Target,
+        reserve_other: Callable[[], bool],
+        *,
+        head_timeout_s: float,
+    ) -> RequestOptions:
+        return RequestOptions(
+            connect_timeout_s=self._cfg.connect_timeout_s,
+            idle_timeout_s=self._cfg.stream_idle_timeout_s,
+            head_timeout_s=head_timeout_s,
+            keep_waiting=partial(
+                self._dispatcher.keeps_waiting, call, target, reserve_other
+            ),
+        )
+
     async def respond_stream(self, exchange: Exchange, call: Call) -> None:
         """Run a chat request and stream the response.
 
@@ -111,12 +131,13 @@
         """
         history, delivery = AttemptHistory(), Delivery()
         while True:
-            version = delivery.version if delivery.started else None
-            target = self._dispatcher.next_target(call, history, version)
+            target = self._dispatcher.next_target(
+                call, history, delivery.required_version
+            )
             if target is None:
                 break
             try:
-                await self._relay_attempt(exchange, call, target, delivery)
+                await self._relay_attempt(exchange, call, history, target, delivery)
             except AttemptError as exc:
                 if not self._dispatcher.record_failure(call, history, target, exc):
                     break
@@ -131,6 +152,7 @@
         self,
         exchange: Exchange,
         call: Call,
+        history: AttemptHistory,
         target: Target,
         delivery: Delivery,
     ) -> None:
@@ -141,14 +163,25 @@
         AttemptError
             If the attempt failed; ``delivery`` tells where to continue.
         """
-        options = RequestOptions(
-            connect_timeout_s=self._cfg.connect_timeout_s,
-            idle_timeout_s=self._cfg.stream_idle_timeout_s,
+
+        def reserve_other() -> bool:
+            version = delivery.required_version
+            return self._dispatcher.reserve_other(call, history, target, version)
+
+        options = self._options(
+            call,
+            target,
+            reserve_other,
             head_timeout_s=self._dispatcher.head_timeout_s(call),
         )
         outgoing = _outgoing(call, _continuation_body(call, delivery))
         async with self._dispatcher.attempt(
-            call, target, outgoing, options, resume_from=delivery.next_id
+            call,
+            target,
+            outgoing,
+            options,
+            reserve_other=reserve_other,
+            resume_from=delivery.next_id,
         ) as (attempt, response):
             _check_stream_head(response, delivery)
             checker = StreamChecker(attempt.attempt_id, delivery.next_id)
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -5,7 +5,7 @@
 
 import math
 from collections import deque
-from collections.abc import AsyncGenerator, AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from enum import Enum
 from typing import Any
@@ -57,11 +57,16 @@
     verdict : Verdict
         NOT_RUN if no byte of the request was passed to the operating system, else
         MAY_HAVE_RUN.
+    stale : bool
+        Whether the request was sent on a reused connection that ended without a byte
+        of the response. The server has then probably closed it before it read the
+        request.
     """
 
-    def __init__(self, message: str, verdict: Verdict) -> None:
+    def __init__(self, message: str, verdict: Verdict, *, stale: bool = False) -> None:
         super().__init__(message)
         self.verdict = verdict
+        self.stale = stale
 
 
 @attrs.frozen(kw_only=True)
@@ -77,6 +82,9 @@
     head_timeout_s : float
         Longest wait for the head of the response, and longest time from its first byte
         to its last; 0 applies ``idle_timeout_s``.
+    keep_waiting : callable
+        Called each time when no data of the body has arrived for ``idle_timeout_s``,
+        with the seconds of silence; returns whether to wait for that long again.
     body_timeout_s : float
         Longest time in which ``read`` receives the whole body.
     reuse : bool
@@ -91,6 +99,7 @@
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
     head_timeout_s: float = 0.0
+    keep_waiting: Callable[[float], bool] = lambda silent_s: False
     body_timeout_s: float = math.inf
     reuse: bool = True
     keep_alive: bool = True
@@ -106,19 +115,30 @@
     idle_since: float = 0.0
     # False if the response began before the whole request was sent.
     request_fully_sent: bool = True
+    reused: bool = False
+    # Whether a byte of the response to the present request has arrived.
+    responded: bool = False
 
     async def next_event(self, timeout_s: float) -> Any:
-        """Return the next h11 event of the server; each read may take timeout_s."""
+        """Return the next h11 event of the server; raises TooSlowError on a timeout."""
+        deadline = trio.current_time() + timeout_s
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            await self.receive(timeout_s)
+            await self.receive(max(0.0, deadline - trio.current_time()))
 
     async def receive(self, timeout_s: float) -> None:
         """Read from the socket once; raises TooSlowError on a timeout."""
-        with trio.fail_after(timeout_s):
+        with trio.move_on_after(timeout_s) as scope:
             data = await self.stream.receive_some(MAX_READ_BYTES)
+        if scope.cancelled_caught:
+            # After a suspension of the process, timeouts may fire before the data that
+            # arrived meanwhile is noticed.
+            if not self.stream.socket.is_readable():
+                raise trio.TooSlowError
+            data = await self.stream.receive_some(MAX_READ_BYTES)
+        self.responded = self.responded or bool(data)
         self.h11.receive_data(data)
 
     def read_buffered_body(self) -> tuple[bytes, bool]:
@@ -187,12 +207,22 @@
                 if chunk:
                     yield chunk
                 elif not ended:
-                    await self._conn.receive(self._options.idle_timeout_s)
+                    await self._receive()
         except _CONNECTION_ERRORS as exc:
             raise ClientError(
                 f"response is truncated: {exc!r}", Verdict.MAY_HAVE_RUN
             ) from exc
 
+    async def _receive(self) -> None:
+        """Read from the socket once; raises TooSlowError if the wait is given up."""
+        started_at = trio.current_time()
+        while True:
+            try:
+                return await self._conn.receive(self._options.idle_timeout_s)
+            except trio.TooSlowError:
+                if not self._options.keep_waiting(trio.current_time() - started_at):
+                    raise
+
     async def read(self) -> bytes:
         """Return the whole body.
 
@@ -284,9 +314,11 @@
                 conn, address, method, target, headers, body, options
             )
             yield ClientResponse(conn, method, head, options)
-        except BaseException:
+        except BaseException as exc:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(conn.stream)
+                if isinstance(exc, ClientError) and exc.stale:
+                    await self._close_idle(self._idle.get(address, deque()))
             raise
         if options.keep_alive:
             await self._release(address, conn)
@@ -301,10 +333,10 @@
         while options.reuse and idle:
             conn = idle.pop()
             if await self._is_reusable(conn):
+                conn.reused, conn.responded = True, False
                 return conn
         try:
-            with trio.fail_after(options.connect_timeout_s):
-                stream = await trio.open_tcp_stream(address.host, address.port)
+            stream = await _open_stream(address, options.connect_timeout_s)
         except (OSError, trio.TooSlowError) as exc:
             message = f"cannot connect to {address}: {exc!r}"
             raise ClientError(message, Verdict.NOT_RUN) from exc
@@ -353,7 +385,9 @@
             return await _send_while_reading(conn, address, data, timeout_s)
         except _CONNECTION_ERRORS as exc:
             message = f"no response from {address}: {exc!r}"
-            raise ClientError(message, Verdict.MAY_HAVE_RUN) from exc
+            timed_out = isinstance(exc, trio.TooSlowError)
+            stale = conn.reused and not conn.responded and not timed_out
+            raise ClientError(message, Verdict.MAY_HAVE_RUN, stale=stale) from exc
 
     async def _release(self, address: Address, conn: _ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
@@ -376,8 +410,11 @@
     async def aclose(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
-            while idle:
-                await trio.aclose_forcefully(idle.pop().stream)
+            await self._close_idle(idle)
+
+    async def _close_idle(self, idle: deque[_ClientConnection]) -> None:
+        while idle:
+            await trio.aclose_forcefully(idle.pop().stream)
 
 
 def _framing(method: str, status: int, headers: Mapping[str, str]) -> Framing:
@@ -402,6 +439,21 @@
     return True
 
 
+async def _open_stream(address: Address, timeout_s: float) -> trio.SocketStream:
+    """Connect; raises OSError, or TooSlowError on a timeout.
+
+    A timeout that fires as late as a second one would is due to a suspension of the
+    process, so the connection is tried once more.
+    """
+    started_at = trio.current_time()
+    with trio.move_on_after(timeout_s):
+        return await trio.open_tcp_stream(address.host, address.port)
+    if trio.current_time() - started_at >= 2 * timeout_s:
+        with trio.move_on_after(timeout_s):
+            return await trio.open_tcp_stream(address.host, address.port)
+    raise trio.TooSlowError
+
+
 async def _read_head(
     conn: _ClientConnection, address: Address, timeout_s: float
 ) -> h11.Response:
@@ -415,8 +467,7 @@
         event = conn.h11.next_event()
         if event is h11.NEED_DATA:
             await conn.receive(timeout_s)
-            with trio.fail_after(timeout_s):
-                event = await conn.next_event(timeout_s)
+            event = await conn.next_event(timeout_s)
         if isinstance(event, h11.Response):
             return event
         if not isinstance(event, h11.InformationalResponse):
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -16,6 +16,8 @@
 
 EVENTS = {
     "admin_error": "a request to `admin_listen` failed with an internal error",
+    "agent_awaited": "an agent responds neither to a request nor to a probe, or pauses "
+    "within a response; no other backend server can take the request, so that it waits",
     "agent_listening": "the agent accepts connections on `port`",
     "attempt_broken": "an attempt gave no complete response; `code` is in the table "
     "below",
@@ -114,6 +116,8 @@
     "it is ignored",
     "server_reinstated": "a backend server that was leaving or gone registered again",
     "server_registered": "a backend server registered, or changed its registration",
+    "reload_ignored": "the process received SIGHUP, but applies changed settings only "
+    "at its next start",
     "reload_requested": "SIGHUP requested a reload of the settings file",
     "settings_changed": "the changed settings in `keys` were applied",
     "settings_refused": "the changed settings file is unreadable or invalid; the "
@@ -296,6 +300,8 @@
     "no_backend_server": "no backend server of the model or route is in service",
     "no_capacity": "all candidates recently refused this account and class",
     "no_configuration": "the process has no configuration yet",
+    "older_configuration": "the agent received a call without a key and may not know "
+    "yet that the route needs none",
     "outcome_unknown": "the call may have run; retry it with the same key",
     "queue_full": "the backend server's queue is full",
     "request_timeout": "the caller sent the request too slowly",
@@ -303,6 +309,7 @@
     "server_busy": "the limit on buffered request bodies is reached",
     "service_failed": "the plain service failed; the call may have run",
     "service_unreachable": "the plain service accepts no connection; nothing was run",
+    "stopping": "the entry reached its `drain_limit_s` before the request was complete",
     "stream_broken": "the stream could not be completed; sent in its last event",
     "tokens_rate": "`tokens_per_s` of the contract is used up",
     "unknown_model": "no such model",
