Let the stand-in of a backend server fall silent and go on

On the platform a sound server may send nothing for about a second and then go on. The stand-in had only faults that lose the response: mute never answers, a proxy that forwards nothing resets its connections afterwards.

pause(duration_s) holds back everything that the server sends: responses, events of streams, reports and answers to orders. Requests that arrive meanwhile run at once and are answered afterwards. Refusals are recorded when they are sent, and a run records when its response began, since checks judge what an entry was told.

test_paused_server_sends_nothing_and_then_goes_on failed with the wait switched off (AssertionError: False is not true: bytes arrived during the pause).

--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -1,6 +1,7 @@
 """Stand-in of a backend server of the platform, with fault injection."""
 
 import hashlib
+import math
 import time
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -18,6 +19,12 @@
 LIMIT = "server-limit"
 MAX_EVENTS_WAIT_S = 1.0
 BEGUN_EVENT = b"id: "
+CONTROL_PATHS = {
+    "/health",
+    "/foxtailcourse/report",
+    "/foxtailcourse/order",
+    "/foxtailcourse/kv-events",
+}
 
 
 class BackendServerFaults(msgspec.Struct, kw_only=True):
@@ -102,6 +109,8 @@
         Start time of the server that ran it.
     limit : str
         Requests per second that the server named as its limit; empty for none.
+    answered_at : float
+        When its response began, in seconds of the trio clock; 0 if it has not.
     """
 
     request_id: str
@@ -117,6 +126,7 @@
     at: float = 0.0
     started_ms: int = 0
     limit: str = ""
+    answered_at: float = 0.0
 
 
 @attrs.frozen
@@ -213,6 +223,7 @@
         default=lambda server: None
     )
     _running: set[trio.CancelScope] = attrs.field(factory=set, init=False)
+    _silent_until: float = attrs.field(default=-math.inf, init=False)
 
     def registration(self, address: str, failure_domain: str) -> bytes:
         """Return the JSON value that the server registers in the platform's store."""
@@ -256,6 +267,19 @@
         else:
             exchange.abort()
 
+    def pause(self, duration_s: float) -> None:
+        """Send nothing on any connection for a time; nothing is lost.
+
+        Requests that arrive meanwhile are executed and answered afterwards.
+        """
+        resumes_at = trio.current_time() + duration_s
+        self._silent_until = max(self._silent_until, resumes_at)
+
+    async def _wait_for_pause(self) -> None:
+        """Wait until no pause is in progress; it may be extended meanwhile."""
+        while trio.current_time() < self._silent_until:  # noqa: ASYNC110 - a set end
+            await trio.sleep_until(self._silent_until)
+
     def crash(self) -> None:
         """Break off all connections, and start again after ``restart_s``."""
         self.down = True
@@ -277,6 +301,8 @@
         if self.faults.limit:
             exchange.common_fields[LIMIT] = self.faults.limit
         expected_id = exchange.headers.get("x-foxtailcourse-expected-instance", self.id)
+        if expected_id != self.id or exchange.path in CONTROL_PATHS:
+            await self._wait_for_pause()
         if expected_id != self.id:
             headers = {"x-foxtailcourse-instance-id": self.id}
             await exchange.respond(421, b"", headers)
@@ -292,6 +318,7 @@
                 await exchange.respond(500, b"")
                 return
             await trio.sleep(MAX_EVENTS_WAIT_S)
+            await self._wait_for_pause()
             value = {"epoch": 1, "next": 0, "lost": False, "events": []}
             await exchange.respond_json(200, value)
         else:
@@ -320,6 +347,7 @@
         order: Any = exchange.json()
         if self.faults.late_orders_s:
             await trio.sleep(self.faults.late_orders_s)
+            await self._wait_for_pause()
         if order["fencingToken"] < self.highest_fencing_token:
             await exchange.respond(412, b"")
             return
@@ -351,12 +379,14 @@
         version = self.models.get(exchange.headers.get("x-foxtailcourse-model", ""), 0)
         expected_version = exchange.headers.get("x-foxtailcourse-expected-version")
         if expected_version is not None and int(expected_version) != version:
+            await self._wait_for_pause()
             await exchange.respond(421, b"", {NOT_EXECUTED: "1"})
             return
         if self.faults.refuse or self.busy:
             fields = {NOT_EXECUTED: "1"}
             if self.faults.retry_after:
                 fields["retry-after"] = self.faults.retry_after
+            await self._wait_for_pause()
             refusal = Refusal(
                 exchange.headers.get(REQUEST_ID, ""),
                 trio.current_time(),
@@ -387,14 +417,18 @@
     async def _execute(self, exchange: Exchange, run: Run) -> None:
         if self.faults.mute:
             await trio.sleep_forever()
+        await self._wait_for_pause()
         headers = {REQUEST_ID: "other" if self.faults.foreign else run.request_id}
         if not self.faults.unsigned:
             headers[SIGNATURE] = sign(run)
         # The response to a request with token counts is a stream.
         if "x-foxtailcourse-token-counts" in run.headers:
+            run.answered_at = trio.current_time()
             await self._stream(exchange, run, headers)
             return
         await trio.sleep(self.event_s)
+        await self._wait_for_pause()
+        run.answered_at = trio.current_time()
         if self.faults.lose_answer:
             exchange.abort()
         elif self.faults.fail:
@@ -428,6 +462,7 @@
             await trio.sleep_forever()
         for number in range(run.position + 1, output_tokens + 1):
             await trio.sleep(self.event_s)
+            await self._wait_for_pause()
             run.events += 1
             event = stream_event(run.request_id, number, run.software_version)
             if self.faults.cut_after_events and run.events > (
--- a/tests/standin/test_backend_server_standin.py
+++ b/tests/standin/test_backend_server_standin.py
@@ -1,7 +1,9 @@
 import msgspec
+import trio
+import trio.testing
 from testtools.matchers import Equals
 
-from cluster import serve
+from cluster import serve, wait_until
 from foxtailcourse.http import ConnectionPool, Framing
 from foxtailcourse.standin._backend_server import (
     BackendServerFaults,
@@ -10,6 +12,8 @@
 )
 from support import AsyncTestCase, run_trio
 
+PAUSE_S = 0.4
+
 
 class TestBackendServerStandin(AsyncTestCase):
     """Guards what the soak's checks read from backend servers."""
@@ -55,3 +59,35 @@
                 self.assertThat(response.framing, Equals(Framing.CLOSE))
                 self.assertTrue(await response.read())
             await pool.aclose()
+
+    @run_trio
+    async def test_paused_server_sends_nothing_and_then_goes_on(self):
+        server = BackendServerStandin("m1", "llm")
+        received = {"begun": b"", "stream": b"", "plain": b""}
+        arrivals = []
+
+        async def call(name, tokens):
+            fields = {"x-foxtailcourse-request-id": name, **tokens}
+            async with pool.request(address, "POST", "/x", headers=fields) as response:
+                arrivals.append(trio.current_time())
+                async for chunk in response.iter_chunks():
+                    arrivals.append(trio.current_time())
+                    received[name] += chunk
+
+        stream = {"x-foxtailcourse-token-counts": "100,9"}
+        pool = ConnectionPool()
+        async with serve(server.handle) as address, trio.open_nursery() as nursery:
+            nursery.start_soon(call, "begun", stream)
+            await wait_until(lambda: received["begun"])
+            resumes_at = trio.current_time() + PAUSE_S
+            server.pause(PAUSE_S)
+            await trio.testing.wait_all_tasks_blocked()
+            before = len(arrivals)
+            nursery.start_soon(call, "stream", stream)
+            nursery.start_soon(call, "plain", {})
+        await pool.aclose()
+        self.assertTrue(min(arrivals[before:]) >= resumes_at)
+        for name in ("begun", "stream"):
+            whole = b"".join(stream_event(name, n) for n in range(1, 10))
+            self.assertThat(received[name], Equals(whole))
+        self.assertTrue(received["plain"].startswith(b"plain "))
