Check in the soak that no whole request is lost

The soak had neither such servers nor a check for such requests.

The check counts requests whose connection ends without a complete response, although entry and server had no fault and no time limit was reached: none that was passed on from a kept connection, and at most three others in a run. The check on limits that servers name counts from the answer that names one, which a silence delays.

Each of the new cases in test_checks.py fails without its part of the check.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,6 +7,15 @@
 from foxtailcourse.settings import Address
 
 
+def reset_stream(stream: trio.SocketStream) -> None:
+    """Close a connection with a TCP reset, unless its own task has closed it."""
+    if stream.socket.fileno() < 0:
+        return
+    linger_zero = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero)
+    stream.socket.close()
+
+
 class FaultProxy:
     """Forwards connections to one address; can delay, stall or reset them.
 
@@ -28,13 +37,7 @@
     def reset(self) -> None:
         """Close all connections with a TCP reset."""
         for stream in list(self._streams):
-            if stream.socket.fileno() < 0:
-                # Its own task has closed it but has not yet removed it from the set
-                # (seen with seed 120).
-                continue
-            linger_zero = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero)
-            stream.socket.close()
+            reset_stream(stream)
         self._streams.clear()
 
     async def _serve(self, caller_side) -> None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,3 +1,4 @@
+import math
 import sys
 import tempfile
 from pathlib import Path
@@ -223,6 +224,24 @@
             found = violations(observations)
             self.assertThat(bool(found), Equals(is_violation), found)
 
+    def test_limit_that_a_paused_server_names_late(self):
+        for answered_at, cancelled, is_violation in (
+            (0.0, False, True),
+            (2.5, False, False),
+            (0.0, True, False),
+        ):
+            sent = {f"b{n}": make_request(f"b{n}", "look", vm="e1") for n in range(13)}
+            runs = [make_run(name) for name in sent]
+            for number, run in enumerate(runs):
+                run.limit, run.at, run.answered_at = "1", 2.0 + number / 100, 2.5
+            runs[0].at, runs[0].answered_at = 0.0, answered_at
+            runs[0].cancelled = cancelled
+            observations = Observations(
+                sent=sent, runs=runs, runs_by_server={"c0": runs}
+            )
+            found = violations(observations)
+            self.assertThat(bool(found), Equals(is_violation), found)
+
     def test_resumed_stream_that_does_not_follow(self):
         for numbers, complete, text in (
             ((4,), False, "gap"),
@@ -273,6 +292,59 @@
         check(True, other="v2", sent_at=60.0)
         check(False, key="old", sent_at=50.0)
 
+    def check_lost(self, expected, count=1, run_by=("m0",), disturbances=(), **changes):
+        """Check how many violations requests without a complete response are."""
+        values = {
+            "vm": "e1",
+            "kept": True,
+            "sent_at": 20.0,
+            "lost_at": 21.0,
+            "deadline_s": 3.0,
+        }
+        names = [f"q{number}" for number in range(count)]
+        runs_by_server = {each: [make_run(name) for name in names] for each in run_by}
+        for number, runs in enumerate(runs_by_server.values()):
+            for run in runs:
+                run.at = 20.0 + number / 10
+        observations = Observations(
+            sent={n: make_request(n, "ask", **(values | changes)) for n in names},
+            runs_by_server=runs_by_server,
+            disturbances=list(disturbances),
+            planned=[("e1", 20.2, 20.4)],
+            timeouts=[(1.0, 0.9), (10.0, 2.0), (20.5, 6.0)],
+        )
+        found = violations(observations)
+        self.assertThat(len(found), Equals(expected), found)
+        for each in found:
+            self.assertThat(each, Contains("no complete response from e1"))
+
+    def test_request_from_a_kept_connection_that_is_passed_on_and_lost(self):
+        self.check_lost(1)
+        # The server that ran it last is the one that matters.
+        self.check_lost(1, run_by=("m1", "m0"), disturbances=[("m1", 20.0, 20.1)])
+        self.check_lost(1, disturbances=[("e1", 20.2, 20.4)])
+        self.check_lost(1, disturbances=[("e2", 20.5, 20.6), ("store", 0.0, 30.0)])
+        self.check_lost(1, disturbances=[("e1", 10.0, 18.0), ("m0", 10.0, 18.0)])
+
+    def test_lost_requests_of_which_a_run_may_have_three(self):
+        for count, expected in ((3, 0), (4, 4)):
+            self.check_lost(expected, count, kept=False)
+            self.check_lost(expected, count, run_by=())
+
+    def test_lost_requests_that_are_excused(self):
+        for changes in (
+            {"lost_at": 0.0},
+            {"disturbances": [("e1", 20.5, 20.6)]},
+            {"disturbances": [("e1", 10.0, 19.0)]},
+            {"disturbances": [("m0", 20.5, 20.6)]},
+            {"run_by": ("m0", "m1"), "disturbances": [("m1", 20.5, math.inf)]},
+            # Its deadline, the timeout of its route, a close that it crossed.
+            {"deadline_s": 1.05},
+            {"lost_at": 22.0},
+            {"run_by": (), "lost_at": 20.3},
+        ):
+            self.check_lost(0, 5, **changes)
+
 
 class TestSoak(testtools.TestCase):
     """Runs a short seeded soak with entry processes."""
