--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -159,8 +159,9 @@
         itself; and "operator", a change of the configuration or of a registration, or
         a release, which replaces the servers of the model service; "limits", a change
         of the idle timeout or of the routes' timeouts; "silence", a server that sends
-        nothing for a while, once or in a series; and "callers", requests with a prompt
-        part that crashes servers, or resets of all connections to an entry.
+        nothing for a while, once or in a series, or several of a service; and
+        "callers", requests with a prompt part that crashes servers, or resets of all
+        connections to an entry.
         """
         entries = [f"e{n}" for n in range(self._entries)]
         servers = ["c0", "c1", "c2", *MODEL_SERVERS]
@@ -182,7 +183,7 @@
             ),
             "operator": (["config", "key", "weights", "drain", "release"], ["store"]),
             "limits": (["idle", "timeout"], ["store"]),
-            "silence": (["once", "series"], servers),
+            "silence": (["once", "series", "moving"], servers),
             "callers": (["deadly", "reset"], entries),
         }
         plan, now = [], 1.0
@@ -369,11 +370,7 @@
             self._change_limit(fault_mode, value)
             return
         if kind == "silence":
-            server = self.backend_servers[target]
-            for _ in range(1 if fault_mode == "once" else SILENCES):
-                silence_s = self.rng.uniform(*SILENCE_S)
-                server.pause(silence_s)
-                await trio.sleep(silence_s + SILENCE_GAP_S)
+            await self._silence_servers(fault_mode, target)
             return
         if kind == "callers" and fault_mode == "reset":
             with self._disturbing(target):
@@ -401,6 +398,19 @@
             else:
                 await self._inject_store_fault(fault_mode, duration_s)
 
+    async def _silence_servers(self, fault_mode: str, target: str) -> None:
+        """Let a server fall silent, or one server of its service after the other."""
+        slots = [target]
+        if fault_mode == "moving":
+            slots += [x for x in self.backend_servers if x[0] == target[0]]
+        for number in range(1 if fault_mode == "once" else SILENCES):
+            silence_s = self.rng.uniform(*SILENCE_S)
+            server = self.backend_servers[slots[number % len(slots)]]
+            server.pause(silence_s)
+            # Those of several servers overlap.
+            is_moving = fault_mode == "moving"
+            await trio.sleep(silence_s / 2 if is_moving else silence_s + SILENCE_GAP_S)
+
     async def _inject_server_fault(
         self, server, fault_mode: str, duration_s: float
     ) -> None:
