Apply changed limits to open connections and announce the idle timeout

What callers saw: beside a change of the configuration, whole requests on open connections ended without a byte of response.

Cause: a connection had the limits that were in force when it was accepted. After the idle timeout was raised, callers reused an open connection for up to four fifths of the new value, and the server closed it after the former one. A raised header limit did not reach open connections either, so they refused what the configuration allows.

An open connection now uses the limits in force. A wait in progress is extended when the timeout is raised and never shortened. Responses carry `Keep-Alive: timeout=N`; the connection stays open for at least the timeout that was in force when it was sent, so a caller that knows only the former value does not lose its next request.

Ruled out: the other servers of the package (agent, admin, stand-ins) never change their limits; they only gain the response field.

Failed before: test_wait_in_progress_gets_a_raised_idle_timeout (no response), test_open_connection_gets_a_raised_header_limit (431), test_idle_timeout_is_announced_with_a_margin (no field). test_announced_idle_timeout_outlasts_a_lowered_limit passed before and guards the change. The limits in force are HttpServer.limits; two waits in tests/ingress/test_requests.py that read the former private attribute now read this one and are as strict as before.

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -10,12 +10,15 @@
 import trio
 
 from foxtailcourse.http._errors import HttpError
-from foxtailcourse.http._limits import ByteBudget, HttpLimits
+from foxtailcourse.http._limits import ByteBudget, CurrentLimits, HttpLimits
 
 MAX_READ_BYTES = 65536
 SERVER_BUSY_RETRY_MS = 500
 # ": " and CRLF of each header field.
 FIELD_SEPARATOR_BYTES = 4
+# Part of the idle timeout that is not announced, for requests on their way.
+KEEP_ALIVE_MARGIN_S = 0.5
+MAX_ANNOUNCED_IDLE_S = 3600.0
 
 
 class Exchange:
@@ -133,8 +136,10 @@
         self._conn.h11.their_http_version = b"1.0"
 
     def _response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
-        closing = {"connection": "close"} if self._closing else {}
-        return _response(status, {**fields, **self.common_fields, **closing})
+        connection_fields = self._conn.keep_alive_fields()
+        if self._closing:
+            connection_fields = {"connection": "close"}
+        return _response(status, {**fields, **self.common_fields, **connection_fields})
 
     def abort(self) -> None:
         """Close the connection without ending the response once the handler returns."""
@@ -192,19 +197,27 @@
     """One accepted connection, with its HTTP state and its reserved body bytes."""
 
     def __init__(
-        self, stream: trio.SocketStream, limits: HttpLimits, budget: ByteBudget
+        self, stream: trio.SocketStream, limits: CurrentLimits, budget: ByteBudget
     ) -> None:
         self.stream = stream
-        self.limits = limits
+        self._current_limits = limits
         self._budget = budget
         self._reserved_bytes = 0
+        self._h11_header_bytes = self.limits.max_header_bytes
         self.h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+            h11.SERVER, max_incomplete_event_size=self._h11_header_bytes
         )
+        # Idle timeout that the caller knows of.
+        self._announced_idle_s = self.limits.idle_timeout_s
         self.aborted = False
         self.accepted_while_draining = False
         self.served_requests = 0
 
+    @property
+    def limits(self) -> HttpLimits:
+        """The limits in force."""
+        return self._current_limits.value
+
     @property
     def idle(self) -> bool:
         """Whether no byte of the next request has arrived."""
@@ -221,6 +234,18 @@
         is_sending = self.h11.our_state is h11.SEND_BODY
         return is_sending and version is not None and version < b"1.1"
 
+    def keep_alive_fields(self) -> dict[str, str]:
+        """Return the fields that announce the idle timeout to the caller.
+
+        The connection stays open for at least this time, even if the limit is lowered.
+        """
+        self._announced_idle_s = self.limits.idle_timeout_s
+        idle_s = min(self._announced_idle_s, MAX_ANNOUNCED_IDLE_S)
+        announced_s = int(idle_s - KEEP_ALIVE_MARGIN_S)
+        if self.h11.their_state is not h11.DONE or announced_s < 1:
+            return {}
+        return {"keep-alive": f"timeout={announced_s}"}
+
     async def send(self, *events: h11.Event) -> None:
         """Send h11 events; a failure or timeout aborts the connection."""
         data = b"".join(self.h11.send(event) or b"" for event in events)
@@ -243,8 +268,12 @@
 
     async def read_request(self) -> Exchange | None:
         """Return the next complete request, or None if the peer has closed."""
-        if not self.h11.trailing_data[0] and not await self._wait_for_bytes():
-            return None
+        if not self.h11.trailing_data[0]:
+            data = await self._wait_for_bytes()
+            if not data:
+                return None
+            self.h11.receive_data(data)
+        self._apply_header_limit()
         with trio.fail_after(self.limits.receive_timeout_s):
             with trio.fail_after(self.limits.header_timeout_s):
                 event = await self.next_event()
@@ -271,14 +300,23 @@
             message = f"header exceeds {limit} bytes"
             raise HttpError(431, "header_too_large", message)
 
-    async def _wait_for_bytes(self) -> bool:
-        """Wait for a request to begin; returns False on a close or an idle timeout."""
-        with trio.move_on_after(self.limits.idle_timeout_s):
-            data = await self.stream.receive_some(MAX_READ_BYTES)
-            if data:
-                self.h11.receive_data(data)
-            return bool(data)
-        return False
+    async def _wait_for_bytes(self) -> bytes:
+        """Wait for a request to begin; returns no bytes on a close or a timeout."""
+        with self._current_limits.idle_wait(
+            trio.current_time(), self._announced_idle_s
+        ):
+            return await self.stream.receive_some(MAX_READ_BYTES)
+        return b""
+
+    def _apply_header_limit(self) -> None:
+        """Let h11, whose limit is fixed, read the next request with the current one."""
+        limit = self.limits.max_header_bytes
+        if limit == self._h11_header_bytes:
+            return
+        received, _ = self.h11.trailing_data
+        self._h11_header_bytes = limit
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        self.h11.receive_data(received)
 
     async def _read_body(self, request: h11.Request) -> bytes:
         headers = dict(request.headers)
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -9,7 +9,7 @@
 
 from foxtailcourse.http._errors import HttpError
 from foxtailcourse.http._exchange import Connection, Exchange
-from foxtailcourse.http._limits import ByteBudget, HttpLimits
+from foxtailcourse.http._limits import ByteBudget, CurrentLimits, HttpLimits
 from foxtailcourse.protocol import Verdict
 
 _CONNECTION_ERRORS = (
@@ -54,7 +54,7 @@
         on_error: Callable[[Exchange, Exception], None],
     ) -> None:
         self._handler = handler
-        self._limits = limits
+        self._current_limits = CurrentLimits(limits)
         self._budget = ByteBudget(limits.max_buffered_bytes)
         self._on_error = on_error
         self._connection_slots = trio.CapacityLimiter(limits.max_connections)
@@ -62,12 +62,19 @@
         self._accept_scope = trio.CancelScope()
         self.active = 0
 
+    @property
+    def limits(self) -> HttpLimits:
+        """The limits in force."""
+        return self._current_limits.value
+
     def set_limits(self, limits: HttpLimits) -> None:
-        """Apply other limits to connections accepted from now on.
+        """Apply other limits, also to open connections.
 
-        The limits on connections and on buffered bytes do not change.
+        A wait for a request in progress lasts as long as the largest idle timeout in
+        force during this wait. The limits on connections and on buffered bytes do not
+        change.
         """
-        self._limits = limits
+        self._current_limits.replace(limits)
 
     async def serve(
         self,
@@ -97,7 +104,7 @@
             await trio.aclose_forcefully(stream)
             return
         async with self._connection_slots, stream:
-            conn = Connection(stream, self._limits, self._budget)
+            conn = Connection(stream, self._current_limits, self._budget)
             conn.accepted_while_draining = self._draining.is_set()
             try:
                 while await self._serve_one(conn):
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -6,14 +6,12 @@
     ConnectionPool,
     Exchange,
     HttpError,
-    HttpLimits,
-    HttpServer,
     RequestOptions,
 )
 from foxtailcourse.http._server import MAX_WAITING_CONNECTIONS
 from foxtailcourse.protocol import Verdict
 from foxtailcourse.settings import Address
-from support import AsyncTestCase
+from http_server_case import HttpServerCase
 
 
 async def handle(exchange: Exchange) -> None:
@@ -31,27 +29,8 @@
     await exchange.respond(200, exchange.body)
 
 
-class ServerTestCase(AsyncTestCase):
-    def serve(self, check, **limits):
-        async def main():
-            server = HttpServer(handle, HttpLimits(**limits), lambda e, exc: None)
-            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            port = listeners[0].socket.getsockname()[1]
-            async with trio.open_nursery() as nursery:
-                await nursery.start(server.serve, listeners)
-                await check(Address("127.0.0.1", port), server)
-                nursery.cancel_scope.cancel()
-
-        self.run_async(main)
-
-    async def send_bytes(self, address, data):
-        stream = await trio.open_tcp_stream(address.host, address.port)
-        async with stream:
-            await stream.send_all(data)
-            received = b""
-            async for chunk in stream:
-                received += chunk
-        return received
+class ServerTestCase(HttpServerCase):
+    handle = staticmethod(handle)
 
 
 class TestHttpServer(ServerTestCase):
--- /dev/null
+++ b/tests/http/test_unanswered_requests.py
@@ -0,0 +1,62 @@
+import trio
+from testtools.matchers import Contains, Not, StartsWith
+
+from foxtailcourse.http import HttpLimits
+from http_server_case import HttpServerCase
+
+REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+class TestChangedLimits(HttpServerCase):
+    """Guards against requests that are lost because the limits have changed."""
+
+    async def request_after_change(self, address, server, idle_timeout_s):
+        """Change the idle timeout of an idle connection and make another request."""
+        stream = await self.connect(address)
+        await stream.send_all(REQUEST % b"")
+        await stream.receive_some(65536)
+        server.set_limits(HttpLimits(idle_timeout_s=idle_timeout_s))
+        await trio.sleep(0.4)
+        await stream.send_all(REQUEST % b"")
+        self.assertThat(await stream.receive_some(65536), StartsWith(b"HTTP/1.1 200"))
+
+    def test_wait_in_progress_gets_a_raised_idle_timeout(self):
+        async def check(address, server):
+            await self.request_after_change(address, server, 60)
+
+        self.serve(check, idle_timeout_s=0.2)
+
+    def test_announced_idle_timeout_outlasts_a_lowered_limit(self):
+        async def check(address, server):
+            await self.request_after_change(address, server, 0.05)
+
+        self.serve(check, idle_timeout_s=60)
+
+    def test_open_connection_gets_a_raised_header_limit(self):
+        async def check(address, server):
+            stream = await self.connect(address)
+            await stream.send_all(REQUEST % b"")
+            await stream.receive_some(65536)
+            server.set_limits(HttpLimits(max_header_bytes=4000))
+            await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 2000)
+            await trio.sleep(0.05)
+            await stream.send_all(b"\r\n\r\n")
+            response = await stream.receive_some(65536)
+            self.assertThat(response, StartsWith(b"HTTP/1.1 200"))
+
+        self.serve(check, max_header_bytes=1000)
+
+    def test_idle_timeout_is_announced_with_a_margin(self):
+        async def check(address, server):
+            request = REQUEST % b""
+            response = await self.send_bytes(address, request, until=b"\r\n\r\n")
+            self.assertThat(response, Contains(b"keep-alive: timeout=9\r\n"))
+            server.set_limits(HttpLimits(idle_timeout_s=1.2))
+            response = await self.send_bytes(address, request, until=b"\r\n\r\n")
+            self.assertThat(response, Not(Contains(b"keep-alive")))
+            request = REQUEST.replace(b"host", b"connection: close\r\nhost") % b""
+            server.set_limits(HttpLimits())
+            response = await self.send_bytes(address, request)
+            self.assertThat(response, Not(Contains(b"keep-alive")))
+
+        self.serve(check, idle_timeout_s=10)
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -495,7 +495,7 @@
     async def test_limits_of_the_configuration_are_enforced(self, fleet, entry):
         limits = {"maxBodyBytes": 100, "maxHeaderBytes": 600}
         fleet.configure(version=2, limits=limits)
-        await wait_until(lambda: entry.app._http_server._limits.max_body_bytes == 100)
+        await wait_until(lambda: entry.app._http_server.limits.max_body_bytes == 100)
         self.assertThat(
             (await fleet.call(entry, "look", body=b"x" * 100)).status, Equals(200)
         )
@@ -510,7 +510,7 @@
         self, fleet, entry
     ):
         fleet.configure(version=2, limits={"headerTimeoutMs": 200})
-        await wait_until(lambda: entry.app._http_server._limits.header_timeout_s == 0.2)
+        await wait_until(lambda: entry.app._http_server.limits.header_timeout_s == 0.2)
         stream = await trio.open_tcp_stream("127.0.0.1", entry.app.address.port)
         async with stream:
             await stream.send_all(b"GET /look/x HTTP/1.1\r\nhost: ")
