Serve the requests that have arrived when draining begins

What callers saw: a request that was sent while a server began to drain got a closed or reset connection instead of a response.

Cause, in three places: - After the response in progress the connection was closed, whatever had arrived behind it in the buffer of h11 or in the socket. - The response itself did not say `connection: close`, so callers sent further requests. - Closing a listener resets the connections in its backlog.

A request of which a byte has arrived is now served, and the last response has `connection: close`; it is left out of the earlier ones, since a caller may discard what follows it. stop_accepting() accepts the backlog first. A new connection has 1 s for its first request, so that a silent one does not hold up the stop for the idle timeout. A request that arrives as the idle timeout fires is read as well.

Ruled out: accept() under trio does not lose a connection when it is cancelled. Not covered: bytes that are still on their way when an idle connection closes. They are not read, so that callers know that their request was not run.

Failed before: 1 of 3 and 1 of 2 responses (test_request_behind_a_response_is_served_when_draining_begins, test_partly_received_request_is_served_when_draining_begins), no `connection: close` (test_response_after_draining_began_says_that_the_connection_closes), ECONNRESET (test_connection_in_the_backlog_is_served_after_the_listeners_close).

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -127,7 +127,11 @@
         await self._conn.send(*_data_events(chunk), h11.EndOfMessage())
 
     def close_after_response(self) -> None:
-        """Add ``connection: close`` to the response."""
+        """Add ``connection: close`` to the response.
+
+        It is left out while a further request has arrived behind this one, so that
+        this request gets a response as well; the last response has it.
+        """
         self._closing = True
 
     def end_with_connection(self) -> None:
@@ -136,9 +140,7 @@
         self._conn.h11.their_http_version = b"1.0"
 
     def _response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
-        connection_fields = self._conn.keep_alive_fields()
-        if self._closing:
-            connection_fields = {"connection": "close"}
+        connection_fields = self._conn.connection_fields(closing=self._closing)
         return _response(status, {**fields, **self.common_fields, **connection_fields})
 
     def abort(self) -> None:
@@ -197,9 +199,15 @@
     """One accepted connection, with its HTTP state and its reserved body bytes."""
 
     def __init__(
-        self, stream: trio.SocketStream, limits: CurrentLimits, budget: ByteBudget
+        self,
+        stream: trio.SocketStream,
+        limits: CurrentLimits,
+        budget: ByteBudget,
+        draining: trio.Event,
     ) -> None:
         self.stream = stream
+        self._draining = draining
+        self.accepted_at = trio.current_time()
         self._current_limits = limits
         self._budget = budget
         self._reserved_bytes = 0
@@ -210,7 +218,6 @@
         # Idle timeout that the caller knows of.
         self._announced_idle_s = self.limits.idle_timeout_s
         self.aborted = False
-        self.accepted_while_draining = False
         self.served_requests = 0
 
     @property
@@ -218,11 +225,15 @@
         """The limits in force."""
         return self._current_limits.value
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes behind the present request, or a close, have arrived."""
+        return bool(self.h11.trailing_data[0]) or self.stream.socket.is_readable()
+
     @property
     def idle(self) -> bool:
         """Whether no byte of the next request has arrived."""
-        arrived = self.h11.trailing_data[0] or self.stream.socket.is_readable()
-        return self.h11.their_state is h11.IDLE and not arrived
+        return self.h11.their_state is h11.IDLE and not self.has_unread_bytes
 
     @property
     def end_marks_response(self) -> bool:
@@ -234,11 +245,15 @@
         is_sending = self.h11.our_state is h11.SEND_BODY
         return is_sending and version is not None and version < b"1.1"
 
-    def keep_alive_fields(self) -> dict[str, str]:
-        """Return the fields that announce the idle timeout to the caller.
+    def connection_fields(self, *, closing: bool) -> dict[str, str]:
+        """Return the response fields that concern the connection.
 
-        The connection stays open for at least this time, even if the limit is lowered.
+        They announce the idle timeout: the connection stays open for at least this
+        time, even if the limit is lowered. A connection that is to be closed says so
+        once no further request has arrived.
         """
+        if closing or self._draining.is_set():
+            return {} if self.has_unread_bytes else {"connection": "close"}
         self._announced_idle_s = self.limits.idle_timeout_s
         idle_s = min(self._announced_idle_s, MAX_ANNOUNCED_IDLE_S)
         announced_s = int(idle_s - KEEP_ALIVE_MARGIN_S)
@@ -306,7 +321,10 @@
             trio.current_time(), self._announced_idle_s
         ):
             return await self.stream.receive_some(MAX_READ_BYTES)
-        return b""
+        if self.idle:
+            return b""
+        # Bytes arrived as the wait ended.
+        return await self.stream.receive_some(MAX_READ_BYTES)
 
     def _apply_header_limit(self) -> None:
         """Let h11, whose limit is fixed, read the next request with the current one."""
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -1,8 +1,10 @@
 """HTTP/1.1 server with one task per connection."""
 
+import logging
+import os
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import h11
 import trio
@@ -12,6 +14,8 @@
 from foxtailcourse.http._limits import ByteBudget, CurrentLimits, HttpLimits
 from foxtailcourse.protocol import Verdict
 
+LOGGER = logging.getLogger(__name__)
+
 _CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -26,6 +30,8 @@
 # Accepted connections beyond the limit that wait for one to end; further ones are
 # closed at once, so that they do not take up the descriptors of the process.
 MAX_WAITING_CONNECTIONS = 128
+# Time in which a new connection may make its first request while the server drains.
+FIRST_REQUEST_GRACE_S = 1.0
 
 
 class HttpServer:
@@ -60,6 +66,8 @@
         self._connection_slots = trio.CapacityLimiter(limits.max_connections)
         self._draining = trio.Event()
         self._accept_scope = trio.CancelScope()
+        self._listeners: list[trio.SocketListener] = []
+        self._nursery: trio.Nursery | None = None
         self.active = 0
 
     @property
@@ -84,6 +92,7 @@
     ) -> None:
         """Serve until cancelled, or until the last connection ends after a stop."""
         async with trio.open_nursery() as nursery:
+            self._listeners, self._nursery = listeners, nursery
             task_status.started()
             with self._accept_scope:
                 await trio.serve_listeners(
@@ -91,11 +100,21 @@
                 )
 
     def stop_accepting(self) -> None:
-        """Close the listeners; accepted connections are still served."""
+        """Close the listeners; connections made before that are still served.
+
+        They include those in the backlog, which closing a listener would reset.
+        """
+        if self._nursery is not None and not self._accept_scope.cancel_called:
+            for listener in self._listeners:
+                for stream in _accept_backlog(listener):
+                    self._nursery.start_soon(self._serve_connection, stream)
         self._accept_scope.cancel()
 
     def drain(self) -> None:
-        """Close idle connections now, and busy ones after their current response."""
+        """Close idle connections now, and busy ones after their last response.
+
+        A request of which any byte has arrived still gets a response.
+        """
         self._draining.set()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
@@ -103,9 +122,10 @@
         if waiting >= MAX_WAITING_CONNECTIONS:
             await trio.aclose_forcefully(stream)
             return
-        async with self._connection_slots, stream:
-            conn = Connection(stream, self._current_limits, self._budget)
-            conn.accepted_while_draining = self._draining.is_set()
+        async with stream, self._connection_slots:
+            conn = Connection(
+                stream, self._current_limits, self._budget, self._draining
+            )
             try:
                 while await self._serve_one(conn):
                     pass
@@ -124,18 +144,19 @@
     async def _read_request(self, conn: Connection) -> Exchange | None:
         """Read a request; closes an idle connection when draining begins.
 
-        A connection accepted after that may still make its first request.
+        A new connection has a short time to make its first request.
         """
         result: Exchange | None = None
 
         async def stop_when_draining() -> None:
             await self._draining.wait()
+            if not conn.served_requests:
+                await trio.sleep_until(conn.accepted_at + FIRST_REQUEST_GRACE_S)
             if conn.idle:
                 nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            if conn.served_requests or not conn.accepted_while_draining:
-                nursery.start_soon(stop_when_draining)
+            nursery.start_soon(stop_when_draining)
             result = await conn.read_request()
             nursery.cancel_scope.cancel()
         return result
@@ -167,12 +188,12 @@
         finally:
             self.active -= 1
             conn.release()
-        if conn.aborted or self._draining.is_set():
+        if conn.aborted:
             return False
         if conn.h11.our_state is not h11.DONE or conn.h11.their_state is not h11.DONE:
             return False
         conn.h11.start_next_cycle()
-        return True
+        return not (self._draining.is_set() and conn.idle)
 
     async def _handle_request(self, conn: Connection, exchange: Exchange) -> None:
         async with trio.open_nursery() as nursery:
@@ -197,6 +218,18 @@
                 await exchange.respond_error(_internal_error())
 
 
+def _accept_backlog(listener: trio.SocketListener) -> Iterator[trio.SocketStream]:
+    """Accept the connections that are complete now, without waiting for others."""
+    try:
+        with socket.socket(fileno=os.dup(listener.socket.fileno())) as accepting:
+            while True:
+                accepted, _ = accepting.accept()
+                yield trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+    except OSError as exc:
+        if not isinstance(exc, BlockingIOError):
+            LOGGER.warning("cannot accept the backlog: %r", exc)
+
+
 def _internal_error() -> HttpError:
     message = "internal error"
     return HttpError(500, "internal_error", message, verdict=Verdict.MAY_HAVE_RUN)
--- a/tests/http/test_unanswered_requests.py
+++ b/tests/http/test_unanswered_requests.py
@@ -1,5 +1,7 @@
+import socket
+
 import trio
-from testtools.matchers import Contains, Not, StartsWith
+from testtools.matchers import Contains, Equals, Not, StartsWith
 
 from foxtailcourse.http import HttpLimits
 from http_server_case import HttpServerCase
@@ -60,3 +62,62 @@
             self.assertThat(response, Not(Contains(b"keep-alive")))
 
         self.serve(check, idle_timeout_s=10)
+
+
+class TestDraining(HttpServerCase):
+    """Guards requests that have arrived when draining begins."""
+
+    async def drain_during_response(self, address, server, before, after):
+        """Return all bytes sent to a caller that sends more during a response."""
+        stream = await self.connect(address)
+        await stream.send_all(REQUEST % b"held" + before)
+        await self.began.wait()
+        server.stop_accepting()
+        server.drain()
+        if after:
+            await stream.send_all(after)
+        await trio.sleep(0.05)
+        self.release.set()
+        return await self.receive_until(stream, b"\0")
+
+    def test_request_behind_a_response_is_served_when_draining_begins(self):
+        async def check(address, server):
+            received = await self.drain_during_response(
+                address, server, REQUEST % b"1", REQUEST % b"2"
+            )
+            self.assertThat(received.count(b"HTTP/1.1 200"), Equals(3))
+            last = received.rindex(b"HTTP/1.1 200")
+            self.assertThat(received[:last], Not(Contains(b"connection: close")))
+            self.assertThat(received[last:], Contains(b"connection: close"))
+
+        self.serve(check)
+
+    def test_partly_received_request_is_served_when_draining_begins(self):
+        async def check(address, server):
+            request = REQUEST % b"1"
+            received = await self.drain_during_response(
+                address, server, request[:5], request[5:]
+            )
+            self.assertThat(received.count(b"HTTP/1.1 200"), Equals(2))
+
+        self.serve(check)
+
+    def test_response_after_draining_began_says_that_the_connection_closes(self):
+        async def check(address, server):
+            received = await self.drain_during_response(address, server, b"", b"")
+            self.assertThat(received, Contains(b"connection: close"))
+            self.assertThat(received, Not(Contains(b"keep-alive")))
+
+        self.serve(check)
+
+    def test_connection_in_the_backlog_is_served_after_the_listeners_close(self):
+        async def check(address, server):
+            with socket.create_connection((address.host, address.port)) as caller:
+                caller.sendall(REQUEST % b"")
+                server.stop_accepting()
+                server.drain()
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+                response = await self.receive_until(stream, b"\0")
+            self.assertThat(response, StartsWith(b"HTTP/1.1 200"))
+
+        self.serve(check)
