Serve a request behind which a caller has sent much more

What callers saw: a whole request got no response, and its handler was cancelled, when the caller had sent more than max_header_bytes behind it, for instance a next request with a body.

Cause: the watch for a disconnect treated this as one, to bound the buffer.

Reading now stops instead, so that the caller is slowed down by TCP, and goes on with the next request. The buffer keeps its bound (the limit and one read). Meanwhile a disconnect of this caller is noticed only by sending: its bytes hide the end of the connection.

Failed before: test_request_before_a_large_pipelined_one_gets_a_response (connection closed, ECONNRESET).

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -378,8 +378,8 @@
     async def watch_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller closes the connection.
 
-        The same applies to a caller that sends more than ``max_header_bytes`` before
-        it has received the response.
+        Reading stops while a caller has sent more than ``max_header_bytes`` behind
+        the present request. Its disconnect is then noticed only by sending.
         """
         try:
             while True:
@@ -389,7 +389,7 @@
                 # h11 buffers a pipelined request until this response has been sent.
                 self.h11.receive_data(data)
                 if len(self.h11.trailing_data[0]) > self.limits.max_header_bytes:
-                    break
+                    return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # a reset is handled like an orderly close
         self.aborted = True
--- a/tests/http/test_unanswered_requests.py
+++ b/tests/http/test_unanswered_requests.py
@@ -121,3 +121,24 @@
             self.assertThat(response, StartsWith(b"HTTP/1.1 200"))
 
         self.serve(check)
+
+
+class TestPipelining(HttpServerCase):
+    """Guards requests of callers that send far ahead of the responses."""
+
+    def test_request_before_a_large_pipelined_one_gets_a_response(self):
+        body = b"x" * 300_000
+        head = b"POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 300000\r\n"
+        pipelined = head + b"connection: close\r\n\r\n" + body
+
+        async def check(address, server):
+            stream = await self.connect(address)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stream.send_all, REQUEST % b"held" + pipelined)
+                await self.began.wait()
+                await trio.sleep(0.1)
+                self.release.set()
+                received = await self.receive_until(stream, b"\0")
+            self.assertThat(received.count(b"HTTP/1.1 200"), Equals(2))
+
+        self.serve(check, max_header_bytes=1000)
