Respond with 500 if a response cannot be encoded or is missing

What callers saw: a closed connection without a byte of response, though the handler had run and the connection was sound.

Cause: a response counted as started before h11 had encoded it. When h11 refused it (an illegal field name or status, a body that does not match its length), the server closed the connection, and h11 accepts no other response after such an error. An error raised by the handler as HttpError with an illegal field was dropped as a connection error, and a handler that returned without a response left the connection to be closed.

A response now counts as started once its first bytes are encoded. Before that, the handler can send another one, else the caller gets 500 with `connection: close`, and on_error gets the exception. abort() before the first byte still closes the connection.

Failed before, each with no byte of response: test_response_that_cannot_be_encoded_becomes_an_internal_error, test_handler_may_replace_a_response_that_cannot_be_encoded, test_malformed_response_head_becomes_an_internal_error, test_handler_without_a_response_becomes_an_internal_error.

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -97,9 +97,7 @@
         head = dict(fields or {})
         head["content-type"] = content_type
         head["content-length"] = str(len(body))
-        self.response_started = True
-        response = self._response(status, head)
-        await self._conn.send(response, h11.Data(data=body), h11.EndOfMessage())
+        await self._start(status, head, h11.Data(data=body), h11.EndOfMessage())
 
     async def respond_json(
         self, status: int, value: object, fields: Mapping[str, str] | None = None
@@ -115,8 +113,19 @@
         self, status: int, fields: Mapping[str, str], chunk: bytes = b""
     ) -> None:
         """Send the head of a streamed response, and its first chunk unless empty."""
+        await self._start(status, fields, *_data_events(chunk))
+
+    async def _start(
+        self, status: int, fields: Mapping[str, str], *events: h11.Event
+    ) -> None:
+        """Send the head of the response and further events.
+
+        The response has not started if they cannot be encoded, so that the handler
+        can send another one.
+        """
+        data = self._conn.encode(self._response(status, fields), *events)
         self.response_started = True
-        await self._conn.send(self._response(status, fields), *_data_events(chunk))
+        await self._conn.send_bytes(data)
 
     async def send(self, chunk: bytes) -> None:
         """Send one chunk of a streamed body."""
@@ -261,9 +270,45 @@
             return {}
         return {"keep-alive": f"timeout={announced_s}"}
 
+    def encode(self, *events: h11.Event) -> bytes:
+        """Return the bytes of h11 events.
+
+        If they are the first ones of a response and cannot be encoded, another
+        response can be sent in its place; it closes the connection.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If the events are no valid part of the response.
+        """
+        is_first = self.h11.our_state is h11.SEND_RESPONSE
+        try:
+            return b"".join(self.h11.send(event) or b"" for event in events)
+        except h11.LocalProtocolError:
+            if is_first:
+                self._forget_response()
+            raise
+
+    def _forget_response(self) -> None:
+        """Let h11 send another response to the present request.
+
+        h11 refuses all events after an error, so a new state is made from the parts
+        of the request that matter for the framing of a response.
+        """
+        version = self.h11.their_http_version or b"1.1"
+        self.h11 = h11.Connection(h11.SERVER)
+        self.h11.receive_data(
+            b"GET / HTTP/%s\r\nhost: -\r\nconnection: close\r\n\r\n" % version
+        )
+        self.h11.next_event()
+        self.h11.next_event()
+
     async def send(self, *events: h11.Event) -> None:
         """Send h11 events; a failure or timeout aborts the connection."""
-        data = b"".join(self.h11.send(event) or b"" for event in events)
+        await self.send_bytes(self.encode(*events))
+
+    async def send_bytes(self, data: bytes) -> None:
+        """Send encoded events; a failure or timeout aborts the connection."""
         try:
             unsent = data[send_without_blocking(self.stream, data) :]
             if unsent:
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -34,6 +34,10 @@
 FIRST_REQUEST_GRACE_S = 1.0
 
 
+class NoResponseError(Exception):
+    """A handler returned without sending a response or aborting the connection."""
+
+
 class HttpServer:
     """Serves HTTP requests on TCP listeners with one handler.
 
@@ -202,13 +206,17 @@
             nursery.cancel_scope.cancel()
 
     async def _call_handler(self, conn: Connection, exchange: Exchange) -> None:
+        """Call the handler; a response that it does not start is an error response."""
         try:
-            await self._handler(exchange)
-        except HttpError as exc:
-            if exchange.response_started:
-                conn.aborted = True
-            else:
-                await exchange.respond_error(exc)
+            try:
+                await self._handler(exchange)
+            except HttpError as exc:
+                if exchange.response_started:
+                    conn.aborted = True
+                else:
+                    await exchange.respond_error(exc)
+            if not exchange.response_started and not conn.aborted:
+                raise NoResponseError("the handler sent no response")
         except (trio.BrokenResourceError, trio.TooSlowError):
             conn.aborted = True
         except Exception as exc:
--- a/tests/http/test_unanswered_requests.py
+++ b/tests/http/test_unanswered_requests.py
@@ -1,9 +1,11 @@
+import contextlib
 import socket
 
+import h11
 import trio
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
-from foxtailcourse.http import HttpLimits
+from foxtailcourse.http import HttpError, HttpLimits
 from http_server_case import HttpServerCase
 
 REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -142,3 +144,59 @@
             self.assertThat(received.count(b"HTTP/1.1 200"), Equals(2))
 
         self.serve(check, max_header_bytes=1000)
+
+
+class TestFaultyHandlers(HttpServerCase):
+    """Guards requests whose handler cannot form a response."""
+
+    async def handle(self, exchange):
+        if exchange.path == "/name":
+            await exchange.respond(200, b"", {"a b": "1"})
+        elif exchange.path == "/unicode":
+            await exchange.start_stream(200, {"\u00e9": "1"})
+        elif exchange.path == "/status":
+            await exchange.respond(99, b"")
+        elif exchange.path == "/body":
+            await exchange.start_stream(200, {"content-length": "1"}, b"long")
+        elif exchange.path == "/empty":
+            await exchange.start_stream(204, {"content-length": "0"}, b"body")
+        elif exchange.path == "/error":
+            raise HttpError(503, "busy", "busy", fields={"a b": "1"})
+        elif exchange.path == "/caught":
+            with contextlib.suppress(h11.LocalProtocolError):
+                await exchange.start_stream(200, {"content-length": "1"}, b"long")
+            await exchange.respond(502, b"")
+
+    def check_response(self, path, status):
+        async def check(address, server):
+            received = await self.send_bytes(address, REQUEST % path)
+            self.assertThat(received, StartsWith(b"HTTP/1.1 %d" % status))
+            self.assertThat(received.lower(), Contains(b"connection: close"))
+
+        self.serve(check)
+
+    def test_response_that_cannot_be_encoded_becomes_an_internal_error(self):
+        for path in (b"body", b"empty"):
+            self.check_response(path, 500)
+
+    def test_handler_may_replace_a_response_that_cannot_be_encoded(self):
+        self.check_response(b"caught", 502)
+
+    def test_malformed_response_head_becomes_an_internal_error(self):
+        async def check(address, server):
+            for path in (b"name", b"unicode", b"status", b"error"):
+                received = await self.send_bytes(
+                    address, REQUEST % path, until=b"\r\n\r\n"
+                )
+                self.assertThat(received, StartsWith(b"HTTP/1.1 500"))
+
+        self.serve(check)
+
+    def test_handler_without_a_response_becomes_an_internal_error(self):
+        async def check(address, server):
+            received = await self.send_bytes(
+                address, REQUEST % b"nothing", until=b"\r\n\r\n"
+            )
+            self.assertThat(received, StartsWith(b"HTTP/1.1 500"))
+
+        self.serve(check)
