Respond to HEAD requests

What callers saw: a HEAD request got a closed connection and no byte of response whenever the response would have a body, as every error response has.

Cause: h11 refuses the body of a response to HEAD with LocalProtocolError, and the server took this for a connection error.

The body is left out; the fields, with the length it would have, are sent.

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -226,6 +226,8 @@
         )
         # Idle timeout that the caller knows of.
         self._announced_idle_s = self.limits.idle_timeout_s
+        # Whether the present request is HEAD; h11 refuses the body of its response.
+        self._head_only = False
         self.aborted = False
         self.served_requests = 0
 
@@ -282,6 +284,8 @@
             If the events are no valid part of the response.
         """
         is_first = self.h11.our_state is h11.SEND_RESPONSE
+        if self._head_only:
+            events = tuple(e for e in events if not isinstance(e, h11.Data))
         try:
             return b"".join(self.h11.send(event) or b"" for event in events)
         except h11.LocalProtocolError:
@@ -296,9 +300,10 @@
         of the request that matter for the framing of a response.
         """
         version = self.h11.their_http_version or b"1.1"
+        method = b"HEAD" if self._head_only else b"GET"
         self.h11 = h11.Connection(h11.SERVER)
         self.h11.receive_data(
-            b"GET / HTTP/%s\r\nhost: -\r\nconnection: close\r\n\r\n" % version
+            b"%s / HTTP/%s\r\nhost: -\r\nconnection: close\r\n\r\n" % (method, version)
         )
         self.h11.next_event()
         self.h11.next_event()
@@ -328,6 +333,7 @@
 
     async def read_request(self) -> Exchange | None:
         """Return the next complete request, or None if the peer has closed."""
+        self._head_only = False
         if not self.h11.trailing_data[0]:
             data = await self._wait_for_bytes()
             if not data:
@@ -339,6 +345,7 @@
                 event = await self.next_event()
             if not isinstance(event, h11.Request):
                 return None
+            self._head_only = event.method == b"HEAD"
             self._check_header(event)
             exchange = Exchange(self, event)
             exchange.body = await self._read_body(event)
--- a/tests/http/test_unanswered_requests.py
+++ b/tests/http/test_unanswered_requests.py
@@ -162,6 +162,16 @@
             await exchange.start_stream(204, {"content-length": "0"}, b"body")
         elif exchange.path == "/error":
             raise HttpError(503, "busy", "busy", fields={"a b": "1"})
+        elif exchange.path == "/ok":
+            await exchange.respond(200, b"body")
+        elif exchange.path == "/stream":
+            await exchange.start_stream(200, {}, b"one")
+            await exchange.send(b"two")
+            await exchange.end_stream(b"three")
+        elif exchange.path == "/busy":
+            raise HttpError(503, "busy", "busy")
+        elif exchange.path == "/close":
+            await exchange.respond(200, b"last")
         elif exchange.path == "/caught":
             with contextlib.suppress(h11.LocalProtocolError):
                 await exchange.start_stream(200, {"content-length": "1"}, b"long")
@@ -200,3 +210,16 @@
             self.assertThat(received, StartsWith(b"HTTP/1.1 500"))
 
         self.serve(check)
+
+    def test_head_request_gets_the_head_of_the_response(self):
+        async def check(address, server):
+            for path, status in ((b"ok", 200), (b"stream", 200), (b"busy", 503)):
+                request = b"HEAD /%s HTTP/1.1\r\nhost: a\r\n\r\n" % path
+                received = await self.send_bytes(
+                    address, request + REQUEST % b"close", until=b"last"
+                )
+                self.assertThat(received, StartsWith(b"HTTP/1.1 %d" % status))
+                self.assertThat(received.count(b"\r\n\r\n"), Equals(2))
+                self.assertThat(received, Contains(b"\r\n\r\nHTTP/1.1 200"))
+
+        self.serve(check)
