Keep the connection when a request ends after its complete response

What callers saw: a connection closed after a complete response, with the request that was already on its way behind it.

Cause: foxtail-ingress aborted the connection when the deadline, or a failure of the attempt, came between the end of the response and the release of the connection to the backend server. It also logged the request as timed out or failed.

A request with a complete response is now answered, whatever comes after it.

Failed before: test_deadline_after_the_complete_response_does_not_cut_the_connection and test_failure_after_the_complete_response_does_not_cut_the_connection (connection closed at the second request).

--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -130,7 +130,10 @@
         finally:
             self.dispatcher.attempts.buffered.release(job.buffered_bytes)
         if scope.cancelled_caught:
-            await self._respond_timeout(job)
+            if job.response_complete:
+                outcome = ANSWERED
+            else:
+                await self._respond_timeout(job)
         if outcome != REFUSED:
             self._record_finished(job, outcome)
 
@@ -146,8 +149,10 @@
             await self._refuse(job.exchange, job.request, exc)
             return REFUSED
         except AttemptError as exc:
-            await self._respond_failure(job, exc)
-            return exc.reason
+            # An attempt may fail while its connection to the server is released.
+            if not job.response_complete:
+                await self._respond_failure(job, exc)
+                return exc.reason
         return ANSWERED
 
     async def _create_job(
