Linger after an error response to a request that was not read whole

What callers saw: a reset connection instead of 413, 431, 408 or 503 server_busy, if they were still sending the request.

Cause: the server closed a socket with unread bytes, which resets the connection; the caller's next send fails, and the response may be lost.

The server now ends its side and reads on for at most 1 s and 8 MiB. The bytes belong to a request that has got its response. After other responses nothing more is read, so that a caller can tell that a request which crossed the close was not read.

Failed before: test_caller_that_sends_on_gets_the_error_response (connection reset while sending). test_reading_after_an_error_response_is_bounded guards the limits.

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -19,6 +19,9 @@
 # Part of the idle timeout that is not announced, for requests on their way.
 KEEP_ALIVE_MARGIN_S = 0.5
 MAX_ANNOUNCED_IDLE_S = 3600.0
+# Limits on reading the rest of a request after an error response.
+LINGER_S = 1.0
+MAX_LINGER_BYTES = 8 * 1024 * 1024
 
 
 class Exchange:
@@ -216,6 +219,8 @@
     ) -> None:
         self.stream = stream
         self._draining = draining
+        # Whether a request was refused before it was read to its end.
+        self.refused_early = False
         self.accepted_at = trio.current_time()
         self._current_limits = limits
         self._budget = budget
@@ -451,6 +456,7 @@
         """Send an error response to a request that could not be read."""
         if self.h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
+        self.refused_early = True
         fields = exc.headers()
         fields["content-type"] = "application/json"
         fields["content-length"] = str(len(exc.body()))
@@ -458,3 +464,17 @@
         head = _response(exc.status, fields)
         with trio.CancelScope(shield=True):
             await self.send(head, h11.Data(data=exc.body()), h11.EndOfMessage())
+
+    async def linger(self) -> None:
+        """Read and discard what a refused caller still sends, within limits.
+
+        Closing a socket with unread bytes resets the connection, and the caller may
+        then lose the response.
+        """
+        discarded_bytes = 0
+        with trio.move_on_after(LINGER_S):
+            while discarded_bytes < MAX_LINGER_BYTES:
+                data = await self.stream.receive_some(MAX_READ_BYTES)
+                if not data:
+                    return
+                discarded_bytes += len(data)
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -135,6 +135,8 @@
                     pass
                 if not conn.aborted:
                     await stream.send_eof()
+                    if conn.refused_early:
+                        await conn.linger()
                 elif conn.end_marks_response:
                     stream.setsockopt(
                         socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
--- a/tests/http/test_unanswered_requests.py
+++ b/tests/http/test_unanswered_requests.py
@@ -5,7 +5,7 @@
 import trio
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
-from foxtailcourse.http import HttpError, HttpLimits
+from foxtailcourse.http import HttpError, HttpLimits, _exchange
 from http_server_case import HttpServerCase
 
 REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -223,3 +223,40 @@
                 self.assertThat(received, Contains(b"\r\n\r\nHTTP/1.1 200"))
 
         self.serve(check)
+
+
+class TestErrorResponses(HttpServerCase):
+    """Guards error responses to requests that were not read to their end."""
+
+    HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 500000\r\n\r\n"
+
+    async def send_on(self, address, byte_count):
+        """Send a body on after the error response has arrived, then read it."""
+        async with await self.connect(address) as stream:
+            await stream.send_all(self.HEAD)
+            for _ in range(byte_count // 100_000):
+                await trio.sleep(0.02)
+                await stream.send_all(b"x" * 100_000)
+            return await self.receive_until(stream, b"\0")
+
+    def test_caller_that_sends_on_gets_the_error_response(self):
+        for limits in ({"max_body_bytes": 1000}, {"max_buffered_bytes": 1000}):
+
+            async def check(address, server):
+                response = await self.send_on(address, 500_000)
+                self.assertThat(response, Contains(b"foxtail-verdict: not-run"))
+
+            self.serve(check, **limits)
+
+    def test_reading_after_an_error_response_is_bounded(self):
+        for limit in ("LINGER_S", "MAX_LINGER_BYTES"):
+            default = getattr(_exchange, limit)
+            self.patch(_exchange, limit, 0.01)
+
+            async def check(address, server):
+                await self.catch_error(
+                    trio.BrokenResourceError, self.send_on, address, 500_000
+                )
+
+            self.serve(check, max_body_bytes=1000)
+            self.patch(_exchange, limit, default)
