Refuse the requests of connections beyond the limit

What callers saw: beyond max_connections a request stayed unread until its caller gave up, and beyond MAX_WAITING_CONNECTIONS the connection was closed without a byte.

A connection now waits 0.5 s from its first byte for another one to end, and then gets 503 server_busy with Retry-After, as do connections beyond the waiting ones. A silent connection waits as before. Connections beyond the waiting ones that send nothing are closed after 1 s, not at once.

Not covered: a refusal is sent on the first byte and without reading the request, so the response to a HEAD request has a body; the connection closes after it.

--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server with one task per connection."""
 
+import contextlib
 import logging
 import os
 import socket
@@ -28,8 +29,16 @@
 
 Handler = Callable[[Exchange], Awaitable[None]]
 # Accepted connections beyond the limit that wait for one to end; further ones are
-# closed at once, so that they do not take up the descriptors of the process.
+# refused.
 MAX_WAITING_CONNECTIONS = 128
+# Time from the first byte on such a connection until it is refused.
+MAX_SLOT_WAIT_S = 0.5
+# Connections that are being refused; further ones are closed without a response, so
+# that they do not take up the descriptors of the process.
+MAX_REFUSALS = 64
+# Time in which a connection beyond the waiting ones must begin its request.
+REFUSAL_WAIT_S = 1.0
+CONNECTIONS_RETRY_MS = 500
 # Time in which a new connection may make its first request while the server drains.
 FIRST_REQUEST_GRACE_S = 1.0
 
@@ -68,6 +77,7 @@
         self._budget = ByteBudget(limits.max_buffered_bytes)
         self._on_error = on_error
         self._connection_slots = trio.CapacityLimiter(limits.max_connections)
+        self._refusals = 0
         self._draining = trio.Event()
         self._accept_scope = trio.CancelScope()
         self._listeners: list[trio.SocketListener] = []
@@ -122,30 +132,78 @@
         self._draining.set()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        waiting = self._connection_slots.statistics().tasks_waiting
-        if waiting >= MAX_WAITING_CONNECTIONS:
-            await trio.aclose_forcefully(stream)
-            return
-        async with stream, self._connection_slots:
-            conn = Connection(
-                stream, self._current_limits, self._budget, self._draining
-            )
+        async with stream:
+            if not await self._wait_for_slot(stream):
+                await self._refuse_connection(stream)
+                return
             try:
-                while await self._serve_one(conn):
-                    pass
-                if not conn.aborted:
-                    await stream.send_eof()
-                    if conn.refused_early:
-                        await conn.linger()
-                elif conn.end_marks_response:
-                    stream.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                    )
-            except* _CONNECTION_ERRORS:
-                pass
+                await self._serve_requests(stream)
             finally:
-                # Reserved by a request whose connection closed before it was complete.
-                conn.release()
+                self._connection_slots.release_on_behalf_of(stream)
+
+    async def _wait_for_slot(self, stream: trio.SocketStream) -> bool:
+        """Wait until a connection may be served; returns False to refuse it.
+
+        A connection that has sent nothing waits as long as needed.
+        """
+        slots = self._connection_slots
+        with contextlib.suppress(trio.WouldBlock):
+            slots.acquire_on_behalf_of_nowait(stream)
+            return True
+        if slots.statistics().tasks_waiting >= MAX_WAITING_CONNECTIONS:
+            return False
+        acquired = False
+
+        async def stop_waiting() -> None:
+            await trio.lowlevel.wait_readable(stream.socket)
+            await trio.sleep(MAX_SLOT_WAIT_S)
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_waiting)
+            await slots.acquire_on_behalf_of(stream)
+            acquired = True
+            nursery.cancel_scope.cancel()
+        return acquired
+
+    async def _refuse_connection(self, stream: trio.SocketStream) -> None:
+        """Respond that there are too many connections, once a request has begun."""
+        if self._refusals >= MAX_REFUSALS:
+            return
+        self._refusals += 1
+        conn = Connection(stream, self._current_limits, self._budget, self._draining)
+        message = "too many connections"
+        error = HttpError(
+            503, "server_busy", message, retry_after_ms=CONNECTIONS_RETRY_MS
+        )
+        try:
+            with trio.move_on_after(REFUSAL_WAIT_S) as scope:
+                await trio.lowlevel.wait_readable(stream.socket)
+            if not scope.cancelled_caught:
+                await conn.respond_read_error(error)
+                await stream.send_eof()
+                await conn.linger()
+        except _CONNECTION_ERRORS:
+            pass  # the caller has closed the connection
+        finally:
+            self._refusals -= 1
+
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+        conn = Connection(stream, self._current_limits, self._budget, self._draining)
+        try:
+            while await self._serve_one(conn):
+                pass
+            if not conn.aborted:
+                await stream.send_eof()
+                if conn.refused_early:
+                    await conn.linger()
+            elif conn.end_marks_response:
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        except* _CONNECTION_ERRORS:
+            pass
+        finally:
+            # Reserved by a request whose connection closed before it was complete.
+            conn.release()
 
     async def _read_request(self, conn: Connection) -> Exchange | None:
         """Read a request; closes an idle connection when draining begins.
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -299,7 +299,7 @@
     "queue_full": "the backend server's queue is full",
     "request_timeout": "the caller sent the request too slowly",
     "requests_rate": "`requests_per_s` of the contract is used up",
-    "server_busy": "the limit on buffered request bodies is reached",
+    "server_busy": "the limit on buffered request bodies or on connections is reached",
     "service_failed": "the plain service failed; the call may have run",
     "service_unreachable": "the plain service accepts no connection; nothing was run",
     "stream_broken": "the stream could not be completed; sent in its last event",
--- a/tests/http/test_unanswered_requests.py
+++ b/tests/http/test_unanswered_requests.py
@@ -5,7 +5,7 @@
 import trio
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
-from foxtailcourse.http import HttpError, HttpLimits, _exchange
+from foxtailcourse.http import HttpError, HttpLimits, _exchange, _server
 from http_server_case import HttpServerCase
 
 REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -260,3 +260,45 @@
 
             self.serve(check, max_body_bytes=1000)
             self.patch(_exchange, limit, default)
+
+
+class TestConnectionLimit(HttpServerCase):
+    """Guards requests on connections beyond the limit."""
+
+    async def request_beside_held(self, address):
+        async with await self.connect(address) as held:
+            await held.send_all(REQUEST % b"held")
+            await self.began.wait()
+            async with await self.connect(address):
+                return await self.send_bytes(address, REQUEST % b"")
+
+    def check_refusal(self, check, **constants):
+        for name, value in constants.items():
+            self.patch(_server, name, value)
+        self.serve(check, max_connections=1)
+
+    def test_connection_that_waits_too_long_is_refused(self):
+        async def check(address, server):
+            response = await self.request_beside_held(address)
+            self.assertThat(response, StartsWith(b"HTTP/1.1 503"))
+            for field in (b"retry-after: 1", b"foxtail-verdict: not-run"):
+                self.assertThat(response, Contains(field))
+
+        self.check_refusal(check, MAX_SLOT_WAIT_S=0.01)
+
+    def test_connection_beyond_the_waiting_ones_is_refused(self):
+        async def check(address, server):
+            response = await self.request_beside_held(address)
+            self.assertThat(response, StartsWith(b"HTTP/1.1 503"))
+
+        self.check_refusal(check, MAX_WAITING_CONNECTIONS=1)
+
+    def test_number_of_refusals_in_progress_is_bounded(self):
+        async def check(address, server):
+            response = b""
+            with contextlib.suppress(trio.BrokenResourceError):
+                response = await self.request_beside_held(address)
+            self.assertThat(response, Equals(b""))
+
+        limits = {"MAX_WAITING_CONNECTIONS": 1, "MAX_REFUSALS": 0}
+        self.check_refusal(check, **limits)
