Report each connection that ends while a request has no complete response

A caller that got neither a response nor a refusal left no line in the log, so it was not possible to tell a request that crossed the close of an idle connection from one that was aborted, not received in time, stopped or turned away.

HttpServer takes an observer, on_unanswered, which gets the reason (EndReason) and the exchange if the request was read whole. foxtail-ingress logs `connection_cut`. Other users of the server are unchanged.

After closing an idle connection, the server looks for up to 0.25 s whether a request arrives. It peeks and does not read: the connection is then reset, and the caller knows that its request was not run.

Not reported: a request that was partly received when the whole server is cancelled, and callers that leave while they are refused for the limit on connections.

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -1,7 +1,9 @@
 """A server connection, and one HTTP exchange (request and response) on it."""
 
 import os
+import socket
 from collections.abc import Mapping
+from enum import Enum
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -21,9 +23,40 @@
 MAX_ANNOUNCED_IDLE_S = 3600.0
 # Limits on reading the rest of a request after an error response.
 LINGER_S = 1.0
+# Time in which a request that crossed the close of an idle connection is noticed.
+CROSSING_WATCH_S = 0.25
 MAX_LINGER_BYTES = 8 * 1024 * 1024
 
 
+class EndReason(Enum):
+    """Why a connection ended without a complete response to a request.
+
+    ABORTED
+        The handler aborted the connection or could not end the response.
+    CALLER_CLOSED
+        The caller closed or reset the connection.
+    CROSSED_DRAINING, CROSSED_IDLE_TIMEOUT
+        The request arrived after an idle connection was closed, and was not read.
+    INTERNAL_ERROR
+        The server itself failed.
+    SEND_TIMEOUT
+        The caller did not receive the response in time.
+    STOPPED
+        The server was stopped with the request in progress.
+    TOO_MANY_CONNECTIONS
+        The connection was closed without being read.
+    """
+
+    ABORTED = "aborted"
+    CALLER_CLOSED = "caller_closed"
+    CROSSED_DRAINING = "crossed_draining"
+    CROSSED_IDLE_TIMEOUT = "crossed_idle_timeout"
+    INTERNAL_ERROR = "internal_error"
+    SEND_TIMEOUT = "send_timeout"
+    STOPPED = "stopped"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+
+
 class Exchange:
     """One HTTP request and the methods that send its response.
 
@@ -233,6 +266,9 @@
         self._announced_idle_s = self.limits.idle_timeout_s
         # Whether the present request is HEAD; h11 refuses the body of its response.
         self._head_only = False
+        # Why the connection ends, if it is not the handler that aborts it.
+        self.end_reason: EndReason | None = None
+        self._unsent = False
         self.aborted = False
         self.served_requests = 0
 
@@ -251,6 +287,18 @@
         """Whether no byte of the next request has arrived."""
         return self.h11.their_state is h11.IDLE and not self.has_unread_bytes
 
+    @property
+    def response_sent(self) -> bool:
+        """Whether the complete response was passed to the operating system."""
+        is_complete = self.h11.our_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
+        return is_complete and not self._unsent
+
+    @property
+    def has_partial_request(self) -> bool:
+        """Whether a request has begun that was neither served nor refused."""
+        began = self.h11.trailing_data[0] or self.h11.their_state is h11.SEND_BODY
+        return bool(began) and not self.refused_early
+
     @property
     def end_marks_response(self) -> bool:
         """Whether only the end of the connection marks that of the present response.
@@ -319,14 +367,20 @@
 
     async def send_bytes(self, data: bytes) -> None:
         """Send encoded events; a failure or timeout aborts the connection."""
+        self._unsent = True
         try:
             unsent = data[send_without_blocking(self.stream, data) :]
             if unsent:
                 with trio.fail_after(self.limits.send_timeout_s):
                     await self.stream.send_all(unsent)
-        except (trio.TooSlowError, trio.BrokenResourceError):
+        except (trio.TooSlowError, trio.BrokenResourceError) as exc:
             self.aborted = True
+            too_slow = isinstance(exc, trio.TooSlowError)
+            self.end_reason = (
+                EndReason.SEND_TIMEOUT if too_slow else EndReason.CALLER_CLOSED
+            )
             raise
+        self._unsent = False
 
     async def next_event(self) -> Any:
         """Return the next h11 event of the peer, reading as needed."""
@@ -379,6 +433,7 @@
         ):
             return await self.stream.receive_some(MAX_READ_BYTES)
         if self.idle:
+            self.end_reason = EndReason.CROSSED_IDLE_TIMEOUT
             return b""
         # Bytes arrived as the wait ended.
         return await self.stream.receive_some(MAX_READ_BYTES)
@@ -450,13 +505,13 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # a reset is handled like an orderly close
         self.aborted = True
+        self.end_reason = EndReason.CALLER_CLOSED
         scope.cancel()
 
     async def respond_read_error(self, exc: HttpError) -> None:
         """Send an error response to a request that could not be read."""
         if self.h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        self.refused_early = True
         fields = exc.headers()
         fields["content-type"] = "application/json"
         fields["content-length"] = str(len(exc.body()))
@@ -464,6 +519,19 @@
         head = _response(exc.status, fields)
         with trio.CancelScope(shield=True):
             await self.send(head, h11.Data(data=exc.body()), h11.EndOfMessage())
+        self.refused_early = True
+
+    async def crossed_request(self) -> bool:
+        """Return whether a request arrives just after the connection was ended.
+
+        It is not read: the caller can then tell that it was not run.
+        """
+        with trio.move_on_after(CROSSING_WATCH_S):
+            try:
+                return bool(await self.stream.socket.recv(1, socket.MSG_PEEK))
+            except OSError:
+                return False  # the caller has reset the connection
+        return False
 
     async def linger(self) -> None:
         """Read and discard what a refused caller still sends, within limits.
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -11,7 +11,7 @@
 import trio
 
 from foxtailcourse.http._errors import HttpError
-from foxtailcourse.http._exchange import Connection, Exchange
+from foxtailcourse.http._exchange import Connection, EndReason, Exchange
 from foxtailcourse.http._limits import ByteBudget, CurrentLimits, HttpLimits
 from foxtailcourse.protocol import Verdict
 
@@ -28,6 +28,8 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Handler = Callable[[Exchange], Awaitable[None]]
+# Gets the reason, and the request unless it was not read to its end.
+UnansweredObserver = Callable[[EndReason, Exchange | None], None]
 # Accepted connections beyond the limit that wait for one to end; further ones are
 # refused.
 MAX_WAITING_CONNECTIONS = 128
@@ -59,6 +61,9 @@
     on_error : callable
         Called with the exchange and each handler exception other than HttpError,
         BrokenResourceError and TooSlowError. The latter two abort the connection.
+    on_unanswered : callable, optional
+        Called with an EndReason each time a connection ends while a request, or a part
+        of one, has no complete response, and with the exchange or None.
 
     Attributes
     ----------
@@ -71,11 +76,13 @@
         handler: Handler,
         limits: HttpLimits,
         on_error: Callable[[Exchange, Exception], None],
+        on_unanswered: UnansweredObserver = lambda reason, exchange: None,
     ) -> None:
         self._handler = handler
         self._current_limits = CurrentLimits(limits)
         self._budget = ByteBudget(limits.max_buffered_bytes)
         self._on_error = on_error
+        self._on_unanswered = on_unanswered
         self._connection_slots = trio.CapacityLimiter(limits.max_connections)
         self._refusals = 0
         self._draining = trio.Event()
@@ -169,6 +176,7 @@
     async def _refuse_connection(self, stream: trio.SocketStream) -> None:
         """Respond that there are too many connections, once a request has begun."""
         if self._refusals >= MAX_REFUSALS:
+            self._on_unanswered(EndReason.TOO_MANY_CONNECTIONS, None)
             return
         self._refusals += 1
         conn = Connection(stream, self._current_limits, self._budget, self._draining)
@@ -197,10 +205,13 @@
                 await stream.send_eof()
                 if conn.refused_early:
                     await conn.linger()
+                elif conn.end_reason is not None and await conn.crossed_request():
+                    self._on_unanswered(conn.end_reason, None)
             elif conn.end_marks_response:
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         except* _CONNECTION_ERRORS:
-            pass
+            if conn.has_partial_request:
+                self._on_unanswered(EndReason.CALLER_CLOSED, None)
         finally:
             # Reserved by a request whose connection closed before it was complete.
             conn.release()
@@ -217,6 +228,7 @@
             if not conn.served_requests:
                 await trio.sleep_until(conn.accepted_at + FIRST_REQUEST_GRACE_S)
             if conn.idle:
+                conn.end_reason = EndReason.CROSSED_DRAINING
                 nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
@@ -247,17 +259,24 @@
             return False
         conn.served_requests += 1
         self.active += 1
+        end_reason = EndReason.STOPPED
         try:
             await self._handle_request(conn, exchange)
+            end_reason = EndReason.ABORTED
         finally:
             self.active -= 1
             conn.release()
+            if not conn.response_sent:
+                self._on_unanswered(conn.end_reason or end_reason, exchange)
         if conn.aborted:
             return False
         if conn.h11.our_state is not h11.DONE or conn.h11.their_state is not h11.DONE:
             return False
         conn.h11.start_next_cycle()
-        return not (self._draining.is_set() and conn.idle)
+        if self._draining.is_set() and conn.idle:
+            conn.end_reason = EndReason.CROSSED_DRAINING
+            return False
+        return True
 
     async def _handle_request(self, conn: Connection, exchange: Exchange) -> None:
         async with trio.open_nursery() as nursery:
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -12,7 +12,13 @@
     Freshness,
     ServerRun,
 )
-from foxtailcourse.http import ConnectionPool, Exchange, HttpLimits, HttpServer
+from foxtailcourse.http import (
+    ConnectionPool,
+    EndReason,
+    Exchange,
+    HttpLimits,
+    HttpServer,
+)
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._cache_feed import CacheFeed
 from foxtailcourse.ingress._cache_index import CacheIndex
@@ -271,7 +277,10 @@
             metrics=self._metrics,
         )
         self._http_server = HttpServer(
-            self._handler.handle, cfg.http_limits(CallerLimits()), self._on_error
+            self._handler.handle,
+            cfg.http_limits(CallerLimits()),
+            self._on_error,
+            self._on_unanswered,
         )
 
     def _build_dispatcher(self) -> Dispatcher:
@@ -526,6 +535,15 @@
         self._metrics.count("foxtail_ingress_requests_total", outcome="internal")
         self._events.emit("request_failed", path=exchange.path, error=repr(exc))
 
+    def _on_unanswered(self, reason: EndReason, exchange: Exchange | None) -> None:
+        self._events.emit(
+            "connection_cut",
+            reason=reason.value,
+            path=exchange.path if exchange else None,
+            response_started=exchange.response_started if exchange else None,
+            draining=self._draining,
+        )
+
 
 def _share_hold_s(cfg: IngressSettings) -> float:
     """Return the time for which an entry that disappeared keeps its shares."""
--- a/tests/http/test_unanswered_requests.py
+++ b/tests/http/test_unanswered_requests.py
@@ -5,7 +5,15 @@
 import trio
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
-from foxtailcourse.http import HttpError, HttpLimits, _exchange, _server
+from cluster import wait_until
+from foxtailcourse.http import (
+    EndReason,
+    HttpError,
+    HttpLimits,
+    HttpServer,
+    _exchange,
+    _server,
+)
 from http_server_case import HttpServerCase
 
 REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -302,3 +310,94 @@
 
         limits = {"MAX_WAITING_CONNECTIONS": 1, "MAX_REFUSALS": 0}
         self.check_refusal(check, **limits)
+
+
+class TestUnansweredObserver(HttpServerCase):
+    """Guards the reasons that are reported for requests without a response."""
+
+    def make_server(self, limits):
+        self.reasons = []
+
+        def record(reason, exchange):
+            self.reasons.append((reason, exchange.path if exchange else None))
+
+        return HttpServer(self.handle, limits, lambda exchange, exc: None, record)
+
+    async def handle(self, exchange):
+        if exchange.path == "/abort":
+            await exchange.start_stream(200, {})
+            exchange.abort()
+        elif exchange.path == "/large":
+            await exchange.respond(200, b"x" * 20_000_000)
+        else:
+            await super().handle(exchange)
+
+    async def check_reason(self, *expected):
+        await wait_until(lambda: self.reasons)
+        self.assertThat(self.reasons, Equals([expected]))
+
+    def test_request_after_the_close_of_an_idle_connection(self):
+        for reason in (EndReason.CROSSED_IDLE_TIMEOUT, EndReason.CROSSED_DRAINING):
+
+            async def check(address, server, reason=reason):
+                stream = await self.connect(address)
+                await stream.send_all(REQUEST % b"")
+                await stream.receive_some(65536)
+                if reason is EndReason.CROSSED_DRAINING:
+                    server.drain()
+                self.assertThat(await stream.receive_some(1), Equals(b""))
+                await stream.send_all(REQUEST % b"")
+                await self.check_reason(reason, None)
+
+            timeouts = {EndReason.CROSSED_IDLE_TIMEOUT: 0.05}
+            self.serve(check, idle_timeout_s=timeouts.get(reason, 60))
+
+    def test_aborted_and_abandoned_requests(self):
+        async def check(address, server):
+            await self.send_bytes(address, REQUEST % b"abort")
+            await self.check_reason(EndReason.ABORTED, "/abort")
+            self.reasons.clear()
+            async with await self.connect(address) as stream:
+                await stream.send_all(REQUEST % b"held")
+                await self.began.wait()
+            await self.check_reason(EndReason.CALLER_CLOSED, "/held")
+
+        self.serve(check)
+
+    def test_response_that_is_not_received(self):
+        async def check(address, server):
+            async with await self.connect(address) as stream:
+                await stream.send_all(REQUEST % b"large")
+                await self.check_reason(EndReason.SEND_TIMEOUT, "/large")
+
+        self.serve(check, send_timeout_s=0.05)
+
+    def test_server_that_is_stopped_with_a_request_in_progress(self):
+        async def check(address, server):
+            stream = await self.connect(address)
+            await stream.send_all(REQUEST % b"held")
+            await self.began.wait()
+
+        self.serve(check)
+        self.assertThat(self.reasons, Equals([(EndReason.STOPPED, "/held")]))
+
+    def test_connection_that_is_closed_without_being_read(self):
+        for name in ("MAX_WAITING_CONNECTIONS", "MAX_REFUSALS"):
+            self.patch(_server, name, 0)
+
+        async def check(address, server):
+            async with await self.connect(address), await self.connect(address):
+                await self.check_reason(EndReason.TOO_MANY_CONNECTIONS, None)
+
+        self.serve(check, max_connections=1)
+
+    def test_complete_responses_are_not_reported(self):
+        async def check(address, server):
+            await self.send_bytes(address, REQUEST % b"", until=b"/")
+            await self.send_bytes(address, b"BAD\r\n\r\n")
+            await self.send_bytes(address, b"")
+            server.drain()
+            await trio.sleep(0.05)
+            self.assertThat(self.reasons, Equals([]))
+
+        self.serve(check, idle_timeout_s=0.02)
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -48,6 +48,10 @@
         self.assertThat(fields["framing"], Equals("close"))
         (failed,) = entry.events("attempt_failed")
         self.assertThat(failed["parts"], Equals("aa"))
+        await wait_until(lambda: entry.events("connection_cut"))
+        (cut,) = entry.events("connection_cut")
+        self.assertThat(cut["reason"], Equals("aborted"))
+        self.assertThat(cut["path"], Equals("/brief/x"))
         self.assertThat(fields["last_event"], Equals("2"))
         self.assertGreater(int(fields["unfinished_bytes"]), 0)
 
