Keep the server running after an unexpected error on one connection

What callers saw: all connections closed at once. An exception that the server does not expect on a connection ended the task group of all of them, and the process.

Three places can raise one: the parsing of a request, the 500 response if the fields that a handler adds to every response are what cannot be encoded (found by reading; such fields are not set today), and setsockopt on a connection that is to be reset.

A request that cannot be read for such a reason gets 500 not-run, the 500 response leaves the added fields out, and a failed setsockopt is ignored; each is logged with its reason. An exception that on_error raises still ends the server, which the stand-ins rely on. EndReason.INTERNAL_ERROR goes: such a request now has a response.

Ruled out by reading: is_readable on a closed socket (the connection is open while it is asked), receive and shutdown (trio translates their errors), accept (trio retries when descriptors run out).

Failed before, with injected errors: test_response_fields_that_cannot_be_encoded and test_error_while_a_request_is_read (no byte of response, the server ended), test_error_while_a_connection_is_reset (next connection refused).

--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -37,8 +37,6 @@
         The caller closed or reset the connection.
     CROSSED_DRAINING, CROSSED_IDLE_TIMEOUT
         The request arrived after an idle connection was closed, and was not read.
-    INTERNAL_ERROR
-        The server itself failed.
     SEND_TIMEOUT
         The caller did not receive the response in time.
     STOPPED
@@ -51,7 +49,6 @@
     CALLER_CLOSED = "caller_closed"
     CROSSED_DRAINING = "crossed_draining"
     CROSSED_IDLE_TIMEOUT = "crossed_idle_timeout"
-    INTERNAL_ERROR = "internal_error"
     SEND_TIMEOUT = "send_timeout"
     STOPPED = "stopped"
     TOO_MANY_CONNECTIONS = "too_many_connections"
--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -208,7 +208,7 @@
                 elif conn.end_reason is not None and await conn.crossed_request():
                     self._on_unanswered(conn.end_reason, None)
             elif conn.end_marks_response:
-                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                _reset_on_close(stream)
         except* _CONNECTION_ERRORS:
             if conn.has_partial_request:
                 self._on_unanswered(EndReason.CALLER_CLOSED, None)
@@ -255,6 +255,12 @@
         except HttpError as exc:
             await conn.respond_read_error(exc)
             return False
+        except _CONNECTION_ERRORS:
+            raise
+        except Exception:
+            LOGGER.exception("cannot read a request")
+            await conn.respond_read_error(_internal_error(Verdict.NOT_RUN))
+            return False
         if exchange is None:
             return False
         conn.served_requests += 1
@@ -302,7 +308,9 @@
             self._on_error(exchange, exc)
             conn.aborted = exchange.response_started
             if not exchange.response_started:
-                await exchange.respond_error(_internal_error())
+                # They may be the cause.
+                exchange.common_fields.clear()
+                await exchange.respond_error(_internal_error(Verdict.MAY_HAVE_RUN))
 
 
 def _accept_backlog(listener: trio.SocketListener) -> Iterator[trio.SocketStream]:
@@ -317,9 +325,16 @@
             LOGGER.warning("cannot accept the backlog: %r", exc)
 
 
-def _internal_error() -> HttpError:
-    message = "internal error"
-    return HttpError(500, "internal_error", message, verdict=Verdict.MAY_HAVE_RUN)
+def _reset_on_close(stream: trio.SocketStream) -> None:
+    """Let closing a connection reset it."""
+    try:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    except OSError as exc:
+        LOGGER.warning("cannot reset a truncated response: %r", exc)
+
+
+def _internal_error(verdict: Verdict) -> HttpError:
+    return HttpError(500, "internal_error", "internal error", verdict=verdict)
 
 
 async def _raise_first_error(
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -46,7 +46,7 @@
     "connection_cut": "a connection with a caller ended while a request, or a part of "
     "one, had no complete response; `reason` is `aborted` by the handler, "
     "`caller_closed`, `crossed_draining` or `crossed_idle_timeout` (the request came "
-    "after the close and was not read), `internal_error`, `send_timeout`, `stopped` or "
+    "after the close and was not read), `send_timeout`, `stopped` or "
     "`too_many_connections`; `path` is missing if the request was not read whole",
     "drain_ended": "the drain ended with `active` requests in progress",
     "drain_started": "the process is no longer ready but still serves requests",
--- a/tests/http/test_unanswered_requests.py
+++ b/tests/http/test_unanswered_requests.py
@@ -3,6 +3,7 @@
 
 import h11
 import trio
+from pytest import MonkeyPatch
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
 from cluster import wait_until
@@ -401,3 +402,50 @@
             self.assertThat(self.reasons, Equals([]))
 
         self.serve(check, idle_timeout_s=0.02)
+
+
+class TestUnexpectedErrors(HttpServerCase):
+    """Guards the other connections of a server from an error on one of them."""
+
+    async def handle(self, exchange):
+        if exchange.path == "/fields":
+            exchange.common_fields["\u00e9"] = "1"
+        if exchange.path == "/truncate":
+            await exchange.start_stream(200, {}, b"part")
+            exchange.abort()
+            return
+        await super().handle(exchange)
+
+    def raise_error(self, *args, **options):
+        raise OSError("unexpected")
+
+    def check_error(self, request, expected):
+        """Compare the response to a request; another one must get one as well."""
+
+        async def check(address, server):
+            response = b""
+            with contextlib.suppress(trio.BrokenResourceError):
+                response = await self.send_bytes(address, request)
+            self.assertThat(response, StartsWith(expected))
+            response = await self.send_bytes(address, REQUEST % b"", until=b"\r\n\r\n")
+            self.assertThat(response, StartsWith(b"HTTP/1.1 200"))
+
+        self.serve(check)
+
+    def test_response_fields_that_cannot_be_encoded(self):
+        request = b"GET /fields HTTP/1.0\r\n\r\n"
+        self.check_error(request, b"HTTP/1.1 500")
+
+    def test_error_while_a_request_is_read(self):
+        def parse(query):
+            return self.raise_error() if query else {}
+
+        self.patch(_exchange, "parse_qs", parse)
+        with self.assertLogs("foxtailcourse.http", "ERROR"):
+            self.check_error(REQUEST % b"?a", b"HTTP/1.1 500")
+
+    def test_error_while_a_connection_is_reset(self):
+        with MonkeyPatch.context() as patch:
+            patch.setattr(trio.SocketStream, "setsockopt", self.raise_error)
+            with self.assertLogs("foxtailcourse.http", "WARNING"):
+                self.check_error(b"GET /truncate HTTP/1.0\r\n\r\n", b"")
