--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -1,17 +1,22 @@
 """HTTP/1.1 server with one task per connection."""
 
+import contextlib
+import logging
+import os
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import h11
 import trio
 
 from foxtailcourse.http._errors import HttpError
-from foxtailcourse.http._exchange import Connection, Exchange
-from foxtailcourse.http._limits import ByteBudget, HttpLimits
+from foxtailcourse.http._exchange import Connection, EndReason, Exchange
+from foxtailcourse.http._limits import ByteBudget, CurrentLimits, HttpLimits
 from foxtailcourse.protocol import Verdict
 
+LOGGER = logging.getLogger(__name__)
+
 _CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -23,9 +28,25 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Handler = Callable[[Exchange], Awaitable[None]]
+# Gets the reason, and the request unless it was not read to its end.
+UnansweredObserver = Callable[[EndReason, Exchange | None], None]
 # Accepted connections beyond the limit that wait for one to end; further ones are
-# closed at once, so that they do not take up the descriptors of the process.
+# refused.
 MAX_WAITING_CONNECTIONS = 128
+# Time from the first byte on such a connection until it is refused.
+MAX_SLOT_WAIT_S = 0.5
+# Connections that are being refused; further ones are closed without a response, so
+# that they do not take up the descriptors of the process.
+MAX_REFUSALS = 64
+# Time in which a connection beyond the waiting ones must begin its request.
+REFUSAL_WAIT_S = 1.0
+CONNECTIONS_RETRY_MS = 500
+# Time in which a new connection may make its first request while the server drains.
+FIRST_REQUEST_GRACE_S = 1.0
+
+
+class NoResponseError(Exception):
+    """A handler returned without sending a response or aborting the connection."""
 
 
 class HttpServer:
@@ -40,6 +61,9 @@
     on_error : callable
         Called with the exchange and each handler exception other than HttpError,
         BrokenResourceError and TooSlowError. The latter two abort the connection.
+    on_unanswered : callable, optional
+        Called with an EndReason each time a connection ends while a request, or a part
+        of one, has no complete response, and with the exchange or None.
 
     Attributes
     ----------
@@ -52,22 +76,34 @@
         handler: Handler,
         limits: HttpLimits,
         on_error: Callable[[Exchange, Exception], None],
+        on_unanswered: UnansweredObserver = lambda reason, exchange: None,
     ) -> None:
         self._handler = handler
-        self._limits = limits
+        self._current_limits = CurrentLimits(limits)
         self._budget = ByteBudget(limits.max_buffered_bytes)
         self._on_error = on_error
+        self._on_unanswered = on_unanswered
         self._connection_slots = trio.CapacityLimiter(limits.max_connections)
+        self._refusals = 0
         self._draining = trio.Event()
         self._accept_scope = trio.CancelScope()
+        self._listeners: list[trio.SocketListener] = []
+        self._nursery: trio.Nursery | None = None
         self.active = 0
 
+    @property
+    def limits(self) -> HttpLimits:
+        """The limits in force."""
+        return self._current_limits.value
+
     def set_limits(self, limits: HttpLimits) -> None:
-        """Apply other limits to connections accepted from now on.
+        """Apply other limits, also to open connections.
 
-        The limits on connections and on buffered bytes do not change.
+        A wait for a request in progress lasts as long as the largest idle timeout in
+        force during this wait. The limits on connections and on buffered bytes do not
+        change.
         """
-        self._limits = limits
+        self._current_limits.replace(limits)
 
     async def serve(
         self,
@@ -77,6 +113,7 @@
     ) -> None:
         """Serve until cancelled, or until the last connection ends after a stop."""
         async with trio.open_nursery() as nursery:
+            self._listeners, self._nursery = listeners, nursery
             task_status.started()
             with self._accept_scope:
                 await trio.serve_listeners(
@@ -84,51 +121,118 @@
                 )
 
     def stop_accepting(self) -> None:
-        """Close the listeners; accepted connections are still served."""
+        """Close the listeners; connections made before that are still served.
+
+        They include those in the backlog, which closing a listener would reset.
+        """
+        if self._nursery is not None and not self._accept_scope.cancel_called:
+            for listener in self._listeners:
+                for stream in _accept_backlog(listener):
+                    self._nursery.start_soon(self._serve_connection, stream)
         self._accept_scope.cancel()
 
     def drain(self) -> None:
-        """Close idle connections now, and busy ones after their current response."""
+        """Close idle connections now, and busy ones after their last response.
+
+        A request of which any byte has arrived still gets a response.
+        """
         self._draining.set()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        waiting = self._connection_slots.statistics().tasks_waiting
-        if waiting >= MAX_WAITING_CONNECTIONS:
-            await trio.aclose_forcefully(stream)
-            return
-        async with self._connection_slots, stream:
-            conn = Connection(stream, self._limits, self._budget)
-            conn.accepted_while_draining = self._draining.is_set()
+        async with stream:
+            if not await self._wait_for_slot(stream):
+                await self._refuse_connection(stream)
+                return
             try:
-                while await self._serve_one(conn):
-                    pass
-                if not conn.aborted:
-                    await stream.send_eof()
-                elif conn.end_marks_response:
-                    stream.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                    )
-            except* _CONNECTION_ERRORS:
-                pass
+                await self._serve_requests(stream)
             finally:
-                # Reserved by a request whose connection closed before it was complete.
-                conn.release()
+                self._connection_slots.release_on_behalf_of(stream)
+
+    async def _wait_for_slot(self, stream: trio.SocketStream) -> bool:
+        """Wait until a connection may be served; returns False to refuse it.
+
+        A connection that has sent nothing waits as long as needed.
+        """
+        slots = self._connection_slots
+        with contextlib.suppress(trio.WouldBlock):
+            slots.acquire_on_behalf_of_nowait(stream)
+            return True
+        if slots.statistics().tasks_waiting >= MAX_WAITING_CONNECTIONS:
+            return False
+        acquired = False
+
+        async def stop_waiting() -> None:
+            await trio.lowlevel.wait_readable(stream.socket)
+            await trio.sleep(MAX_SLOT_WAIT_S)
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_waiting)
+            await slots.acquire_on_behalf_of(stream)
+            acquired = True
+            nursery.cancel_scope.cancel()
+        return acquired
+
+    async def _refuse_connection(self, stream: trio.SocketStream) -> None:
+        """Respond that there are too many connections, once a request has begun."""
+        if self._refusals >= MAX_REFUSALS:
+            self._on_unanswered(EndReason.TOO_MANY_CONNECTIONS, None)
+            return
+        self._refusals += 1
+        conn = Connection(stream, self._current_limits, self._budget, self._draining)
+        message = "too many connections"
+        error = HttpError(
+            503, "server_busy", message, retry_after_ms=CONNECTIONS_RETRY_MS
+        )
+        try:
+            with trio.move_on_after(REFUSAL_WAIT_S) as scope:
+                await trio.lowlevel.wait_readable(stream.socket)
+            if not scope.cancelled_caught:
+                await conn.respond_read_error(error)
+                await stream.send_eof()
+                await conn.linger()
+        except _CONNECTION_ERRORS:
+            pass  # the caller has closed the connection
+        finally:
+            self._refusals -= 1
+
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+        conn = Connection(stream, self._current_limits, self._budget, self._draining)
+        try:
+            while await self._serve_one(conn):
+                pass
+            if not conn.aborted:
+                await stream.send_eof()
+                if conn.refused_early:
+                    await conn.linger()
+                elif conn.end_reason is not None and await conn.crossed_request():
+                    self._on_unanswered(conn.end_reason, None)
+            elif conn.end_marks_response:
+                _reset_on_close(stream)
+        except* _CONNECTION_ERRORS:
+            if conn.has_partial_request:
+                self._on_unanswered(EndReason.CALLER_CLOSED, None)
+        finally:
+            # Reserved by a request whose connection closed before it was complete.
+            conn.release()
 
     async def _read_request(self, conn: Connection) -> Exchange | None:
         """Read a request; closes an idle connection when draining begins.
 
-        A connection accepted after that may still make its first request.
+        A new connection has a short time to make its first request.
         """
         result: Exchange | None = None
 
         async def stop_when_draining() -> None:
             await self._draining.wait()
+            if not conn.served_requests:
+                await trio.sleep_until(conn.accepted_at + FIRST_REQUEST_GRACE_S)
             if conn.idle:
+                conn.end_reason = EndReason.CROSSED_DRAINING
                 nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            if conn.served_requests or not conn.accepted_while_draining:
-                nursery.start_soon(stop_when_draining)
+            nursery.start_soon(stop_when_draining)
             result = await conn.read_request()
             nursery.cancel_scope.cancel()
         return result
@@ -151,20 +255,33 @@
         except HttpError as exc:
             await conn.respond_read_error(exc)
             return False
+        except _CONNECTION_ERRORS:
+            raise
+        except Exception:
+            LOGGER.exception("cannot read a request")
+            await conn.respond_read_error(_internal_error(Verdict.NOT_RUN))
+            return False
         if exchange is None:
             return False
         conn.served_requests += 1
         self.active += 1
+        end_reason = EndReason.STOPPED
         try:
             await self._handle_request(conn, exchange)
+            end_reason = EndReason.ABORTED
         finally:
             self.active -= 1
             conn.release()
-        if conn.aborted or self._draining.is_set():
+            if not conn.response_sent:
+                self._on_unanswered(conn.end_reason or end_reason, exchange)
+        if conn.aborted:
             return False
         if conn.h11.our_state is not h11.DONE or conn.h11.their_state is not h11.DONE:
             return False
         conn.h11.start_next_cycle()
+        if self._draining.is_set() and conn.idle:
+            conn.end_reason = EndReason.CROSSED_DRAINING
+            return False
         return True
 
     async def _handle_request(self, conn: Connection, exchange: Exchange) -> None:
@@ -174,25 +291,50 @@
             nursery.cancel_scope.cancel()
 
     async def _call_handler(self, conn: Connection, exchange: Exchange) -> None:
+        """Call the handler; a response that it does not start is an error response."""
         try:
-            await self._handler(exchange)
-        except HttpError as exc:
-            if exchange.response_started:
-                conn.aborted = True
-            else:
-                await exchange.respond_error(exc)
+            try:
+                await self._handler(exchange)
+            except HttpError as exc:
+                if exchange.response_started:
+                    conn.aborted = True
+                else:
+                    await exchange.respond_error(exc)
+            if not exchange.response_started and not conn.aborted:
+                raise NoResponseError("the handler sent no response")
         except (trio.BrokenResourceError, trio.TooSlowError):
             conn.aborted = True
         except Exception as exc:
             self._on_error(exchange, exc)
             conn.aborted = exchange.response_started
             if not exchange.response_started:
-                await exchange.respond_error(_internal_error())
+                # They may be the cause.
+                exchange.common_fields.clear()
+                await exchange.respond_error(_internal_error(Verdict.MAY_HAVE_RUN))
+
+
+def _accept_backlog(listener: trio.SocketListener) -> Iterator[trio.SocketStream]:
+    """Accept the connections that are complete now, without waiting for others."""
+    try:
+        with socket.socket(fileno=os.dup(listener.socket.fileno())) as accepting:
+            while True:
+                accepted, _ = accepting.accept()
+                yield trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+    except OSError as exc:
+        if not isinstance(exc, BlockingIOError):
+            LOGGER.warning("cannot accept the backlog: %r", exc)
+
+
+def _reset_on_close(stream: trio.SocketStream) -> None:
+    """Let closing a connection reset it."""
+    try:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    except OSError as exc:
+        LOGGER.warning("cannot reset a truncated response: %r", exc)
 
 
-def _internal_error() -> HttpError:
-    message = "internal error"
-    return HttpError(500, "internal_error", message, verdict=Verdict.MAY_HAVE_RUN)
+def _internal_error(verdict: Verdict) -> HttpError:
+    return HttpError(500, "internal_error", "internal error", verdict=verdict)
 
 
 async def _raise_first_error(
