Give up a silent server only once another one is connected

What callers saw: 502, or a stream that was cut off, for requests at a server that was silent for a second and then went on, while the only other server refused connections, was suspended, or had room for fewer requests than were given up.

Cause: a request was given up once a server could be selected. Suspended servers are selected if there are no others, the place was not taken until the retry, so that many requests counted on the same one, and nothing showed that the server could be reached.

Ruled out: sending the request to both servers. It would double the load of the fleet while a server is silent, and a request that runs twice cannot be told from one that ran.

Change: the other server is selected among those that are not suspended, its place counts in its limits and its load at once, and the connection to it is opened while the attempt goes on. The attempt is cancelled once it is connected and still silent, and the request is sent on this connection. If connecting fails, the server counts as unreachable, the retry returns to the budget and the request stays. The deadline and the budget are checked before the servers are selected.

--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -98,7 +98,7 @@
 
 
 @attrs.define
-class _ClientConnection:
+class ClientConnection:
     """A connection to a server, with its HTTP state."""
 
     stream: trio.SocketStream
@@ -107,6 +107,10 @@
     # False if the response began before the whole request was sent.
     request_fully_sent: bool = True
 
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.stream.socket.close()
+
     async def next_event(self, timeout_s: float) -> Any:
         """Return the next h11 event of the server; each read may take timeout_s."""
         while True:
@@ -159,7 +163,7 @@
 
     def __init__(
         self,
-        conn: _ClientConnection,
+        conn: ClientConnection,
         method: str,
         head: h11.Response,
         options: RequestOptions,
@@ -257,7 +261,7 @@
     """Makes HTTP requests and pools idle connections by address."""
 
     def __init__(self) -> None:
-        self._idle: dict[Address, deque[_ClientConnection]] = {}
+        self._idle: dict[Address, deque[ClientConnection]] = {}
 
     @asynccontextmanager
     async def request(
@@ -269,16 +273,19 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
         options: RequestOptions | None = None,
+        conn: ClientConnection | None = None,
     ) -> AsyncIterator[ClientResponse]:
         """Send a request and yield the response once its head has arrived.
 
+        It is sent on ``conn``, from ``connect``, if that is given.
+
         Raises
         ------
         ClientError
             With verdict NOT_RUN if no byte was sent, else MAY_HAVE_RUN.
         """
         options = options or RequestOptions()
-        conn = await self._connect(address, options)
+        conn = conn or await self.connect(address, options)
         try:
             head = await self._send_request(
                 conn, address, method, target, headers, body, options
@@ -293,10 +300,16 @@
         else:
             await trio.aclose_forcefully(conn.stream)
 
-    async def _connect(
+    async def connect(
         self, address: Address, options: RequestOptions
-    ) -> _ClientConnection:
-        """Return an idle connection, or a new one if there is none to reuse."""
+    ) -> ClientConnection:
+        """Return an idle connection, or a new one if there is none to reuse.
+
+        Raises
+        ------
+        ClientError
+            With verdict NOT_RUN if there is no connection.
+        """
         idle = self._idle.get(address)
         while options.reuse and idle:
             conn = idle.pop()
@@ -308,9 +321,9 @@
         except (OSError, trio.TooSlowError) as exc:
             message = f"cannot connect to {address}: {exc!r}"
             raise ClientError(message, Verdict.NOT_RUN) from exc
-        return _ClientConnection(stream, h11.Connection(h11.CLIENT))
+        return ClientConnection(stream, h11.Connection(h11.CLIENT))
 
-    async def _is_reusable(self, conn: _ClientConnection) -> bool:
+    async def _is_reusable(self, conn: ClientConnection) -> bool:
         """Return whether an idle connection is recent and not readable; else close it.
 
         It is readable if the server closed it or sent unrequested bytes.
@@ -323,7 +336,7 @@
 
     async def _send_request(
         self,
-        conn: _ClientConnection,
+        conn: ClientConnection,
         address: Address,
         method: str,
         target: str,
@@ -355,7 +368,7 @@
             message = f"no response from {address}: {exc!r}"
             raise ClientError(message, Verdict.MAY_HAVE_RUN) from exc
 
-    async def _release(self, address: Address, conn: _ClientConnection) -> None:
+    async def _release(self, address: Address, conn: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
         idle = self._idle.setdefault(address, deque())
         complete = conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
@@ -403,7 +416,7 @@
 
 
 async def _read_head(
-    conn: _ClientConnection, address: Address, timeout_s: float
+    conn: ClientConnection, address: Address, timeout_s: float
 ) -> h11.Response:
     """Return the head of the final response; skips 1xx responses.
 
@@ -426,7 +439,7 @@
 
 
 async def _send_while_reading(
-    conn: _ClientConnection, address: Address, data: bytes, timeout_s: float
+    conn: ClientConnection, address: Address, data: bytes, timeout_s: float
 ) -> h11.Response:
     """Send a request and read the response head concurrently.
 
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -9,6 +9,7 @@
 from foxtailcourse.fleet import BackendServer, RouteKind, ServerRun
 from foxtailcourse.http import (
     ByteBudget,
+    ClientConnection,
     ClientError,
     ClientResponse,
     ConnectionPool,
@@ -23,6 +24,7 @@
 from foxtailcourse.ingress._job import AttemptError, Job, ServerResponse
 from foxtailcourse.ingress._part_suspicions import Parts
 from foxtailcourse.ingress._placement_types import Choice
+from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.ingress._stream_origins import StreamOrigin
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
@@ -117,7 +119,7 @@
         job: Job,
         choice: Choice,
         store: Address | None,
-        reserve_retry: Callable[[], bool],
+        find_replacement: Callable[[], Replacement | None],
     ) -> ServerResponse | None:
         """Send a request to a server.
 
@@ -130,9 +132,9 @@
         store : Address or None
             KV-cache store where the server should save the prompt; None if it should
             not.
-        reserve_retry : callable
-            Reserves a retry at another server; returns whether there is one. A silent
-            server is not given up without.
+        find_replacement : callable
+            Takes a place at another server, if one can take the request. A silent
+            server is given up only once that server is connected.
 
         Returns
         -------
@@ -154,16 +156,22 @@
         )
         is_short = job.prompt is not None and not job.prompt.is_long
         watched = WatchedAttempt(
-            load, self._idle_timeout_s(job, now), now, reserve_retry
+            load, self._idle_timeout_s(job, now), now, find_replacement
         )
+        conn = job.replacement.use() if job.replacement else None
+        job.replacement = None
         self.watchdog.add(watched)
         try:
             with self._tracked_load(choice, is_short) as on_first_event, watched.scope:
                 response = await self._exchange(
-                    job, choice, headers, watched, on_first_event
+                    job, choice, headers, watched, on_first_event, conn
                 )
         finally:
             self.watchdog.remove(watched)
+            if watched.scope.cancelled_caught:
+                job.replacement = watched.replacement
+            elif watched.replacement is not None:
+                watched.replacement.release("ended")
         if watched.scope.cancelled_caught:
             # A stream that has begun is in the list already.
             if len(job.sent_to) == attempts_before:
@@ -173,6 +181,14 @@
         load.record_success(self.clock())
         return response
 
+    def replacement(
+        self, job: Job, choice: Choice, on_release: Callable[[str], None]
+    ) -> Replacement:
+        """Take a place for a request whose server is silent."""
+        return Replacement(
+            choice, self.pool, self._connect_s(job), self.clock, on_release
+        )
+
     async def _exchange(
         self,
         job: Job,
@@ -180,11 +196,12 @@
         headers: dict[str, str],
         watched: WatchedAttempt,
         on_first_event: Callable[[], None],
+        conn: ClientConnection | None,
     ) -> ServerResponse | None:
         """Make the HTTP request; returns and raises the same as ``run``."""
         remaining_s = max(MIN_TIMEOUT_S, job.deadline - self.clock())
         options = RequestOptions(
-            connect_timeout_s=min(self.connect_timeout_s, remaining_s),
+            connect_timeout_s=self._connect_s(job),
             idle_timeout_s=remaining_s,
             reuse=False,
             keep_alive=False,
@@ -197,6 +214,7 @@
                 headers=headers,
                 body=job.exchange.body,
                 options=options,
+                conn=conn,
             ) as response:
                 watched.record_progress(self.clock())
                 job.attempt.framing = response.framing
@@ -206,6 +224,11 @@
         except ClientError as exc:
             raise self._connection_error(job, choice, exc) from exc
 
+    def _connect_s(self, job: Job) -> float:
+        """Return the longest time to connect to a server."""
+        remaining_s = max(MIN_TIMEOUT_S, job.deadline - self.clock())
+        return min(self.connect_timeout_s, remaining_s)
+
     def _idle_timeout_s(self, job: Job, now: float) -> float:
         """Return the idle timeout, or the remaining time if no retry is possible."""
         remaining_s = max(MIN_TIMEOUT_S, job.deadline - now)
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -163,6 +163,16 @@
         )
         return Selection(candidates=candidates)
 
+    def select_responsive(self, selection: Selection, now: float) -> Selection:
+        """Return a selection without the suspended servers."""
+        responsive = tuple(
+            each
+            for each in selection.candidates
+            if each.own_load.suspended_until <= now
+        )
+        reason = "" if responsive else selection.reason or "unresponsive"
+        return Selection(candidates=responsive, reason=reason)
+
     def _refused_until(self, server: BackendServer) -> float:
         """Return until when a server asked for no requests."""
         return self.loads.for_server(server.id, server.started_ms).refused_until
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -1,7 +1,7 @@
 """Sends one request: selects servers, defers, retries and gives up."""
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 import trio
@@ -31,7 +31,8 @@
     choose_without_prompt,
     preferred_store,
 )
-from foxtailcourse.ingress._placement_types import CacheStore, Choice, Prompt
+from foxtailcourse.ingress._placement_types import CacheStore, Candidate, Choice, Prompt
+from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.observe import EventLog, Metrics
@@ -141,13 +142,15 @@
                 job.route.name, job.request.prompt_tokens
             )
         while True:
-            choice = await self._wait_for_admission(job)
+            if job.replacement is None:
+                choice = await self._wait_for_admission(job)
+                run = choice.candidate.server.run
+                self.candidates.limits.record_sent(run, self.clock())
+            else:
+                choice = job.replacement.choice
             job.choice, job.attempt_pending = choice, True
             job.attempt = AttemptState()
             self.parts.record_sent(job.shared_parts)
-            self.candidates.limits.record_sent(
-                choice.candidate.server.run, self.clock()
-            )
             job.queued_tokens = int(choice.candidate.total_load.prefill_tokens)
             job.outdated_s = self.candidates.outdated_s(
                 choice.candidate.server, job.request.model, self.clock()
@@ -246,25 +249,33 @@
             if store is not None and should_save(store, candidate.salt, prompt):
                 store_address = store.address
         return await self.attempts.run(
-            job, choice, store_address, lambda: self._reserve_retry(job, choice)
+            job, choice, store_address, lambda: self._find_replacement(job, choice)
         )
 
-    def _reserve_retry(self, job: Job, choice: Choice) -> bool:
-        """Count a retry of a request whose server is silent, if there can be one.
+    def _find_replacement(self, job: Job, choice: Choice) -> Replacement | None:
+        """Count a retry of a request whose server is silent, and take its place.
 
-        Otherwise the request stays at its server, which may be sound and go on.
+        Returns None if there can be no retry. Then the request stays at its server,
+        which may be sound and go on.
         """
         now = self.clock()
-        tried = {*job.sent_to, *job.unreachable, choice.candidate.server.id}
+        budget = self.retry_budget_for(job.service)
         if (
             self._lacks_time(job, now)
             or self.parts.wait_s(job.shared_parts) > 0
-            or not self._select(job, tried, now).candidates
-            or not self.retry_budget_for(job.service).try_acquire(now)
+            or not budget.try_acquire(now)
         ):
-            return False
-        job.retry_reserved = True
-        return True
+            return None
+        tried = {*job.sent_to, *job.unreachable, choice.candidate.server.id}
+        selection = self.candidates.select_responsive(
+            self._select(job, tried, now), now
+        )
+        if not selection.candidates:
+            budget.give_back()
+            return None
+        other = self._place(job, selection.candidates, now, self.rng)
+        self.candidates.limits.record_sent(other.candidate.server.run, now)
+        return self.attempts.replacement(job, other, lambda reason: budget.give_back())
 
     def _cache_store(self, prompt: Prompt) -> CacheStore | None:
         """Return the KV-cache store of a prompt's largest part.
@@ -308,24 +319,27 @@
                     self._retry_after_s(selection.reason, selection.available_in_s),
                 )
             raise AttemptError(selection.reason, job.verdict)
-        eligible, prompt = selection.candidates, job.prompt
+        rng = None if was_deferred else self.rng
+        choice = self._place(job, selection.candidates, now, rng)
+        return choice, len(selection.candidates)
+
+    def _place(
+        self,
+        job: Job,
+        eligible: Sequence[Candidate],
+        now: float,
+        rng: random.Random | None,
+    ) -> Choice:
+        """Return the best of the eligible servers."""
+        prompt = job.prompt
         if prompt is None:
-            return choose_without_prompt(eligible, now, self.rng.random()), len(
-                eligible
-            )
+            return choose_without_prompt(eligible, now, self.rng.random())
         store = self._cache_store(prompt)
         short_work_tokens = self.sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
-        choice = choose_for_prompt(
-            eligible,
-            prompt,
-            store,
-            now,
-            short_work_tokens,
-            None if was_deferred else self.rng,
-        )
+        choice = choose_for_prompt(eligible, prompt, store, now, short_work_tokens, rng)
         if not prompt.is_long:
             self.sizes.record_short_work(choice.work_tokens)
-        return choice, len(eligible)
+        return choice
 
     def _select(self, job: Job, tried: Collection[str], now: float) -> Selection:
         """Return the servers that may get the request, without those in ``tried``."""
@@ -352,8 +366,7 @@
         A retry is counted unless the server was unreachable.
         """
         now = self.clock()
-        if job.retry_reserved:
-            job.retry_reserved = False
+        if job.replacement is not None:
             return ""
         if self._lacks_time(job, now):
             return "deadline"
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -6,6 +6,7 @@
 from foxtailcourse.http import Exchange, Framing
 from foxtailcourse.ingress._part_suspicions import Parts
 from foxtailcourse.ingress._placement_types import Choice, Prompt
+from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.platform import IngressRequest
 from foxtailcourse.protocol import Verdict
 
@@ -62,8 +63,8 @@
         When the last attempt was sent, in seconds since boot.
     attempt_pending : bool
         Whether an attempt was started and its outcome is not known.
-    retry_reserved : bool
-        Whether the retry after the last attempt is already counted.
+    replacement : Replacement or None
+        Where the next attempt is sent; its retry is already counted.
     response_complete : bool
         Whether the complete response was sent to the caller.
     typical_prompt_tokens : float
@@ -95,7 +96,7 @@
     buffered_bytes: int = 0
     attempt_sent_at: float = 0.0
     attempt_pending: bool = False
-    retry_reserved: bool = False
+    replacement: Replacement | None = None
     response_complete: bool = False
     typical_prompt_tokens: float = 0.0
     attempt: "AttemptState" = attrs.field(factory=lambda: AttemptState())
--- a/src/foxtailcourse/ingress/_retry_budget.py
+++ b/src/foxtailcourse/ingress/_retry_budget.py
@@ -62,6 +62,11 @@
         self._retries.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Remove the latest retry, which was not sent."""
+        if self._retries:
+            self._retries.pop()
+
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self.window_s:
--- a/src/foxtailcourse/ingress/_watchdog.py
+++ b/src/foxtailcourse/ingress/_watchdog.py
@@ -3,8 +3,8 @@
 A server may fail without closing its connections, or it may only be overloaded. An
 idempotent request is retried elsewhere only if its server sends nothing at all to this
 entry, since retrying the requests of a busy server multiplies the load that made it
-slow. A sound server may also be silent for a while, so an attempt is cancelled only if
-the request can go on elsewhere.
+slow. A sound server may also be silent for a while, so an attempt is cancelled only
+once another server is connected to take the request.
 """
 
 from collections.abc import Callable, Iterator
@@ -13,6 +13,7 @@
 import attrs
 import trio
 
+from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.ingress._server_loads import ServerLoad
 
 CHECK_PERIOD_S = 0.1
@@ -34,20 +35,25 @@
         Longest time without a byte of this attempt, in seconds.
     last_byte_at : float
         When the latest byte of this attempt arrived, in seconds since boot.
-    reserve_retry : callable
-        Reserves a retry at another server; returns whether there is one.
+    find_replacement : callable
+        Takes a place at another server, if one can take the request.
     scope : trio.CancelScope
         Cancelled when the server counts as unresponsive.
     is_forwarding : bool
         Whether received bytes are being sent to the caller, which may be slow.
+    replacement : Replacement or None
+        The other server that is being connected, or takes the request.
     """
 
     load: ServerLoad
     idle_timeout_s: float
     last_byte_at: float
-    reserve_retry: Callable[[], bool] = attrs.field(default=lambda: True)
+    find_replacement: Callable[[], Replacement | None] = attrs.field(
+        default=lambda: None
+    )
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     is_forwarding: bool = False
+    replacement: Replacement | None = None
 
     @contextmanager
     def forwarding(self, clock: Callable[[], float]) -> Iterator[None]:
@@ -73,6 +79,22 @@
         """Record that bytes arrived."""
         self.last_byte_at = self.load.last_progress_at = now
 
+    async def move(self, clock: Callable[[], float]) -> None:
+        """Connect to the replacement and cancel the attempt, if it is still silent."""
+        replacement, silent_since = self.replacement, self.last_byte_at
+        if replacement is None:
+            return
+        await replacement.connect()
+        if (
+            replacement.is_connected
+            and self.last_byte_at == silent_since
+            and self.is_unresponsive(clock())
+        ):
+            self.scope.cancel()
+            return
+        replacement.release("went_on")
+        self.replacement = None
+
 
 class AttemptWatchdog:
     """Checks the running attempts of an entry periodically.
@@ -87,6 +109,7 @@
         self._clock = clock
         self._watched: set[WatchedAttempt] = set()
         self._checked_at = clock()
+        self._nursery: trio.Nursery | None = None
 
     def add(self, watched: WatchedAttempt) -> None:
         """Start watching an attempt."""
@@ -97,7 +120,7 @@
         self._watched.discard(watched)
 
     def check(self, now: float) -> None:
-        """Cancel the attempts at unresponsive servers.
+        """Move the requests of unresponsive servers to others that can take them.
 
         Time in which this process did not run does not count, as bytes that arrived in
         it have not been read.
@@ -106,11 +129,14 @@
         for watched in self._watched:
             if lost_s > MAX_CHECK_DELAY_S:
                 watched.last_byte_at = min(now, watched.last_byte_at + lost_s)
-            elif watched.is_unresponsive(now) and watched.reserve_retry():
-                watched.scope.cancel()
+            elif watched.replacement is None and watched.is_unresponsive(now):
+                watched.replacement = watched.find_replacement()
+                if watched.replacement is not None and self._nursery is not None:
+                    self._nursery.start_soon(watched.move, self._clock)
 
     async def run(self) -> None:
         """Check the attempts until cancelled."""
-        while True:
-            await trio.sleep(CHECK_PERIOD_S)
-            self.check(self._clock())
+        async with trio.open_nursery() as self._nursery:
+            while True:
+                await trio.sleep(CHECK_PERIOD_S)
+                self.check(self._clock())
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -1,10 +1,12 @@
 import math
 
 import testtools
+import trio
 from ingress_case import MODEL, IngressCase
 from testtools.matchers import Equals
 
 from cluster import wait_until
+from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoad
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
 from foxtailcourse.standin._backend_server import (
@@ -25,7 +27,7 @@
 
         def give_up():
             given_up.append(True)
-            return False
+            return None
 
         watchdog = AttemptWatchdog(lambda: 0.0)
         watchdog.add(WatchedAttempt(ServerLoad(), 0.6, 0.0, give_up))
@@ -55,6 +57,20 @@
 
         await wait_until(lambda: known() == names)
 
+    async def add_other_server(self, fleet, entry):
+        """Add a server once the slow one has a request; return its registration."""
+        await wait_until(lambda: fleet.servers["slow0"].runs)
+        await fleet.add_server(BackendServerStandin("other", "coats"))
+        await wait_until(lambda: "other" in entry.app._view.servers)
+        return entry.app._view.servers["other"]
+
+    async def add_unreachable(self, fleet, entry, service, models):
+        await wait_until(lambda: fleet.servers["slow0"].runs)
+        # The discard port on loopback refuses connections.
+        other = BackendServerStandin("other", service, models)
+        registration = other.registration("127.0.0.1:9", "palermo")
+        fleet.platform.put("servers/other", registration)
+
     async def check_stream_goes_on(self, fleet, entry):
         response = await fleet.call(entry, "ask", stream=2)
         self.assertTrue(response.complete)
@@ -113,6 +129,71 @@
         (failed,) = entry.events("attempt_failed")
         self.assertThat(failed["reason"], Equals("silent"))
 
+    @run_with("with_fleet")
+    async def test_request_stays_while_the_other_server_is_unreachable(
+        self, fleet, entry
+    ):
+        await self.add_slow_servers(fleet, entry, "coats", {})
+        fleet._nursery.start_soon(self.add_unreachable, fleet, entry, "coats", {})
+        response = await fleet.call(entry, "look")
+        self.assertThat(response.status, Equals(200))
+        self.assertThat(len(self.runs(fleet)), Equals(1))
+
+    @run_with("with_fleet")
+    async def test_begun_stream_stays_while_the_other_server_is_unreachable(
+        self, fleet, entry
+    ):
+        await self.add_slow_servers(fleet, entry, "llm", {MODEL: 1})
+        slow = fleet.servers["slow0"]
+        slow.event_s = 0.01
+
+        async def fall_silent():
+            await wait_until(lambda: slow.runs and slow.runs[0].events)
+            slow.event_s = SILENCE_S
+            await self.add_unreachable(fleet, entry, "llm", {MODEL: 1})
+
+        fleet._nursery.start_soon(fall_silent)
+        response = await fleet.call(entry, "ask", stream=4)
+        self.assertTrue(response.complete)
+        self.assertThat(entry.events("attempt_failed"), Equals([]))
+
+    @run_with("with_fleet")
+    async def test_request_does_not_move_to_a_suspended_server(self, fleet, entry):
+        await self.add_slow_servers(fleet, entry, "coats", {})
+
+        async def suspend():
+            other = await self.add_other_server(fleet, entry)
+            load = entry.app._loads.for_server(other.id, other.started_ms)
+            for _ in range(4):
+                load.record_unreachable(entry.app._dispatcher.clock())
+
+        fleet._nursery.start_soon(suspend)
+        response = await fleet.call(entry, "look")
+        self.assertThat(response.status, Equals(200))
+        self.assertThat(fleet.servers["other"].runs, Equals([]))
+
+    @run_with("with_fleet")
+    async def test_requests_move_within_the_limit_that_the_other_server_names(
+        self, fleet, entry
+    ):
+        await self.add_slow_servers(fleet, entry, "coats", {})
+        share_per_s = ServerLimits._share_per_s
+        self.addCleanup(setattr, ServerLimits, "_share_per_s", share_per_s)
+        ServerLimits._share_per_s = lambda limits, run, per_s, now: 0.1
+        responses = []
+
+        async def call():
+            responses.append((await fleet.call(entry, "look")).status)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(call)
+            other = await self.add_other_server(fleet, entry)
+            limits, now = entry.app._limits, entry.app._dispatcher.clock()
+            limits.record_limit(other.run, 2.0, now)
+            limits._refilled_share(other.run, now).tokens = 1.0
+        self.assertThat(responses, Equals([200] * 4))
+
 
 class TestResumedPrompts(IngressCase):
     """Guards begun streams of long prompts against admission control."""
