Do not move requests from one silent server to another

What callers saw: when two servers were silent at once, each request ran at both of them and used two attempts, so that neither its retry nor its time was left.

Cause: a server that is silent towards this entry could be selected to take over the requests of another silent one.

Ruled out: the suspension of servers, which begins only once the requests of each have waited for as long.

Change: a server with requests of this entry that sent nothing for SERVER_ALIVE_S takes over none. A server that was idle before so gets one of them until it answers, which also spreads the requests of a silent server.

--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -164,11 +164,11 @@
         return Selection(candidates=candidates)
 
     def select_responsive(self, selection: Selection, now: float) -> Selection:
-        """Return a selection without the suspended servers."""
+        """Return a selection without the suspended and the silent servers."""
         responsive = tuple(
             each
             for each in selection.candidates
-            if each.own_load.suspended_until <= now
+            if each.own_load.suspended_until <= now and not each.own_load.is_silent(now)
         )
         reason = "" if responsive else selection.reason or "unresponsive"
         return Selection(candidates=responsive, reason=reason)
--- a/src/foxtailcourse/ingress/_server_loads.py
+++ b/src/foxtailcourse/ingress/_server_loads.py
@@ -11,6 +11,8 @@
 # The failure rate halves in this time without outcomes, so that the server gets new
 # requests again.
 FAILURE_HALF_LIFE_S = 3.0
+# A server that sent any byte to this entry within this time is busy, not unresponsive.
+SERVER_ALIVE_S = 0.6
 # Loads published by another entry expire after this time.
 REMOTE_VALID_S = 1.5
 
@@ -93,6 +95,10 @@
             (now - self._failure_rate_at) / FAILURE_HALF_LIFE_S
         )
 
+    def is_silent(self, now: float) -> bool:
+        """Whether the server has requests of this entry and sends nothing."""
+        return self.in_flight > 0 and now - self.last_progress_at >= SERVER_ALIVE_S
+
     def record_success(self, now: float) -> None:
         """Record a response."""
         self._update_failure_rate(now, 0.0)
--- a/src/foxtailcourse/ingress/_watchdog.py
+++ b/src/foxtailcourse/ingress/_watchdog.py
@@ -14,13 +14,11 @@
 import trio
 
 from foxtailcourse.ingress._replacement import Replacement
-from foxtailcourse.ingress._server_loads import ServerLoad
+from foxtailcourse.ingress._server_loads import SERVER_ALIVE_S, ServerLoad
 
 CHECK_PERIOD_S = 0.1
 # After a longer delay of a check, the process counts as having been suspended.
 MAX_CHECK_DELAY_S = 0.2
-# A server that sent any byte to this entry within this time is busy, not unresponsive.
-SERVER_ALIVE_S = 0.6
 
 
 @attrs.define(eq=False)
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -1,4 +1,5 @@
 import math
+from contextlib import asynccontextmanager
 
 import testtools
 import trio
@@ -71,6 +72,20 @@
         registration = other.registration("127.0.0.1:9", "palermo")
         fleet.platform.put("servers/other", registration)
 
+    @asynccontextmanager
+    async def four_answers(self, fleet, entry):
+        """Check that four requests are answered."""
+        responses = []
+
+        async def call():
+            responses.append((await fleet.call(entry, "look")).status)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(call)
+            yield
+        self.assertThat(responses, Equals([200] * 4))
+
     async def check_stream_goes_on(self, fleet, entry):
         response = await fleet.call(entry, "ask", stream=2)
         self.assertTrue(response.complete)
@@ -180,19 +195,18 @@
         share_per_s = ServerLimits._share_per_s
         self.addCleanup(setattr, ServerLimits, "_share_per_s", share_per_s)
         ServerLimits._share_per_s = lambda limits, run, per_s, now: 0.1
-        responses = []
-
-        async def call():
-            responses.append((await fleet.call(entry, "look")).status)
-
-        async with trio.open_nursery() as nursery:
-            for _ in range(4):
-                nursery.start_soon(call)
+        async with self.four_answers(fleet, entry):
             other = await self.add_other_server(fleet, entry)
             limits, now = entry.app._limits, entry.app._dispatcher.clock()
             limits.record_limit(other.run, 2.0, now)
             limits._refilled_share(other.run, now).tokens = 1.0
-        self.assertThat(responses, Equals([200] * 4))
+
+    @run_with("with_fleet")
+    async def test_silent_servers_do_not_exchange_their_requests(self, fleet, entry):
+        await self.add_slow_servers(fleet, entry, "coats", {}, count=2)
+        async with self.four_answers(fleet, entry):
+            pass
+        self.assertThat(len(self.runs(fleet)), Equals(4))
 
 
 class TestResumedPrompts(IngressCase):
