Suspend silent servers whose requests stay

What callers saw: new requests went to a server that was hung, and waited there until their deadline, as long as the retry budget was used up or no other server could take the ones before them.

Cause: a server was suspended only when an attempt at it was cancelled, which it no longer is without a replacement.

Ruled out: suspending for as long as the deadline of the requests; a sound server goes on after about a second.

Change: the check suspends the server of an unresponsive attempt, once for the attempt as before, and again before the suspension ends while the server stays silent.

test_silent_server_is_suspended_although_its_requests_stay failed before: not suspended at 0.6 s.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -176,7 +176,6 @@
             # A stream that has begun is in the list already.
             if len(job.sent_to) == attempts_before:
                 job.sent_to.append(server.id)
-            load.record_unreachable(self.clock())
             raise AttemptError("silent", Verdict.MAY_HAVE_RUN)
         load.record_success(self.clock())
         return response
--- a/src/foxtailcourse/ingress/_watchdog.py
+++ b/src/foxtailcourse/ingress/_watchdog.py
@@ -39,6 +39,8 @@
         Cancelled when the server counts as unresponsive.
     is_forwarding : bool
         Whether received bytes are being sent to the caller, which may be slow.
+    is_counted : bool
+        Whether the attempt counts as a failure of its server.
     replacement : Replacement or None
         The other server that is being connected, or takes the request.
     """
@@ -51,6 +53,7 @@
     )
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     is_forwarding: bool = False
+    is_counted: bool = False
     replacement: Replacement | None = None
 
     @contextmanager
@@ -77,6 +80,14 @@
         """Record that bytes arrived."""
         self.last_byte_at = self.load.last_progress_at = now
 
+    def suspend_server(self, now: float) -> None:
+        """Count the attempt once, and suspend the server while it is silent."""
+        # Renewed before it ends, so that no new request gets in between.
+        ends_soon = self.load.suspended_until < now + 2 * CHECK_PERIOD_S
+        if ends_soon or not self.is_counted:
+            self.is_counted = True
+            self.load.record_unreachable(now)
+
     async def move(self, clock: Callable[[], float]) -> None:
         """Connect to the replacement and cancel the attempt, if it is still silent."""
         replacement, silent_since = self.replacement, self.last_byte_at
@@ -120,6 +131,8 @@
     def check(self, now: float) -> None:
         """Move the requests of unresponsive servers to others that can take them.
 
+        These servers get no new requests, whether or not others can take the old ones.
+
         Time in which this process did not run does not count, as bytes that arrived in
         it have not been read.
         """
@@ -127,7 +140,10 @@
         for watched in self._watched:
             if lost_s > MAX_CHECK_DELAY_S:
                 watched.last_byte_at = min(now, watched.last_byte_at + lost_s)
-            elif watched.replacement is None and watched.is_unresponsive(now):
+            elif watched.is_unresponsive(now):
+                watched.suspend_server(now)
+                if watched.replacement is not None:
+                    continue
                 watched.replacement = watched.find_replacement()
                 if watched.replacement is not None and self._nursery is not None:
                     self._nursery.start_soon(watched.move, self._clock)
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -40,6 +40,20 @@
         self.assertTrue(given_up)
 
 
+class TestSuspension(testtools.TestCase):
+    """Guards new requests against servers at which others wait."""
+
+    def test_silent_server_is_suspended_although_its_requests_stay(self):
+        load = ServerLoad()
+        watchdog = AttemptWatchdog(lambda: 0.0)
+        for _ in range(3):
+            watchdog.add(WatchedAttempt(load, 0.6, 0.0))
+        for tenths in range(1, 100):
+            watchdog.check(tenths / 10)
+            is_suspended = load.suspended_until > (tenths + 1) / 10
+            self.assertThat(is_suspended, Equals(tenths >= 6), tenths)
+
+
 class TestSilentServers(IngressCase):
     """Guards requests at servers that fall silent for a while and then go on."""
 
