Keep retries for requests whose server broke off

What callers saw: 502 for requests whose server broke off, while many others waited at a server that was silent.

Cause: both draw on one budget, and the requests at the silent server take every retry as soon as it becomes available, although they may still be answered where they are.

Ruled out: a budget of its own for each; the platform bounds their sum.

Change: requests at silent servers leave KEPT_FRACTION of the retries to the others.

Before (with the new argument ignored), test_requests_at_silent_servers_leave_retries_to_ broken_off_ones failed with (16, 0) retries instead of (12, 4), and test_last_retry_is_not_used_while_a_server_is_silent failed as the request moved.

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -263,7 +263,7 @@
         if (
             self._lacks_time(job, now)
             or self.parts.wait_s(job.shared_parts) > 0
-            or not budget.try_acquire(now)
+            or not budget.try_acquire(now, server_is_silent=True)
         ):
             return None
         tried = {*job.sent_to, *job.unreachable, choice.candidate.server.id}
--- a/src/foxtailcourse/ingress/_retry_budget.py
+++ b/src/foxtailcourse/ingress/_retry_budget.py
@@ -18,6 +18,10 @@
 # rest, each entry without a share may use one in a window.
 USED_EXTRA_FRACTION = 0.6
 
+# Fraction of all these retries that requests at silent servers leave to requests whose
+# server broke off: those may still be answered without a retry.
+KEPT_FRACTION = 0.25
+
 
 @attrs.define
 class RetryBudget:
@@ -48,8 +52,11 @@
         self._requests.append(now)
         self._expire(now)
 
-    def try_acquire(self, now: float) -> bool:
-        """Count a retry if the budget allows it at time ``now``; return whether."""
+    def try_acquire(self, now: float, *, server_is_silent: bool = False) -> bool:
+        """Count a retry if the budget allows it at time ``now``; return whether.
+
+        With ``server_is_silent``, the request may still be answered by its server.
+        """
         self._expire(now)
         entries = max(1, len(self.shares.members(now)))
         if self.shares.is_settled(now):
@@ -57,6 +64,8 @@
         else:
             extra = float(entries <= (1 - USED_EXTRA_FRACTION) * self.extra)
         allowed = USED_RATIO_FRACTION * self.ratio * len(self._requests) + extra
+        if server_is_silent:
+            allowed *= 1 - KEPT_FRACTION
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
--- a/tests/ingress/test_rate_limits.py
+++ b/tests/ingress/test_rate_limits.py
@@ -65,6 +65,16 @@
         granted = sum(budget.try_acquire(1.0) for _ in range(100))
         self.assertThat(granted, Equals(16))
 
+    def test_requests_at_silent_servers_leave_retries_to_broken_off_ones(self):
+        budget = make_budget("e1", set())
+        for n in range(100):
+            budget.record_request(n / 100)
+        waiting = [budget.try_acquire(1.0, server_is_silent=True) for _ in range(99)]
+        broken_off = [budget.try_acquire(1.0) for _ in range(99)]
+        self.assertThat((sum(waiting), sum(broken_off)), Equals((12, 4)))
+        budget.give_back()
+        self.assertTrue(budget.try_acquire(1.0))
+
     def test_more_entries_have_smaller_shares(self):
         def granted_retries(entries):
             budget = make_budget("e0", {f"e{n}" for n in range(entries)})
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -201,6 +201,14 @@
         self.assertThat(response.status, Equals(200))
         self.assertThat(fleet.servers["other"].runs, Equals([]))
 
+    @run_with("with_fleet", retry_ratio=1.5, retry_extra=0.0)
+    async def test_last_retry_is_not_used_while_a_server_is_silent(self, fleet, entry):
+        await self.add_slow_servers(fleet, entry, "coats", {})
+        fleet._nursery.start_soon(self.add_other_server, fleet, entry)
+        response = await fleet.call(entry, "look")
+        self.assertThat(response.status, Equals(200))
+        self.assertThat(fleet.servers["other"].runs, Equals([]))
+
     @run_with("with_fleet")
     async def test_requests_move_within_the_limit_that_the_other_server_names(
         self, fleet, entry
