Count the bytes of a body as progress of its server

What callers saw: an answer whose body took longer than the idle timeout was requested a second time at another server, although its bytes kept arriving.

Cause: only the head of an answer and the events of a stream counted as progress.

Ruled out: a longer idle timeout, which no body of unknown length fits.

Change: each part of a body that is read counts as progress.

test_answer_whose_body_arrives_slowly_is_not_given_up failed before: the body came from the other server.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -306,7 +306,7 @@
         buffered = ServerResponse(
             status=head.status,
             headers=forwarded_response_headers(response.headers),
-            body=await self._read_body(job, choice, response),
+            body=await self._read_body(job, choice, response, watched),
         )
         if is_error:
             failure = self._rejected(job, choice, "server_error", Verdict.MAY_HAVE_RUN)
@@ -316,11 +316,16 @@
         return buffered
 
     async def _read_body(
-        self, job: Job, choice: Choice, response: ClientResponse
+        self,
+        job: Job,
+        choice: Choice,
+        response: ClientResponse,
+        watched: WatchedAttempt,
     ) -> bytes:
         """Return the whole body; it counts as buffered until the end of the job."""
         body = bytearray()
         async for chunk in response.iter_chunks():
+            watched.record_progress(self.clock())
             body += chunk
             counted_bytes = min(len(chunk), max(0, len(body) - UNCOUNTED_ANSWER_BYTES))
             fits = self.buffered.acquire(counted_bytes)
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Equals
 
 from cluster import wait_until
+from endless_server import EndlessServer
 from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoad
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
@@ -18,6 +19,10 @@
 
 # Longer than an entry waits for a silent server before it looks for another one.
 SILENCE_S = 1.0
+ANSWER_HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-foxtailcourse-response-signature: a\r\n"
+    b"content-length: 40\r\n\r\n"
+)
 
 
 class TestSuspendedEntry(testtools.TestCase):
@@ -230,6 +235,24 @@
             pass
         self.assertThat(len(self.runs(fleet)), Equals(4))
 
+    @run_with("with_fleet")
+    async def test_answer_whose_body_arrives_slowly_is_not_given_up(self, fleet, entry):
+        await self.add_slow_servers(fleet, entry, "coats", {})
+        slow = EndlessServer(ANSWER_HEAD, b"part", pause_s=0.1)
+        fleet.addresses["slow0"] = await slow.start(fleet._nursery)
+        fleet.register(fleet.servers["slow0"])
+        known = entry.app._view.servers
+        await wait_until(lambda: known["slow0"].address == fleet.addresses["slow0"])
+
+        async def add_other():
+            await wait_until(lambda: slow.sent_bytes)
+            await fleet.add_server(BackendServerStandin("other", "coats"))
+
+        fleet._nursery.start_soon(add_other)
+        response = await fleet.call(entry, "look")
+        self.assertThat(response.body, Equals(b"part" * 10))
+        self.assertThat(entry.events("attempt_failed"), Equals([]))
+
 
 class TestResumedPrompts(IngressCase):
     """Guards begun streams of long prompts against admission control."""
