Keep an answer that is complete as its server is given up

What callers saw: a request ran twice, and waited twice as long, although its first answer had arrived.

Cause: closing the connection after a complete answer is a checkpoint, at which the cancellation of the attempt is raised.

Ruled out: the watchdog cancelling an attempt after its end; it is removed there.

Change: a connection that is not kept is closed without a checkpoint.

test_complete_answer_is_kept failed before: 2 runs instead of 1.

--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -298,7 +298,8 @@
         if options.keep_alive:
             await self._release(address, conn)
         else:
-            await trio.aclose_forcefully(conn.stream)
+            # Without a checkpoint, so that a response that was read is not lost.
+            conn.close()
 
     async def connect(
         self, address: Address, options: RequestOptions
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -8,6 +8,7 @@
 
 from cluster import wait_until
 from endless_server import EndlessServer
+from foxtailcourse.http import ClientResponse
 from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoad
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
@@ -219,9 +220,7 @@
         self, fleet, entry
     ):
         await self.add_slow_servers(fleet, entry, "coats", {})
-        share_per_s = ServerLimits._share_per_s
-        self.addCleanup(setattr, ServerLimits, "_share_per_s", share_per_s)
-        ServerLimits._share_per_s = lambda limits, run, per_s, now: 0.1
+        self.patch(ServerLimits, "_share_per_s", lambda limits, run, per_s, now: 0.1)
         async with self.four_answers(fleet, entry):
             other = await self.add_other_server(fleet, entry)
             limits, now = entry.app._limits, entry.app._dispatcher.clock()
@@ -254,6 +253,34 @@
         self.assertThat(entry.events("attempt_failed"), Equals([]))
 
 
+class TestLateBytes(IngressCase):
+    """Guards bytes that arrive in the moment in which their attempt is given up."""
+
+    def give_up_at_first_bytes(self, entry):
+        """Cancel the attempts in the pass of the event loop that reads an answer."""
+        iter_chunks = ClientResponse.iter_chunks
+        watched = entry.app._dispatcher.attempts.watchdog._watched
+        given_up = []
+
+        async def iter_late_chunks(response):
+            async for chunk in iter_chunks(response):
+                if "x-foxtailcourse-response-signature" in response.headers:
+                    for each in [] if given_up else watched:
+                        given_up.append(each)
+                        each.scope.cancel()
+                yield chunk
+
+        self.patch(ClientResponse, "iter_chunks", iter_late_chunks)
+        return given_up
+
+    @run_with("with_fleet")
+    async def test_complete_answer_is_kept(self, fleet, entry):
+        given_up = self.give_up_at_first_bytes(entry)
+        response = await fleet.call(entry, "look")
+        self.assertThat(response.status, Equals(200))
+        self.assertThat((len(given_up), len(self.runs(fleet))), Equals((1, 1)))
+
+
 class TestResumedPrompts(IngressCase):
     """Guards begun streams of long prompts against admission control."""
 
