Do not cut a chunk that is forwarded as its server is given up

What callers saw: a stream, or the head of its response, that was cut in the middle and went on with bytes that did not fit.

Cause: bytes that arrive in the pass of the event loop in which the attempt is cancelled are still forwarded. If they do not fit into the send buffer, the cancellation is raised after a part of them.

Ruled out: cancellations while a chunk is forwarded; the watchdog leaves such attempts.

Change: a cancellation is raised before a chunk is handled. The next server sends its events again.

test_stream_is_not_cut_within_a_chunk failed before: illegal status line 'HTTP/1.1 21b'.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -383,6 +383,9 @@
         has_events = False
         remaining_bytes = _max_stream_bytes(job)
         async for chunk in response.iter_chunks():
+            # Bytes that arrive as the attempt is given up come again from the next
+            # server; they must not be forwarded halfway.
+            await trio.lowlevel.checkpoint_if_cancelled()
             remaining_bytes -= len(chunk)
             if remaining_bytes < 0:
                 raise _StreamTooLargeError
@@ -412,6 +415,7 @@
                     fields = forwarded_response_headers(response.headers)
                     await exchange.start_stream(response.status, fields, events)
             job.last_event_id = splitter.last_id
+        await trio.lowlevel.checkpoint_if_cancelled()
         job.attempt.unfinished_bytes = splitter.unfinished_bytes
         if job.attempt.unfinished_bytes:
             raise ClientError("stream ends inside an event", Verdict.MAY_HAVE_RUN)
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -8,7 +8,7 @@
 
 from cluster import wait_until
 from endless_server import EndlessServer
-from foxtailcourse.http import ClientResponse
+from foxtailcourse.http import ClientResponse, _exchange
 from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoad
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
@@ -280,6 +280,20 @@
         self.assertThat(response.status, Equals(200))
         self.assertThat((len(given_up), len(self.runs(fleet))), Equals((1, 1)))
 
+    @run_with("with_fleet")
+    async def test_stream_is_not_cut_within_a_chunk(self, fleet, entry):
+        send = _exchange.send_without_blocking
+
+        def send_a_part(stream, data):
+            return send(stream, data[:10])
+
+        self.patch(_exchange, "send_without_blocking", send_a_part)
+        given_up = self.give_up_at_first_bytes(entry)
+        response = await fleet.call(entry, "ask", stream=3)
+        self.assertTrue(response.complete)
+        self.assertThat(response.body.count(b"\n\n"), Equals(3))
+        self.assertThat(len(given_up), Equals(1))
+
 
 class TestResumedPrompts(IngressCase):
     """Guards begun streams of long prompts against admission control."""
