Log why a request stays at a silent server

What operators saw: a request that timed out at a silent server, without the reason for which no other server got it.

Cause: a request that stays has no failed attempt, which is where reasons were logged.

Ruled out: an event for each check, ten a second for each request.

Change: silent_server_kept once for an attempt, and silent_server_done with the last reason and the outcome when the attempt ends. check_stream_goes_on also checks the status.

Before, three tests of TestSilentServers failed: no such event.

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -32,7 +32,7 @@
     preferred_store,
 )
 from foxtailcourse.ingress._placement_types import CacheStore, Candidate, Choice, Prompt
-from foxtailcourse.ingress._replacement import Replacement
+from foxtailcourse.ingress._replacement import UNREACHABLE, Replacement
 from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.observe import EventLog, Metrics
@@ -248,9 +248,26 @@
             store = self._cache_store(prompt)
             if store is not None and should_save(store, candidate.salt, prompt):
                 store_address = store.address
-        return await self.attempts.run(
-            job, choice, store_address, lambda: self._find_replacement(job, choice)
-        )
+        outcome = "cancelled"
+        try:
+            response = await self.attempts.run(
+                job, choice, store_address, lambda: self._find_replacement(job, choice)
+            )
+            outcome = "answered"
+        except AttemptError as exc:
+            outcome = exc.reason
+            raise
+        finally:
+            if job.attempt.kept_reason:
+                self.events.emit(
+                    "silent_server_done",
+                    request_id=job.request.id,
+                    backend_server=choice.candidate.server.id,
+                    reason=job.attempt.kept_reason,
+                    outcome=outcome,
+                    age_ms=int((self.clock() - job.started) * 1000),
+                )
+        return response
 
     def _find_replacement(self, job: Job, choice: Choice) -> Replacement | None:
         """Count a retry of a request whose server is silent, and take its place.
@@ -260,11 +277,15 @@
         """
         now = self.clock()
         budget = self.retry_budget_for(job.service)
-        if (
-            self._lacks_time(job, now)
-            or self.parts.wait_s(job.shared_parts) > 0
-            or not budget.try_acquire(now, server_is_silent=True)
-        ):
+        reason = ""
+        if self._lacks_time(job, now):
+            reason = "deadline"
+        elif self.parts.wait_s(job.shared_parts) > 0:
+            reason = "blocked_parts"
+        elif not budget.try_acquire(now, server_is_silent=True):
+            reason = "budget"
+        if reason:
+            self._record_kept(job, choice, reason)
             return None
         tried = {*job.sent_to, *job.unreachable, choice.candidate.server.id}
         selection = self.candidates.select_responsive(
@@ -272,10 +293,29 @@
         )
         if not selection.candidates:
             budget.give_back()
+            self._record_kept(job, choice, selection.reason)
             return None
         other = self._place(job, selection.candidates, now, self.rng)
         self.candidates.limits.record_sent(other.candidate.server.run, now)
-        return self.attempts.replacement(job, other, lambda reason: budget.give_back())
+
+        def on_release(reason: str) -> None:
+            budget.give_back()
+            if reason == UNREACHABLE:
+                self._record_kept(job, choice, reason)
+
+        return self.attempts.replacement(job, other, on_release)
+
+    def _record_kept(self, job: Job, choice: Choice, reason: str) -> None:
+        """Record why a request stays; logged once for an attempt."""
+        if not job.attempt.kept_reason:
+            self.events.emit(
+                "silent_server_kept",
+                request_id=job.request.id,
+                backend_server=choice.candidate.server.id,
+                reason=reason,
+                age_ms=int((self.clock() - job.started) * 1000),
+            )
+        job.attempt.kept_reason = reason
 
     def _cache_store(self, prompt: Prompt) -> CacheStore | None:
         """Return the KV-cache store of a prompt's largest part.
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -157,6 +157,9 @@
         When the first event arrived, in seconds since boot.
     events : int
         Lower bound of the number of events that arrived.
+    kept_reason : str
+        Why the request stayed at its silent server when this was last checked; empty
+        if the server was not silent.
     is_answered : bool
         Whether the server has answered for long enough to show that the request does
         not crash it.
@@ -166,6 +169,7 @@
     unfinished_bytes: int = 0
     first_event_at: float | None = None
     events: int = 0
+    kept_reason: str = ""
     is_answered: bool = False
 
 
--- a/src/foxtailcourse/ingress/_replacement.py
+++ b/src/foxtailcourse/ingress/_replacement.py
@@ -13,6 +13,9 @@
 )
 from foxtailcourse.ingress._placement_types import Choice
 
+# Reason for which a place is released.
+UNREACHABLE = "unreachable"
+
 
 @attrs.define(eq=False)
 class Replacement:
@@ -57,7 +60,7 @@
                 conn = await self.pool.connect(address, options)
             except ClientError:
                 self.choice.candidate.own_load.record_unreachable(self.clock())
-                self.release("unreachable")
+                self.release(UNREACHABLE)
                 return
             if self._is_held:
                 self._conn = conn
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -118,6 +118,11 @@
     "settings_changed": "the changed settings in `keys` were applied",
     "settings_refused": "the changed settings file is unreadable or invalid; the "
     "previous settings stay in force",
+    "silent_server_done": "an attempt that had stayed at a silent server ended with "
+    "`outcome`; `reason` is the last one for which it stayed",
+    "silent_server_kept": "a request stays at a silent server for `reason`: "
+    "`deadline`, `blocked_parts`, `budget`, `unreachable` (the other server), or why "
+    "no server can take it; once for an attempt",
     "standin_listening": "a stand-in accepts connections on `address`",
     "stop_announced": "the configuration announces the stop of this VM",
     "stop_requested": "the process received SIGTERM or SIGINT",
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -106,22 +106,29 @@
             yield
         self.assertThat(responses, Equals([200] * 4))
 
-    async def check_stream_goes_on(self, fleet, entry):
+    async def check_stream_goes_on(self, fleet, entry, reason):
         response = await fleet.call(entry, "ask", stream=2)
+        self.assertThat(response.status, Equals(200))
         self.assertTrue(response.complete)
         self.assertThat(entry.events("attempt_failed"), Equals([]))
+        (kept,) = entry.events("silent_server_kept")
+        (done,) = entry.events("silent_server_done")
+        self.assertThat(
+            (kept["reason"], done["reason"], done["outcome"]),
+            Equals((reason, reason, "answered")),
+        )
 
     @run_with("with_fleet")
     async def test_stream_of_the_only_server_is_not_cut_while_it_is_silent(
         self, fleet, entry
     ):
         await self.add_slow_servers(fleet, entry, "llm", {MODEL: 1})
-        await self.check_stream_goes_on(fleet, entry)
+        await self.check_stream_goes_on(fleet, entry, "all_tried")
 
     @run_with("with_fleet", retry_ratio=0.0, retry_extra=0.0)
     async def test_stream_is_not_cut_without_retry_budget(self, fleet, entry):
         await self.add_slow_servers(fleet, entry, "llm", {MODEL: 1}, count=2)
-        await self.check_stream_goes_on(fleet, entry)
+        await self.check_stream_goes_on(fleet, entry, "budget")
 
     @run_with("with_fleet")
     async def test_stream_is_not_cut_while_others_have_other_weights(
@@ -173,6 +180,8 @@
         response = await fleet.call(entry, "look")
         self.assertThat(response.status, Equals(200))
         self.assertThat(len(self.runs(fleet)), Equals(1))
+        (kept,) = entry.events("silent_server_kept")
+        self.assertThat(kept["reason"], Equals("unreachable"))
 
     @run_with("with_fleet")
     async def test_begun_stream_stays_while_the_other_server_is_unreachable(
