Add a failing test for a refusal by the other server

A request at a silent server is given up once another server is connected. If that one then refuses the request, its attempts may be used up: 502 instead of 200.

--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -243,6 +243,18 @@
             pass
         self.assertThat(len(self.runs(fleet)), Equals(4))
 
+    @run_with("with_fleet")
+    async def test_request_stays_while_the_other_server_refuses(self, fleet, entry):
+        await self.add_slow_servers(fleet, entry, "coats", {})
+
+        async def add_full():
+            await self.add_other_server(fleet, entry)
+            fleet.servers["other"].faults = BackendServerFaults(refuse=True)
+
+        fleet._nursery.start_soon(add_full)
+        response = await fleet.call(entry, "look")
+        self.assertThat(response.status, Equals(200))
+
     @run_with("with_fleet")
     async def test_answer_whose_body_arrives_slowly_is_not_given_up(self, fleet, entry):
         await self.add_slow_servers(fleet, entry, "coats", {})
