Do not give up a server after a suspension while another is connected

What callers saw: a request was repeated elsewhere although its answer had arrived, if the entry was suspended while it connected to the other server.

Cause: the time of the last byte is compared with the time after the suspension, before the bytes of that time are read.

Ruled out: the periodic check, which moves these times by the delay.

Change: a connection that took longer than MAX_CHECK_DELAY_S is not used; a later check may try again. The tests of four requests also check that no place stays counted.

test_attempt_is_not_given_up_if_its_entry_was_suspended_while_connecting failed before: cancelled after 5 s.

--- a/src/foxtailcourse/ingress/_watchdog.py
+++ b/src/foxtailcourse/ingress/_watchdog.py
@@ -17,7 +17,8 @@
 from foxtailcourse.ingress._server_loads import SERVER_ALIVE_S, ServerLoad
 
 CHECK_PERIOD_S = 0.1
-# After a longer delay of a check, the process counts as having been suspended.
+# After a longer delay of a check or a connection, the process counts as having been
+# suspended.
 MAX_CHECK_DELAY_S = 0.2
 
 
@@ -93,11 +94,16 @@
         replacement, silent_since = self.replacement, self.last_byte_at
         if replacement is None:
             return
+        started = clock()
         await replacement.connect()
+        now = clock()
+        # Bytes that arrived while the process was suspended have not been read.
+        was_suspended = now - started > MAX_CHECK_DELAY_S
         if (
             replacement.is_connected
+            and not was_suspended
             and self.last_byte_at == silent_since
-            and self.is_unresponsive(clock())
+            and self.is_unresponsive(now)
         ):
             self.scope.cancel()
             return
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -45,6 +45,28 @@
             watchdog.check(tenths / 10)
         self.assertTrue(given_up)
 
+    def test_attempt_is_not_given_up_if_its_entry_was_suspended_while_connecting(self):
+        class Connected:
+            is_connected, released = True, False
+
+            async def connect(self):
+                pass
+
+            def release(self, reason):
+                self.released = True
+
+        async def move(watched, clock):
+            await watched.move(clock)
+            return watched.scope.cancel_called
+
+        for connected_at, is_given_up in ((0.75, True), (5.0, False)):
+            other = Connected()
+            watched = WatchedAttempt(ServerLoad(), 0.6, 0.0, replacement=other)
+            times = iter([0.7, connected_at])
+            cancelled = trio.run(move, watched, times.__next__)
+            self.assertThat(cancelled, Equals(is_given_up))
+            self.assertThat(other.released, Equals(not is_given_up))
+
 
 class TestSuspension(testtools.TestCase):
     """Guards new requests against servers at which others wait."""
@@ -105,6 +127,8 @@
                 nursery.start_soon(call)
             yield
         self.assertThat(responses, Equals([200] * 4))
+        in_flight = [each.in_flight for each in entry.app._loads._loads.values()]
+        self.assertThat(sum(in_flight), Equals(0))
 
     async def check_stream_goes_on(self, fleet, entry, reason):
         response = await fleet.call(entry, "ask", stream=2)
