--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -9,6 +9,7 @@
 from foxtailcourse.fleet import BackendServer, RouteKind, ServerRun
 from foxtailcourse.http import (
     ByteBudget,
+    ClientConnection,
     ClientError,
     ClientResponse,
     ConnectionPool,
@@ -23,6 +24,7 @@
 from foxtailcourse.ingress._job import AttemptError, Job, ServerResponse
 from foxtailcourse.ingress._part_suspicions import Parts
 from foxtailcourse.ingress._placement_types import Choice
+from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.ingress._stream_origins import StreamOrigin
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
@@ -117,7 +119,7 @@
         job: Job,
         choice: Choice,
         store: Address | None,
-        reserve_retry: Callable[[], bool],
+        find_replacement: Callable[[], Replacement | None],
     ) -> ServerResponse | None:
         """Send a request to a server.
 
@@ -130,9 +132,9 @@
         store : Address or None
             KV-cache store where the server should save the prompt; None if it should
             not.
-        reserve_retry : callable
-            Reserves a retry at another server; returns whether there is one. A silent
-            server is not given up without.
+        find_replacement : callable
+            Takes a place at another server, if one can take the request. A silent
+            server is given up only once that server is connected.
 
         Returns
         -------
@@ -154,25 +156,38 @@
         )
         is_short = job.prompt is not None and not job.prompt.is_long
         watched = WatchedAttempt(
-            load, self._idle_timeout_s(job, now), now, reserve_retry
+            load, self._idle_timeout_s(job, now), now, find_replacement
         )
+        conn = job.replacement.use() if job.replacement else None
+        job.replacement = None
         self.watchdog.add(watched)
         try:
             with self._tracked_load(choice, is_short) as on_first_event, watched.scope:
                 response = await self._exchange(
-                    job, choice, headers, watched, on_first_event
+                    job, choice, headers, watched, on_first_event, conn
                 )
         finally:
             self.watchdog.remove(watched)
+            if watched.scope.cancelled_caught:
+                job.replacement = watched.replacement
+            elif watched.replacement is not None:
+                watched.replacement.release("ended")
         if watched.scope.cancelled_caught:
             # A stream that has begun is in the list already.
             if len(job.sent_to) == attempts_before:
                 job.sent_to.append(server.id)
-            load.record_unreachable(self.clock())
             raise AttemptError("silent", Verdict.MAY_HAVE_RUN)
         load.record_success(self.clock())
         return response
 
+    def replacement(
+        self, job: Job, choice: Choice, on_release: Callable[[str], None]
+    ) -> Replacement:
+        """Take a place for a request whose server is silent."""
+        return Replacement(
+            choice, self.pool, self._connect_s(job), self.clock, on_release
+        )
+
     async def _exchange(
         self,
         job: Job,
@@ -180,11 +195,12 @@
         headers: dict[str, str],
         watched: WatchedAttempt,
         on_first_event: Callable[[], None],
+        conn: ClientConnection | None,
     ) -> ServerResponse | None:
         """Make the HTTP request; returns and raises the same as ``run``."""
         remaining_s = max(MIN_TIMEOUT_S, job.deadline - self.clock())
         options = RequestOptions(
-            connect_timeout_s=min(self.connect_timeout_s, remaining_s),
+            connect_timeout_s=self._connect_s(job),
             idle_timeout_s=remaining_s,
             reuse=False,
             keep_alive=False,
@@ -197,6 +213,7 @@
                 headers=headers,
                 body=job.exchange.body,
                 options=options,
+                conn=conn,
             ) as response:
                 watched.record_progress(self.clock())
                 job.attempt.framing = response.framing
@@ -206,6 +223,11 @@
         except ClientError as exc:
             raise self._connection_error(job, choice, exc) from exc
 
+    def _connect_s(self, job: Job) -> float:
+        """Return the longest time to connect to a server."""
+        remaining_s = max(MIN_TIMEOUT_S, job.deadline - self.clock())
+        return min(self.connect_timeout_s, remaining_s)
+
     def _idle_timeout_s(self, job: Job, now: float) -> float:
         """Return the idle timeout, or the remaining time if no retry is possible."""
         remaining_s = max(MIN_TIMEOUT_S, job.deadline - now)
@@ -284,7 +306,7 @@
         buffered = ServerResponse(
             status=head.status,
             headers=forwarded_response_headers(response.headers),
-            body=await self._read_body(job, choice, response),
+            body=await self._read_body(job, choice, response, watched),
         )
         if is_error:
             failure = self._rejected(job, choice, "server_error", Verdict.MAY_HAVE_RUN)
@@ -294,11 +316,16 @@
         return buffered
 
     async def _read_body(
-        self, job: Job, choice: Choice, response: ClientResponse
+        self,
+        job: Job,
+        choice: Choice,
+        response: ClientResponse,
+        watched: WatchedAttempt,
     ) -> bytes:
         """Return the whole body; it counts as buffered until the end of the job."""
         body = bytearray()
         async for chunk in response.iter_chunks():
+            watched.record_progress(self.clock())
             body += chunk
             counted_bytes = min(len(chunk), max(0, len(body) - UNCOUNTED_ANSWER_BYTES))
             fits = self.buffered.acquire(counted_bytes)
@@ -356,6 +383,9 @@
         has_events = False
         remaining_bytes = _max_stream_bytes(job)
         async for chunk in response.iter_chunks():
+            # Bytes that arrive as the attempt is given up come again from the next
+            # server; they must not be forwarded halfway.
+            await trio.lowlevel.checkpoint_if_cancelled()
             remaining_bytes -= len(chunk)
             if remaining_bytes < 0:
                 raise _StreamTooLargeError
@@ -385,6 +415,7 @@
                     fields = forwarded_response_headers(response.headers)
                     await exchange.start_stream(response.status, fields, events)
             job.last_event_id = splitter.last_id
+        await trio.lowlevel.checkpoint_if_cancelled()
         job.attempt.unfinished_bytes = splitter.unfinished_bytes
         if job.attempt.unfinished_bytes:
             raise ClientError("stream ends inside an event", Verdict.MAY_HAVE_RUN)
