Check the number of dropped lines where it is reported

test_stalled_reader_loses_lines_and_blocks_nobody failed once beside other runs (load 6). Trace: it read the counter `dropped`, which the writer's thread sets to 0 as it takes over the number for the next report. If the thread's first batch (after 50 ms) comes between the last line and that check, the counter is 0 though lines were dropped.

The test now reads the number from the report in the log, which it waited for all along, and checks that it is above 0; it does not depend on the moment any more.

--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -228,14 +228,14 @@
         for number in range(20_000):
             writer.emit(self.record(f"event=a n={number} {'x' * 200}"))
         self.assertTrue(time.monotonic() - started < 20)
-        self.assertTrue(writer.dropped > 0)
         # Once the pipe is read, the writer reports how many lines were dropped.
         writer.emit(self.record("event=b"))
         with os.fdopen(reader, "rb") as stream:
             for line in stream:
                 if b"lines_dropped" in line:
                     break
-        self.assertThat(line, Contains(b"count="))
+        dropped = int(line.partition(b"count=")[2])
+        self.assertGreater(dropped, 0)
         os.close(writer_fd)
 
     def test_flood_is_bounded_and_counted(self):
