Log what identifies the request of a failed attempt

On-call could not tell from the log that the requests under which servers crashed were the same one: each attempt of a caller has an identifier of its own, and no line has the path or the body.

`attempt_failed` now has `request_key`, a digest of service, client account, method, host, target and body. test_failed_attempts_of_the_same_request_have_the_same_key failed before (no such field).

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -24,7 +24,7 @@
     ServerResponse,
 )
 from foxtailcourse.ingress._part_exchange import PartExchange
-from foxtailcourse.ingress._part_suspicions import request_parts
+from foxtailcourse.ingress._part_suspicions import request_key, request_parts
 from foxtailcourse.ingress._placement import (
     ASSUMED_SHORT_WORK_TOKENS,
     choose_for_prompt,
@@ -133,6 +133,14 @@
             If the last attempt failed and the request may have run.
         """
         self.retry_budget_for(job.service).record_request(self.clock())
+        job.request_key = request_key(
+            job.service,
+            job.account_name,
+            job.exchange.method,
+            job.request.host,
+            job.exchange.target,
+            job.exchange.body,
+        )
         if job.prompt is not None:
             job.shared_parts = request_parts(
                 job.service, [each.id for each in job.request.prompt_parts]
@@ -399,6 +407,7 @@
             framing=job.attempt.framing.value if job.attempt.framing else None,
             unfinished_bytes=job.attempt.unfinished_bytes or None,
             parts=_part_names(job),
+            request_key=job.request_key,
             retry_after_ms=(
                 None if exc.retry_after_s is None else int(exc.retry_after_s * 1000)
             ),
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -72,6 +72,8 @@
         State of the last attempt.
     shared_parts : frozenset of str
         Keys of the parts of the prompt that other requests may have as well.
+    request_key : str
+        Key that only the same request of the same caller has.
     """
 
     exchange: Exchange
@@ -100,6 +102,7 @@
     typical_prompt_tokens: float = 0.0
     attempt: "AttemptState" = attrs.field(factory=lambda: AttemptState())
     shared_parts: Parts = frozenset()
+    request_key: str = ""
 
     @property
     def prompt(self) -> Prompt | None:
--- a/src/foxtailcourse/ingress/_part_suspicions.py
+++ b/src/foxtailcourse/ingress/_part_suspicions.py
@@ -16,6 +16,8 @@
 Parts = frozenset[str]
 """Keys of prompt parts, see ``part_key``."""
 
+# Distinguishes the key of a request from those of prompt parts.
+REQUEST_PREFIX = "r"
 # Reports of all entries on a crash arrive within this time.
 SETTLE_S = 0.15
 # A server that breaks off again later than this has crashed or failed again.
@@ -58,6 +60,17 @@
     return hashlib.blake2b(name, digest_size=8).hexdigest()
 
 
+def request_key(
+    service: str, account: str, method: str, host: str, target: str, body: bytes
+) -> str:
+    """Return a short key that only the same request of the same caller has."""
+    digest = hashlib.blake2b(body, digest_size=8)
+    for field in (service, account, method, host, target):
+        name = field.encode("utf-8", "surrogateescape")
+        digest.update(len(name).to_bytes(4, "big") + name)
+    return REQUEST_PREFIX + digest.hexdigest()
+
+
 @attrs.frozen
 class BreakReport:
     """Requests without a second event that an entry lost as a server broke off.
--- a/tests/ingress/test_logs.py
+++ b/tests/ingress/test_logs.py
@@ -117,6 +117,21 @@
         reasons = [each["no_retry"] for each in entry.events("attempt_failed")]
         self.assertThat(reasons, Equals(["not_idempotent", "budget", "deadline"]))
 
+    @run_with("with_fleet")
+    async def test_failed_attempts_of_the_same_request_have_the_same_key(
+        self, fleet, entry
+    ):
+        for name in ("c1", "c2"):
+            fleet.servers[name].faults = BackendServerFaults(lose_answer=True)
+        for body, key in ((b"a", "key-1"), (b"a", "key-1"), (b"b", "key-1")):
+            await fleet.call(entry, "return", body=body, key=key)
+        await fleet.call(entry, "return", body=b"a", key="key-w")
+        first, again, other, caller = (
+            each["request_key"] for each in entry.events("attempt_failed")
+        )
+        self.assertThat(again, Equals(first))
+        self.assertThat(len({first, other, caller}), Equals(3))
+
     @run_with("with_fleet")
     async def test_interrupted_stream_and_unknown_outcome(self, fleet, entry):
         fleet.servers["m1"].faults = fleet.servers["m2"].faults = BackendServerFaults(
