--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -179,6 +179,8 @@
     deadly_part : str
         Part of a prompt that crashes the server when it begins to answer; empty for
         none.
+    deadly_targets : tuple of str
+        Targets of the requests that crash the server while it runs them.
     restart_s : float
         Time from a crash until the server has started again, in seconds.
     down : bool
@@ -206,6 +208,7 @@
     highest_fencing_token: int = 0
     started_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
     deadly_part: str = ""
+    deadly_targets: tuple[str, ...] = ()
     restart_s: float = 0.3
     down: bool = False
     crashed_at: list[float] = attrs.field(factory=list)
@@ -395,6 +398,9 @@
             await self._stream(exchange, run, headers)
             return
         await trio.sleep(self.event_s)
+        if run.target in self.deadly_targets:
+            self.crash()
+            await trio.sleep_forever()
         if self.faults.lose_answer:
             exchange.abort()
         elif self.faults.fail:
--- a/tests/ingress/ingress_case.py
+++ b/tests/ingress/ingress_case.py
@@ -159,6 +159,7 @@
         body=b"",
         stream=0,
         parts="aa:60,bb:40",
+        target="x?y=1",
         **headers,
     ):
         """Send one request to a route of an entry and return its CallerResponse.
@@ -186,7 +187,7 @@
         async with self.pool.request(
             entry.app.address,
             method,
-            f"/{name}/x?y=1",
+            f"/{name}/{target}",
             headers=fields,
             body=body,
             options=options,
