Block a request under which several servers crash

What callers saw: at a plain service one request of one caller, which came back each few seconds, ended one server after the other: the entry repeated it at a second server 6 ms after the first had crashed, its caller at two more, and for three seconds every request of that service was refused (four crashes in 0.3 s, 14 in a minute).

Cause: crashes were compared by the parts of prompts only. A request without a prompt has none, so it was reported to nobody. A prompt that came again was blocked by the parts that it shares with sound ones, as its last part was left out.

Ruled out: to stop repeating requests that broke off, as most of them are sound and a caller's own repetition crashes the next server all the same; to block the path or the caller, since others are served there; to wait until all entries have reported, as the caller repeats within milliseconds.

Change: each request has a key of its service, client account, method, host, target and body, next to the keys of its prompt's parts. Crashes are counted for it over all entries, by the same reports. After two of them, or three if it was answered before, it is refused with 503 and the time of the block; the entry that finds out tells the others before it answers. A crash counts if the request was sent after the one before, so copies in progress at servers that fail together count once. Trials, answers that end a suspicion and longer blocks are those of prompt parts. A whole response of any kind shows that a request does not crash its server.

Tests of prompt parts now send different bodies with different prompts, and the one that blocks a part sends different prompts: the same body of the same caller is one request. The bound on compared prompts has another name (MAX_PROMPTS); its value is the same.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -89,8 +89,8 @@
         Called with the identifier of a caller's attempt and the origin of its stream,
         before the first event is forwarded, if the stream may be resumed.
     on_answered : callable
-        Called once for an attempt with the parts of its prompt that others may share,
-        when its stream goes on for ANSWERED_AFTER_S or is complete.
+        Called once for an attempt with the ``crash_keys`` of its job, when its stream
+        goes on for ANSWERED_AFTER_S or its response is complete.
     """
 
     pool: ConnectionPool
@@ -286,6 +286,7 @@
             headers=forwarded_response_headers(response.headers),
             body=await self._read_body(job, choice, response),
         )
+        self._record_answered(job)
         if is_error:
             failure = self._rejected(job, choice, "server_error", Verdict.MAY_HAVE_RUN)
             failure.response = buffered
@@ -410,7 +411,7 @@
     def _record_answered(self, job: Job) -> None:
         if not job.attempt.is_answered:
             job.attempt.is_answered = True
-            self.on_answered(job.shared_parts)
+            self.on_answered(job.crash_keys)
 
     @contextmanager
     def _tracked_load(
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -83,7 +83,7 @@
     attempts : AttemptRunner
         Runs attempts.
     parts : PartExchange
-        Prompt parts that crash servers.
+        Requests and prompt parts that crash servers.
     retry_budget_for : callable
         Returns the retry budget of a service.
     clock : callable
@@ -141,10 +141,9 @@
             job.exchange.target,
             job.exchange.body,
         )
+        part_ids = [each.id for each in job.request.prompt_parts]
+        job.crash_keys = request_parts(job.service, part_ids) | {job.request_key}
         if job.prompt is not None:
-            job.shared_parts = request_parts(
-                job.service, [each.id for each in job.request.prompt_parts]
-            )
             job.typical_prompt_tokens = self.sizes.record_prompt(
                 job.route.name, job.request.prompt_tokens
             )
@@ -152,7 +151,7 @@
             choice = await self._wait_for_admission(job)
             job.choice, job.attempt_pending = choice, True
             job.attempt = AttemptState()
-            self.parts.record_sent(job.shared_parts)
+            self.parts.record_sent(job.crash_keys)
             self.candidates.limits.record_sent(
                 choice.candidate.server.run, self.clock()
             )
@@ -170,9 +169,13 @@
                 ):
                     self.parts.record_broken_off(
                         choice.candidate.server.run,
-                        job.shared_parts,
-                        begun=job.attempt.framing is not None,
+                        job.crash_keys,
+                        # A plain service sends nothing before it has finished.
+                        begun=job.prompt is None or job.attempt.framing is not None,
+                        sent_at=job.attempt_sent_at,
                     )
+                    # The caller may repeat it at another entry at once.
+                    await self.parts.announce()
                 if exc.verdict is not Verdict.NOT_RUN:
                     job.verdict = Verdict.MAY_HAVE_RUN
                 refusal = self._retry_refusal(job, exc)
@@ -266,7 +269,7 @@
         tried = {*job.sent_to, *job.unreachable, choice.candidate.server.id}
         if (
             self._lacks_time(job, now)
-            or self.parts.wait_s(job.shared_parts) > 0
+            or self.parts.wait_s(job.crash_keys) > 0
             or not self._select(job, tried, now).candidates
             or not self.retry_budget_for(job.service).try_acquire(now)
         ):
@@ -303,11 +306,13 @@
             If no server is eligible and the request may have run.
         """
         now = self.clock()
-        blocked_s = self.parts.wait_s(job.shared_parts)
+        blocked_s = self.parts.wait_s(job.crash_keys)
         if blocked_s > 0:
+            is_request = self.parts.wait_s(frozenset({job.request_key})) > 0
+            reason = "blocked_request" if is_request else "blocked_parts"
             if job.verdict is Verdict.NOT_RUN:
-                raise RefusedError("blocked_parts", blocked_s)
-            raise AttemptError("blocked_parts", job.verdict)
+                raise RefusedError(reason, blocked_s)
+            raise AttemptError(reason, job.verdict)
         selection = self._select(job, {*job.sent_to, *job.unreachable}, now)
         if not selection.candidates:
             if job.verdict is Verdict.NOT_RUN:
@@ -369,6 +374,8 @@
             return "not_idempotent"
         if exc.reason == "unreachable":
             return ""
+        if self.parts.wait_s(job.crash_keys) > 0:
+            return "blocked"
         if len(job.sent_to) >= job.route.max_attempts:
             return "attempts"
         return "" if self.retry_budget_for(job.service).try_acquire(now) else "budget"
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -70,8 +70,9 @@
         Mean tokens of the prompts of the route; 0 if unknown.
     attempt : AttemptState
         State of the last attempt.
-    shared_parts : frozenset of str
-        Keys of the parts of the prompt that other requests may have as well.
+    crash_keys : frozenset of str
+        What requests under which servers crash may have in common: the keys of the
+        request and of the parts of its prompt that other requests may have as well.
     request_key : str
         Key that only the same request of the same caller has.
     """
@@ -101,7 +102,7 @@
     response_complete: bool = False
     typical_prompt_tokens: float = 0.0
     attempt: "AttemptState" = attrs.field(factory=lambda: AttemptState())
-    shared_parts: Parts = frozenset()
+    crash_keys: Parts = frozenset()
     request_key: str = ""
 
     @property
--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -1,4 +1,4 @@
-"""Tells the other entries which requests servers lost, and which parts are blocked.
+"""Tells the other entries which requests servers lost, and what is blocked.
 
 An entry sees only some of the requests that crash servers, so all entries judge the
 same reports. A few repeat the blocks, for entries that missed a message or have just
@@ -17,6 +17,7 @@
     BreakReport,
     Parts,
     PartSuspicions,
+    request_only,
 )
 from foxtailcourse.ingress._peer_messages import (
     AnsweredPartsUpdate,
@@ -74,6 +75,8 @@
     clock: Callable[[], float]
     events: EventLog
     _pending: list[Message] = attrs.field(factory=list, init=False)
+    # Blocks that were not sent yet.
+    _announced: dict[Parts, Block] = attrs.field(factory=dict, init=False)
     # When this entry ended blocks, by their parts.
     _cleared_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
     _wakeup: trio.Event = attrs.field(factory=trio.Event, init=False)
@@ -88,7 +91,9 @@
         """Record a request that is sent to a server."""
         self.suspicions.record_sent(request, self.clock())
 
-    def record_broken_off(self, run: ServerRun, request: Parts, *, begun: bool) -> None:
+    def record_broken_off(
+        self, run: ServerRun, request: Parts, *, begun: bool, sent_at: float
+    ) -> None:
         """Record a request that broke off without a second event.
 
         Parameters
@@ -98,13 +103,21 @@
         request : frozenset of str
             Parts of the request.
         begun : bool
-            Whether the head of the response had arrived.
+            Whether the server may have begun to answer.
+        sent_at : float
+            When it was sent, in seconds since boot.
         """
-        if not request or len(request) > MAX_PARTS:
+        if not request:
             return
-        lost = (request,)
-        report = BreakReport(run, lost if begun else (), () if begun else lost)
-        self.suspicions.report(report, self.clock())
+        if len(request) > MAX_PARTS:
+            request = request_only(request)
+        now, lost = self.clock(), (request,)
+        age_s = now - sent_at
+        if begun:
+            report = BreakReport(run, begun=lost, ages_s=(age_s,))
+        else:
+            report = BreakReport(run, waiting=lost)
+        self._report(report, now)
         rows = [sorted(request)]
         self._publish(
             BreaksUpdate(
@@ -112,9 +125,18 @@
                 run.started_ms,
                 rows if begun else [],
                 [] if begun else rows,
+                [int(age_s * 1000)] if begun else [],
             )
         )
 
+    def _report(self, report: BreakReport, now: float) -> None:
+        """Count lost requests, and block those that have crashed several servers."""
+        self.suspicions.report(report, now)
+        blocked = self.suspicions.judge_requests(report, now)
+        for parts, block in blocked.items():
+            self._log_blocked(parts, block.until - now, block.times)
+        self._announced |= blocked
+
     def record_answered(self, request: Parts) -> None:
         """Record that a server answers a request."""
         if not request:
@@ -149,13 +171,14 @@
         """Handle one message of the registered entry ``sender``."""
         now = self.clock()
         match message:
-            case BreaksUpdate(server_id, started_ms, begun, waiting):
+            case BreaksUpdate(server_id, started_ms, begun, waiting, ages_ms):
                 report = BreakReport(
                     ServerRun(server_id, started_ms),
                     _requests(begun),
                     _requests(waiting),
+                    tuple(max(0, each) / 1000 for each in ages_ms),
                 )
-                self.suspicions.report(report, now)
+                self._report(report, now)
                 self._wakeup.set()
             case BlockedPartsUpdate(row, remaining_ms, times):
                 if row and 0 < remaining_ms <= MAX_REMAINING_MS and times > 0:
@@ -184,6 +207,19 @@
         self._pending.append(message)
         self._wakeup.set()
 
+    async def announce(self) -> None:
+        """Send what is pending now, if a request was blocked since the last time."""
+        if self._announced:
+            await self._send_pending()
+
+    async def _send_pending(self) -> None:
+        pending, self._pending = self._pending, []
+        announced, self._announced = self._announced, {}
+        for message in _merged(pending):
+            await self.send(message, self.peers)
+        for parts, block in announced.items():
+            await self._send_block(parts, block)
+
     async def run(self) -> None:
         """Judge crashes and send messages until cancelled."""
         repeated_at = self.clock()
@@ -193,9 +229,7 @@
                 await self._wakeup.wait()
             self._wakeup = trio.Event()
             await trio.sleep(BATCH_S)
-            pending, self._pending = self._pending, []
-            for message in _merged(pending):
-                await self.send(message, self.peers)
+            await self._send_pending()
             now = self.clock()
             blocked = self.suspicions.judge(now)
             for parts, block in blocked.items():
@@ -204,7 +238,9 @@
                 repeated_at = now
                 blocked = self.suspicions.active_blocks(now)
                 self._repeat_cleared(now)
-            await self._send_blocks(blocked, now)
+            for parts, block in blocked.items():
+                if self.rank(parts) < PUBLISHERS:
+                    await self._send_block(parts, block)
 
     def _repeat_cleared(self, now: float) -> None:
         """Repeat for a while which blocks this entry has ended."""
@@ -215,12 +251,10 @@
             else:
                 self._publish(AnsweredPartsUpdate(sorted(parts), int(age_s * 1000)))
 
-    async def _send_blocks(self, blocks: dict[Parts, Block], now: float) -> None:
-        for parts, block in blocks.items():
-            if self.rank(parts) < PUBLISHERS:
-                remaining_ms = int((block.until - now) * 1000)
-                message = BlockedPartsUpdate(sorted(parts), remaining_ms, block.times)
-                await self.send(message, self.peers)
+    async def _send_block(self, parts: Parts, block: Block) -> None:
+        remaining_ms = int((block.until - self.clock()) * 1000)
+        message = BlockedPartsUpdate(sorted(parts), remaining_ms, block.times)
+        await self.send(message, self.peers)
 
     def _log_blocked(
         self, parts: Parts, remaining_s: float, times: int, by_entry: str = ""
@@ -240,7 +274,7 @@
 
 
 def _requests(rows: list[list[str]]) -> tuple[Parts, ...]:
-    return tuple(frozenset(row) for row in rows if row)
+    return tuple(frozenset(row) for row in rows)
 
 
 def _merged(messages: list[Message]) -> list[Message]:
@@ -259,4 +293,5 @@
         else:
             report.begun += message.begun
             report.waiting += message.waiting
+            report.ages_ms += message.ages_ms
     return merged
--- a/src/foxtailcourse/ingress/_part_suspicions.py
+++ b/src/foxtailcourse/ingress/_part_suspicions.py
@@ -1,9 +1,10 @@
-"""Finds the parts of prompts that crash the servers which begin to answer them.
+"""Finds the requests, and the parts of prompts, that crash the servers they run on.
 
 When a server breaks off, the requests that had begun there without a second event are
-suspected. Parts that such requests of several crashes have in common are blocked
-together: requests with all of them are refused for some time. A request with these
-parts that a server answers ends the suspicion.
+suspected. A request that is lost in several crashes is blocked: if its caller sends it
+again, it is refused for some time. Parts of prompts that different requests of several
+crashes have in common are blocked together: requests with all of them are refused. A
+server that answers such a request ends the suspicion.
 """
 
 import hashlib
@@ -14,7 +15,10 @@
 from foxtailcourse.fleet import ServerRun
 
 Parts = frozenset[str]
-"""Keys of prompt parts, see ``part_key``."""
+"""Keys of prompt parts, and possibly that of the request itself.
+
+See ``part_key`` and ``request_key``. A block of a request has its key alone.
+"""
 
 # Distinguishes the key of a request from those of prompt parts.
 REQUEST_PREFIX = "r"
@@ -25,6 +29,10 @@
 # Crashes that are closer together count as one, since servers also fail together and
 # then hold many requests with the same parts.
 MIN_SEPARATION_S = 0.2
+# Longest delay of a report. A crash counts for a request that was sent, within this
+# tolerance, after the one before: copies of it may be in progress at several servers
+# that fail together.
+REPORT_DELAY_S = 0.03
 # Crashes from which on parts are blocked, if no request with them was ever answered,
 # and if one was before the first of these crashes.
 CRASHES_TO_BLOCK = 2
@@ -32,8 +40,10 @@
 # Crashes are forgotten after this time, and the oldest ones if there are more.
 CRASH_MEMORY_S = 120.0
 MAX_CRASHES = 30
-# Requests of one crash that are compared with those of others.
-MAX_REQUESTS = 8
+# Prompts of one crash that are compared with those of others, and requests of which it
+# is known that they were lost in it.
+MAX_PROMPTS = 8
+MAX_REQUESTS = 256
 # Sets of parts that requests of several crashes share, of which it is looked up whether
 # they were answered; those of the most crashes come first.
 MAX_CANDIDATES = 32
@@ -80,14 +90,27 @@
     run : ServerRun
         Run of the server.
     begun : tuple of frozenset of str
-        Parts of each request that the server had begun to answer.
+        Parts of each request that the server had begun to answer, or may have.
     waiting : tuple of frozenset of str
         Parts of each of the others.
+    ages_s : tuple of float
+        How long before it broke off each of the requests in ``begun`` was sent, in
+        seconds.
     """
 
     run: ServerRun
     begun: tuple[Parts, ...] = ()
     waiting: tuple[Parts, ...] = ()
+    ages_s: tuple[float, ...] = ()
+
+    def requests(self) -> dict[str, float]:
+        """Return the keys of the requests that had begun, with their ages."""
+        ages_s = (*self.ages_s, *(0.0 for _ in self.begun))
+        return {
+            key: age_s
+            for row, age_s in zip(self.begun, ages_s, strict=False)
+            for key in request_only(row)
+        }
 
 
 @attrs.define
@@ -101,7 +124,9 @@
     at : float
         When the first report arrived, in seconds since boot.
     begun, waiting : set of frozenset of str
-        Parts of the requests, as in the reports.
+        Parts of the prompts of the requests, as in the reports.
+    sent_at : dict of str to float
+        When requests that had begun were sent, in seconds since boot, by their keys.
     judged : bool
         Whether the crash was compared with the earlier ones.
     """
@@ -110,13 +135,39 @@
     at: float
     begun: set[Parts] = attrs.field(factory=set)
     waiting: set[Parts] = attrs.field(factory=set)
+    sent_at: dict[str, float] = attrs.field(factory=dict)
     judged: bool = False
 
     @property
-    def requests(self) -> set[Parts]:
-        """Parts of the requests that may have crashed the server."""
+    def prompts(self) -> set[Parts]:
+        """Parts of the prompts that may have crashed the server."""
         return self.begun or self.waiting
 
+    def add(self, report: BreakReport, now: float) -> None:
+        """Add what an entry reported."""
+        for prompts, reported in (
+            (self.begun, report.begun),
+            (self.waiting, report.waiting),
+        ):
+            parts = [each for row in reported if (each := _prompt_parts(row))]
+            prompts.update(parts[: MAX_PROMPTS - len(prompts)])
+        for key, age_s in report.requests().items():
+            if len(self.sent_at) < MAX_REQUESTS:
+                self.sent_at[key] = now - age_s
+
+    def is_separate(self, parts: Parts, earlier_at: float) -> bool:
+        """Whether it did not come together with an earlier crash."""
+        request = next(iter(request_only(parts)), None)
+        if request is None:
+            return self.at - earlier_at >= MIN_SEPARATION_S
+        return self.sent_at[request] >= earlier_at - REPORT_DELAY_S
+
+    def may_be_due_to(self, parts: Parts) -> bool:
+        """Whether a request with these parts may have crashed the server."""
+        if _is_block_of_request(parts):
+            return parts <= self.sent_at.keys()
+        return any(parts <= each for each in self.prompts)
+
 
 @attrs.frozen
 class Block:
@@ -162,11 +213,21 @@
         else:
             crash = _Crash(report.run, now)
             self._crashes.append(crash)
-        for requests, reported in (
-            (crash.begun, report.begun),
-            (crash.waiting, report.waiting),
-        ):
-            requests.update(reported[: MAX_REQUESTS - len(requests)])
+        crash.add(report, now)
+
+    def judge_requests(self, report: BreakReport, now: float) -> dict[Parts, Block]:
+        """Judge the requests of a report at once; return the new blocks.
+
+        They are not compared with each other, so reports of other entries on the same
+        crash are not waited for, and the caller's next attempt is refused.
+        """
+        blocked: dict[Parts, Block] = {}
+        for key in report.requests():
+            request = frozenset({key})
+            known = self._blocks.get(request)
+            if known.until <= now if known else self._is_suspect(request, now):
+                blocked[request] = self._block(request, now)
+        return blocked
 
     def judge(self, now: float) -> dict[Parts, Block]:
         """Judge the crashes whose reports are complete; return the new blocks."""
@@ -184,7 +245,7 @@
         return any(not crash.judged for crash in self._crashes)
 
     def _judge(self, crash: _Crash, now: float) -> dict[Parts, Block]:
-        known = [p for p in self._blocks if any(p <= r for r in crash.requests)]
+        known = [each for each in self._blocks if crash.may_be_due_to(each)]
         if known:
             # They explain the crash. Requests sent before a block change nothing.
             ended = [each for each in known if self._blocks[each].until <= crash.at]
@@ -202,8 +263,8 @@
 
         Of several possible sets, the one of most crashes and then of most parts.
         """
-        earlier = {r for e in self._crashes if e.at < crash.at for r in e.requests}
-        shared = {mine & other for mine in crash.requests for other in earlier}
+        earlier = {r for e in self._crashes if e.at < crash.at for r in e.prompts}
+        shared = {mine & other for mine in crash.prompts for other in earlier}
         candidates = sorted(
             (
                 (count, len(parts), sorted(parts))
@@ -219,6 +280,8 @@
 
     def _is_suspect(self, parts: Parts, until: float) -> bool:
         """Whether parts are in enough crashes that came after they were answered."""
+        if self._count(parts, float("-inf"), until) < CRASHES_TO_BLOCK:
+            return False
         answered_at = self.answered_at(parts)
         was_answered = answered_at > float("-inf")
         needed = CRASHES_TO_BLOCK_KNOWN if was_answered else CRASHES_TO_BLOCK
@@ -228,9 +291,11 @@
         """Return in how many separate crashes of a time a request had some parts."""
         count, counted_at = 0, float("-inf")
         for crash in self._crashes:
-            is_separate = crash.at - counted_at >= MIN_SEPARATION_S
-            is_counted = after < crash.at <= until and is_separate
-            if is_counted and any(parts <= each for each in crash.requests):
+            if (
+                after < crash.at <= until
+                and crash.may_be_due_to(parts)
+                and crash.is_separate(parts, counted_at)
+            ):
                 count, counted_at = count + 1, crash.at
         return count
 
@@ -348,3 +413,22 @@
 def request_parts(service: str, part_ids: Sequence[str]) -> Parts:
     """Return the parts of a prompt that other requests may share, all but the last."""
     return frozenset(part_key(service, each) for each in part_ids[:-1])
+
+
+def request_only(keys: Parts) -> Parts:
+    """Return the key of the request alone."""
+    return keys - _prompt_parts(keys)
+
+
+def _is_request(key: str) -> bool:
+    return key.startswith(REQUEST_PREFIX)
+
+
+def _prompt_parts(keys: Parts) -> Parts:
+    """Return the keys of prompt parts among those of a request."""
+    return frozenset(each for each in keys if not _is_request(each))
+
+
+def _is_block_of_request(parts: Parts) -> bool:
+    """Whether a block is one of a request."""
+    return any(_is_request(each) for each in parts)
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -120,15 +120,20 @@
     started_ms : int
         Its start time in milliseconds.
     begun : list of list of str
-        Keys of the parts of each request that the server had begun to answer.
+        Keys of each request that the server had begun to answer, or may have, and of
+        the parts of its prompt.
     waiting : list of list of str
         The same of the others.
+    ages_ms : list of int
+        How long before it broke off each of the requests in ``begun`` was sent, in
+        milliseconds.
     """
 
     server_id: str
     started_ms: int
     begun: list[list[str]]
     waiting: list[list[str]]
+    ages_ms: list[int] = []
 
     def __len__(self) -> int:
         return len(self.begun) + len(self.waiting)
--- a/tests/ingress/ingress_case.py
+++ b/tests/ingress/ingress_case.py
@@ -175,6 +175,7 @@
         if key:
             fields["x-foxtailcourse-key"] = key
         if stream:
+            body = body or parts.encode()
             fields |= {
                 "x-foxtailcourse-model": MODEL,
                 "x-foxtailcourse-token-counts": f"100,{stream}",
--- a/tests/ingress/test_deadly_parts.py
+++ b/tests/ingress/test_deadly_parts.py
@@ -76,8 +76,11 @@
     async def block(self, fleet, entry):
         """Let servers crash until the entry refuses requests with the part."""
         self.make_deadly(fleet, "dd")
+        number = 0
         while not entry.events("parts_blocked"):
-            await fleet.call(entry, "brief", stream=3, parts="aa:60,dd:9,x:5")
+            number += 1
+            parts = f"aa:60,dd:9,x{number}:5"
+            await fleet.call(entry, "brief", stream=3, parts=parts)
             await trio.sleep(0.3)
         await wait_until(lambda: entry.events("parts_recorded"))
         await wait_until(lambda: not any(e.down for e in fleet.servers.values()))
--- a/tests/ingress/test_part_exchange.py
+++ b/tests/ingress/test_part_exchange.py
@@ -69,7 +69,7 @@
             return False
         self.crashes += 1
         run = ServerRun(f"m{self.crashes}", 1)
-        entry.record_broken_off(run, request, begun=True)
+        entry.record_broken_off(run, request, begun=True, sent_at=trio.current_time())
         return True
 
 
--- a/tests/ingress/test_part_suspicions.py
+++ b/tests/ingress/test_part_suspicions.py
@@ -6,7 +6,7 @@
     FIRST_BLOCK_S,
     MAX_CANDIDATES,
     MAX_CRASHES,
-    MAX_REQUESTS,
+    MAX_PROMPTS,
     MIN_SEPARATION_S,
     PAROLE_S,
     SETTLE_S,
@@ -43,6 +43,20 @@
             self.suspicions.report(BreakReport(run, waiting=(parts(*request),)), at)
         return set(self.suspicions.judge(at + JUDGED_S))
 
+    def crash_under(self, *requests, at, age_s=0.1):
+        """Report a crash of another server that had begun requests of plain services.
+
+        Returns the requests that are then blocked.
+        """
+        self.crashes += 1
+        begun = tuple(parts(each) for each in requests)
+        ages_s = tuple(age_s for _ in begun)
+        report = BreakReport(
+            ServerRun(f"m{self.crashes}", 1), begun=begun, ages_s=ages_s
+        )
+        self.suspicions.report(report, at)
+        return set(self.suspicions.judge_requests(report, at))
+
     def wait_s(self, *names, at, rank=0):
         return self.suspicions.wait_s(parts(*names), lambda blocked: rank, at)
 
@@ -53,6 +67,44 @@
         for name in ("a", "b"):
             self.assertThat(self.wait_s(name, "c", at=NOW + 3), Equals(0.0))
 
+    def test_request_of_two_crashes_is_blocked_at_once_and_no_other(self):
+        crowd = [f"r{number}" for number in range(100)]
+        self.assertThat(self.crash_under("r-d", *crowd, at=NOW), Equals(set()))
+        blocked = self.crash_under("r-new", "r-d", at=NOW + 0.2)
+        self.assertThat(blocked, Equals({parts("r-d")}))
+        self.assertThat(self.wait_s("r-new", at=NOW + 1), Equals(0.0))
+
+    def test_copies_of_a_request_at_servers_that_fail_together_count_once(self):
+        for at in (NOW, NOW + 0.05, NOW + 0.06):
+            blocked = self.crash_under("r-copied", at=at, age_s=0.2)
+        self.assertThat(blocked, Equals(set()))
+
+    def test_request_that_was_answered_needs_a_third_crash(self):
+        self.suspicions.record_answered(parts("r-known"), NOW)
+        for number in (1, 2):
+            self.assertThat(self.crash_under("r-known", at=NOW + number), Equals(set()))
+        self.assertThat(
+            self.crash_under("r-known", at=NOW + 3), Equals({parts("r-known")})
+        )
+
+    def test_trial_of_a_request_that_crashes_blocks_it_longer(self):
+        for number in (0, 1):
+            self.crash_under("r-d", at=NOW + number)
+        later = NOW + 1 + FIRST_BLOCK_S + 1
+        self.assertThat(self.wait_s("r-d", at=later), Equals(0.0))
+        self.crash_under("r-d", at=later)
+        self.assertGreater(self.wait_s("r-d", at=later), FIRST_BLOCK_S)
+
+    def test_prompt_that_comes_again_is_blocked_without_its_parts(self):
+        for at in (NOW, NOW + 1):
+            self.crashes += 1
+            run = ServerRun(f"m{self.crashes}", 1)
+            report = BreakReport(run, begun=(parts("r-d", "shared"),))
+            self.suspicions.report(report, at)
+            blocked = self.suspicions.judge_requests(report, at)
+            self.assertThat(self.suspicions.judge(at + JUDGED_S), Equals({}))
+        self.assertThat(set(blocked), Equals({parts("r-d")}))
+
     def test_requests_with_a_part_of_the_blocked_ones_are_served(self):
         for at in (NOW, NOW + 2):
             blocked = self.crash(at, ("a", "deadly"))
@@ -148,7 +200,7 @@
         self.assertTrue(len(looked_up) <= MAX_CANDIDATES * 2 * MAX_CRASHES)
         self.assertThat(len(self.suspicions._crashes), Equals(MAX_CRASHES))
         for crash in self.suspicions._crashes:
-            self.assertThat(len(crash.requests), Equals(MAX_REQUESTS))
+            self.assertThat(len(crash.prompts), Equals(MAX_PROMPTS))
 
     def test_shorter_block_of_another_entry_changes_nothing(self):
         self.suspicions.adopt(DEADLY, 25.0, 1, NOW)
