--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -1,7 +1,8 @@
 """Handles the HTTP requests of callers on the platform."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 import attrs
 import trio
@@ -22,10 +23,18 @@
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 STALE_RETRY_AFTER_S = 0.2
+# Another entry can serve the request at once.
+STOPPING_RETRY_AFTER_S = 0.1
 # A request is denied only by a configuration that was confirmed at most this long ago.
 DENIAL_MAX_AGE_S = 0.3
+# Longest wait for that, and as a fraction of the time that the caller waits: a refused
+# caller must have time to try another entry.
+CONFIRMATION_WAIT_S = 1.0
+CONFIRMATION_DEADLINE_FRACTION = 0.5
 # Results of IngressHandler._run_job; a failed request has the reason of its error.
 ANSWERED, REFUSED = "answered", "refused"
+# Reason and result of requests that a planned stop ends.
+STOPPING = "stopping"
 # Number of routes with a metric label of their own. The others share one label, so that
 # a large configuration does not add more time series.
 MAX_ROUTE_LABELS = 100
@@ -60,9 +69,9 @@
         Sends jobs to backend servers.
     resumption : StreamResumption
         Binds resumed streams to the software version that began them.
-    refresh : coroutine function
-        Reads the configuration again if it is older than the given number of seconds;
-        does not raise, and keeps the present one if the store does not respond.
+    confirm : coroutine function
+        Takes an age and a longest wait, in seconds; returns whether the configuration
+        is confirmed as of that long ago, and reads it again if need be.
     key_age_limit_s : float
         Age of the configuration in seconds above which keys are not accepted.
     clock : callable
@@ -82,7 +91,7 @@
     view: FleetView
     dispatcher: Dispatcher
     resumption: StreamResumption
-    refresh: Callable[[float], Awaitable[None]]
+    confirm: Callable[[float, float], Awaitable[bool]]
     key_age_limit_s: float
     clock: Callable[[], float]
     rng: random.Random
@@ -90,6 +99,24 @@
     metrics: Metrics
     draining: bool = False
     route_labels: set[str] = attrs.field(factory=set)
+    _interrupted: bool = attrs.field(default=False, init=False)
+    _scopes: set[trio.CancelScope] = attrs.field(factory=set, init=False)
+
+    def interrupt(self) -> None:
+        """End all requests with an error now, as the process is about to end."""
+        self._interrupted = True
+        for scope in tuple(self._scopes):
+            scope.cancel()
+
+    @contextmanager
+    def _interruptible(self, timeout_s: float) -> Iterator[trio.CancelScope]:
+        """Bound a wait by a time, and by ``interrupt``."""
+        with trio.move_on_after(timeout_s) as scope:
+            self._scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request, from its headers to the end of its response."""
@@ -118,7 +145,7 @@
         outcome = "timed_out"
         remaining_s = max(0.0, job.deadline - self.clock())
         try:
-            with trio.move_on_after(remaining_s) as scope:
+            with self._interruptible(remaining_s) as scope:
                 outcome = await self._run_job(job)
         except trio.Cancelled:
             # A caller may close the connection once it has the complete response.
@@ -129,7 +156,9 @@
             raise
         finally:
             self.dispatcher.attempts.buffered.release(job.buffered_bytes)
-        if scope.cancelled_caught:
+        if scope.cancelled_caught and self._interrupted:
+            outcome = await self._respond_stopping(job)
+        elif scope.cancelled_caught:
             await self._respond_timeout(job)
         if outcome != REFUSED:
             self._record_finished(job, outcome)
@@ -158,7 +187,9 @@
         time_limits_s = [route.timeout_s]
         if request.deadline_s is not None:
             time_limits_s.append(request.deadline_s)
-        split_weights = [each.weight for each in route.backends]
+        split_weights = [max(0.0, each.weight) for each in route.backends]
+        if not any(split_weights):
+            raise RefusedError("no_server", NO_CONFIGURATION_RETRY_AFTER_S)
         backend = self.rng.choices(route.backends, split_weights)[0]
         return Job(
             exchange=exchange,
@@ -179,17 +210,16 @@
         DeniedError
             If the configuration does not allow the request.
         RefusedError
-            If there is no configuration, or it is too old to decide.
+            If there is no configuration, or it cannot be confirmed in time.
         """
         try:
             return self._find_route_and_account(request)
         except DeniedError:
             # A newer configuration may allow the request, so it is read again first.
-            await self.refresh(DENIAL_MAX_AGE_S)
-            if (
-                self.view.configuration_freshness.age_s(self.clock())
-                > self.key_age_limit_s
-            ):
+            wait_s, is_confirmed = _confirmation_wait_s(request), False
+            with self._interruptible(wait_s):
+                is_confirmed = await self.confirm(DENIAL_MAX_AGE_S, wait_s)
+            if not is_confirmed:
                 raise RefusedError("configuration_stale", STALE_RETRY_AFTER_S) from None
             return self._find_route_and_account(request)
 
@@ -197,6 +227,8 @@
         self, request: IngressRequest
     ) -> tuple[Route, Account | None]:
         """Authorize a request by the present configuration; see ``_authorize``."""
+        if self._interrupted:
+            raise RefusedError(STOPPING, STOPPING_RETRY_AFTER_S)
         configuration = self.view.configuration
         if configuration is None:
             raise RefusedError("no_configuration", NO_CONFIGURATION_RETRY_AFTER_S)
@@ -251,6 +283,20 @@
             job.exchange, job.request, GATEWAY_TIMEOUT, "timed_out"
         )
 
+    async def _respond_stopping(self, job: Job) -> str:
+        """Respond that the process ends before the request; return the outcome."""
+        exchange = job.exchange
+        exchange.close_after_response()
+        if exchange.response_started:
+            exchange.abort()
+        elif self._verdict(job) is Verdict.NOT_RUN:
+            exc = RefusedError(STOPPING, STOPPING_RETRY_AFTER_S)
+            await self._refuse(exchange, job.request, exc)
+            return REFUSED
+        else:
+            await self._respond_error(exchange, job.request, BAD_GATEWAY, STOPPING)
+        return STOPPING
+
     async def _refuse(
         self, exchange: Exchange, request: IngressRequest, exc: RefusedError
     ) -> None:
@@ -375,6 +421,14 @@
         )
 
 
+def _confirmation_wait_s(request: IngressRequest) -> float:
+    """Return how long a request may wait for the configuration to be confirmed."""
+    if request.deadline_s is None:
+        return CONFIRMATION_WAIT_S
+    deadline_s = max(0.0, request.deadline_s)
+    return min(CONFIRMATION_WAIT_S, CONFIRMATION_DEADLINE_FRACTION * deadline_s)
+
+
 def _age_ms(age_s: float | None) -> int | None:
     """Return an age in milliseconds for the log, or None if it is not known."""
     if age_s is None or age_s >= MAX_REPORTED_AGE_S:
--- a/tests/agent/test_agent_processes.py
+++ b/tests/agent/test_agent_processes.py
@@ -1,3 +1,4 @@
+import contextlib
 import signal
 import tempfile
 from functools import partial
@@ -32,12 +33,12 @@
 
 
 class TestStop(ProcessTestCase):
-    """Guards against a planned stop that interrupts requests.
+    """Guards against a planned stop or a reload that interrupts requests.
 
     SIGTERM must not end the process before the running streams are complete.
     """
 
-    async def stop_under_load(self, nursery, folder, process_lines):
+    async def stop_under_load(self, nursery, folder, process_lines="", reload=False):
         addresses = await start_standin(nursery, folder, ENGINE)
         agent, address = await start_agent_process(
             nursery, folder, addresses, kind="engine", process_lines=process_lines
@@ -56,6 +57,9 @@
             for number in range(STREAMS):
                 callers.start_soon(read_stream, number)
             await agent.wait_event("request_started", STREAMS)
+            if reload:
+                agent.send_signal(signal.SIGHUP)
+                await agent.wait_event("reload_ignored")
             agent.send_signal(signal.SIGTERM)
             await agent.wait_event("stop_requested")
         await agent.process.wait()
@@ -63,10 +67,35 @@
 
     @with_server()
     async def test_sigterm_under_load_interrupts_no_stream(self, nursery, folder):
-        texts = await self.stop_under_load(nursery, folder, "")
+        texts = await self.stop_under_load(nursery, folder)
         expected = answer_text(PROMPT, TOKENS, "v1")
         self.assertThat(texts, Equals([expected] * STREAMS))
 
+    @with_server()
+    async def test_sighup_under_load_interrupts_no_stream(self, nursery, folder):
+        texts = await self.stop_under_load(nursery, folder, reload=True)
+        expected = answer_text(PROMPT, TOKENS, "v1")
+        self.assertThat(texts, Equals([expected] * STREAMS))
+
+    @with_server()
+    async def test_request_that_arrives_during_the_stop_is_answered(
+        self, nursery, folder
+    ):
+        addresses = await start_standin(nursery, folder, ENGINE)
+        agent, address = await start_agent_process(
+            nursery, folder, addresses, kind="engine"
+        )
+        async with await trio.open_tcp_stream(address.host, address.port) as stream:
+            await stream.send_all(b"POST /v1/chat/completions HTTP/1.1\r\n")
+            agent.send_signal(signal.SIGTERM)
+            await agent.wait_event("drain_ended")
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(b"host: a\r\ncontent-length: 0\r\n\r\n")
+            with contextlib.suppress(trio.BrokenResourceError):
+                self.assertThat(await stream.receive_some(12), Equals(b"HTTP/1.1 400"))
+                return
+        self.fail("the connection was reset")
+
     @with_server()
     async def test_without_the_drain_streams_are_interrupted(self, nursery, folder):
         """Control: without a drain the same streams are interrupted."""
