--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -1,7 +1,9 @@
 """A server connection, and one HTTP exchange (request and response) on it."""
 
 import os
+import socket
 from collections.abc import Mapping
+from enum import Enum
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -10,12 +12,46 @@
 import trio
 
 from foxtailcourse.http._errors import HttpError
-from foxtailcourse.http._limits import ByteBudget, HttpLimits
+from foxtailcourse.http._limits import ByteBudget, CurrentLimits, HttpLimits
 
 MAX_READ_BYTES = 65536
 SERVER_BUSY_RETRY_MS = 500
 # ": " and CRLF of each header field.
 FIELD_SEPARATOR_BYTES = 4
+# Part of the idle timeout that is not announced, for requests on their way.
+KEEP_ALIVE_MARGIN_S = 0.5
+MAX_ANNOUNCED_IDLE_S = 3600.0
+# Limits on reading the rest of a request after an error response.
+LINGER_S = 1.0
+# Time in which a request that crossed the close of an idle connection is noticed.
+CROSSING_WATCH_S = 0.25
+MAX_LINGER_BYTES = 8 * 1024 * 1024
+
+
+class EndReason(Enum):
+    """Why a connection ended without a complete response to a request.
+
+    ABORTED
+        The handler aborted the connection or could not end the response.
+    CALLER_CLOSED
+        The caller closed or reset the connection.
+    CROSSED_DRAINING, CROSSED_IDLE_TIMEOUT
+        The request arrived after an idle connection was closed, and was not read.
+    SEND_TIMEOUT
+        The caller did not receive the response in time.
+    STOPPED
+        The server was stopped with the request in progress.
+    TOO_MANY_CONNECTIONS
+        The connection was closed without being read.
+    """
+
+    ABORTED = "aborted"
+    CALLER_CLOSED = "caller_closed"
+    CROSSED_DRAINING = "crossed_draining"
+    CROSSED_IDLE_TIMEOUT = "crossed_idle_timeout"
+    SEND_TIMEOUT = "send_timeout"
+    STOPPED = "stopped"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
 
 
 class Exchange:
@@ -94,9 +130,7 @@
         head = dict(fields or {})
         head["content-type"] = content_type
         head["content-length"] = str(len(body))
-        self.response_started = True
-        response = self._response(status, head)
-        await self._conn.send(response, h11.Data(data=body), h11.EndOfMessage())
+        await self._start(status, head, h11.Data(data=body), h11.EndOfMessage())
 
     async def respond_json(
         self, status: int, value: object, fields: Mapping[str, str] | None = None
@@ -112,8 +146,19 @@
         self, status: int, fields: Mapping[str, str], chunk: bytes = b""
     ) -> None:
         """Send the head of a streamed response, and its first chunk unless empty."""
+        await self._start(status, fields, *_data_events(chunk))
+
+    async def _start(
+        self, status: int, fields: Mapping[str, str], *events: h11.Event
+    ) -> None:
+        """Send the head of the response and further events.
+
+        The response has not started if they cannot be encoded, so that the handler
+        can send another one.
+        """
+        data = self._conn.encode(self._response(status, fields), *events)
         self.response_started = True
-        await self._conn.send(self._response(status, fields), *_data_events(chunk))
+        await self._conn.send_bytes(data)
 
     async def send(self, chunk: bytes) -> None:
         """Send one chunk of a streamed body."""
@@ -124,7 +169,11 @@
         await self._conn.send(*_data_events(chunk), h11.EndOfMessage())
 
     def close_after_response(self) -> None:
-        """Add ``connection: close`` to the response."""
+        """Add ``connection: close`` to the response.
+
+        It is left out while a further request has arrived behind this one, so that
+        this request gets a response as well; the last response has it.
+        """
         self._closing = True
 
     def end_with_connection(self) -> None:
@@ -133,8 +182,8 @@
         self._conn.h11.their_http_version = b"1.0"
 
     def _response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
-        closing = {"connection": "close"} if self._closing else {}
-        return _response(status, {**fields, **self.common_fields, **closing})
+        connection_fields = self._conn.connection_fields(closing=self._closing)
+        return _response(status, {**fields, **self.common_fields, **connection_fields})
 
     def abort(self) -> None:
         """Close the connection without ending the response once the handler returns."""
@@ -192,24 +241,60 @@
     """One accepted connection, with its HTTP state and its reserved body bytes."""
 
     def __init__(
-        self, stream: trio.SocketStream, limits: HttpLimits, budget: ByteBudget
+        self,
+        stream: trio.SocketStream,
+        limits: CurrentLimits,
+        budget: ByteBudget,
+        draining: trio.Event,
     ) -> None:
         self.stream = stream
-        self.limits = limits
+        self._draining = draining
+        # Whether a request was refused before it was read to its end.
+        self.refused_early = False
+        self.accepted_at = trio.current_time()
+        self._current_limits = limits
         self._budget = budget
         self._reserved_bytes = 0
+        self._h11_header_bytes = self.limits.max_header_bytes
         self.h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+            h11.SERVER, max_incomplete_event_size=self._h11_header_bytes
         )
+        # Idle timeout that the caller knows of.
+        self._announced_idle_s = self.limits.idle_timeout_s
+        # Whether the present request is HEAD; h11 refuses the body of its response.
+        self._head_only = False
+        # Why the connection ends, if it is not the handler that aborts it.
+        self.end_reason: EndReason | None = None
+        self._unsent = False
         self.aborted = False
-        self.accepted_while_draining = False
         self.served_requests = 0
 
+    @property
+    def limits(self) -> HttpLimits:
+        """The limits in force."""
+        return self._current_limits.value
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes behind the present request, or a close, have arrived."""
+        return bool(self.h11.trailing_data[0]) or self.stream.socket.is_readable()
+
     @property
     def idle(self) -> bool:
         """Whether no byte of the next request has arrived."""
-        arrived = self.h11.trailing_data[0] or self.stream.socket.is_readable()
-        return self.h11.their_state is h11.IDLE and not arrived
+        return self.h11.their_state is h11.IDLE and not self.has_unread_bytes
+
+    @property
+    def response_sent(self) -> bool:
+        """Whether the complete response was passed to the operating system."""
+        is_complete = self.h11.our_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
+        return is_complete and not self._unsent
+
+    @property
+    def has_partial_request(self) -> bool:
+        """Whether a request has begun that was neither served nor refused."""
+        began = self.h11.trailing_data[0] or self.h11.their_state is h11.SEND_BODY
+        return bool(began) and not self.refused_early
 
     @property
     def end_marks_response(self) -> bool:
@@ -221,17 +306,78 @@
         is_sending = self.h11.our_state is h11.SEND_BODY
         return is_sending and version is not None and version < b"1.1"
 
+    def connection_fields(self, *, closing: bool) -> dict[str, str]:
+        """Return the response fields that concern the connection.
+
+        They announce the idle timeout: the connection stays open for at least this
+        time, even if the limit is lowered. A connection that is to be closed says so
+        once no further request has arrived.
+        """
+        if closing or self._draining.is_set():
+            return {} if self.has_unread_bytes else {"connection": "close"}
+        self._announced_idle_s = self.limits.idle_timeout_s
+        idle_s = min(self._announced_idle_s, MAX_ANNOUNCED_IDLE_S)
+        announced_s = int(idle_s - KEEP_ALIVE_MARGIN_S)
+        if self.h11.their_state is not h11.DONE or announced_s < 1:
+            return {}
+        return {"keep-alive": f"timeout={announced_s}"}
+
+    def encode(self, *events: h11.Event) -> bytes:
+        """Return the bytes of h11 events.
+
+        If they are the first ones of a response and cannot be encoded, another
+        response can be sent in its place; it closes the connection.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If the events are no valid part of the response.
+        """
+        is_first = self.h11.our_state is h11.SEND_RESPONSE
+        if self._head_only:
+            events = tuple(e for e in events if not isinstance(e, h11.Data))
+        try:
+            return b"".join(self.h11.send(event) or b"" for event in events)
+        except h11.LocalProtocolError:
+            if is_first:
+                self._forget_response()
+            raise
+
+    def _forget_response(self) -> None:
+        """Let h11 send another response to the present request.
+
+        h11 refuses all events after an error, so a new state is made from the parts
+        of the request that matter for the framing of a response.
+        """
+        version = self.h11.their_http_version or b"1.1"
+        method = b"HEAD" if self._head_only else b"GET"
+        self.h11 = h11.Connection(h11.SERVER)
+        self.h11.receive_data(
+            b"%s / HTTP/%s\r\nhost: -\r\nconnection: close\r\n\r\n" % (method, version)
+        )
+        self.h11.next_event()
+        self.h11.next_event()
+
     async def send(self, *events: h11.Event) -> None:
         """Send h11 events; a failure or timeout aborts the connection."""
-        data = b"".join(self.h11.send(event) or b"" for event in events)
+        await self.send_bytes(self.encode(*events))
+
+    async def send_bytes(self, data: bytes) -> None:
+        """Send encoded events; a failure or timeout aborts the connection."""
+        self._unsent = True
         try:
             unsent = data[send_without_blocking(self.stream, data) :]
             if unsent:
                 with trio.fail_after(self.limits.send_timeout_s):
                     await self.stream.send_all(unsent)
-        except (trio.TooSlowError, trio.BrokenResourceError):
+        except (trio.TooSlowError, trio.BrokenResourceError) as exc:
             self.aborted = True
+            too_slow = isinstance(exc, trio.TooSlowError)
+            self.end_reason = (
+                EndReason.SEND_TIMEOUT if too_slow else EndReason.CALLER_CLOSED
+            )
             raise
+        self._unsent = False
 
     async def next_event(self) -> Any:
         """Return the next h11 event of the peer, reading as needed."""
@@ -243,13 +389,19 @@
 
     async def read_request(self) -> Exchange | None:
         """Return the next complete request, or None if the peer has closed."""
-        if not self.h11.trailing_data[0] and not await self._wait_for_bytes():
-            return None
+        self._head_only = False
+        if not self.h11.trailing_data[0]:
+            data = await self._wait_for_bytes()
+            if not data:
+                return None
+            self.h11.receive_data(data)
+        self._apply_header_limit()
         with trio.fail_after(self.limits.receive_timeout_s):
             with trio.fail_after(self.limits.header_timeout_s):
                 event = await self.next_event()
             if not isinstance(event, h11.Request):
                 return None
+            self._head_only = event.method == b"HEAD"
             self._check_header(event)
             exchange = Exchange(self, event)
             exchange.body = await self._read_body(event)
@@ -271,14 +423,27 @@
             message = f"header exceeds {limit} bytes"
             raise HttpError(431, "header_too_large", message)
 
-    async def _wait_for_bytes(self) -> bool:
-        """Wait for a request to begin; returns False on a close or an idle timeout."""
-        with trio.move_on_after(self.limits.idle_timeout_s):
-            data = await self.stream.receive_some(MAX_READ_BYTES)
-            if data:
-                self.h11.receive_data(data)
-            return bool(data)
-        return False
+    async def _wait_for_bytes(self) -> bytes:
+        """Wait for a request to begin; returns no bytes on a close or a timeout."""
+        with self._current_limits.idle_wait(
+            trio.current_time(), self._announced_idle_s
+        ):
+            return await self.stream.receive_some(MAX_READ_BYTES)
+        if self.idle:
+            self.end_reason = EndReason.CROSSED_IDLE_TIMEOUT
+            return b""
+        # Bytes arrived as the wait ended.
+        return await self.stream.receive_some(MAX_READ_BYTES)
+
+    def _apply_header_limit(self) -> None:
+        """Let h11, whose limit is fixed, read the next request with the current one."""
+        limit = self.limits.max_header_bytes
+        if limit == self._h11_header_bytes:
+            return
+        received, _ = self.h11.trailing_data
+        self._h11_header_bytes = limit
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        self.h11.receive_data(received)
 
     async def _read_body(self, request: h11.Request) -> bytes:
         headers = dict(request.headers)
@@ -322,8 +487,8 @@
     async def watch_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller closes the connection.
 
-        The same applies to a caller that sends more than ``max_header_bytes`` before
-        it has received the response.
+        Reading stops while a caller has sent more than ``max_header_bytes`` behind
+        the present request. Its disconnect is then noticed only by sending.
         """
         try:
             while True:
@@ -333,10 +498,11 @@
                 # h11 buffers a pipelined request until this response has been sent.
                 self.h11.receive_data(data)
                 if len(self.h11.trailing_data[0]) > self.limits.max_header_bytes:
-                    break
+                    return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # a reset is handled like an orderly close
         self.aborted = True
+        self.end_reason = EndReason.CALLER_CLOSED
         scope.cancel()
 
     async def respond_read_error(self, exc: HttpError) -> None:
@@ -350,3 +516,30 @@
         head = _response(exc.status, fields)
         with trio.CancelScope(shield=True):
             await self.send(head, h11.Data(data=exc.body()), h11.EndOfMessage())
+        self.refused_early = True
+
+    async def crossed_request(self) -> bool:
+        """Return whether a request arrives just after the connection was ended.
+
+        It is not read: the caller can then tell that it was not run.
+        """
+        with trio.move_on_after(CROSSING_WATCH_S):
+            try:
+                return bool(await self.stream.socket.recv(1, socket.MSG_PEEK))
+            except OSError:
+                return False  # the caller has reset the connection
+        return False
+
+    async def linger(self) -> None:
+        """Read and discard what a refused caller still sends, within limits.
+
+        Closing a socket with unread bytes resets the connection, and the caller may
+        then lose the response.
+        """
+        discarded_bytes = 0
+        with trio.move_on_after(LINGER_S):
+            while discarded_bytes < MAX_LINGER_BYTES:
+                data = await self.stream.receive_some(MAX_READ_BYTES)
+                if not data:
+                    return
+                discarded_bytes += len(data)
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -156,10 +156,13 @@
             raise
         finally:
             self.dispatcher.attempts.buffered.release(job.buffered_bytes)
-        if scope.cancelled_caught and self._interrupted:
-            outcome = await self._respond_stopping(job)
-        elif scope.cancelled_caught:
-            await self._respond_timeout(job)
+        if scope.cancelled_caught:
+            if job.response_complete:
+                outcome = ANSWERED
+            elif self._interrupted:
+                outcome = await self._respond_stopping(job)
+            else:
+                await self._respond_timeout(job)
         if outcome != REFUSED:
             self._record_finished(job, outcome)
 
@@ -175,8 +178,10 @@
             await self._refuse(job.exchange, job.request, exc)
             return REFUSED
         except AttemptError as exc:
-            await self._respond_failure(job, exc)
-            return exc.reason
+            # An attempt may fail while its connection to the server is released.
+            if not job.response_complete:
+                await self._respond_failure(job, exc)
+                return exc.reason
         return ANSWERED
 
     async def _create_job(
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -45,6 +45,11 @@
     "configuration_kept": "a restored store shows an older configuration version, "
     "which is not applied",
     "configuration_applied": "this entry applied a newer configuration of the platform",
+    "connection_cut": "a connection with a caller ended while a request, or a part of "
+    "one, had no complete response; `reason` is `aborted` by the handler, "
+    "`caller_closed`, `crossed_draining` or `crossed_idle_timeout` (the request came "
+    "after the close and was not read), `send_timeout`, `stopped` or "
+    "`too_many_connections`; `path` is missing if the request was not read whole",
     "drain_ended": "the drain ended with `active` requests in progress",
     "drain_started": "the process is no longer ready but still serves requests",
     "engine_incarnation": "the engine lost its cache; the block index was cleared",
@@ -306,7 +311,7 @@
     "queue_full": "the backend server's queue is full",
     "request_timeout": "the caller sent the request too slowly",
     "requests_rate": "`requests_per_s` of the contract is used up",
-    "server_busy": "the limit on buffered request bodies is reached",
+    "server_busy": "the limit on buffered request bodies or on connections is reached",
     "service_failed": "the plain service failed; the call may have run",
     "service_unreachable": "the plain service accepts no connection; nothing was run",
     "stopping": "the entry reached its `drain_limit_s` before the request was complete",
