Keep the crashes of a request while entries come and go

What callers saw: a request that had crashed servers crashed further ones after entries had started anew.

Cause: only active blocks were in the store, until they ended. The crashes themselves, and that a block had been there before, were known to the processes that ran at that time, so an entry that started, or one that was suspended or cut off when the others told it, counted from zero.

Ruled out: to ask the other entries at a start, as all may start at once; to repeat all crashes each second, as they are many when servers fail in numbers.

Crashes count for nine minutes for a request and for two, as before, for parts of prompts; up to 60 crashes are kept instead of 30.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import time
 from contextlib import AsyncExitStack
 
 import trio
@@ -201,6 +202,7 @@
             store=self._store,
             min_ttl_s=cfg.store_min_lease_ms / 1000,
             clock=boot_seconds,
+            wall_clock=time.time,
             events=self._events,
         )
         self._peer_exchange.cache_snapshot = self._cache_feed.snapshot
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -11,7 +11,10 @@
     ServerRun,
 )
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
-from foxtailcourse.ingress._part_records import BLOCKED_PARTS_PREFIX
+from foxtailcourse.ingress._part_records import (
+    BLOCKED_PARTS_PREFIX,
+    CRASHES_PREFIX,
+)
 from foxtailcourse.ingress._recent_weights import (
     RECENT_WEIGHTS_PREFIX,
     parse_recent_weights_key,
@@ -49,7 +52,7 @@
     state : StoreState
         Which state of the store the changes belong to.
     on_parts_record : callable
-        Called with the key and the value of a changed record of blocked prompt parts.
+        Called with the key and the value of a changed record of a crash or a block.
     """
 
     def __init__(
@@ -85,7 +88,7 @@
         """Apply one change of a key; the value is None once the key is deleted."""
         if key.startswith(RECENT_WEIGHTS_PREFIX):
             self._apply_recent_weights(key, value, revision)
-        elif key.startswith(BLOCKED_PARTS_PREFIX):
+        elif key.startswith((BLOCKED_PARTS_PREFIX, CRASHES_PREFIX)):
             self.on_parts_record(key, value)
         elif key.startswith(MEMBERSHIP_PREFIX):
             self._membership.apply_change(key, value, revision)
--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -200,7 +200,7 @@
         if self.suspicions.contradicts(parts, now):
             age_s = now - self.suspicions.answered_at(parts)
             self._publish(AnsweredPartsUpdate(sorted(parts), int(age_s * 1000)))
-        elif self.suspicions.adopt(parts, remaining_s, times, now):
+        elif self.suspicions.adopt(parts, remaining_s, times, now) and remaining_s > 0:
             self._log_blocked(parts, remaining_s, times, by_entry or "store")
 
     def _publish(self, message: Message) -> None:
--- a/src/foxtailcourse/ingress/_part_suspicions.py
+++ b/src/foxtailcourse/ingress/_part_suspicions.py
@@ -37,9 +37,13 @@
 # and if one was before the first of these crashes.
 CRASHES_TO_BLOCK = 2
 CRASHES_TO_BLOCK_KNOWN = 3
-# Crashes are forgotten after this time, and the oldest ones if there are more.
+# The prompts of a crash are forgotten after CRASH_MEMORY_S and the crash after
+# REQUEST_MEMORY_S, and the oldest crashes if there are more.
 CRASH_MEMORY_S = 120.0
-MAX_CRASHES = 30
+REQUEST_MEMORY_S = 540.0
+MAX_CRASHES = 60
+# Records of the same crash differ at most by this, as the clocks of VMs do.
+MAX_CLOCK_DIFFERENCE_S = 10.0
 # Prompts of one crash that are compared with those of others, and requests of which it
 # is known that they were lost in it.
 MAX_PROMPTS = 8
@@ -114,7 +118,7 @@
 
 
 @attrs.define
-class _Crash:
+class Crash:
     """What entries reported of one crash of a server.
 
     Parameters
@@ -153,7 +157,17 @@
             prompts.update(parts[: MAX_PROMPTS - len(prompts)])
         for key, age_s in report.requests().items():
             if len(self.sent_at) < MAX_REQUESTS:
-                self.sent_at[key] = now - age_s
+                self.sent_at.setdefault(key, now - age_s)
+
+    def report(self) -> BreakReport:
+        """Return what is known of it as one report."""
+        ages_s = {frozenset({k}): self.at - at for k, at in self.sent_at.items()}
+        return BreakReport(
+            self.run,
+            begun=(*ages_s, *self.begun),
+            waiting=tuple(self.waiting),
+            ages_s=tuple(max(0.0, each) for each in ages_s.values()),
+        )
 
     def is_separate(self, parts: Parts, earlier_at: float) -> bool:
         """Whether it did not come together with an earlier crash."""
@@ -194,7 +208,7 @@
 class PartSuspicions:
     """Crashes of servers, and the parts of prompts that are blocked for them."""
 
-    _crashes: list[_Crash] = attrs.field(factory=list, init=False)
+    _crashes: list[Crash] = attrs.field(factory=list, init=False)
     _blocks: dict[Parts, Block] = attrs.field(factory=dict, init=False)
     # When requests with these parts were last answered, the least recent first.
     _answered_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
@@ -211,7 +225,7 @@
             if crash.run == report.run and now - crash.at <= CRASH_S:
                 break
         else:
-            crash = _Crash(report.run, now)
+            crash = Crash(report.run, now)
             self._crashes.append(crash)
         crash.add(report, now)
 
@@ -229,6 +243,22 @@
                 blocked[request] = self._block(request, now)
         return blocked
 
+    def adopt_crash(self, report: BreakReport, at: float) -> None:
+        """Add a crash that another entry has recorded and judged."""
+        for crash in self._crashes:
+            is_close = abs(crash.at - at) <= MAX_CLOCK_DIFFERENCE_S
+            if crash.run == report.run and is_close:
+                crash.add(report, crash.at)
+                return
+        crash = Crash(report.run, at, judged=True)
+        crash.add(report, at)
+        self._crashes.append(crash)
+        self._crashes.sort(key=lambda each: each.at)
+
+    def crashes(self) -> tuple[Crash, ...]:
+        """Return the known crashes, the oldest first."""
+        return tuple(self._crashes)
+
     def judge(self, now: float) -> dict[Parts, Block]:
         """Judge the crashes whose reports are complete; return the new blocks."""
         self._forget(now)
@@ -244,7 +274,7 @@
         """Whether a crash waits for its judgement."""
         return any(not crash.judged for crash in self._crashes)
 
-    def _judge(self, crash: _Crash, now: float) -> dict[Parts, Block]:
+    def _judge(self, crash: Crash, now: float) -> dict[Parts, Block]:
         known = [each for each in self._blocks if crash.may_be_due_to(each)]
         if known:
             # They explain the crash. Requests sent before a block change nothing.
@@ -258,7 +288,7 @@
         times = max((self._blocks.pop(each).times for each in wider), default=1)
         return {suspects: self._block(suspects, now, times)}
 
-    def _common_parts(self, crash: _Crash) -> Parts | None:
+    def _common_parts(self, crash: Crash) -> Parts | None:
         """Return what requests of a crash share with enough others, if anything.
 
         Of several possible sets, the one of most crashes and then of most parts.
@@ -307,8 +337,12 @@
         return self._blocks[parts]
 
     def _forget(self, now: float) -> None:
-        recent = [each for each in self._crashes if now - each.at < CRASH_MEMORY_S]
+        recent = [each for each in self._crashes if now - each.at < REQUEST_MEMORY_S]
         self._crashes = recent[-MAX_CRASHES:]
+        for crash in self._crashes:
+            if now - crash.at >= CRASH_MEMORY_S:
+                crash.begun.clear()
+                crash.waiting.clear()
         for parts, block in list(self._blocks.items()):
             if now >= block.until + PAROLE_S:
                 del self._blocks[parts]
@@ -392,10 +426,13 @@
         return not self._is_suspect(parts, now) and self._unblock(parts)
 
     def adopt(self, parts: Parts, remaining_s: float, times: int, now: float) -> bool:
-        """Block parts that another entry has blocked; return whether that is new."""
+        """Block parts that another entry has blocked; return whether that is new.
+
+        A block that has ended, with no time remaining, makes the next one longer.
+        """
         remaining_s = min(remaining_s, block_s(times))
         known = self._blocks.get(parts)
-        if not parts or remaining_s <= 0 or (known and known.times >= times):
+        if not parts or (known and known.times >= times):
             return False
         self._blocks[parts] = Block(now + remaining_s, times)
         return True
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -50,6 +50,8 @@
     "`caller_closed`, `crossed_draining` or `crossed_idle_timeout` (the request came "
     "after the close and was not read), `send_timeout`, `stopped` or "
     "`too_many_connections`; `path` is missing if the request was not read whole",
+    "crash_recorded": "the requests that a server lost as it broke off were written to "
+    "the store as `key` for `ttl_ms`",
     "drain_ended": "the drain ended with `active` requests in progress",
     "drain_started": "the process is no longer ready but still serves requests",
     "engine_incarnation": "the engine lost its cache; the block index was cleared",
@@ -78,7 +80,7 @@
     "blocked; `by_entry` names the entry that told, if it was another one",
     "parts_record_failed": "a record of blocked parts could not be written or removed; "
     "it is tried again",
-    "parts_recorded": "blocked parts were written to the store for `ttl_ms`",
+    "parts_recorded": "blocked parts were written to the store as `key` for `ttl_ms`",
     "peer_unreadable": "the registration of another entry cannot be decoded; it gets "
     "no messages",
     "peer_failed": "the configuration could not be read from a peer",
--- a/tests/ingress/test_part_suspicions.py
+++ b/tests/ingress/test_part_suspicions.py
@@ -95,6 +95,22 @@
         self.crash_under("r-d", at=later)
         self.assertGreater(self.wait_s("r-d", at=later), FIRST_BLOCK_S)
 
+    def test_recorded_crashes_count_once_each(self):
+        self.crash_under("r-d", at=NOW)
+        (crash,) = self.suspicions.crashes()
+        other = self.suspicions = PartSuspicions()
+        for skew_s in (-3.0, 0.0, 2.0):
+            other.adopt_crash(crash.report(), NOW + skew_s)
+        self.assertThat(len(other.crashes()), Equals(1))
+        self.assertThat(other.judge(NOW + JUDGED_S), Equals({}))
+        self.assertThat(self.crash_under("r-d", at=NOW + 8), Equals({parts("r-d")}))
+
+    def test_block_that_ended_before_a_start_makes_the_next_one_longer(self):
+        self.suspicions.adopt(parts("r-d"), -5.0, 1, NOW)
+        self.assertThat(self.wait_s("r-d", at=NOW), Equals(0.0))
+        self.assertThat(self.crash_under("r-d", at=NOW), Equals({parts("r-d")}))
+        self.assertGreater(self.wait_s("r-d", at=NOW), FIRST_BLOCK_S)
+
     def test_prompt_that_comes_again_is_blocked_without_its_parts(self):
         for at in (NOW, NOW + 1):
             self.crashes += 1
