--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -6,6 +6,7 @@
 from foxtailcourse.http import Exchange, Framing
 from foxtailcourse.ingress._part_suspicions import Parts
 from foxtailcourse.ingress._placement_types import Choice, Prompt
+from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.platform import IngressRequest
 from foxtailcourse.protocol import Verdict
 
@@ -62,8 +63,8 @@
         When the last attempt was sent, in seconds since boot.
     attempt_pending : bool
         Whether an attempt was started and its outcome is not known.
-    retry_reserved : bool
-        Whether the retry after the last attempt is already counted.
+    replacement : Replacement or None
+        Where the next attempt is sent; its retry is already counted.
     response_complete : bool
         Whether the complete response was sent to the caller.
     typical_prompt_tokens : float
@@ -98,7 +99,7 @@
     buffered_bytes: int = 0
     attempt_sent_at: float = 0.0
     attempt_pending: bool = False
-    retry_reserved: bool = False
+    replacement: Replacement | None = None
     response_complete: bool = False
     typical_prompt_tokens: float = 0.0
     attempt: "AttemptState" = attrs.field(factory=lambda: AttemptState())
@@ -160,6 +161,9 @@
         When the first event arrived, in seconds since boot.
     events : int
         Lower bound of the number of events that arrived.
+    kept_reason : str
+        Why the request stayed at its silent server when this was last checked; empty
+        if the server was not silent.
     is_answered : bool
         Whether the server has answered for long enough to show that the request does
         not crash it.
@@ -169,6 +173,7 @@
     unfinished_bytes: int = 0
     first_event_at: float | None = None
     events: int = 0
+    kept_reason: str = ""
     is_answered: bool = False
 
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -25,7 +25,8 @@
     " or the code of its failure",
     "attempt_failed": "an attempt at `backend_server` gave no response that may be "
     "sent to the caller, for `reason`; `no_retry` says why none follows (`deadline`, "
-    "`not_idempotent`, `attempts` of the route, `budget`)",
+    "`not_idempotent`, `attempts` of the route, `blocked` as it may crash servers, "
+    "`budget`)",
     "attempt_sent": "the entry sends an attempt to `backend_server`; `resume_from` "
     "tokens were already delivered",
     "blocks_exported": "hot blocks were exported to the KV-cache store",
@@ -129,6 +130,11 @@
     "settings_changed": "the changed settings in `keys` were applied",
     "settings_refused": "the changed settings file is unreadable or invalid; the "
     "previous settings stay in force",
+    "silent_server_done": "an attempt that had stayed at a silent server ended with "
+    "`outcome`; `reason` is the last one for which it stayed",
+    "silent_server_kept": "a request stays at a silent server for `reason`: "
+    "`deadline`, `blocked` (it may crash servers), `budget`, `unreachable` (the other "
+    "server), or why no server can take it; once for an attempt",
     "standin_listening": "a stand-in accepts connections on `address`",
     "stop_announced": "the configuration announces the stop of this VM",
     "stop_requested": "the process received SIGTERM or SIGINT",
@@ -221,6 +227,7 @@
 REASONS = {
     "all_tried": "every server that could take the request has been tried",
     "blocked_parts": "requests with the same parts of the prompt crash servers",
+    "blocked_request": "servers crashed under the same request of the same caller",
     "broken_off": "the server's connection broke before the response was complete",
     "configuration_stale": "the configuration could not be confirmed before a denial",
     "connection_limit": "every server is at its connection limit",
