Send a request back to a silent server if the other one refuses it

What callers saw: 502 on routes with two attempts, for a request that left a silent server for another one, which refused it.

Cause: a refusal comes only after the request was sent, when the silent server has been given up. The refused attempt counted as one of the route's, and the silent server as tried.

Ruled out: to keep the first attempt until the other server has begun to answer, as the request would then run at both.

Change: once a request may have run, attempts that were refused do not count, since nothing ran in them; the retry budget still counts them. If all other servers have been tried, one that was given up as silent may get the request again.

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -181,6 +181,10 @@
                     await self.parts.announce()
                 if exc.verdict is not Verdict.NOT_RUN:
                     job.verdict = Verdict.MAY_HAVE_RUN
+                elif exc.reason != "unreachable":
+                    job.refusals += 1
+                if exc.reason == "silent":
+                    job.given_up.add(choice.candidate.server.id)
                 refusal = self._retry_refusal(job, exc)
                 self._record_failed_attempt(job, choice, exc, refusal)
                 if refusal:
@@ -364,7 +368,11 @@
             if job.verdict is Verdict.NOT_RUN:
                 raise RefusedError(reason, blocked_s)
             raise AttemptError(reason, job.verdict)
-        selection = self._select(job, {*job.sent_to, *job.unreachable}, now)
+        tried = {*job.sent_to, *job.unreachable}
+        selection = self._select(job, tried, now)
+        if selection.reason == "all_tried" and job.given_up:
+            # They may go on, while the others refuse the request.
+            selection = self._select(job, tried - job.given_up, now)
         if not selection.candidates:
             if job.verdict is Verdict.NOT_RUN:
                 raise RefusedError(
@@ -429,7 +437,11 @@
             return ""
         if self.parts.wait_s(job.crash_keys) > 0:
             return "blocked"
-        if len(job.sent_to) >= job.route.max_attempts:
+        attempts = len(job.sent_to)
+        if job.verdict is not Verdict.NOT_RUN:
+            # Without a refusal's retry, what has run would be lost.
+            attempts -= job.refusals
+        if attempts >= job.route.max_attempts:
             return "attempts"
         return "" if self.retry_budget_for(job.service).try_acquire(now) else "budget"
 
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -36,6 +36,10 @@
         request, one for each attempt.
     unreachable : set of str
         Identifiers of the backend servers that could not be connected to.
+    given_up : set of str
+        Identifiers of the backend servers that it left because they were silent.
+    refusals : int
+        Attempts in which a server refused the request.
     verdict : Verdict
         Whether the request may have run.
     last_event_id : str
@@ -87,6 +91,8 @@
     deadline: float
     sent_to: list[str] = attrs.field(factory=list)
     unreachable: set[str] = attrs.field(factory=set)
+    given_up: set[str] = attrs.field(factory=set)
+    refusals: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     last_event_id: str = ""
     weights_version: int | None = None
