Let the soak play one request that crashes the servers that run it

Callers of each kind of route repeat a request that crashes servers, at changing entries, at once after a failure and again after a pause, while entries are killed, suspended and cut off from each other or from the store. Servers also crash by themselves, several within a tenth of a second, and refuse connections until they have started again after 0.3 to 3 s; before, they accepted them and broke off.

Sound requests have different bodies now, as the same body of the same caller is one request, and their callers repeat them when they fail. Of the sound ones of the same route some have the path prefix, the caller or the body of the one that crashes servers.

Checked: runs of the request later than three seconds after its third crash, the sound requests that are like it against the others of the same time, refusals of sound requests that were never lost, and of ones whose block has ended. The check on requests with the deadly part keeps its bounds and is one function with the new one.

--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -111,6 +111,8 @@
         Requests per second that the server named as its limit; empty for none.
     answered_at : float
         When its response began, in seconds of the trio clock; 0 if it has not.
+    crashed_server : bool
+        Whether it crashed the server.
     """
 
     request_id: str
@@ -127,6 +129,7 @@
     started_ms: int = 0
     limit: str = ""
     answered_at: float = 0.0
+    crashed_server: bool = False
 
 
 @attrs.frozen
@@ -190,7 +193,8 @@
         Part of a prompt that crashes the server when it begins to answer; empty for
         none.
     deadly_targets : tuple of str
-        Targets of the requests that crash the server while it runs them.
+        Targets of the requests that crash the server while it runs them, or begins to
+        stream the response.
     restart_s : float
         Time from a crash until the server has started again, in seconds.
     down : bool
@@ -292,6 +296,11 @@
         self.on_change(self)
         trio.lowlevel.spawn_system_task(self._restart)
 
+    async def _crash_by(self, run: Run) -> None:
+        run.crashed_server = True
+        self.crash()
+        await trio.sleep_forever()
+
     async def _restart(self) -> None:
         await trio.sleep(self.restart_s)
         self.started_ms += 1
@@ -431,8 +440,7 @@
             return
         await trio.sleep(self.event_s)
         if run.target in self.deadly_targets:
-            self.crash()
-            await trio.sleep_forever()
+            await self._crash_by(run)
         await self._wait_for_pause()
         run.answered_at = trio.current_time()
         if self.faults.lose_answer:
@@ -463,9 +471,9 @@
         if self.faults.unframed:
             exchange.end_with_connection()
         await exchange.start_stream(200, headers)
-        if self.deadly_part in part_names(run.headers):
-            self.crash()
-            await trio.sleep_forever()
+        is_deadly = run.target in self.deadly_targets
+        if is_deadly or self.deadly_part in part_names(run.headers):
+            await self._crash_by(run)
         for number in range(run.position + 1, output_tokens + 1):
             await trio.sleep(self.event_s)
             await self._wait_for_pause()
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -9,6 +9,8 @@
 from foxtailcourse.standin._backend_server import stream_event
 
 MAX_REVOCATION_S = 5.0
+# Key of the client account that repeats requests that crash servers.
+DEADLY_KEY = "key-w"
 # Time after which a server that said that it leaves gets no requests.
 DRAIN_S = 2.0
 # Requests that may reach a server in the time for which it asked for none, and the time
@@ -38,6 +40,13 @@
 DEADLY_CRASHES, MAX_DEADLY_REQUESTS = 5, 3
 DEADLY_CONTACT_S = 3.0
 MIN_SOUND_STREAMS = 20
+# The same bound for one request that crashes the servers that run it.
+REQUEST_CRASHES = 3
+# Sound requests like such a one are served as often as others of their route but for
+# chance: so many standard deviations, with so many requests of both kinds at least.
+CHANCE_DEVIATIONS, MIN_LIKE_DEADLY = 3.0, 8
+# Time after a block in which each entry may still leave the request to another one.
+TRIALS_S = 2.0
 # Lost requests in a run, of those that were not passed on from a kept connection.
 MAX_LOST = 3
 # A request that crosses the close of its connection ends within this time; a later end
@@ -88,6 +97,16 @@
         resumes; empty for a new stream.
     deadly : bool
         Whether its prompt has the part that crashes servers.
+    target, payload : str
+        Path and body of the request.
+    part : str
+        First part of its prompt; empty without one.
+    relation : str
+        While a request that crashes servers is repeated on its route: "deadly" for that
+        one, "path", "caller" or "body" for what a sound request has in common with it,
+        or "other". Otherwise empty.
+    retry_after_s : float
+        Time after which a refused request may be repeated.
     deadline_s : float
         Time that the caller waits, as its header states, in seconds.
     kept : bool
@@ -109,6 +128,11 @@
     leaving_at: float = 0.0
     resumes: str = ""
     deadly: bool = False
+    target: str = ""
+    payload: str = ""
+    part: str = ""
+    relation: str = ""
+    retry_after_s: float = 0.0
     deadline_s: float = math.inf
     kept: bool = False
     lost_at: float = 0.0
@@ -118,6 +142,38 @@
         """The software version in each whole event received so far."""
         return [each.decode() for each in EVENT_END.findall(self.body)]
 
+    @property
+    def is_deadly(self) -> bool:
+        """Whether it crashes servers."""
+        return self.deadly or self.relation == "deadly"
+
+    @property
+    def is_new(self) -> bool:
+        """Whether it resumes no stream and was not refused for a fault of the store."""
+        return not self.resumes and self.body not in STORE_REFUSALS
+
+    @property
+    def is_served(self) -> bool:
+        """Whether its response is complete, or its stream began."""
+        if self.events:
+            return bool(self.software_versions)
+        return self.status == 200 and self.complete
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether it was refused as crashing servers."""
+        return self.status == 503 and self.body.startswith(b"blocked_")
+
+    def is_same(self, other: "RequestRecord") -> bool:
+        """Whether a block of this request concerns another one."""
+        if self.body == b"blocked_parts":
+            return other.part == self.part
+        return (self.target, self.payload, self.key == DEADLY_KEY) == (
+            other.target,
+            other.payload,
+            other.key == DEADLY_KEY,
+        )
+
 
 @attrs.define(kw_only=True)
 class Observations:
@@ -147,7 +203,7 @@
     server_versions : dict of str to str
         Software version of each server of the model service.
     crashes : list of float
-        Times at which requests crashed servers.
+        Times at which requests with the deadly part crashed servers.
     planned : list of (str, float, float)
         The disturbances in which an entry loses no request: it is told to end or to
         read its settings again.
@@ -197,6 +253,15 @@
             for each, start, end in self.disturbances
         )
 
+    def is_comparable(self, request: RequestRecord) -> bool:
+        """Return whether a request is sound and no fault of its entry explains it."""
+        at = request.sent_at
+        return (
+            not request.is_deadly
+            and at <= self.removed_keys.get(request.key, at)
+            and all(self.is_calm(each, at) for each in (request.vm, "store"))
+        )
+
 
 def violations(observations: Observations) -> list[str]:
     """Return each invariant violation that the observations show."""
@@ -240,6 +305,8 @@
         *_resumption_violations(observations),
         *_deadly_violations(observations),
         *_sound_violations(observations),
+        *_block_violations(observations),
+        *_like_deadly_violations(observations),
         *_lost_violations(observations),
     ]
 
@@ -360,12 +427,7 @@
     resumed, begun = [], []
     for request in observations.sent.values():
         at = request.sent_at
-        if (
-            request.kind != "ask"
-            or request.deadly
-            or at > observations.removed_keys.get(request.key, at)
-            or not all(observations.is_calm(each, at) for each in (request.vm, "store"))
-        ):
+        if request.kind != "ask" or not observations.is_comparable(request):
             continue
         has_events = bool(request.software_versions)
         if not request.resumes:
@@ -395,29 +457,48 @@
     ]
 
 
+def deadly_runs(observations: Observations) -> dict[str, list]:
+    """Return the runs of requests that crash servers, the oldest first.
+
+    By their target, and those with the deadly part by that of the others.
+    """
+    found: dict[str, list] = {}
+    for run in sorted(observations.runs, key=lambda each: each.at):
+        request = observations.sent.get(run.request_id)
+        if request is not None and request.is_deadly:
+            found.setdefault("" if request.deadly else request.target, []).append(run)
+    return found
+
+
 def _deadly_violations(observations: Observations) -> list[str]:
-    """Return whether too many requests with a deadly part reached servers.
+    """Return whether too many requests that crash servers reached them.
 
-    Those near a fault of their entry or of the store do not count.
+    Those near a fault of their entry do not count, and those with the deadly part near
+    one of the store neither.
     """
-    crashes = sorted(observations.crashes)
-    if len(crashes) < DEADLY_CRASHES:
-        return []
-    start = crashes[DEADLY_CRASHES - 1] + DEADLY_CONTACT_S
-    late = [
-        run.request_id
-        for run in observations.runs
-        if run.at > start
-        and (request := observations.sent.get(run.request_id)) is not None
-        and request.deadly
-        and all(observations.is_calm(each, run.at) for each in (request.vm, "store"))
-    ]
-    if len(late) <= MAX_DEADLY_REQUESTS:
-        return []
-    return [
-        f"{len(late)} requests with a part that crashes servers after "
-        f"{DEADLY_CRASHES} crashes, as {late[0]}; {len(crashes)} crashes in all"
-    ]
+    found = []
+    for target, runs in deadly_runs(observations).items():
+        crashes = sorted(run.at for run in runs if run.crashed_server)
+        bound = REQUEST_CRASHES if target else DEADLY_CRASHES
+        if not target:
+            crashes = sorted(observations.crashes)
+        if len(crashes) < bound:
+            continue
+        start = crashes[bound - 1] + DEADLY_CONTACT_S
+        late = [
+            run.request_id
+            for run in runs
+            if run.at > start
+            and observations.is_calm(observations.sent[run.request_id].vm, run.at)
+            and (target or observations.is_calm("store", run.at))
+        ]
+        if len(late) > MAX_DEADLY_REQUESTS:
+            name = target or "the deadly part"
+            found.append(
+                f"{len(late)} requests with {name} after {bound} crashes, as "
+                f"{late[0]}; {len(crashes)} crashes in all"
+            )
+    return found
 
 
 def sound_outcomes(observations: Observations) -> tuple[list[bool], list[bool]]:
@@ -434,14 +515,8 @@
     before, after = [], []
     for request in observations.sent.values():
         at = request.sent_at
-        if (
-            not request.events
-            or request.deadly
-            or request.resumes
-            or request.body in STORE_REFUSALS
-            or at > observations.removed_keys.get(request.key, at)
-            or not all(observations.is_calm(each, at) for each in (request.vm, "store"))
-        ):
+        is_new_stream = request.events and request.is_new
+        if not is_new_stream or not observations.is_comparable(request):
             continue
         if at < crashes[0]:
             before.append(bool(request.software_versions))
@@ -463,6 +538,83 @@
     ]
 
 
+def blocked_sound_requests(observations: Observations) -> list[RequestRecord]:
+    """Return the sound requests that were refused as crashing servers."""
+    sent = observations.sent.values()
+    return [each for each in sent if each.is_blocked and not each.is_deadly]
+
+
+def _block_violations(observations: Observations) -> list[str]:
+    """Return wrong suspicions without a reason, and those that did not end.
+
+    A request may be suspected once it, or one with the same part, was lost.
+    """
+    lost = {each.id for each in observations.sent.values() if each.status != 200}
+    for server, runs in observations.runs_by_server.items():
+        lost |= {
+            run.request_id
+            for run in runs
+            if not run.ended
+            or not observations.is_sound(server, run.at, run.at + ANSWER_S)
+        }
+    blocked = blocked_sound_requests(observations)
+    found = []
+    for request in blocked:
+        lost_at = max(
+            (
+                each.sent_at
+                for each in observations.sent.values()
+                if each.id in lost
+                and each.sent_at < request.sent_at
+                and request.is_same(each)
+                and not each.is_blocked
+            ),
+            default=-math.inf,
+        )
+        text = f"{request.id}: {request.body.decode()} at {request.vm}"
+        if lost_at == -math.inf:
+            found.append(f"{text} though it was never lost")
+        elif any(
+            max(lost_at, each.sent_at) == each.sent_at
+            and each.sent_at + each.retry_after_s + TRIALS_S < request.sent_at
+            and request.is_same(each)
+            for each in blocked
+        ):
+            found.append(f"{text} after the end of its block")
+    return found
+
+
+def like_deadly_outcomes(observations: Observations) -> dict[str, list[list[bool]]]:
+    """Return by route which sound requests were served, those like a deadly one first.
+
+    The second list has the others of the same time.
+    """
+    found: dict[str, list[list[bool]]] = {}
+    for request in observations.sent.values():
+        is_compared = request.relation and request.is_new
+        if is_compared and observations.is_comparable(request):
+            outcomes = found.setdefault(request.kind, [[], []])
+            outcomes[request.relation == "other"].append(request.is_served)
+    return found
+
+
+def _like_deadly_violations(observations: Observations) -> list[str]:
+    """Return the routes on which sound requests like a deadly one are served less."""
+    found = []
+    for kind, (alike, others) in like_deadly_outcomes(observations).items():
+        if min(len(alike), len(others)) < MIN_LIKE_DEADLY:
+            continue
+        share = sum(alike + others) / len(alike + others)
+        variance = share * (1 - share) * (1 / len(alike) + 1 / len(others))
+        difference = sum(others) / len(others) - sum(alike) / len(alike)
+        if difference > CHANCE_DEVIATIONS * math.sqrt(variance):
+            found.append(
+                f"{sum(alike)} of {len(alike)} requests of {kind} like a deadly one "
+                f"were served, and {sum(others)} of {len(others)} others"
+            )
+    return found
+
+
 def lost_requests(
     observations: Observations,
 ) -> Iterator[tuple[RequestRecord, str]]:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -26,13 +26,30 @@
     def __init__(self, target: Address) -> None:
         self._target = target
         self.mode = "pass"
+        self._scope = trio.CancelScope()
+        self._opened = trio.Event()
         self._streams: set[trio.SocketStream] = set()
 
     async def run(self, *, task_status) -> None:
         """Serve until cancelled; passes the proxy's address to ``task_status``."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        task_status.started(Address("127.0.0.1", listeners[0].socket.getsockname()[1]))
-        await trio.serve_listeners(self._serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        task_status.started(Address("127.0.0.1", port))
+        while True:
+            with trio.CancelScope() as self._scope:
+                await trio.serve_listeners(self._serve, listeners)
+            await self._opened.wait()
+            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+
+    def close(self) -> None:
+        """Reset all connections and refuse new ones, as at the end of the target."""
+        self.reset()
+        self._opened = trio.Event()
+        self._scope.cancel()
+
+    def open(self) -> None:
+        """Accept connections again."""
+        self._opened.set()
 
     def reset(self) -> None:
         """Close all connections with a TCP reset."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,9 +25,12 @@
 
 from ingress_case import MODEL, ROUTES, configuration  # noqa: E402
 from observations import (  # noqa: E402
+    DEADLY_KEY,
     SOFTWARE_VERSIONS,
     Observations,
     RequestRecord,
+    blocked_sound_requests,
+    deadly_runs,
     lost_requests,
     resumption_outcomes,
     violations,
@@ -62,6 +65,16 @@
 DEADLY_PART = "dead"
 DEADLY_FRACTION = 0.15
 DEADLY_FAULT_FACTOR = 4.0
+# Requests that crash servers are repeated at once after a failure, up to so many times,
+# and again after a pause. So many of the sound requests of their route are like them.
+MAX_REPETITIONS, DEADLY_PAUSE_S = 2, (0.3, 3.0)
+LIKE_DEADLY_FRACTION = 0.4
+DEADLY_PAYLOAD = "deadly"
+# Time until a server that crashed has started again; servers that crash together do so
+# within the second time.
+RESTART_S, CRASH_SPREAD_S = (0.3, 3.0), 0.1
+# A blocked request is repeated so long after the end of its block.
+AFTER_BLOCK_S = 2.5
 # Further requests of a caller for one stream, and the fraction of its streams of which
 # it loses the connection by itself.
 MAX_RESUMPTIONS = 4
@@ -134,6 +147,9 @@
         self.desired_weights = 0
         self.interrupted = False
         self._deadly_uses = 0
+        # Targets of the requests that crash servers at present, by route.
+        self._deadly_targets: dict[str, list[str]] = {x: [] for x in REQUEST_KINDS}
+        self._deadly_count = 0
         self._entries = entries
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
@@ -159,9 +175,11 @@
         itself; and "operator", a change of the configuration or of a registration, or
         a release, which replaces the servers of the model service; "limits", a change
         of the idle timeout or of the routes' timeouts; "silence", a server that sends
-        nothing for a while, once or in a series, or several of a service; and
+        nothing for a while, once or in a series, or several of a service;
         "callers", requests with a prompt part that crashes servers, or resets of all
-        connections to an entry.
+        connections to an entry; "request", one request that crashes servers and is
+        repeated; "crash", servers that crash by themselves; and "peers", an entry whose
+        datagrams to and from the others are lost.
         """
         entries = [f"e{n}" for n in range(self._entries)]
         servers = ["c0", "c1", "c2", *MODEL_SERVERS]
@@ -176,7 +194,7 @@
                 ],
                 servers,
             ),
-            "signal": (["STOP", "KILL", "TERM", "HUP"], entries),
+            "signal": (["STOP", "KILL", "TERM", "HUP"], [*entries, "all"]),
             "outage": (
                 ["refuse", "silent", "slow", "lose", "forget", "lapse", "restore"],
                 ["store"],
@@ -185,6 +203,9 @@
             "limits": (["idle", "timeout"], ["store"]),
             "silence": (["once", "series", "moving"], servers),
             "callers": (["deadly", "reset"], entries),
+            "request": (list(REQUEST_KINDS), ["store"]),
+            "crash": (["one", "several"], servers),
+            "peers": (["cut"], entries),
         }
         plan, now = [], 1.0
         while now < self.seconds:
@@ -200,6 +221,7 @@
     async def run(self) -> list[str]:
         """Execute the plan and return the invariant violations."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._cancel_on_sigterm, nursery.cancel_scope)
             self.platform = PlatformStandin()
             async with serve(self.platform.handle) as self.store:
@@ -221,7 +243,13 @@
                 (server.id, each) for each in server.refusals
             ]
             self.observations.orders += [(server.id, order) for order in server.orders]
-            self.observations.crashes += server.crashed_at
+            self.observations.crashes += [
+                run.at
+                for run in server.runs
+                if run.crashed_server
+                and (request := self.observations.sent.get(run.request_id))
+                and request.deadly
+            ]
             self.observations.disturbances += [
                 (server.id, at, at + server.restart_s) for at in server.crashed_at
             ]
@@ -239,6 +267,10 @@
             self._write_settings(f"e{number}", address)
             self._start_entry(f"e{number}")
 
+    @property
+    def _all_deadly_targets(self) -> tuple[str, ...]:
+        return tuple(x for each in self._deadly_targets.values() for x in each)
+
     async def _start_model_server(self, nursery, slot: str, version: str) -> None:
         server = BackendServerStandin(
             f"{slot}-{len(self._servers)}",
@@ -252,6 +284,8 @@
         await self._start_server(nursery, slot, server)
 
     async def _start_server(self, nursery, slot: str, server) -> None:
+        server.restart_s = self.rng.uniform(*RESTART_S)
+        server.deadly_targets = self._all_deadly_targets
         self._server_scopes[server.id] = await nursery.start(self._serve_server, server)
         server.on_change = self._register_server
         self._servers.append(server)
@@ -269,6 +303,10 @@
 
     def _register_server(self, server) -> None:
         key = f"servers/{server.id}"
+        if server.down:
+            self._server_proxies[server.id].close()
+        else:
+            self._server_proxies[server.id].open()
         if server.id in self._ended_servers or server.down:
             self.platform._apply([], [key])
             return
@@ -312,7 +350,7 @@
         )
 
     def _start_entry(self, vm: str) -> None:
-        command = [sys.executable, "-m", "foxtailcourse.ingress.run"]
+        command = [sys.executable, str(Path(__file__).with_name("entry.py"))]
         command += ["--config", str(self._folder / f"{vm}.ini")]
         env = os.environ | {"PYTHONPATH": str(ROOT / "src")}
         with (self._folder / f"{vm}.log").open("ab") as log:
@@ -372,6 +410,18 @@
         if kind == "silence":
             await self._silence_servers(fault_mode, target)
             return
+        if kind == "request":
+            await self._repeat_deadly(fault_mode, DEADLY_FAULT_FACTOR * duration_s)
+            return
+        if kind == "crash":
+            await self._crash_servers(fault_mode, target)
+            return
+        if target == "all":
+            for vm in self._processes:
+                nursery.start_soon(
+                    self._inject, nursery, kind, fault_mode, vm, duration_s
+                )
+            return
         if kind == "callers" and fault_mode == "reset":
             with self._disturbing(target):
                 for pool in self._pools:
@@ -384,7 +434,7 @@
             return
         server = self.backend_servers.get(target)
         name = server.id if server else target
-        is_planned = kind == "signal" and fault_mode in {"HUP", "TERM"}
+        is_planned = fault_mode in {"HUP", "TERM"} or kind == "peers"
         with self._disturbing(name, is_planned=is_planned):
             if kind in {"store", "server"}:
                 proxies = (
@@ -395,6 +445,11 @@
                 await self._inject_server_fault(server, fault_mode, duration_s)
             elif kind == "signal":
                 await self._signal_entry(target, fault_mode, duration_s)
+            elif kind == "peers":
+                flag = self._folder / f"{target}.cut"
+                flag.touch()
+                await trio.sleep(duration_s)
+                flag.unlink(missing_ok=True)
             else:
                 await self._inject_store_fault(fault_mode, duration_s)
 
@@ -411,6 +466,68 @@
             is_moving = fault_mode == "moving"
             await trio.sleep(silence_s / 2 if is_moving else silence_s + SILENCE_GAP_S)
 
+    async def _crash_servers(self, fault_mode: str, target: str) -> None:
+        """Let a server crash, or the servers of its service nearly at once."""
+        slots = [target]
+        if fault_mode == "several":
+            slots = [x for x in self.backend_servers if x[0] == target[0]]
+            slots = self.rng.sample(slots, self.rng.randint(2, len(slots)))
+        for slot in slots:
+            server = self.backend_servers[slot]
+            if not server.down:
+                server.crash()
+            await trio.sleep(self.rng.uniform(0, CRASH_SPREAD_S / len(slots)))
+
+    async def _repeat_deadly(self, kind: str, duration_s: float) -> None:
+        """Repeat one request that crashes servers, at changing entries."""
+        self._deadly_count += 1
+        number, rng = self._deadly_count, random.Random(self._deadly_count)
+        target = f"/{kind}/deadly{number}"
+        self._deadly_targets[kind].append(target)
+        for server in self._servers:
+            server.deadly_targets = self._all_deadly_targets
+        pool = CallerPool(self)
+        is_stream = kind in {"brief", "ask"}
+        end, count = trio.current_time() + duration_s, 0
+        while trio.current_time() < end:
+            for _ in range(1 + rng.randint(0, MAX_REPETITIONS)):
+                count += 1
+                request = RequestRecord(
+                    id=f"d{number}-{count}",
+                    kind=kind,
+                    key=DEADLY_KEY,
+                    sent_at=trio.current_time(),
+                    events=5 if is_stream else 0,
+                    target=target,
+                    payload=DEADLY_PAYLOAD,
+                    part=f"c{number}" if is_stream else "",
+                    relation="deadly",
+                    deadline_s=DEADLINES_S[0],
+                )
+                await self._send_request(request, rng, pool, 0)
+                if request.status in {200, 503} and request.complete:
+                    break
+            await trio.sleep(rng.uniform(*DEADLY_PAUSE_S))
+        self._deadly_targets[kind].remove(target)
+
+    def _make_like_deadly(self, request: RequestRecord, rng: random.Random) -> None:
+        """Give a sound request something of the deadly one of its route, if any."""
+        targets = self._deadly_targets[request.kind]
+        if not targets:
+            return
+        request.relation = "other"
+        if rng.random() >= LIKE_DEADLY_FRACTION:
+            return
+        request.relation = rng.choice(("path", "caller", "body"))
+        if request.relation == "path":
+            request.target = f"{targets[-1]}/sound"
+        elif request.relation == "body":
+            request.payload = DEADLY_PAYLOAD
+        else:
+            request.key = DEADLY_KEY
+            if request.events:
+                request.part = "c" + targets[-1].rpartition("deadly")[2]
+
     async def _inject_server_fault(
         self, server, fault_mode: str, duration_s: float
     ) -> None:
@@ -567,34 +684,60 @@
                 sent_at=trio.current_time(),
                 events=rng.randint(1, 25) if kind in {"brief", "ask"} else 0,
                 deadline_s=rng.uniform(*DEADLINES_S),
+                target=f"/{kind}/x",
+                payload=f"{number}-{request_number}",
+                part=f"a{number}" if kind in {"brief", "ask"} else "",
             )
+            self._make_like_deadly(request, rng)
             request.deadly = bool(
                 request.events and self._deadly_uses and rng.random() < DEADLY_FRACTION
             )
             received = await self._send_request(request, rng, pool, 0)
+            for attempt in range(MAX_REPETITIONS):
+                # Of a failed request, or one whose connection ended.
+                if received or not (request.lost_at or request.status == 502):
+                    break
+                request = self._repetition(request, f"r{attempt}")
+                received = await self._send_request(request, rng, pool, 0)
+            if request.is_blocked and not request.is_deadly:
+                self._nursery.start_soon(self._repeat_after_block, request, rng)
             for attempt in range(MAX_RESUMPTIONS):
                 is_partial = kind == "ask" and 0 < received < request.events
                 # Callers do not repeat a request after 401.
                 if not is_partial or request.status == 401:
                     break
                 await trio.sleep(rng.uniform(0.0, 0.3))
-                request = attrs.evolve(
-                    request,
-                    id=f"q{number}-{request_number}-{attempt + 1}",
-                    resumes=f"q{number}-{request_number}",
-                    sent_at=trio.current_time(),
-                    status=0,
-                    body=b"",
-                    complete=False,
-                    leaving_at=0.0,
-                    lost_at=0.0,
-                )
+                first = request.resumes or request.id
+                request = self._repetition(request, f"{attempt + 1}")
+                request.resumes = first
                 received += await self._send_request(request, rng, pool, received)
             pause_s = rng.expovariate(10)
             if rng.random() < LONG_PAUSES:
                 pause_s = rng.uniform(0.5, 1.0) * IDLE_REUSE * self.idle_limit_s
             await trio.sleep(pause_s)
 
+    def _repetition(self, request: RequestRecord, suffix: str) -> RequestRecord:
+        """Return the same request of the same caller, to be sent now."""
+        return attrs.evolve(
+            request,
+            id=f"{request.resumes or request.id}-{suffix}",
+            sent_at=trio.current_time(),
+            status=0,
+            body=b"",
+            complete=False,
+            leaving_at=0.0,
+            lost_at=0.0,
+            retry_after_s=0.0,
+        )
+
+    async def _repeat_after_block(
+        self, request: RequestRecord, rng: random.Random
+    ) -> None:
+        """Send a sound request again once its block has ended."""
+        await trio.sleep(request.retry_after_s + AFTER_BLOCK_S)
+        again = self._repetition(request, "b")
+        await self._send_request(again, rng, CallerPool(self), 0)
+
     async def _send_request(
         self,
         request: RequestRecord,
@@ -617,12 +760,11 @@
         }
         if request.events:
             # Callers' prompts differ, so that streams begin at several servers.
-            caller = request.id[1:].split("-")[0]
             part = f"{DEADLY_PART}:9," if request.deadly else ""
             fields |= {
                 "x-foxtailcourse-model": MODEL,
                 "x-foxtailcourse-token-counts": f"100,{request.events}",
-                "x-foxtailcourse-prompt-prefix": f"a{caller}:60,{part}bb:40",
+                "x-foxtailcourse-prompt-prefix": f"{request.part}:60,{part}bb:40",
             }
         if request.resumes:
             fields |= {"last-event-id": str(received), "resumes": request.resumes}
@@ -651,14 +793,15 @@
         async with pool.request(
             self._addresses[request.vm],
             "POST",
-            f"/{request.kind}/x",
+            request.target,
             headers=fields,
-            body=b"body",
+            body=request.payload.encode(),
             options=RequestOptions(
                 connect_timeout_s=0.5, idle_timeout_s=idle_timeout_s
             ),
         ) as response:
             status = response.status
+            request.retry_after_s = float(response.headers.get("retry-after", "0"))
             if response.headers.get("server-leaving") == "1":
                 request.leaving_at = trio.current_time()
             async for chunk in response.iter_chunks():
@@ -710,6 +853,8 @@
                 f"resumed={sum(resumed)}/{len(resumed)} "
                 f"kept={sum(each.kept for each in soak.observations.sent.values())} "
                 f"lost={len(list(lost_requests(soak.observations)))} "
+                f"blocked_sound={len(blocked_sound_requests(soak.observations))} "
+                f"deadly={[len(x) for x in deadly_runs(soak.observations).values()]} "
                 f"broken={len(violations_found)}",
                 flush=True,
             )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -158,6 +158,84 @@
             found = violations(observations)
             self.assertThat(len(found), Equals(int(is_violation)), found)
 
+    def test_one_request_that_crashes_servers_after_three_crashes(self):
+        for count, at, vm, is_violation in (
+            (4, 6.5, "e1", True),
+            (3, 6.5, "e1", False),
+            (4, 5.5, "e1", False),
+            (4, 6.5, "e2", False),
+        ):
+            runs = [make_run(f"d{n}") for n in range(3 + count)]
+            for number, run in enumerate(runs):
+                run.crashed_server = True
+                run.at = 1.0 + number if number < 3 else at
+            sent = {
+                run.request_id: make_request(
+                    run.request_id, "look", vm=vm, target="/look/d", relation="deadly"
+                )
+                for run in runs
+            }
+            observations = Observations(
+                sent=sent,
+                runs=runs,
+                disturbances=[("e2", 6.0, 6.1), ("store", 0.0, 9.0)],
+            )
+            found = violations(observations)
+            self.assertThat(len(found), Equals(int(is_violation)), found)
+
+    def test_blocked_sound_request(self):
+        def block(request_id, at, **changes):
+            values = {"status": 503, "body": b"blocked_request", "retry_after_s": 30.0}
+            values |= {"vm": "e1", "payload": "1", "sent_at": at} | changes
+            return make_request(request_id, "look", **values)
+
+        lost = {"status": 502, "body": b"", "retry_after_s": 0.0}
+        for requests, text in (
+            ((block("a", 2.0),), "never lost"),
+            ((block("l", 1.0, **lost, key="key-w"), block("a", 2.0)), "never lost"),
+            ((block("l", 1.0, **lost, payload="2"), block("a", 2.0)), "never lost"),
+            ((block("l", 3.0, **lost), block("a", 2.0)), "never lost"),
+            ((block("l", 1.0, **lost), block("a", 2.0)), ""),
+            ((block("l", 1.0, **lost), block("a", 2.0), block("b", 33.0)), ""),
+            (
+                (block("l", 1.0, **lost), block("a", 2.0), block("b", 35.0)),
+                "after the end",
+            ),
+            (
+                (
+                    *(block("l", 1.0, **lost), block("a", 2.0)),
+                    *(block("m", 34.0, **lost), block("b", 35.0)),
+                ),
+                "",
+            ),
+            ((block("a", 2.0, relation="deadly"),), ""),
+        ):
+            found = violations(Observations(sent={x.id: x for x in requests}))
+            self.assertThat(len(found), Equals(int(bool(text))), found)
+            self.assertThat("".join(found), Contains(text))
+
+    def test_sound_requests_like_a_deadly_one_that_are_served_less(self):
+        for served, relation, is_violation in (
+            (2, "path", True),
+            (8, "path", False),
+            (2, "", False),
+            (2, "other", False),
+        ):
+            sent = {}
+            for number in range(20):
+                is_alike = number < 10
+                is_served = not is_alike or number < served
+                sent[f"q{number}"] = make_request(
+                    f"q{number}",
+                    "look",
+                    relation=relation if is_alike else "other",
+                    status=200 if is_served else 502,
+                    body=f"q{number} x".encode(),
+                    complete=is_served,
+                )
+            found = violations(Observations(sent=sent))
+            self.assertThat(len(found), Equals(int(is_violation)), found)
+
     def test_request_to_a_server_that_said_it_leaves(self):
         first = make_request("a", "look", vm="e1", leaving_at=1.0)
         for sent_at, vm, started_ms, is_violation in (
