Simulate entries that judge crashes while they fail themselves

Entries start again with an empty memory, one or all, are suspended, cut off from the others or from the store, and the store is down; datagrams are lost. Requests that crash servers come one after the other, sound ones share a part of their prompts, and servers also crash together. The decisions and the records in the store are those of the entry; the scheduler is seeded, so a seed gives the same course each time.

Over 20 seeds of 60 s each request runs at most three more times by entries without a fault, later than three seconds after its third crash, and no sound one is refused that was never lost.

--- /dev/null
+++ b/tests/ingress/test_crash_simulation.py
@@ -0,0 +1,76 @@
+import collections
+import random
+from unittest import mock
+
+import testtools
+import trio
+import trio.testing
+from crash_simulation import Simulation
+from testtools.matchers import Equals
+
+# Bound of the platform: so many runs of the request later than this after so many
+# crashes, by entries without a fault.
+CRASHES, MAX_LATE_RUNS, DELAY_S = 3, 3, 3.0
+SEEDS = range(20)
+SECONDS = 60.0
+# Sound requests that may be blocked, as they were lost in two crashes by chance.
+MAX_BLOCKED = 0.02
+
+
+class TestCrashSimulation(testtools.TestCase):
+    """Guards the count of a request that crashes servers while entries fail."""
+
+    def play(self, seed, **options):
+        simulation = Simulation(seed, **options)
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        # The scheduler of trio chooses the order of tasks by chance.
+        with mock.patch.multiple(
+            "trio._core._run",
+            _r=random.Random(seed),
+            _ALLOW_DETERMINISTIC_SCHEDULING=True,
+        ):
+            trio.run(simulation.run, SECONDS, clock=clock)
+        return simulation
+
+    def late_runs(self, **options):
+        """Return the seeds on which a request runs too often, with the runs."""
+        late = {}
+        for seed in SEEDS:
+            found = self.play(seed, **options).late_deadly_runs(CRASHES, DELAY_S)
+            if len(found) > MAX_LATE_RUNS:
+                late[seed] = found
+        return late
+
+    def test_deadly_request_runs_few_times_while_entries_fail(self):
+        self.assertThat(self.late_runs(), Equals({}))
+
+    def test_deadly_request_lost_before_its_head_runs_few_times(self):
+        self.assertThat(self.late_runs(heads=0.3), Equals({}))
+
+    def test_deadly_request_runs_few_times_while_no_entry_fails(self):
+        for seed in SEEDS:
+            simulation = self.play(seed, with_faults=False, loss=0.0)
+            counts = [len(runs) for runs in simulation.deadly_runs.values()]
+            self.assertTrue(max(counts) <= CRASHES, f"seed {seed}: {counts}")
+
+    def check_sound_requests(self, **options):
+        for seed in SEEDS:
+            simulation = self.play(seed, **options)
+            self.assertThat(simulation.blocked_without_loss(), Equals([]), seed)
+            results = collections.Counter(simulation.sound_results().values())
+            self.assertThat(results["blocked"], Equals(0), seed)
+            blocked = {
+                each.request
+                for each in simulation.outcomes
+                if not each.deadly and each.result == "blocked"
+            }
+            self.assertTrue(
+                len(blocked) <= MAX_BLOCKED * results.total(),
+                f"seed {seed}: {len(blocked)} of {results.total()}",
+            )
+
+    def test_sound_requests_are_served_while_entries_fail(self):
+        self.check_sound_requests()
+
+    def test_sound_requests_are_served_beside_one_lost_before_its_head(self):
+        self.check_sound_requests(heads=0.3)
