--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -208,6 +208,8 @@
     planned : list of (str, float, float)
         The disturbances in which an entry loses no request: it is told to end or to
         read its settings again.
+    all_ended : list of float
+        Times at which all entries were ended, so that none can tell what it knew.
     timeouts : list of (float, float)
         Time of each configuration, and the timeout of its routes in seconds.
     """
@@ -223,6 +225,7 @@
     server_versions: dict[str, str] = attrs.field(factory=dict)
     crashes: list[float] = attrs.field(factory=list)
     planned: list[tuple[str, float, float]] = attrs.field(factory=list)
+    all_ended: list[float] = attrs.field(factory=list)
     timeouts: list[tuple[float, float]] = attrs.field(factory=list)
 
     def is_sound(self, name: str, since: float, until: float) -> bool:
@@ -323,18 +326,21 @@
     """Return the requests that reached a server long after it said that it leaves."""
     sent, found = observations.sent, []
     for server, runs in observations.runs_by_server.items():
-        heard_at: dict[tuple[str, int], float] = {}
+        heard_at: dict[tuple[str, int, int], float] = {}
         for run in runs:
             request = sent.get(run.request_id)
             if request is not None and request.leaving_at:
-                key = (request.vm, run.started_ms)
+                ended = sum(at < request.leaving_at for at in observations.all_ended)
+                key = (request.vm, run.started_ms, ended)
                 first = heard_at.get(key, float("inf"))
                 heard_at[key] = min(first, request.leaving_at)
         for run in runs:
             request = sent.get(run.request_id)
             if request is None:
                 continue
-            heard = heard_at.get((request.vm, run.started_ms), float("inf"))
+            ended = sum(at < request.sent_at for at in observations.all_ended)
+            key = (request.vm, run.started_ms, ended)
+            heard = heard_at.get(key, float("inf"))
             if request.sent_at > heard + DRAIN_S:
                 found.append(
                     f"{run.request_id}: sent to {server} {request.sent_at - heard:.1f} "
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -417,6 +417,8 @@
             await self._crash_servers(fault_mode, target)
             return
         if target == "all":
+            if fault_mode in {"KILL", "TERM"}:
+                self.observations.all_ended.append(trio.current_time())
             for vm in self._processes:
                 nursery.start_soon(
                     self._inject, nursery, kind, fault_mode, vm, duration_s
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -249,17 +249,21 @@
 
     def test_request_to_a_server_that_said_it_leaves(self):
         first = make_request("a", "look", vm="e1", leaving_at=1.0)
-        for sent_at, vm, started_ms, is_violation in (
-            (3.5, "e1", 5, True),
-            (2.5, "e1", 5, False),
-            (3.5, "e2", 5, False),
-            (3.5, "e1", 6, False),
+        for sent_at, vm, started_ms, all_ended, is_violation in (
+            (3.5, "e1", 5, [0.5, 4.0], True),
+            (2.5, "e1", 5, [], False),
+            (3.5, "e2", 5, [], False),
+            (3.5, "e1", 6, [], False),
+            (3.5, "e1", 5, [1.1], False),
         ):
             late = make_request("b", "look", vm=vm, sent_at=sent_at)
             runs = [make_run("a"), make_run("b")]
             runs[0].started_ms, runs[1].started_ms = 5, started_ms
             observations = Observations(
-                sent={"a": first, "b": late}, runs=runs, runs_by_server={"c0": runs}
+                sent={"a": first, "b": late},
+                runs=runs,
+                runs_by_server={"c0": runs},
+                all_ended=all_ended,
             )
             found = violations(observations)
             self.assertThat(len(found), Equals(int(is_violation)), found)
