--- a/tests/http/test_suspension.py
+++ b/tests/http/test_suspension.py
@@ -24,7 +24,7 @@
         with server:
             for part in (HEAD[:20], HEAD[20:]):
                 await server.send(part)
-                conn = _client._ClientConnection(stream, h11.Connection(h11.CLIENT))
+                conn = _client.ClientConnection(stream, h11.Connection(h11.CLIENT))
                 await conn.receive(0.0)
                 self.assertThat(conn.h11.trailing_data[0], Equals(part))
             error = await self.catch_error(trio.TooSlowError, conn.receive, 0.0)
