Judge a prompt that is lost again before the parts that it shares

What callers saw: sound prompts were refused since they share a part with one prompt that crashed servers again and again, most of all if these crashed before the head of the response; and that prompt ran on.

Cause: a request counted only in crashes where the head of its response had arrived. A prompt that crashes servers before that was found only by what it has in common with itself, which is all of its parts. Entries that start adopt recorded crashes, and counted those that a blocked request explains for the parts as well.

Ruled out: to count each waiting request like one that had begun, as many sound ones wait at each server that crashes.

Change: requests that waited count too, and block the request from one more crash on; once all entries have reported on a crash without any begun request, like begun ones. What is lost again is judged before common parts, and its crashes do not count for parts. Reports and records have the ages of waiting requests.

--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -116,16 +116,17 @@
         if begun:
             report = BreakReport(run, begun=lost, ages_s=(age_s,))
         else:
-            report = BreakReport(run, waiting=lost)
+            report = BreakReport(run, waiting=lost, waiting_ages_s=(age_s,))
         self._report(report, now)
-        rows = [sorted(request)]
+        rows, ages_ms = [sorted(request)], [int(age_s * 1000)]
         self._publish(
             BreaksUpdate(
                 run.server_id,
                 run.started_ms,
                 rows if begun else [],
                 [] if begun else rows,
-                [int(age_s * 1000)] if begun else [],
+                ages_ms if begun else [],
+                [] if begun else ages_ms,
             )
         )
 
@@ -171,12 +172,13 @@
         """Handle one message of the registered entry ``sender``."""
         now = self.clock()
         match message:
-            case BreaksUpdate(server_id, started_ms, begun, waiting, ages_ms):
+            case BreaksUpdate(server_id, started_ms, begun, waiting, ages, other_ages):
                 report = BreakReport(
                     ServerRun(server_id, started_ms),
                     _requests(begun),
                     _requests(waiting),
-                    tuple(max(0, each) / 1000 for each in ages_ms),
+                    decode_ages_s(ages),
+                    decode_ages_s(other_ages),
                 )
                 self._report(report, now)
                 self._wakeup.set()
@@ -277,6 +279,11 @@
     return tuple(frozenset(row) for row in rows)
 
 
+def decode_ages_s(ages_ms: list[int]) -> tuple[float, ...]:
+    """Return ages in seconds; those of clocks that differ are not negative."""
+    return tuple(max(0, each) / 1000 for each in ages_ms)
+
+
 def _merged(messages: list[Message]) -> list[Message]:
     """Return messages with the reports of each run in as few as fit a datagram."""
     merged: list[Message] = []
@@ -294,4 +301,5 @@
             report.begun += message.begun
             report.waiting += message.waiting
             report.ages_ms += message.ages_ms
+            report.waiting_ages_ms += message.waiting_ages_ms
     return merged
--- a/src/foxtailcourse/ingress/_part_records.py
+++ b/src/foxtailcourse/ingress/_part_records.py
@@ -14,7 +14,7 @@
 
 from foxtailcourse.fleet import ServerRun
 from foxtailcourse.ingress._leased_record import write_leased_record
-from foxtailcourse.ingress._part_exchange import PartExchange
+from foxtailcourse.ingress._part_exchange import PartExchange, decode_ages_s
 from foxtailcourse.ingress._part_suspicions import (
     PAROLE_S,
     REQUEST_MEMORY_S,
@@ -54,6 +54,7 @@
     begun: list[list[str]]
     waiting: list[list[str]]
     ages_ms: list[int]
+    waiting_ages_ms: list[int] = []
 
 
 def record_key(parts: Parts) -> str:
@@ -153,7 +154,8 @@
             ServerRun(record.server_id, record.started_ms),
             tuple(frozenset(row) for row in record.begun),
             tuple(frozenset(row) for row in record.waiting),
-            tuple(max(0, each) / 1000 for each in record.ages_ms),
+            decode_ages_s(record.ages_ms),
+            decode_ages_s(record.waiting_ages_ms),
         )
         self.exchange.suspicions.adopt_crash(report, self.clock() - age_s)
 
@@ -211,6 +213,7 @@
             begun=[sorted(row) for row in report.begun],
             waiting=[sorted(row) for row in report.waiting],
             ages_ms=[int(each * 1000) for each in report.ages_s],
+            waiting_ages_ms=[int(each * 1000) for each in report.waiting_ages_s],
         )
 
     def refuted(self, now: float) -> list[str]:
--- a/src/foxtailcourse/ingress/_part_suspicions.py
+++ b/src/foxtailcourse/ingress/_part_suspicions.py
@@ -8,7 +8,7 @@
 """
 
 import hashlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -37,6 +37,9 @@
 # and if one was before the first of these crashes.
 CRASHES_TO_BLOCK = 2
 CRASHES_TO_BLOCK_KNOWN = 3
+# So many more block a request that no server had begun to answer, as other requests
+# wait at each server that crashes.
+WAITING_CRASHES = 1
 # The prompts of a crash are forgotten after CRASH_MEMORY_S and the crash after
 # REQUEST_MEMORY_S, and the oldest crashes if there are more.
 CRASH_MEMORY_S = 120.0
@@ -97,24 +100,23 @@
         Parts of each request that the server had begun to answer, or may have.
     waiting : tuple of frozenset of str
         Parts of each of the others.
-    ages_s : tuple of float
-        How long before it broke off each of the requests in ``begun`` was sent, in
-        seconds.
+    ages_s, waiting_ages_s : tuple of float
+        How long before it broke off each of these requests was sent, in seconds.
     """
 
     run: ServerRun
     begun: tuple[Parts, ...] = ()
     waiting: tuple[Parts, ...] = ()
     ages_s: tuple[float, ...] = ()
+    waiting_ages_s: tuple[float, ...] = ()
 
     def requests(self) -> dict[str, float]:
         """Return the keys of the requests that had begun, with their ages."""
-        ages_s = (*self.ages_s, *(0.0 for _ in self.begun))
-        return {
-            key: age_s
-            for row, age_s in zip(self.begun, ages_s, strict=False)
-            for key in request_only(row)
-        }
+        return _request_ages(self.begun, self.ages_s)
+
+    def waiting_requests(self) -> dict[str, float]:
+        """Return the keys of the other requests, with their ages."""
+        return _request_ages(self.waiting, self.waiting_ages_s)
 
 
 @attrs.define
@@ -131,6 +133,8 @@
         Parts of the prompts of the requests, as in the reports.
     sent_at : dict of str to float
         When requests that had begun were sent, in seconds since boot, by their keys.
+    waiting_sent_at : dict of str to float
+        The same of the others.
     judged : bool
         Whether the crash was compared with the earlier ones.
     """
@@ -140,6 +144,7 @@
     begun: set[Parts] = attrs.field(factory=set)
     waiting: set[Parts] = attrs.field(factory=set)
     sent_at: dict[str, float] = attrs.field(factory=dict)
+    waiting_sent_at: dict[str, float] = attrs.field(factory=dict)
     judged: bool = False
 
     @property
@@ -155,32 +160,55 @@
         ):
             parts = [each for row in reported if (each := _prompt_parts(row))]
             prompts.update(parts[: MAX_PROMPTS - len(prompts)])
-        for key, age_s in report.requests().items():
-            if len(self.sent_at) < MAX_REQUESTS:
-                self.sent_at.setdefault(key, now - age_s)
+        for sent_at, ages_s in (
+            (self.sent_at, report.requests()),
+            (self.waiting_sent_at, report.waiting_requests()),
+        ):
+            for key, age_s in ages_s.items():
+                if len(sent_at) < MAX_REQUESTS:
+                    sent_at.setdefault(key, now - age_s)
+
+    def may_be_due_to(self, parts: Parts) -> bool:
+        """Whether a request with these parts may have crashed the server."""
+        if not _is_block_of_request(parts):
+            return any(parts <= each for each in self.prompts)
+        return self.had_begun(parts) or parts <= self.waiting_sent_at.keys()
+
+    def had_begun(self, request: Parts) -> bool:
+        """Whether the server had begun to answer a request, or may have."""
+        return request <= self.sent_at.keys()
+
+    @property
+    def requests(self) -> frozenset[str]:
+        """Keys of the requests that are the likely cause, once all have reported."""
+        return frozenset(self.sent_at or self.waiting_sent_at)
+
+    def is_explained_by(self, parts: Parts) -> bool:
+        """Whether a request with these parts is the likely cause."""
+        if _is_block_of_request(parts):
+            return parts <= self.requests
+        return self.may_be_due_to(parts)
 
     def report(self) -> BreakReport:
         """Return what is known of it as one report."""
-        ages_s = {frozenset({k}): self.at - at for k, at in self.sent_at.items()}
         return BreakReport(
             self.run,
-            begun=(*ages_s, *self.begun),
-            waiting=tuple(self.waiting),
-            ages_s=tuple(max(0.0, each) for each in ages_s.values()),
+            begun=(*_request_rows(self.sent_at), *self.begun),
+            waiting=(*_request_rows(self.waiting_sent_at), *self.waiting),
+            ages_s=self._ages_s(self.sent_at),
+            waiting_ages_s=self._ages_s(self.waiting_sent_at),
         )
 
+    def _ages_s(self, sent_at: dict[str, float]) -> tuple[float, ...]:
+        return tuple(max(0.0, self.at - each) for each in sent_at.values())
+
     def is_separate(self, parts: Parts, earlier_at: float) -> bool:
         """Whether it did not come together with an earlier crash."""
         request = next(iter(request_only(parts)), None)
         if request is None:
             return self.at - earlier_at >= MIN_SEPARATION_S
-        return self.sent_at[request] >= earlier_at - REPORT_DELAY_S
-
-    def may_be_due_to(self, parts: Parts) -> bool:
-        """Whether a request with these parts may have crashed the server."""
-        if _is_block_of_request(parts):
-            return parts <= self.sent_at.keys()
-        return any(parts <= each for each in self.prompts)
+        sent_at = self.sent_at.get(request, self.waiting_sent_at.get(request, self.at))
+        return sent_at >= earlier_at - REPORT_DELAY_S
 
 
 @attrs.frozen
@@ -236,7 +264,7 @@
         crash are not waited for, and the caller's next attempt is refused.
         """
         blocked: dict[Parts, Block] = {}
-        for key in report.requests():
+        for key in report.requests() | report.waiting_requests():
             request = frozenset({key})
             known = self._blocks.get(request)
             if known.until <= now if known else self._is_suspect(request, now):
@@ -275,11 +303,16 @@
         return any(not crash.judged for crash in self._crashes)
 
     def _judge(self, crash: Crash, now: float) -> dict[Parts, Block]:
-        known = [each for each in self._blocks if crash.may_be_due_to(each)]
+        known = [each for each in self._blocks if crash.is_explained_by(each)]
         if known:
             # They explain the crash. Requests sent before a block change nothing.
             ended = [each for each in known if self._blocks[each].until <= crash.at]
             return {each: self._block(each, now) for each in ended}
+        requests = [frozenset({key}) for key in crash.requests]
+        repeated = [e for e in requests if self._is_suspect(e, crash.at, settled=True)]
+        if repeated:
+            # What the same request has in common with itself says nothing of others.
+            return {each: self._block(each, now) for each in repeated}
         suspects = self._common_parts(crash)
         if not suspects:
             return {}
@@ -308,27 +341,53 @@
         suspects = (frozenset(names) for _, _, names in candidates[:MAX_CANDIDATES])
         return next((e for e in suspects if self._is_suspect(e, crash.at)), None)
 
-    def _is_suspect(self, parts: Parts, until: float) -> bool:
-        """Whether parts are in enough crashes that came after they were answered."""
+    def _is_suspect(self, parts: Parts, until: float, *, settled: bool = False) -> bool:
+        """Whether parts are in enough crashes that came after they were answered.
+
+        ``settled`` tells that all entries have reported on the latest of them.
+        """
         if self._count(parts, float("-inf"), until) < CRASHES_TO_BLOCK:
             return False
         answered_at = self.answered_at(parts)
         was_answered = answered_at > float("-inf")
         needed = CRASHES_TO_BLOCK_KNOWN if was_answered else CRASHES_TO_BLOCK
-        return self._count(parts, answered_at, until) >= needed
-
-    def _count(self, parts: Parts, after: float, until: float) -> int:
-        """Return in how many separate crashes of a time a request had some parts."""
+        if not _is_block_of_request(parts):
+            return self._count(parts, answered_at, until) >= needed
+        is_due = Crash.is_explained_by if settled else Crash.had_begun
+        if self._count(parts, answered_at, until, is_due) >= needed:
+            return True
+        return self._count(parts, answered_at, until) >= needed + WAITING_CRASHES
+
+    def _count(
+        self,
+        parts: Parts,
+        after: float,
+        until: float,
+        is_due: Callable[[Crash, Parts], bool] = Crash.may_be_due_to,
+    ) -> int:
+        """Return in how many separate crashes of a time a request had some parts.
+
+        ``is_due`` tells which crashes count. Those that a blocked request explains say
+        nothing of parts.
+        """
         count, counted_at = 0, float("-inf")
         for crash in self._crashes:
             if (
                 after < crash.at <= until
-                and crash.may_be_due_to(parts)
+                and is_due(crash, parts)
                 and crash.is_separate(parts, counted_at)
+                and not self._is_explained_by_request(crash, parts)
             ):
                 count, counted_at = count + 1, crash.at
         return count
 
+    def _is_explained_by_request(self, crash: Crash, parts: Parts) -> bool:
+        """Whether a blocked request explains a crash that may be due to parts."""
+        return not _is_block_of_request(parts) and any(
+            _is_block_of_request(each) and crash.is_explained_by(each)
+            for each in self._blocks
+        )
+
     def _block(self, parts: Parts, now: float, times: int = 0) -> Block:
         former = self._blocks.get(parts)
         times = max(times, 1 + former.times if former else 1)
@@ -457,6 +516,20 @@
     return keys - _prompt_parts(keys)
 
 
+def _request_rows(keys: Iterable[str]) -> tuple[Parts, ...]:
+    return tuple(frozenset({key}) for key in keys)
+
+
+def _request_ages(rows: Sequence[Parts], ages_s: Sequence[float]) -> dict[str, float]:
+    """Return the ages of the requests in a report, 0 where it has none, by key."""
+    padded_s = (*ages_s, *(0.0 for _ in rows))
+    return {
+        key: age_s
+        for row, age_s in zip(rows, padded_s, strict=False)
+        for key in request_only(row)
+    }
+
+
 def _is_request(key: str) -> bool:
     return key.startswith(REQUEST_PREFIX)
 
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -124,9 +124,8 @@
         the parts of its prompt.
     waiting : list of list of str
         The same of the others.
-    ages_ms : list of int
-        How long before it broke off each of the requests in ``begun`` was sent, in
-        milliseconds.
+    ages_ms, waiting_ages_ms : list of int
+        How long before it broke off each of these requests was sent, in milliseconds.
     """
 
     server_id: str
@@ -134,6 +133,7 @@
     begun: list[list[str]]
     waiting: list[list[str]]
     ages_ms: list[int] = []
+    waiting_ages_ms: list[int] = []
 
     def __len__(self) -> int:
         return len(self.begun) + len(self.waiting)
