--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -9,6 +9,8 @@
 from foxtailcourse.standin._backend_server import stream_event
 
 MAX_REVOCATION_S = 5.0
+# Key of the client account that repeats requests that crash servers.
+DEADLY_KEY = "key-w"
 # Time after which a server that said that it leaves gets no requests.
 DRAIN_S = 2.0
 # Requests that may reach a server in the time for which it asked for none, and the time
@@ -30,6 +32,7 @@
 # Resumed streams from which on their share is compared, and the time after a
 # disturbance, or before one, in which an entry or server does not count.
 MIN_RESUMED_STREAMS = 12
+MIN_CALM_SERVERS = 2
 CONTACT_S = 1.5
 REACTION_S = 0.5
 # Bounds of the platform: so many requests with a part that crashes servers reach them,
@@ -38,6 +41,13 @@
 DEADLY_CRASHES, MAX_DEADLY_REQUESTS = 5, 3
 DEADLY_CONTACT_S = 3.0
 MIN_SOUND_STREAMS = 20
+# The same bound for one request that crashes the servers that run it.
+REQUEST_CRASHES = 3
+# Sound requests like such a one are served as often as others of their route but for
+# chance: so many standard deviations, with so many requests of both kinds at least.
+CHANCE_DEVIATIONS, MIN_LIKE_DEADLY = 3.0, 8
+# Time after a block in which each entry may still leave the request to another one.
+TRIALS_S = 2.0
 # Lost requests in a run, of those that were not passed on from a kept connection.
 MAX_LOST = 3
 # A request that crosses the close of its connection ends within this time; a later end
@@ -88,6 +98,16 @@
         resumes; empty for a new stream.
     deadly : bool
         Whether its prompt has the part that crashes servers.
+    target, payload : str
+        Path and body of the request.
+    part : str
+        First part of its prompt; empty without one.
+    relation : str
+        While a request that crashes servers is repeated on its route: "deadly" for that
+        one, "path", "caller" or "body" for what a sound request has in common with it,
+        or "other". Otherwise empty.
+    retry_after_s : float
+        Time after which a refused request may be repeated.
     deadline_s : float
         Time that the caller waits, as its header states, in seconds.
     kept : bool
@@ -109,6 +129,11 @@
     leaving_at: float = 0.0
     resumes: str = ""
     deadly: bool = False
+    target: str = ""
+    payload: str = ""
+    part: str = ""
+    relation: str = ""
+    retry_after_s: float = 0.0
     deadline_s: float = math.inf
     kept: bool = False
     lost_at: float = 0.0
@@ -118,6 +143,38 @@
         """The software version in each whole event received so far."""
         return [each.decode() for each in EVENT_END.findall(self.body)]
 
+    @property
+    def is_deadly(self) -> bool:
+        """Whether it crashes servers."""
+        return self.deadly or self.relation == "deadly"
+
+    @property
+    def is_new(self) -> bool:
+        """Whether it resumes no stream and was not refused for a fault of the store."""
+        return not self.resumes and self.body not in STORE_REFUSALS
+
+    @property
+    def is_served(self) -> bool:
+        """Whether its response is complete, or its stream began."""
+        if self.events:
+            return bool(self.software_versions)
+        return self.status == 200 and self.complete
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether it was refused as crashing servers."""
+        return self.status == 503 and self.body.startswith(b"blocked_")
+
+    def is_same(self, other: "RequestRecord") -> bool:
+        """Whether a block of this request concerns another one."""
+        if self.body == b"blocked_parts":
+            return other.part == self.part
+        return (self.target, self.payload, self.key == DEADLY_KEY) == (
+            other.target,
+            other.payload,
+            other.key == DEADLY_KEY,
+        )
+
 
 @attrs.define(kw_only=True)
 class Observations:
@@ -147,10 +204,12 @@
     server_versions : dict of str to str
         Software version of each server of the model service.
     crashes : list of float
-        Times at which requests crashed servers.
+        Times at which requests with the deadly part crashed servers.
     planned : list of (str, float, float)
         The disturbances in which an entry loses no request: it is told to end or to
         read its settings again.
+    all_ended : list of float
+        Times at which all entries were ended, so that none can tell what it knew.
     timeouts : list of (float, float)
         Time of each configuration, and the timeout of its routes in seconds.
     """
@@ -166,6 +225,7 @@
     server_versions: dict[str, str] = attrs.field(factory=dict)
     crashes: list[float] = attrs.field(factory=list)
     planned: list[tuple[str, float, float]] = attrs.field(factory=list)
+    all_ended: list[float] = attrs.field(factory=list)
     timeouts: list[tuple[float, float]] = attrs.field(factory=list)
 
     def is_sound(self, name: str, since: float, until: float) -> bool:
@@ -197,6 +257,22 @@
             for each, start, end in self.disturbances
         )
 
+    def calm_servers(self, at: float, versions=SOFTWARE_VERSIONS) -> int:
+        """Return how many servers of the model service are not near a fault."""
+        return sum(
+            version in versions and self.is_calm(server, at)
+            for server, version in self.server_versions.items()
+        )
+
+    def is_comparable(self, request: RequestRecord) -> bool:
+        """Return whether a request is sound and no fault of its entry explains it."""
+        at = request.sent_at
+        return (
+            not request.is_deadly
+            and at <= self.removed_keys.get(request.key, at)
+            and all(self.is_calm(each, at) for each in (request.vm, "store"))
+        )
+
 
 def violations(observations: Observations) -> list[str]:
     """Return each invariant violation that the observations show."""
@@ -240,6 +316,8 @@
         *_resumption_violations(observations),
         *_deadly_violations(observations),
         *_sound_violations(observations),
+        *_block_violations(observations),
+        *_like_deadly_violations(observations),
         *_lost_violations(observations),
     ]
 
@@ -248,18 +326,21 @@
     """Return the requests that reached a server long after it said that it leaves."""
     sent, found = observations.sent, []
     for server, runs in observations.runs_by_server.items():
-        heard_at: dict[tuple[str, int], float] = {}
+        heard_at: dict[tuple[str, int, int], float] = {}
         for run in runs:
             request = sent.get(run.request_id)
             if request is not None and request.leaving_at:
-                key = (request.vm, run.started_ms)
+                ended = sum(at < request.leaving_at for at in observations.all_ended)
+                key = (request.vm, run.started_ms, ended)
                 first = heard_at.get(key, float("inf"))
                 heard_at[key] = min(first, request.leaving_at)
         for run in runs:
             request = sent.get(run.request_id)
             if request is None:
                 continue
-            heard = heard_at.get((request.vm, run.started_ms), float("inf"))
+            ended = sum(at < request.sent_at for at in observations.all_ended)
+            key = (request.vm, run.started_ms, ended)
+            heard = heard_at.get(key, float("inf"))
             if request.sent_at > heard + DRAIN_S:
                 found.append(
                     f"{run.request_id}: sent to {server} {request.sent_at - heard:.1f} "
@@ -360,24 +441,14 @@
     resumed, begun = [], []
     for request in observations.sent.values():
         at = request.sent_at
-        if (
-            request.kind != "ask"
-            or request.deadly
-            or at > observations.removed_keys.get(request.key, at)
-            or not all(observations.is_calm(each, at) for each in (request.vm, "store"))
-        ):
+        if request.kind != "ask" or not observations.is_comparable(request):
             continue
         has_events = bool(request.software_versions)
         if not request.resumes:
             begun.append(has_events)
             continue
         version = observations.sent[request.resumes].software_versions[0]
-        servers = [
-            server
-            for server, each in observations.server_versions.items()
-            if each == version and observations.is_calm(server, at)
-        ]
-        if len(servers) > 1:
+        if observations.calm_servers(at, {version}) >= MIN_CALM_SERVERS:
             resumed.append(has_events)
     return resumed, begun
 
@@ -395,36 +466,56 @@
     ]
 
 
+def deadly_runs(observations: Observations) -> dict[str, list]:
+    """Return the runs of requests that crash servers, the oldest first.
+
+    By their target, and those with the deadly part by that of the others.
+    """
+    found: dict[str, list] = {}
+    for run in sorted(observations.runs, key=lambda each: each.at):
+        request = observations.sent.get(run.request_id)
+        if request is not None and request.is_deadly:
+            found.setdefault("" if request.deadly else request.target, []).append(run)
+    return found
+
+
 def _deadly_violations(observations: Observations) -> list[str]:
-    """Return whether too many requests with a deadly part reached servers.
+    """Return whether too many requests that crash servers reached them.
 
-    Those near a fault of their entry or of the store do not count.
+    Those near a fault of their entry do not count, and those with the deadly part near
+    one of the store neither.
     """
-    crashes = sorted(observations.crashes)
-    if len(crashes) < DEADLY_CRASHES:
-        return []
-    start = crashes[DEADLY_CRASHES - 1] + DEADLY_CONTACT_S
-    late = [
-        run.request_id
-        for run in observations.runs
-        if run.at > start
-        and (request := observations.sent.get(run.request_id)) is not None
-        and request.deadly
-        and all(observations.is_calm(each, run.at) for each in (request.vm, "store"))
-    ]
-    if len(late) <= MAX_DEADLY_REQUESTS:
-        return []
-    return [
-        f"{len(late)} requests with a part that crashes servers after "
-        f"{DEADLY_CRASHES} crashes, as {late[0]}; {len(crashes)} crashes in all"
-    ]
+    found = []
+    for target, runs in deadly_runs(observations).items():
+        crashes = sorted(run.at for run in runs if run.crashed_server)
+        bound = REQUEST_CRASHES if target else DEADLY_CRASHES
+        if not target:
+            crashes = sorted(observations.crashes)
+        if len(crashes) < bound:
+            continue
+        start = crashes[bound - 1] + DEADLY_CONTACT_S
+        late = [
+            run.request_id
+            for run in runs
+            if run.at > start
+            and observations.is_calm(observations.sent[run.request_id].vm, run.at)
+            and (target or observations.is_calm("store", run.at))
+        ]
+        if len(late) > MAX_DEADLY_REQUESTS:
+            name = target or "the deadly part"
+            found.append(
+                f"{len(late)} requests with {name} after {bound} crashes, as "
+                f"{late[0]}; {len(crashes)} crashes in all"
+            )
+    return found
 
 
 def sound_outcomes(observations: Observations) -> tuple[list[bool], list[bool]]:
     """Return which sound streams began before the first crash, and long after.
 
     Long after are those while requests with the deadly part still come, from twice the
-    reaction time after the fifth crash, or the last one if there are fewer.
+    reaction time after the fifth crash, or the last one if there are fewer. Only those
+    count while two servers have no fault, as servers also crash for other reasons.
     """
     crashes = sorted(observations.crashes)
     deadly_at = [each.sent_at for each in observations.sent.values() if each.deadly]
@@ -436,11 +527,9 @@
         at = request.sent_at
         if (
             not request.events
-            or request.deadly
-            or request.resumes
-            or request.body in STORE_REFUSALS
-            or at > observations.removed_keys.get(request.key, at)
-            or not all(observations.is_calm(each, at) for each in (request.vm, "store"))
+            or not request.is_new
+            or not observations.is_comparable(request)
+            or observations.calm_servers(at) < MIN_CALM_SERVERS
         ):
             continue
         if at < crashes[0]:
@@ -463,6 +552,83 @@
     ]
 
 
+def blocked_sound_requests(observations: Observations) -> list[RequestRecord]:
+    """Return the sound requests that were refused as crashing servers."""
+    sent = observations.sent.values()
+    return [each for each in sent if each.is_blocked and not each.is_deadly]
+
+
+def _block_violations(observations: Observations) -> list[str]:
+    """Return wrong suspicions without a reason, and those that did not end.
+
+    A request may be suspected once it, or one with the same part, was lost.
+    """
+    lost = {each.id for each in observations.sent.values() if each.status != 200}
+    for server, runs in observations.runs_by_server.items():
+        lost |= {
+            run.request_id
+            for run in runs
+            if not run.ended
+            or not observations.is_sound(server, run.at, run.at + ANSWER_S)
+        }
+    blocked = blocked_sound_requests(observations)
+    found = []
+    for request in blocked:
+        lost_at = max(
+            (
+                each.sent_at
+                for each in observations.sent.values()
+                if each.id in lost
+                and each.sent_at < request.sent_at
+                and request.is_same(each)
+                and not each.is_blocked
+            ),
+            default=-math.inf,
+        )
+        text = f"{request.id}: {request.body.decode()} at {request.vm}"
+        if lost_at == -math.inf:
+            found.append(f"{text} though it was never lost")
+        elif any(
+            max(lost_at, each.sent_at) == each.sent_at
+            and each.sent_at + each.retry_after_s + TRIALS_S < request.sent_at
+            and request.is_same(each)
+            for each in blocked
+        ):
+            found.append(f"{text} after the end of its block")
+    return found
+
+
+def like_deadly_outcomes(observations: Observations) -> dict[str, list[list[bool]]]:
+    """Return by route which sound requests were served, those like a deadly one first.
+
+    The second list has the others of the same time.
+    """
+    found: dict[str, list[list[bool]]] = {}
+    for request in observations.sent.values():
+        is_compared = request.relation and request.is_new
+        if is_compared and observations.is_comparable(request):
+            outcomes = found.setdefault(request.kind, [[], []])
+            outcomes[request.relation == "other"].append(request.is_served)
+    return found
+
+
+def _like_deadly_violations(observations: Observations) -> list[str]:
+    """Return the routes on which sound requests like a deadly one are served less."""
+    found = []
+    for kind, (alike, others) in like_deadly_outcomes(observations).items():
+        if min(len(alike), len(others)) < MIN_LIKE_DEADLY:
+            continue
+        share = sum(alike + others) / len(alike + others)
+        variance = share * (1 - share) * (1 / len(alike) + 1 / len(others))
+        difference = sum(others) / len(others) - sum(alike) / len(alike)
+        if difference > CHANCE_DEVIATIONS * math.sqrt(variance):
+            found.append(
+                f"{sum(alike)} of {len(alike)} requests of {kind} like a deadly one "
+                f"were served, and {sum(others)} of {len(others)} others"
+            )
+    return found
+
+
 def lost_requests(
     observations: Observations,
 ) -> Iterator[tuple[RequestRecord, str]]:
