Give the decisions on requests that crash servers a package of their own

foxtail-entry counts such crashes too, and must not import foxtail-ingress. Only _part_suspicions moves, with its tests; nothing that it decides changes.

--- /dev/null
+++ b/src/foxtailcourse/crashes/_suspicions.py
@@ -0,0 +1,434 @@
+"""Finds the requests, and the parts of prompts, that crash the servers they run on.
+
+When a server breaks off, the requests that had begun there without a second event are
+suspected. A request that is lost in several crashes is blocked: if its caller sends it
+again, it is refused for some time. Parts of prompts that different requests of several
+crashes have in common are blocked together: requests with all of them are refused. A
+server that answers such a request ends the suspicion.
+"""
+
+import hashlib
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from foxtailcourse.fleet import ServerRun
+
+Parts = frozenset[str]
+"""Keys of prompt parts, and possibly that of the request itself.
+
+See ``part_key`` and ``request_key``. A block of a request has its key alone.
+"""
+
+# Distinguishes the key of a request from those of prompt parts.
+REQUEST_PREFIX = "r"
+# Reports of all entries on a crash arrive within this time.
+SETTLE_S = 0.15
+# A server that breaks off again later than this has crashed or failed again.
+CRASH_S = 1.0
+# Crashes that are closer together count as one, since servers also fail together and
+# then hold many requests with the same parts.
+MIN_SEPARATION_S = 0.2
+# Longest delay of a report. A crash counts for a request that was sent, within this
+# tolerance, after the one before: copies of it may be in progress at several servers
+# that fail together.
+REPORT_DELAY_S = 0.03
+# Crashes from which on parts are blocked, if no request with them was ever answered,
+# and if one was before the first of these crashes.
+CRASHES_TO_BLOCK = 2
+CRASHES_TO_BLOCK_KNOWN = 3
+# Crashes are forgotten after this time, and the oldest ones if there are more.
+CRASH_MEMORY_S = 120.0
+MAX_CRASHES = 30
+# Prompts of one crash that are compared with those of others, and requests of which it
+# is known that they were lost in it.
+MAX_PROMPTS = 8
+MAX_REQUESTS = 256
+# Sets of parts that requests of several crashes share, of which it is looked up whether
+# they were answered; those of the most crashes come first.
+MAX_CANDIDATES = 32
+# Answered requests that are remembered.
+MAX_ANSWERED = 2000
+# Answers at other entries are forgotten after this time.
+ANSWERS_ELSEWHERE_MEMORY_S = 600.0
+# Parts are blocked for this time at first, and for a multiple each further time.
+FIRST_BLOCK_S = 30.0
+BLOCK_MULTIPLE = 4.0
+MAX_BLOCK_S = 480.0
+# For this time after its end, one more crash is enough for the next block.
+PAROLE_S = 600.0
+# After the end of a block, each entry may try the parts this much later than the one
+# ranked before it, so that they do not all crash a server at the same time.
+TRIAL_SPACING_S = 0.5
+# Longest time for which an entry waits for the outcome of a trial.
+TRIAL_TIMEOUT_S = 10.0
+
+
+def part_key(service: str, part_id: str) -> str:
+    """Return a short key of a prompt part; callers choose the length of its name."""
+    name = f"{service}/{part_id}".encode("utf-8", "surrogateescape")
+    return hashlib.blake2b(name, digest_size=8).hexdigest()
+
+
+def request_key(
+    service: str, account: str, method: str, host: str, target: str, body: bytes
+) -> str:
+    """Return a short key that only the same request of the same caller has."""
+    digest = hashlib.blake2b(body, digest_size=8)
+    for field in (service, account, method, host, target):
+        name = field.encode("utf-8", "surrogateescape")
+        digest.update(len(name).to_bytes(4, "big") + name)
+    return REQUEST_PREFIX + digest.hexdigest()
+
+
+@attrs.frozen
+class BreakReport:
+    """Requests without a second event that an entry lost as a server broke off.
+
+    Parameters
+    ----------
+    run : ServerRun
+        Run of the server.
+    begun : tuple of frozenset of str
+        Parts of each request that the server had begun to answer, or may have.
+    waiting : tuple of frozenset of str
+        Parts of each of the others.
+    ages_s : tuple of float
+        How long before it broke off each of the requests in ``begun`` was sent, in
+        seconds.
+    """
+
+    run: ServerRun
+    begun: tuple[Parts, ...] = ()
+    waiting: tuple[Parts, ...] = ()
+    ages_s: tuple[float, ...] = ()
+
+    def requests(self) -> dict[str, float]:
+        """Return the keys of the requests that had begun, with their ages."""
+        ages_s = (*self.ages_s, *(0.0 for _ in self.begun))
+        return {
+            key: age_s
+            for row, age_s in zip(self.begun, ages_s, strict=False)
+            for key in request_only(row)
+        }
+
+
+@attrs.define
+class _Crash:
+    """What entries reported of one crash of a server.
+
+    Parameters
+    ----------
+    run : ServerRun
+        Run of the server.
+    at : float
+        When the first report arrived, in seconds since boot.
+    begun, waiting : set of frozenset of str
+        Parts of the prompts of the requests, as in the reports.
+    sent_at : dict of str to float
+        When requests that had begun were sent, in seconds since boot, by their keys.
+    judged : bool
+        Whether the crash was compared with the earlier ones.
+    """
+
+    run: ServerRun
+    at: float
+    begun: set[Parts] = attrs.field(factory=set)
+    waiting: set[Parts] = attrs.field(factory=set)
+    sent_at: dict[str, float] = attrs.field(factory=dict)
+    judged: bool = False
+
+    @property
+    def prompts(self) -> set[Parts]:
+        """Parts of the prompts that may have crashed the server."""
+        return self.begun or self.waiting
+
+    def add(self, report: BreakReport, now: float) -> None:
+        """Add what an entry reported."""
+        for prompts, reported in (
+            (self.begun, report.begun),
+            (self.waiting, report.waiting),
+        ):
+            parts = [each for row in reported if (each := _prompt_parts(row))]
+            prompts.update(parts[: MAX_PROMPTS - len(prompts)])
+        for key, age_s in report.requests().items():
+            if len(self.sent_at) < MAX_REQUESTS:
+                self.sent_at[key] = now - age_s
+
+    def is_separate(self, parts: Parts, earlier_at: float) -> bool:
+        """Whether it did not come together with an earlier crash."""
+        request = next(iter(request_only(parts)), None)
+        if request is None:
+            return self.at - earlier_at >= MIN_SEPARATION_S
+        return self.sent_at[request] >= earlier_at - REPORT_DELAY_S
+
+    def may_be_due_to(self, parts: Parts) -> bool:
+        """Whether a request with these parts may have crashed the server."""
+        if _is_block_of_request(parts):
+            return parts <= self.sent_at.keys()
+        return any(parts <= each for each in self.prompts)
+
+
+@attrs.frozen
+class Block:
+    """Parts that are or were blocked.
+
+    Parameters
+    ----------
+    until : float
+        End of the block, in seconds since boot.
+    times : int
+        How many times the parts have been blocked so far.
+    """
+
+    until: float
+    times: int
+
+
+def block_s(times: int) -> float:
+    """Return for how long parts are blocked the n-th time, in seconds."""
+    return min(MAX_BLOCK_S, FIRST_BLOCK_S * BLOCK_MULTIPLE ** (times - 1))
+
+
+@attrs.define
+class PartSuspicions:
+    """Crashes of servers, and the parts of prompts that are blocked for them."""
+
+    _crashes: list[_Crash] = attrs.field(factory=list, init=False)
+    _blocks: dict[Parts, Block] = attrs.field(factory=dict, init=False)
+    # When requests with these parts were last answered, the least recent first.
+    _answered_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
+    # The same of other entries, which tell it of blocked parts only.
+    _answered_elsewhere_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
+    # When this entry began to try parts whose block has ended.
+    _trials: dict[Parts, float] = attrs.field(factory=dict, init=False)
+
+    # Crashes
+
+    def report(self, report: BreakReport, now: float) -> None:
+        """Record what this or another entry lost as a server broke off."""
+        for crash in reversed(self._crashes):
+            if crash.run == report.run and now - crash.at <= CRASH_S:
+                break
+        else:
+            crash = _Crash(report.run, now)
+            self._crashes.append(crash)
+        crash.add(report, now)
+
+    def judge_requests(self, report: BreakReport, now: float) -> dict[Parts, Block]:
+        """Judge the requests of a report at once; return the new blocks.
+
+        They are not compared with each other, so reports of other entries on the same
+        crash are not waited for, and the caller's next attempt is refused.
+        """
+        blocked: dict[Parts, Block] = {}
+        for key in report.requests():
+            request = frozenset({key})
+            known = self._blocks.get(request)
+            if known.until <= now if known else self._is_suspect(request, now):
+                blocked[request] = self._block(request, now)
+        return blocked
+
+    def judge(self, now: float) -> dict[Parts, Block]:
+        """Judge the crashes whose reports are complete; return the new blocks."""
+        self._forget(now)
+        blocked: dict[Parts, Block] = {}
+        for crash in self._crashes:
+            if not crash.judged and now - crash.at >= SETTLE_S:
+                crash.judged = True
+                blocked |= self._judge(crash, now)
+        return blocked
+
+    @property
+    def has_unjudged(self) -> bool:
+        """Whether a crash waits for its judgement."""
+        return any(not crash.judged for crash in self._crashes)
+
+    def _judge(self, crash: _Crash, now: float) -> dict[Parts, Block]:
+        known = [each for each in self._blocks if crash.may_be_due_to(each)]
+        if known:
+            # They explain the crash. Requests sent before a block change nothing.
+            ended = [each for each in known if self._blocks[each].until <= crash.at]
+            return {each: self._block(each, now) for each in ended}
+        suspects = self._common_parts(crash)
+        if not suspects:
+            return {}
+        # Parts are narrowed down if a crash has only some of those blocked before.
+        wider = [each for each in self._blocks if suspects < each]
+        times = max((self._blocks.pop(each).times for each in wider), default=1)
+        return {suspects: self._block(suspects, now, times)}
+
+    def _common_parts(self, crash: _Crash) -> Parts | None:
+        """Return what requests of a crash share with enough others, if anything.
+
+        Of several possible sets, the one of most crashes and then of most parts.
+        """
+        earlier = {r for e in self._crashes if e.at < crash.at for r in e.prompts}
+        shared = {mine & other for mine in crash.prompts for other in earlier}
+        candidates = sorted(
+            (
+                (count, len(parts), sorted(parts))
+                for parts in shared
+                if parts
+                and (count := self._count(parts, float("-inf"), crash.at))
+                >= CRASHES_TO_BLOCK
+            ),
+            reverse=True,
+        )
+        suspects = (frozenset(names) for _, _, names in candidates[:MAX_CANDIDATES])
+        return next((e for e in suspects if self._is_suspect(e, crash.at)), None)
+
+    def _is_suspect(self, parts: Parts, until: float) -> bool:
+        """Whether parts are in enough crashes that came after they were answered."""
+        if self._count(parts, float("-inf"), until) < CRASHES_TO_BLOCK:
+            return False
+        answered_at = self.answered_at(parts)
+        was_answered = answered_at > float("-inf")
+        needed = CRASHES_TO_BLOCK_KNOWN if was_answered else CRASHES_TO_BLOCK
+        return self._count(parts, answered_at, until) >= needed
+
+    def _count(self, parts: Parts, after: float, until: float) -> int:
+        """Return in how many separate crashes of a time a request had some parts."""
+        count, counted_at = 0, float("-inf")
+        for crash in self._crashes:
+            if (
+                after < crash.at <= until
+                and crash.may_be_due_to(parts)
+                and crash.is_separate(parts, counted_at)
+            ):
+                count, counted_at = count + 1, crash.at
+        return count
+
+    def _block(self, parts: Parts, now: float, times: int = 0) -> Block:
+        former = self._blocks.get(parts)
+        times = max(times, 1 + former.times if former else 1)
+        self._trials.pop(parts, None)
+        self._blocks[parts] = Block(now + block_s(times), times)
+        return self._blocks[parts]
+
+    def _forget(self, now: float) -> None:
+        recent = [each for each in self._crashes if now - each.at < CRASH_MEMORY_S]
+        self._crashes = recent[-MAX_CRASHES:]
+        for parts, block in list(self._blocks.items()):
+            if now >= block.until + PAROLE_S:
+                del self._blocks[parts]
+                self._trials.pop(parts, None)
+        self._answered_elsewhere_at = {
+            parts: at
+            for parts, at in self._answered_elsewhere_at.items()
+            if now - at < ANSWERS_ELSEWHERE_MEMORY_S
+        }
+
+    # Requests
+
+    def wait_s(self, request: Parts, rank: Callable[[Parts], int], now: float) -> float:
+        """Return for how long a request must not be sent, in seconds.
+
+        Parameters
+        ----------
+        request : frozenset of str
+            Its parts that other requests may have as well.
+        rank : callable
+            Returns how many entries may try blocked parts before this one.
+        now : float
+            Present time in seconds since boot.
+        """
+        return max(
+            (
+                self._block_wait_s(parts, block, rank, now)
+                for parts, block in self._blocks.items()
+                if parts <= request
+            ),
+            default=0.0,
+        )
+
+    def _block_wait_s(
+        self, parts: Parts, block: Block, rank: Callable[[Parts], int], now: float
+    ) -> float:
+        if now < block.until:
+            return block.until - now
+        own_turn_at = block.until + TRIAL_SPACING_S * rank(parts)
+        trial_until = self._trials.get(parts, float("-inf")) + TRIAL_TIMEOUT_S
+        return max(0.0, own_turn_at - now, trial_until - now)
+
+    def record_sent(self, request: Parts, now: float) -> None:
+        """Record a request; with parts that were blocked, it is a trial."""
+        for parts in self._blocks:
+            if parts <= request:
+                self._trials[parts] = now
+
+    def record_answered(self, request: Parts, now: float) -> list[Parts]:
+        """Record that a server answers a request; return the blocks that this ends."""
+        self._answered_at.pop(request, None)
+        self._answered_at[request] = now
+        if len(self._answered_at) > MAX_ANSWERED:
+            del self._answered_at[next(iter(self._answered_at))]
+        ended = [parts for parts in self._blocks if parts <= request]
+        for parts in ended:
+            self._unblock(parts)
+        return ended
+
+    def answered_at(self, parts: Parts) -> float:
+        """Return when a request with these parts was last answered; -inf if never."""
+        known = (self._answered_at, self._answered_elsewhere_at)
+        times = [at for e in known for each, at in e.items() if parts <= each]
+        return max(times, default=float("-inf"))
+
+    def _unblock(self, parts: Parts) -> bool:
+        self._trials.pop(parts, None)
+        return self._blocks.pop(parts, None) is not None
+
+    # State of other entries
+
+    def record_answered_elsewhere(
+        self, parts: Parts, answered_at: float, now: float
+    ) -> bool:
+        """Record an answer to a request with these parts at another entry.
+
+        Returns whether this ends their block.
+        """
+        known_at = self._answered_elsewhere_at.get(parts, float("-inf"))
+        self._answered_elsewhere_at[parts] = max(known_at, answered_at)
+        return not self._is_suspect(parts, now) and self._unblock(parts)
+
+    def adopt(self, parts: Parts, remaining_s: float, times: int, now: float) -> bool:
+        """Block parts that another entry has blocked; return whether that is new."""
+        remaining_s = min(remaining_s, block_s(times))
+        known = self._blocks.get(parts)
+        if not parts or remaining_s <= 0 or (known and known.times >= times):
+            return False
+        self._blocks[parts] = Block(now + remaining_s, times)
+        return True
+
+    def contradicts(self, parts: Parts, now: float) -> bool:
+        """Whether this entry knows of answers that exclude a block of parts."""
+        was_answered = self.answered_at(parts) > float("-inf")
+        return was_answered and not self._is_suspect(parts, now)
+
+    def active_blocks(self, now: float) -> dict[Parts, Block]:
+        """Return the parts that are blocked at present."""
+        return {k: v for k, v in self._blocks.items() if now < v.until}
+
+
+def request_parts(service: str, part_ids: Sequence[str]) -> Parts:
+    """Return the parts of a prompt that other requests may share, all but the last."""
+    return frozenset(part_key(service, each) for each in part_ids[:-1])
+
+
+def request_only(keys: Parts) -> Parts:
+    """Return the key of the request alone."""
+    return keys - _prompt_parts(keys)
+
+
+def _is_request(key: str) -> bool:
+    return key.startswith(REQUEST_PREFIX)
+
+
+def _prompt_parts(keys: Parts) -> Parts:
+    """Return the keys of prompt parts among those of a request."""
+    return frozenset(each for each in keys if not _is_request(each))
+
+
+def _is_block_of_request(parts: Parts) -> bool:
+    """Whether a block is one of a request."""
+    return any(_is_request(each) for each in parts)
--- a/tests/ingress/test_part_suspicions.py
+++ b/tests/crashes/test_suspicions.py
@@ -1,8 +1,7 @@
 import testtools
 from testtools.matchers import Equals
 
-from foxtailcourse.fleet import ServerRun
-from foxtailcourse.ingress._part_suspicions import (
+from foxtailcourse.crashes._suspicions import (
     FIRST_BLOCK_S,
     MAX_CANDIDATES,
     MAX_CRASHES,
@@ -15,6 +14,7 @@
     PartSuspicions,
     block_s,
 )
+from foxtailcourse.fleet import ServerRun
 
 NOW = 100.0
 JUDGED_S = SETTLE_S + 0.01
