Let agents report which run of their plain service crashed

An entry cannot tell from service_failed or outcome_unknown whether the service crashed, was silent or answered badly, so it cannot count the crashes under a request.

The agent is the only path to its service. If the service ended the connection while a call ran, the reply names the run that ended (foxtail-crashed-run, decoded once into Reply.crashed_run). Calls that break off together name the same run, so that one crash is counted once; a service that is silent has not crashed. A call with an idempotency key can be sent with foxtail-outcome-only: it gets its outcome if it has run, else it is refused and fenced. By this an entry can refuse such a call with a verdict that is certain.

Ruled out: to use the connection between entry and agent, which the crash of a service does not end; the time of the break alone, as calls break off some milliseconds apart.

--- a/src/foxtailcourse/agent/_context.py
+++ b/src/foxtailcourse/agent/_context.py
@@ -1,5 +1,6 @@
 """State that the parts of an agent share."""
 
+import time
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -10,6 +11,7 @@
 from foxtailcourse.agent._settings import AgentSettings
 from foxtailcourse.cache import BlockIndex
 from foxtailcourse.config import ConfigStore
+from foxtailcourse.crashes import RunTracker
 from foxtailcourse.http import Exchange, HttpError
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.protocol import (
@@ -57,6 +59,8 @@
         Called with the configuration revision in each attempt.
     nursery : trio.Nursery or None
         Runs the spawned tasks, which continue after their caller disconnects.
+    runs : RunTracker
+        Tells the runs of the backend server apart.
     """
 
     vm: str
@@ -73,6 +77,7 @@
     background_tasks: int = 0
     on_config_revision: Callable[[int], None] | None = None
     nursery: trio.Nursery | None = None
+    runs: RunTracker = attrs.field(factory=lambda: RunTracker(_wall_ms()))
 
     @property
     def leaving(self) -> bool:
@@ -83,6 +88,10 @@
         """Return the monotonic time that decisions use, in seconds."""
         return trio.current_time()
 
+    def record_broken_off(self, sent_at: float) -> int:
+        """Return the run of the backend server that ended under a request."""
+        return self.runs.record_broken_off(sent_at, self.now(), _wall_ms())
+
     def spawn(self, function: Callable[..., Awaitable[None]], *args: Any) -> None:
         """Start a task that continues after its caller disconnects."""
         if self.nursery is None:
@@ -122,6 +131,7 @@
         matched_blocks: int = 0,
         cached_tokens: int = 0,
         retry_after_ms: int = 0,
+        crashed_run: int = 0,
     ) -> Reply:
         """Return the reply fields for an attempt, with the agent's current state."""
         return Reply(
@@ -136,6 +146,7 @@
             config_revision=self.store.revision,
             clock=str(self.events.clock.tick()),
             retry_after_ms=retry_after_ms,
+            crashed_run=crashed_run,
         )
 
     def refusal(
@@ -148,6 +159,7 @@
         verdict: Verdict = Verdict.NOT_RUN,
         matched_blocks: int = 0,
         retry_after_ms: int = 0,
+        crashed_run: int = 0,
     ) -> HttpError:
         """Log and count a refusal; return the HttpError for the caller to raise.
 
@@ -159,6 +171,7 @@
             verdict,
             matched_blocks=matched_blocks,
             retry_after_ms=retry_after_ms,
+            crashed_run=crashed_run,
         )
         self.events.emit(
             "request_refused", attempt_id=attempt_id, code=code, verdict=verdict.value
@@ -214,5 +227,9 @@
         return attempt
 
 
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
+
+
 def _unchecked_attempt_id(fields: Mapping[str, str]) -> str:
     return fields.get("foxtail-attempt-id", "")[:100]
--- a/src/foxtailcourse/agent/_keyed_calls.py
+++ b/src/foxtailcourse/agent/_keyed_calls.py
@@ -31,11 +31,14 @@
         The service's complete response; None if the outcome is unknown.
     refusal : HttpError or None
         Error of a call that did not reach the service.
+    crashed_run : int
+        As for ``Reply``.
     """
 
     ended: trio.Event = attrs.field(factory=trio.Event)
     response: ServiceResponse | None = None
     refusal: HttpError | None = None
+    crashed_run: int = 0
 
 
 class KeyedCalls:
@@ -80,7 +83,7 @@
             raise self._unknown(attempt, f"key_{key.state.value}")
         fingerprint = request_fingerprint(request)
         now = context.now()
-        if not context.accepts_new_work:
+        if attempt.outcome_only or not context.accepts_new_work:
             self._fence_if_unused(attempt, key, fingerprint, now)
         decision = self.table.begin(key.ident, fingerprint, key.expires_at, now)
         if decision is KeyDecision.RUN:
@@ -95,8 +98,8 @@
     ) -> None:
         """Refuse a call that would run now, and fence its key.
 
-        Used while the agent accepts no new requests. A call whose key was used before
-        still gets its outcome.
+        Used while the agent accepts no new requests, and if the entry does not let the
+        call run. A call whose key was used before still gets its outcome.
 
         Raises
         ------
@@ -106,6 +109,11 @@
         decision = self.table.peek(key.ident, fingerprint, key.expires_at, now)
         if decision is KeyDecision.RUN:
             self._fence(key, fingerprint)
+            if self._context.accepts_new_work:
+                message = "the entry does not let the call run"
+                raise self._context.refusal(
+                    attempt.attempt_id, 503, "request_blocked", message
+                )
             raise self._context.new_work_refusal(attempt.attempt_id)
 
     async def _wait_for_outcome(
@@ -115,7 +123,7 @@
         if execution.refusal is not None:
             raise self._copy_refusal(attempt, execution.refusal)
         if execution.response is None:
-            raise self._unknown(attempt, "outcome_unknown")
+            raise self._unknown(attempt, "outcome_unknown", execution.crashed_run)
         return execution.response
 
     def _earlier_outcome(
@@ -137,13 +145,14 @@
         code = "key_reused" if decision is KeyDecision.MISMATCH else "outcome_unknown"
         raise self._unknown(attempt, code)
 
-    def _unknown(self, attempt: Attempt, code: str) -> HttpError:
+    def _unknown(self, attempt: Attempt, code: str, crashed_run: int = 0) -> HttpError:
         return self._context.refusal(
             attempt.attempt_id,
             409,
             code,
             "the request may have run, but this agent does not know its outcome",
             verdict=Verdict.MAY_HAVE_RUN,
+            crashed_run=crashed_run,
         )
 
     def _copy_refusal(self, attempt: Attempt, refusal: HttpError) -> HttpError:
@@ -174,8 +183,10 @@
     ) -> None:
         """Make the only call of a key, and record its outcome."""
         context = self._context
+        sent_at = context.now()
         try:
             async with context.scheduler.hold_slot(queued_request):
+                sent_at = context.now()
                 context.events.emit("run_started", ident=key.ident.hex())
                 execution.response = await self._service.call(request)
             self.table.finish(key.ident, execution.response, context.now())
@@ -191,6 +202,8 @@
                 execution.refusal = HttpError(503, "service_unreachable", str(exc))
             else:
                 self.table.fail(key.ident, context.now())
+            if exc.ended:
+                execution.crashed_run = context.record_broken_off(sent_at)
         except Exception as exc:
             # An exception that escaped would cancel the nursery and all other calls.
             context.events.emit("run_failed", error=repr(exc))
--- a/src/foxtailcourse/agent/_service.py
+++ b/src/foxtailcourse/agent/_service.py
@@ -149,8 +149,10 @@
         context = self._context
         if not context.accepts_new_work:
             raise context.new_work_refusal(attempt.attempt_id)
+        sent_at = context.now()
         try:
             async with context.scheduler.hold_slot(self._queued_request(attempt)):
+                sent_at = context.now()
                 return await self._service.call(request)
         except RefusedError as exc:
             raise context.refusal(
@@ -162,7 +164,12 @@
             ) from exc
         except ClientError as exc:
             raise context.refusal(
-                attempt.attempt_id, 503, "service_failed", str(exc), verdict=exc.verdict
+                attempt.attempt_id,
+                503,
+                "service_failed",
+                str(exc),
+                verdict=exc.verdict,
+                crashed_run=context.record_broken_off(sent_at) if exc.ended else 0,
             ) from exc
 
     def _queued_request(self, attempt: Attempt) -> QueuedRequest:
--- a/src/foxtailcourse/crashes/__init__.py
+++ b/src/foxtailcourse/crashes/__init__.py
@@ -1,5 +1,6 @@
 """Requests, and parts of prompts, that crash the backend servers they run on."""
 
+from foxtailcourse.crashes._run_tracker import RunTracker
 from foxtailcourse.crashes._suspicions import (
     Block,
     BreakReport,
@@ -17,6 +18,7 @@
     "BreakReport",
     "PartSuspicions",
     "Parts",
+    "RunTracker",
     "block_s",
     "part_key",
     "request_key",
--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -61,12 +61,22 @@
         Whether the request was sent on a reused connection that ended without a byte
         of the response. The server has then probably closed it before it read the
         request.
+    ended : bool
+        Whether the server ended the connection before the response was complete.
     """
 
-    def __init__(self, message: str, verdict: Verdict, *, stale: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        verdict: Verdict,
+        *,
+        stale: bool = False,
+        ended: bool = False,
+    ) -> None:
         super().__init__(message)
         self.verdict = verdict
         self.stale = stale
+        self.ended = ended
 
 
 @attrs.frozen(kw_only=True)
@@ -118,6 +128,8 @@
     reused: bool = False
     # Whether a byte of the response to the present request has arrived.
     responded: bool = False
+    # Whether the server ended the connection.
+    ended: bool = False
 
     async def next_event(self, timeout_s: float) -> Any:
         """Return the next h11 event of the server; raises TooSlowError on a timeout."""
@@ -130,14 +142,19 @@
 
     async def receive(self, timeout_s: float) -> None:
         """Read from the socket once; raises TooSlowError on a timeout."""
-        with trio.move_on_after(timeout_s) as scope:
-            data = await self.stream.receive_some(MAX_READ_BYTES)
-        if scope.cancelled_caught:
-            # After a suspension of the process, timeouts may fire before the data that
-            # arrived meanwhile is noticed.
-            if not self.stream.socket.is_readable():
-                raise trio.TooSlowError
-            data = await self.stream.receive_some(MAX_READ_BYTES)
+        try:
+            with trio.move_on_after(timeout_s) as scope:
+                data = await self.stream.receive_some(MAX_READ_BYTES)
+            if scope.cancelled_caught:
+                # After a suspension of the process, timeouts may fire before the data
+                # that arrived meanwhile is noticed.
+                if not self.stream.socket.is_readable():
+                    raise trio.TooSlowError
+                data = await self.stream.receive_some(MAX_READ_BYTES)
+        except trio.BrokenResourceError:
+            self.ended = True
+            raise
+        self.ended = not data
         self.responded = self.responded or bool(data)
         self.h11.receive_data(data)
 
@@ -161,7 +178,9 @@
             return b"".join(chunks), False
         if event is h11.NEED_DATA or isinstance(event, h11.EndOfMessage):
             return b"".join(chunks), event is not h11.NEED_DATA
-        raise ClientError("response is truncated", Verdict.MAY_HAVE_RUN)
+        raise ClientError(
+            "response is truncated", Verdict.MAY_HAVE_RUN, ended=self.ended
+        )
 
 
 class ClientResponse:
@@ -210,7 +229,9 @@
                     await self._receive()
         except _CONNECTION_ERRORS as exc:
             raise ClientError(
-                f"response is truncated: {exc!r}", Verdict.MAY_HAVE_RUN
+                f"response is truncated: {exc!r}",
+                Verdict.MAY_HAVE_RUN,
+                ended=self._conn.ended,
             ) from exc
 
     async def _receive(self) -> None:
@@ -261,7 +282,9 @@
         content_type = self.headers.get("content-type", "")
         if not body or not _is_whole(content_type, bytes(body)):
             raise ClientError(
-                "connection ended within the response body", Verdict.MAY_HAVE_RUN
+                "connection ended within the response body",
+                Verdict.MAY_HAVE_RUN,
+                ended=True,
             )
 
     async def json(self) -> object:
@@ -387,7 +410,12 @@
             message = f"no response from {address}: {exc!r}"
             timed_out = isinstance(exc, trio.TooSlowError)
             stale = conn.reused and not conn.responded and not timed_out
-            raise ClientError(message, Verdict.MAY_HAVE_RUN, stale=stale) from exc
+            raise ClientError(
+                message,
+                Verdict.MAY_HAVE_RUN,
+                stale=stale,
+                ended=conn.ended or isinstance(exc, trio.BrokenResourceError),
+            ) from exc
 
     async def _release(self, address: Address, conn: _ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
@@ -471,7 +499,9 @@
         if isinstance(event, h11.Response):
             return event
         if not isinstance(event, h11.InformationalResponse):
-            raise ClientError(f"{address} closed the connection", Verdict.MAY_HAVE_RUN)
+            raise ClientError(
+                f"{address} closed the connection", Verdict.MAY_HAVE_RUN, ended=True
+            )
         interim_responses += 1
     raise ClientError(f"{address} sends no final response", Verdict.MAY_HAVE_RUN)
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -310,6 +310,8 @@
     "outcome_unknown": "the call may have run; retry it with the same key",
     "queue_full": "the backend server's queue is full",
     "request_timeout": "the caller sent the request too slowly",
+    "request_blocked": "the same request crashed several backend servers; it is "
+    "refused for a while, or its idempotency key never runs",
     "requests_rate": "`requests_per_s` of the contract is used up",
     "server_busy": "the limit on buffered request bodies or on connections is reached",
     "service_failed": "the plain service failed; the call may have run",
