Refuse at foxtail-entry a request under which several servers crashed

What callers saw: a request that crashes each server that runs it was repeated by the entry at the next server, and by its caller again, until every server of the route had crashed.

Cause: the entry counted nothing. A crash of an agent's service was one more broken attempt.

Change: each attempt that the agent reports as lost in a crash, or that breaks off because its agent ended too, is counted for the key of its request (package crashes, as at foxtail-ingress). After two crashes, or three if it was answered before, the request is refused with request_blocked: 503 and not-run, or 502 and may-have-run if it has just run. The entry tells the others before it responds, for at most 0.2 s. What an entry knows also travels with the demand each second, whole, so that entries that start, freeze or are cut off catch up with one exchange; reports carry the run that crashed and count once. Entries try the request again one after the other when a block ends. A blocked call with an idempotency key goes to its agent for the outcome only, so that its verdict is certain. Requests for keys run nothing and are not counted.

Ruled out: to relay the answers of other entries, whose age grows on the way until they seem to come after a crash; to refuse a blocked call with a key at the entry, since it may have run before and not-run would be false.

Tests: without the change to the entry the three tests of tests/agent/test_deadly_requests.py fail: 9 crashes under six requests of a repeatable route and 6 under six calls with new keys (now 2 and 2), and backend_failed where agents end as well. The same, decided without a network, in tests/entry/test_crash_exchange.py.

What all entries know is lost if all of them restart at once; it is not in the key-value store.

--- a/src/foxtailcourse/crashes/_suspicions.py
+++ b/src/foxtailcourse/crashes/_suspicions.py
@@ -8,7 +8,7 @@
 """
 
 import hashlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
@@ -213,6 +213,8 @@
         else:
             crash = _Crash(report.run, now)
             self._crashes.append(crash)
+            # Entries also learn of earlier crashes later.
+            self._crashes.sort(key=lambda each: each.at)
         crash.add(report, now)
 
     def judge_requests(self, report: BreakReport, now: float) -> dict[Parts, Block]:
@@ -400,11 +402,22 @@
         self._blocks[parts] = Block(now + remaining_s, times)
         return True
 
+    def adopt_former(self, parts: Parts, ended_at: float, times: int) -> None:
+        """Remember a block of another entry that has ended."""
+        known = self._blocks.get(parts)
+        if parts and (known is None or known.times < times):
+            self._blocks[parts] = Block(ended_at, times)
+
     def contradicts(self, parts: Parts, now: float) -> bool:
         """Whether this entry knows of answers that exclude a block of parts."""
         was_answered = self.answered_at(parts) > float("-inf")
         return was_answered and not self._is_suspect(parts, now)
 
+    @property
+    def blocks(self) -> Mapping[Parts, Block]:
+        """The parts that are blocked, or were and are tried again."""
+        return self._blocks
+
     def active_blocks(self, now: float) -> dict[Parts, Block]:
         """Return the parts that are blocked at present."""
         return {k: v for k, v in self._blocks.items() if now < v.until}
--- a/src/foxtailcourse/entry/_agent_client.py
+++ b/src/foxtailcourse/entry/_agent_client.py
@@ -77,8 +77,10 @@
     ----------
     code, message, verdict
         As for ``AttemptError``.
-    stale : bool
+    stale, ended : bool
         As for ``ClientError``.
+    crashed_run : int
+        As for ``Reply``.
     """
 
     def __init__(
@@ -88,9 +90,19 @@
         verdict: Verdict = Verdict.MAY_HAVE_RUN,
         *,
         stale: bool = False,
+        ended: bool = False,
+        crashed_run: int = 0,
     ) -> None:
         super().__init__(code, message, verdict)
         self.stale = stale
+        self.ended = ended
+        self.crashed_run = crashed_run
+
+    @property
+    def is_crash(self) -> bool:
+        """Whether the backend server crashed, alone or together with its agent."""
+        agent_ended = self.code == "cut" and self.ended and not self.stale
+        return self.crashed_run > 0 or agent_ended
 
 
 @attrs.frozen(kw_only=True)
@@ -113,7 +125,7 @@
     body: bytes
 
 
-@attrs.frozen
+@attrs.define
 class AgentResponse:
     """Response of an agent whose head was checked and whose body is unread.
 
@@ -123,10 +135,13 @@
         The protocol header fields of the response.
     http : ClientResponse
         The HTTP response, from which the body is read.
+    event_count : int
+        Number of events that were read, if it is a stream.
     """
 
     reply: Reply
     http: ClientResponse
+    event_count: int = 0
 
 
 class _ErrorDetail(msgspec.Struct):
@@ -188,11 +203,17 @@
                 raise await _read_refusal(response, reply)
             if response.status >= 400 and reply.verdict is Verdict.MAY_HAVE_RUN:
                 error = await _read_error(response)
-                raise AttemptBroken(error.code or "agent_failed", error.message)
+                raise AttemptBroken(
+                    error.code or "agent_failed",
+                    error.message,
+                    crashed_run=reply.crashed_run,
+                )
             yield AgentResponse(reply, response)
     except ClientError as exc:
         code = "unreachable" if exc.verdict is Verdict.NOT_RUN else "cut"
-        raise AttemptBroken(code, str(exc), exc.verdict, stale=exc.stale) from exc
+        raise AttemptBroken(
+            code, str(exc), exc.verdict, stale=exc.stale, ended=exc.ended
+        ) from exc
 
 
 async def _receive_head(
--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -11,6 +11,7 @@
 from foxtailcourse.entry._at_most_once import AtMostOnceCaller
 from foxtailcourse.entry._claims import Claims
 from foxtailcourse.entry._config_source import ConfigSource
+from foxtailcourse.entry._crash_exchange import CRASH_TOPIC, CrashExchange
 from foxtailcourse.entry._demand_exchange import DEMAND_TOPIC, DemandExchange
 from foxtailcourse.entry._dispatcher import Dispatcher
 from foxtailcourse.entry._gateway import Gateway
@@ -61,12 +62,20 @@
             # so the sequence must also increase across restarts of this entry.
             first_sequence=int(time.time() * 1000),
         )
+        self._crash_exchange = CrashExchange(
+            vm=daemon.cfg.vm,
+            store=config.store,
+            send=config.exchange,
+            events=daemon.events,
+        )
+        config.add_topic(CRASH_TOPIC, self._crash_exchange.handle_summary)
         self._demand_exchange = DemandExchange(
             daemon.cfg.vm,
             config.store,
             self._limiter,
             config.exchange,
             daemon.metrics,
+            {CRASH_TOPIC: self._crash_exchange},
         )
         config.add_topic(DEMAND_TOPIC, self._demand_exchange.handle_summary)
         dispatcher = Dispatcher(
@@ -77,6 +86,7 @@
             daemon.events,
             daemon.metrics,
             config.record_peer_revision,
+            self._crash_exchange,
         )
         relay = Relay(dispatcher)
         self._gateway = Gateway(
@@ -129,6 +139,7 @@
             await nursery.start(self._serve_requests, closed)
             nursery.start_soon(self._follow_config)
             nursery.start_soon(self._demand_exchange.run)
+            nursery.start_soon(self._crash_exchange.run)
             self._daemon.events.emit("entry_listening", port=self.address.port)
             task_status.started()
             await self._daemon.stopping.wait()
--- a/src/foxtailcourse/entry/_at_most_once.py
+++ b/src/foxtailcourse/entry/_at_most_once.py
@@ -12,7 +12,11 @@
     AttemptRefused,
     OutgoingRequest,
 )
-from foxtailcourse.entry._attempt_history import Target
+from foxtailcourse.entry._attempt_history import (
+    BLOCKED_CODE,
+    Target,
+    blocked_error,
+)
 from foxtailcourse.entry._call import Call
 from foxtailcourse.entry._claims import Claims
 from foxtailcourse.entry._dispatcher import Dispatcher
@@ -106,6 +110,7 @@
             target=ISSUE_KEY_TARGET,
             fields={"content-type": "application/json"},
             body=msgspec.json.encode({"route": call.model_or_route}),
+            runs_work=False,
         )
         try:
             _, body = await self._relay.fetch(key_call)
@@ -131,6 +136,7 @@
         """Send the call to the issuing agent, with retries, and relay its response.
 
         Retries are safe, because the agent joins a repeated call to the running one.
+        If the request is blocked, the agent only sends the outcome of an earlier call.
         """
         fields = {**call.fields, headers.IDEMPOTENCY_KEY: call.idempotency_key}
         outgoing = OutgoingRequest(
@@ -153,12 +159,21 @@
         for attempt_number in range(self._dispatcher.cfg.max_attempts):
             if attempt_number and not await self._delay_retry(call, attempt_number):
                 break
+            blocked_s = self._dispatcher.crashes.wait_s(call.crash_key)
             try:
                 async with self._dispatcher.attempt(
-                    call, target, outgoing, options, reserve_other=_no_other_server
+                    call,
+                    target,
+                    outgoing,
+                    options,
+                    reserve_other=_no_other_server,
+                    outcome_only=blocked_s > 0,
                 ) as (_, response):
                     body = await response.http.read()
             except AttemptRefused as exc:
+                if exc.code == BLOCKED_CODE:
+                    verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
+                    raise blocked_error(blocked_s, verdict) from exc
                 raise _refusal_error(exc, sent) from exc
             except AttemptBroken as exc:
                 sent = sent or exc.verdict is not Verdict.NOT_RUN
--- a/src/foxtailcourse/entry/_dispatcher.py
+++ b/src/foxtailcourse/entry/_dispatcher.py
@@ -18,6 +18,7 @@
 )
 from foxtailcourse.entry._attempt_history import AttemptHistory, Target
 from foxtailcourse.entry._call import Call
+from foxtailcourse.entry._crash_exchange import CrashExchange
 from foxtailcourse.entry._liveness import LivenessProbes
 from foxtailcourse.entry._server_directory import ServerDirectory
 from foxtailcourse.entry._settings import EntrySettings
@@ -29,6 +30,8 @@
 
 HEAD_MARGIN_S = 1.0
 # Error codes of refusals by an agent for lack of capacity.
+# A server that sends this many events of a stream does not crash at its beginning.
+ANSWERED_EVENTS = 2
 CAPACITY_CODES = frozenset({"deadline", "queue_full", "account_queue_full"})
 
 
@@ -52,6 +55,8 @@
     on_config_revision : callable
         Called with a configuration revision above the local one and the VM that
         reported it.
+    crashes : CrashExchange
+        Counts the crashes under each request.
     """
 
     def __init__(
@@ -63,7 +68,9 @@
         events: EventLog,
         metrics: Metrics,
         on_config_revision: Callable[[int, str], None],
+        crashes: CrashExchange,
     ) -> None:
+        self.crashes = crashes
         self._on_config_revision = on_config_revision
         self.cfg = cfg
         self.store = store
@@ -103,6 +110,9 @@
             Weights version of the stream to continue, which the server must serve;
             None for a request whose response has not started.
         """
+        history.blocked_s = self.crashes.wait_s(call.crash_key)
+        if history.blocked_s > 0:
+            return None
         reserved, history.reserved = history.reserved, None
         if reserved is not None and version in (None, reserved.version):
             return reserved
@@ -249,6 +259,7 @@
         *,
         reserve_other: Callable[[], bool],
         resume_from: int = 0,
+        outcome_only: bool = False,
     ) -> AsyncIterator[tuple[Attempt, AgentResponse]]:
         """Send one attempt, yield it with its response, and record how it ends.
 
@@ -267,6 +278,8 @@
             up; called while the agent is unresponsive.
         resume_from : int
             Identifier of the first stream event to send; above 0 to continue a stream.
+        outcome_only : bool
+            As for ``Attempt``.
 
         Raises
         ------
@@ -292,7 +305,10 @@
             weights_version=target.version,
             cache_salt=prompt.salt,
             resume_from=resume_from,
+            outcome_only=outcome_only,
         )
+        if not outcome_only:
+            self.crashes.record_sent(call.crash_key)
         self.placement.record_sent(prompt, vm, now)
         self.events.emit(
             "attempt_sent",
@@ -303,6 +319,7 @@
             resume_from=resume_from or None,
         )
         result = "cancelled"
+        response: AgentResponse | None = None
         try:
             async with open_attempt(
                 self.pool,
@@ -317,6 +334,8 @@
                 _check_version(target, response.reply)
                 yield attempt, response
             result = "whole"
+            if not outcome_only:
+                self.crashes.record_answered(call.crash_key)
         except AttemptRefused as exc:
             result = "refused"
             self._record_reply(call, target, exc.reply, refused=True)
@@ -324,6 +343,11 @@
         except AttemptBroken as exc:
             result = exc.code
             self._record_broken(call, target, exc)
+            began = response is not None and response.event_count >= ANSWERED_EVENTS
+            if exc.is_crash and not began:
+                await self.crashes.record_crashed(
+                    vm, exc.crashed_run, call.crash_key, now
+                )
             raise
         finally:
             self.placement.record_finished(prompt, vm, trio.current_time())
@@ -431,6 +455,7 @@
     ) -> bool:
         """Record a failed attempt and return whether a retry makes sense."""
         history.failures.append(exc)
+        history.blocked_s = 0.0
         if isinstance(exc, AttemptRefused) and not exc.retryable:
             return False
         vm = target.vm.vm
--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -237,6 +237,7 @@
     ) -> None:
         route = self._permitted_route(contract, parse_key_request(exchange))
         call = self._make_service_call(exchange, contract, request_id, route)
+        call.runs_work = False
         await self._respond_if_admitted(
             contract, 0, self._relay.respond_complete, exchange, call
         )
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -206,6 +206,7 @@
         async with aclosing(response.http.iter_chunks()) as body_chunks:
             async for body_chunk in body_chunks:
                 valid, failure = _check_events(parser, checker, body_chunk)
+                response.event_count += len(valid)
                 if valid:
                     # Recorded before they are sent, so that no later attempt repeats
                     # events of which the caller may have received a part.
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -50,6 +50,8 @@
     "`caller_closed`, `crossed_draining` or `crossed_idle_timeout` (the request came "
     "after the close and was not read), `send_timeout`, `stopped` or "
     "`too_many_connections`; `path` is missing if the request was not read whole",
+    "crash_exchange_failed": "another `entry` could not be told of a crash at "
+    "once; the periodic exchange repeats it",
     "drain_ended": "the drain ended with `active` requests in progress",
     "drain_started": "the process is no longer ready but still serves requests",
     "engine_incarnation": "the engine lost its cache; the block index was cleared",
