Count the crashes of engines under a chat completion

What callers saw: a prompt that crashes each engine that runs it was sent to one engine after the other, as a call of a plain service was before.

Cause: agents named the run that crashed for plain services only.

Change: an engine that ends the connection under a completion has crashed, unless it is loading weights. The agent names the run in its error response, or in the error event if the stream has started (StreamFailure, decoded once).

Ruled out: a new incarnation as the sign of a crash, since an engine that discards its cache has one too.

The fake response of tests/engine/test_engine_stream.py gets the attribute framing, which every response has; what the test requires is the same.

--- a/src/foxtailcourse/agent/_chat.py
+++ b/src/foxtailcourse/agent/_chat.py
@@ -23,10 +23,9 @@
     Exchange,
     HttpError,
     SseEvent,
-    error_body,
     format_sse,
 )
-from foxtailcourse.protocol import Attempt, RequestClass, Verdict
+from foxtailcourse.protocol import Attempt, RequestClass, StreamFailure, Verdict
 from foxtailcourse.sharing import QueuedRequest
 
 CANCEL_TIMEOUT_S = 2.0
@@ -145,13 +144,13 @@
             priority=ENGINE_PRIORITIES[attempt.request_class],
             resume_from=attempt.resume_from,
         )
-        completed = False
+        completed, sent_at = False, self._context.now()
         try:
             async with self._engine.chat(engine_request) as stream:
                 await self._respond(exchange, request, stream, slot)
             completed = True
         except (EngineError, ClientError) as exc:
-            await self._handle_failure(exchange, request, exc)
+            await self._handle_failure(exchange, request, exc, sent_at)
         finally:
             if not completed:
                 await self._cancel(attempt.attempt_id)
@@ -247,21 +246,32 @@
         await exchange.respond_json(200, completion, fields)
 
     async def _handle_failure(
-        self, exchange: Exchange, request: _ChatRequest, exc: EngineError | ClientError
+        self,
+        exchange: Exchange,
+        request: _ChatRequest,
+        exc: EngineError | ClientError,
+        sent_at: float,
     ) -> None:
         """Send an error response, or end a started stream with an error event."""
         context, attempt_id = self._context, request.attempt.attempt_id
+        # An engine may end its streams to load weights.
+        crashed = exc.ended and not context.loading
+        crashed_run = context.record_broken_off(sent_at) if crashed else 0
         if exchange.response_started:
             context.events.emit(
                 "stream_broken", attempt_id=attempt_id, error=str(exc)[:200]
             )
-            body = error_body(str(exc)[:200], "server_error", _error_code(exc))
-            await exchange.send(format_sse(SseEvent(body.decode(), event="error")))
+            failure = StreamFailure(
+                code=_error_code(exc), message=str(exc)[:200], crashed_run=crashed_run
+            )
+            await exchange.send(format_sse(SseEvent(failure.to_data(), event="error")))
             exchange.abort()
             return
-        raise self._make_error(attempt_id, exc) from exc
+        raise self._make_error(attempt_id, exc, crashed_run) from exc
 
-    def _make_error(self, attempt_id: str, exc: EngineError | ClientError) -> HttpError:
+    def _make_error(
+        self, attempt_id: str, exc: EngineError | ClientError, crashed_run: int
+    ) -> HttpError:
         """Return the error response for a failure before the response has started."""
         status = exc.status if isinstance(exc, EngineError) else 0
         if 400 <= status < 500:
@@ -272,7 +282,12 @@
         if isinstance(exc, ClientError):
             verdict = exc.verdict
         return self._context.refusal(
-            attempt_id, 503, _error_code(exc), str(exc)[:200], verdict=verdict
+            attempt_id,
+            503,
+            _error_code(exc),
+            str(exc)[:200],
+            verdict=verdict,
+            crashed_run=crashed_run,
         )
 
     async def _cancel(self, attempt_id: str) -> None:
--- a/src/foxtailcourse/engine/_http.py
+++ b/src/foxtailcourse/engine/_http.py
@@ -24,6 +24,7 @@
     ClientError,
     ClientResponse,
     ConnectionPool,
+    Framing,
     RequestOptions,
     SseError,
     SseParser,
@@ -95,9 +96,12 @@
                     if error is not None:
                         raise error
         except (ClientError, SseError) as exc:
-            raise EngineError(f"engine stream failed: {exc}") from exc
+            ended = isinstance(exc, ClientError) and exc.ended
+            raise EngineError(f"engine stream failed: {exc}", ended=ended) from exc
         if not self._finished:
-            raise EngineError("engine stream ended without [DONE]")
+            # Without framing, the end of the connection ends the response too.
+            ended = self._response.framing is Framing.CLOSE
+            raise EngineError("engine stream ended without [DONE]", ended=ended)
 
     def _parse(
         self, parser: SseParser, data: bytes
--- a/src/foxtailcourse/engine/_types.py
+++ b/src/foxtailcourse/engine/_types.py
@@ -16,11 +16,14 @@
         What failed.
     status : int
         HTTP status of an error response; 0 for any other failure.
+    ended : bool
+        Whether the engine ended the connection before the response was complete.
     """
 
-    def __init__(self, message: str, status: int = 0) -> None:
+    def __init__(self, message: str, status: int = 0, *, ended: bool = False) -> None:
         super().__init__(message)
         self.status = status
+        self.ended = ended
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -188,7 +188,10 @@
             try:
                 await self._relay_events(exchange, call, checker, response, delivery)
             except (SseError, StreamError) as exc:
-                raise AttemptBroken("broken_stream", str(exc)) from exc
+                crashed_run = exc.crashed_run if isinstance(exc, StreamError) else 0
+                raise AttemptBroken(
+                    "broken_stream", str(exc), crashed_run=crashed_run
+                ) from exc
             if not checker.ended:
                 raise AttemptBroken(
                     "broken_stream", "stream stopped without an end event"
--- a/src/foxtailcourse/standin/_engine.py
+++ b/src/foxtailcourse/standin/_engine.py
@@ -51,6 +51,10 @@
         Whether orders with an old fencing token are rejected.
     kv_store, weight_store : Address or None
         Addresses of the external stores for KV-cache blocks and for weights.
+    deadly_text : str
+        Text in the prompts under which the engine crashes; empty for none.
+    deadly_at : int
+        Number of tokens of such a request that are sent before.
     """
 
     model: str
@@ -66,6 +70,8 @@
     checks_fencing: bool = True
     kv_store: Address | None = None
     weight_store: Address | None = None
+    deadly_text: str = ""
+    deadly_at: int = 0
 
 
 @attrs.define
@@ -92,6 +98,8 @@
         Whether all connections are aborted.
     completed, cancelled : int
         Number of chat requests by outcome.
+    crashes : int
+        Number of crashes.
     prefilled_tokens, cached_tokens : int
         Prompt tokens computed, and those found in the cache, over all requests.
     cache : BlockCache
@@ -110,6 +118,7 @@
         self.incarnation = secrets.token_hex(6)
         self.down = False
         self.completed = 0
+        self.crashes = 0
         self.cancelled = 0
         self.prefilled_tokens = 0
         self.cached_tokens = 0
@@ -137,6 +146,7 @@
             Whether to abort all connections until :meth:`recover`.
         """
         self.down = down
+        self.crashes += 1
         self.incarnation = secrets.token_hex(6)
         self.adapters.clear()
         self.cache.clear()
@@ -249,7 +259,11 @@
             return
         stream_headers = dict(headers) | {"content-type": "text/event-stream"}
         await exchange.start_stream(200, stream_headers)
+        deadly_text = self.options.deadly_text
+        deadly_at = start + self.options.deadly_at
         for position in range(start, end):
+            if deadly_text and deadly_text in prompt and position == deadly_at:
+                self.crash()
             await trio.sleep(self.options.decode_s_per_token)
             delta = {"content": token_text(prompt, position, self.version)}
             reason = "length" if position == end - 1 else None
--- a/tests/agent/test_deadly_requests.py
+++ b/tests/agent/test_deadly_requests.py
@@ -7,7 +7,13 @@
 
 from entry_support import FakeAgent, running_entry
 from foxtailcourse.standin import BUSINESS_KEY
-from standins import make_agent, make_record, start_agent, start_service
+from standins import (
+    make_agent,
+    make_record,
+    start_agent,
+    start_engine,
+    start_service,
+)
 from support import AsyncTestCase, run_trio
 
 DEADLY = b"deadly"
@@ -104,3 +110,48 @@
             self.assertThat(attempts, Equals(2))
             status, *_ = await self.submit(entry, path, b"sound")
             self.assertThat(status, Equals(200))
+
+
+class TestDeadlyPrompts(AsyncTestCase):
+    """Guards engines against a completion that crashes each engine that runs it."""
+
+    async def count_crashes(self, *, stream, deadly_at=0):
+        """Request a completion six times; return the crashes and the outcomes."""
+        value = {
+            "model": "guide",
+            "messages": [{"role": "user", "content": DEADLY.decode()}],
+            "stream": stream,
+            "max_tokens": 8,
+        }
+        async with trio.open_nursery() as nursery:
+            engines, listed = [], []
+            for number in range(4):
+                engine, backend = await start_engine(
+                    nursery, deadly_text=DEADLY.decode(), deadly_at=deadly_at
+                )
+                agent = make_agent(backend, vm=f"palermo-{number}", serves="guide")
+                await start_agent(nursery, agent)
+                engines.append(engine)
+                listed.append(ListedAgent(agent, "guide"))
+            async with running_entry(listed) as entry:
+                outcomes = []
+                for _ in range(6):
+                    status, _, body = await entry.call(
+                        "POST", "/v1/chat/completions", value
+                    )
+                    outcomes.append((status, b"request_blocked" in body))
+            nursery.cancel_scope.cancel()
+        return sum(each.crashes for each in engines), outcomes
+
+    @run_trio
+    async def test_repeated_prompt_does_not_crash_one_engine_after_the_other(self):
+        for stream in (False, True):
+            crashes, outcomes = await self.count_crashes(stream=stream)
+            self.assertThat(crashes, Equals(2))
+            expected = [(502, True)] + 5 * [(503, True)]
+            self.assertThat(outcomes, Equals(expected))
+
+    @run_trio
+    async def test_stream_with_events_does_not_count_for_the_crash(self):
+        _, outcomes = await self.count_crashes(stream=True, deadly_at=4)
+        self.assertThat({blocked for _, blocked in outcomes}, Equals({False}))
--- a/tests/engine/test_engine_stream.py
+++ b/tests/engine/test_engine_stream.py
@@ -6,6 +6,7 @@
 
 from foxtailcourse.engine import EngineError
 from foxtailcourse.engine._http import HttpEngineStream
+from foxtailcourse.http import Framing
 
 
 def chunk(text):
@@ -18,6 +19,7 @@
     """An HTTP response whose body arrives in the given reads."""
 
     headers = {}
+    framing = Framing.CHUNKED
 
     def __init__(self, reads):
         self._reads = reads
