Exchange the crashes of servers as soon as an entry starts

An entry that starts knew the blocked requests of the others only after the first period of the exchange, and could send one meanwhile.

Change: it asks the others once they are listed. It does not wait for their answers before it is ready, as a restarted entry serves at once.

Tests: test_entry_that_starts_learns_of_blocks_at_once times out without the change.

--- a/src/foxtailcourse/entry/_crash_exchange.py
+++ b/src/foxtailcourse/entry/_crash_exchange.py
@@ -324,6 +324,7 @@
     async def run(self) -> None:
         """Tell the other entries of each crash at once, until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._catch_up)
             while True:
                 await self._wakeup.wait()
                 await trio.sleep(BATCH_S)
@@ -332,11 +333,19 @@
                 # An entry that does not respond must not delay the next crash.
                 nursery.start_soon(self._tell_others, told)
 
+    async def _catch_up(self) -> None:
+        """Learn what the others know once they are listed, not a period later."""
+        while not self._others():
+            await self.store.wait_change()
+        self._wakeup.set()
+
+    def _others(self) -> list[str]:
+        return [e.vm for e in self.store.view.entries() if e.vm != self.vm]
+
     async def _tell_others(self, told: trio.Event) -> None:
         payload = self.encode_summary()
-        others = [e.vm for e in self.store.view.entries() if e.vm != self.vm]
         async with trio.open_nursery() as nursery:
-            for vm in others[:MAX_TOLD_PEERS]:
+            for vm in self._others()[:MAX_TOLD_PEERS]:
                 nursery.start_soon(self._tell, vm, payload)
         told.set()
 
--- a/tests/agent/test_agent_crashes.py
+++ b/tests/agent/test_agent_crashes.py
@@ -19,7 +19,7 @@
         async def main():
             async with trio.open_nursery() as nursery:
                 service, backend = await start_service(
-                    nursery, deadly_body=DEADLY, **options
+                    nursery, deadly_body=DEADLY.decode(), **options
                 )
                 agent = make_agent(backend, "service", **(settings or {}))
                 route = {"route": "counter", "repeatable": True, "timeout_ms": 50}
--- a/tests/agent/test_deadly_requests.py
+++ b/tests/agent/test_deadly_requests.py
@@ -36,7 +36,9 @@
         async with trio.open_nursery() as nursery:
             self.services, listed = [], []
             for number in range(4):
-                service, backend = await start_service(nursery, deadly_body=DEADLY)
+                service, backend = await start_service(
+                    nursery, deadly_body=DEADLY.decode()
+                )
                 agent = make_agent(
                     backend, "service", vm=f"palermo-{number}", serves=route
                 )
--- a/tests/entry/test_crash_exchange.py
+++ b/tests/entry/test_crash_exchange.py
@@ -110,6 +110,18 @@
         await self.exchange()
         self.assertThat(self.blocked(), Equals(list(NAMES)))
 
+    @run_trio
+    async def test_entry_that_starts_learns_of_blocks_at_once(self):
+        """The periodic exchange, which is not run here, would be too late."""
+        await self.crash("e1")
+        await self.crash("e1")
+        self.start("e3")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.entries["e3"].run)
+            while "e3" not in self.blocked():
+                await trio.sleep(0.002)
+            nursery.cancel_scope.cancel()
+
     @run_trio
     async def test_blocks_end_at_the_same_time_and_grow_with_each_trial(self):
         await self.crash("e1")
--- a/tests/entry/test_entry_processes.py
+++ b/tests/entry/test_entry_processes.py
@@ -279,3 +279,48 @@
             self.assertThat(await fleet.run_counts("counter"), Equals({"coat": 1}))
 
         self.run_fleet(check, service_options="delay_s=1.0")
+
+
+class TestDeadlyRequest(FleetTestCase):
+    """Guards servers against a request that crashes them, at entries that restart."""
+
+    def test_crashes_at_two_entries_count_together_and_outlive_the_restart_of_one(self):
+        async def submit(fleet, callers, number):
+            async with callers.pool.request(
+                callers.entries[number],
+                "POST",
+                "/services/availability/a",
+                headers=callers.headers("teatro"),
+                body=b"deadly",
+            ) as response:
+                await response.read()
+                return response.status
+
+        async def check(fleet, callers, nursery):
+            for number in range(2):
+                await submit(fleet, callers, number)
+            entries = [fleet.programs[vm] for vm in ("entry-1", "entry-2")]
+            for entry in entries:
+                await entry.wait_event("parts_blocked")
+            first = len(entries[0].events)
+            entries[0].send_signal(signal.SIGKILL)
+            await entries[0].process.wait()
+            await fleet.start_vm(nursery, "entry-1")
+            await entries[0].wait_event("parts_blocked", first=first)
+            statuses = [await submit(fleet, callers, n) for n in (0, 1)]
+            self.assertThat(statuses, Equals([503, 503]))
+            crashes = 0
+            for vm, address in fleet.backend_addresses.items():
+                if vm.startswith("availability"):
+                    crashes += (await fleet.get(address, "/standin"))["crashes"]
+            self.assertThat(crashes, Equals(2))
+
+        self.run_fleet(
+            check,
+            records={
+                "services/availability": {"route": "availability", "repeatable": True}
+            },
+            layout={"availability": 3},
+            service_options="deadly_body=deadly",
+            entry_options="max_attempts = 1",
+        )
