Let the first requests after a start wait for the blocks of other entries

Within the first milliseconds after its start an entry did not know the blocked requests of the others and could send one.

Change: the first requests wait until the others have answered once, at most 0.2 s. The process is ready as before, and a single entry waits for nothing.

--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -96,6 +96,7 @@
             relay,
             AtMostOnceCaller(dispatcher, relay, Claims(config.key_value)),
             self._limiter,
+            self._crash_exchange,
             daemon.events,
             daemon.metrics,
         )
--- a/src/foxtailcourse/entry/_crash_exchange.py
+++ b/src/foxtailcourse/entry/_crash_exchange.py
@@ -19,7 +19,7 @@
 # Requests that break off together are reported together.
 BATCH_S = 0.01
 # Longest time for which the response to a request that crashed a server waits for the
-# other entries to be told.
+# other entries to be told, and the first requests after a start for what they know.
 ANNOUNCE_TIMEOUT_S = 0.2
 # Longest time to tell one entry of a crash; it is told again in the periodic exchange.
 SEND_TIMEOUT_S = 2.0
@@ -141,6 +141,7 @@
     _wakeup: trio.Event = attrs.field(factory=trio.Event, init=False)
     # Set when the others have been told of what is known by the next wake-up.
     _told: trio.Event = attrs.field(factory=trio.Event, init=False)
+    _caught_up: trio.Event = attrs.field(factory=trio.Event, init=False)
 
     # Requests of this entry
 
@@ -338,6 +339,19 @@
         while not self._others():
             await self.store.wait_change()
         self._wakeup.set()
+        told = self._told
+        with trio.move_on_after(ANNOUNCE_TIMEOUT_S):
+            await told.wait()
+        self._caught_up.set()
+
+    async def wait_caught_up(self) -> None:
+        """Wait after a start until the others told what they know, if there are any.
+
+        An entry that does not respond delays the first requests by at most
+        ANNOUNCE_TIMEOUT_S.
+        """
+        if self._others():
+            await self._caught_up.wait()
 
     def _others(self) -> list[str]:
         return [e.vm for e in self.store.view.entries() if e.vm != self.vm]
--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -11,6 +11,7 @@
 from foxtailcourse.entry._auth import Authenticator
 from foxtailcourse.entry._call import Call, forwarded_fields
 from foxtailcourse.entry._config_source import ConfigSource
+from foxtailcourse.entry._crash_exchange import CrashExchange
 from foxtailcourse.entry._relay import Relay
 from foxtailcourse.entry._request_parsing import (
     ChatRequest,
@@ -46,6 +47,8 @@
         Handles calls that must not run twice.
     limiter : AccountLimiter
         Enforces the limits of the contracts.
+    crashes : CrashExchange
+        Knows the requests that are blocked.
     events : EventLog
         Log of the requests' outcomes.
     metrics : Metrics
@@ -60,6 +63,7 @@
         relay: Relay,
         at_most_once: AtMostOnceCaller,
         limiter: AccountLimiter,
+        crashes: CrashExchange,
         events: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -70,6 +74,7 @@
         self._relay = relay
         self._at_most_once = at_most_once
         self._limiter = limiter
+        self._crashes = crashes
         self._events = events
         self._metrics = metrics
         self._authenticator = Authenticator()
@@ -322,6 +327,7 @@
         )
         ran = True
         try:
+            await self._crashes.wait_caught_up()
             await respond(exchange, call)
             self._events.emit("request_answered", request_id=call.request_id)
         except HttpError as exc:
--- a/tests/entry/test_crash_exchange.py
+++ b/tests/entry/test_crash_exchange.py
@@ -111,15 +111,16 @@
         self.assertThat(self.blocked(), Equals(list(NAMES)))
 
     @run_trio
-    async def test_entry_that_starts_learns_of_blocks_at_once(self):
+    async def test_entry_that_starts_learns_of_blocks_before_its_first_request(self):
         """The periodic exchange, which is not run here, would be too late."""
         await self.crash("e1")
         await self.crash("e1")
+        self.patch(_crash_exchange, "ANNOUNCE_TIMEOUT_S", 60.0)
         self.start("e3")
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.entries["e3"].run)
-            while "e3" not in self.blocked():
-                await trio.sleep(0.002)
+            await self.entries["e3"].wait_caught_up()
+            self.assertThat("e3" in self.blocked(), Equals(True))
             nursery.cancel_scope.cancel()
 
     @run_trio
