Let the test of one crash under two requests wait for the first

test_requests_lost_in_one_crash_report_one_run failed once on a busy machine (0 != a run): the sound call, which took 20 ms, ended before the deadly one began. The call now takes longer than the test, which waits until the service runs it; what is required is the same.

--- a/tests/agent/test_agent_crashes.py
+++ b/tests/agent/test_agent_crashes.py
@@ -2,7 +2,13 @@
 from test_agent_service import issue_key, return_coat, summary
 from testtools.matchers import Equals, HasLength
 
-from standins import make_agent, make_record, start_agent, start_service
+from standins import (
+    make_agent,
+    make_record,
+    start_agent,
+    start_service,
+    wait_until,
+)
 from support import AsyncTestCase, with_server
 
 DEADLY = b"deadly"
@@ -15,21 +21,23 @@
 class TestServiceCrashes(AsyncTestCase):
     """Guards the reports by which entries count the crashes under a request."""
 
-    def serve(self, check, settings=None, **options):
+    def serve(self, check, timeout_ms=20_000, **options):
         async def main():
             async with trio.open_nursery() as nursery:
                 service, backend = await start_service(
                     nursery, deadly_body=DEADLY.decode(), **options
                 )
-                agent = make_agent(backend, "service", **(settings or {}))
-                route = {"route": "counter", "repeatable": True, "timeout_ms": 50}
-                agent.context.store.merge([make_record("services/counter", **route)])
+                agent = make_agent(backend, "service")
+                route = {"route": "counter", "repeatable": True}
+                agent.context.store.merge(
+                    [make_record("services/counter", timeout_ms=timeout_ms, **route)]
+                )
                 await check(await start_agent(nursery, agent), service)
                 nursery.cancel_scope.cancel()
 
         self.run_async(main)
 
-    @with_server(delay_s=0.02)
+    @with_server(delay_s=10.0)
     async def test_requests_lost_in_one_crash_report_one_run(self, address, service):
         responses = []
 
@@ -37,9 +45,10 @@
             responses.append(await return_coat(address, "", body, body=body.encode()))
 
         for _ in range(2):
+            service.runs.clear()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(submit, "sound")
-                await trio.sleep(0.005)
+                await wait_until(lambda: service.runs["coat-17"])
                 nursery.start_soon(submit, "deadly")
         runs = [crashed_run(each) for each in responses]
         self.assertThat(service.crashes, Equals(2))
@@ -62,7 +71,7 @@
         self.assertThat([crashed_run(each) > 0 for each in responses], Equals([1, 0]))
         self.assertThat(service.crashes, Equals(1))
 
-    @with_server(fault="hang_after")
+    @with_server(fault="hang_after", timeout_ms=50)
     async def test_silent_service_has_not_crashed(self, address, service):
         response = await return_coat(address, "")
         self.assertThat(summary(response), Equals(("service_failed", "may-have-run")))
