--- a/src/foxtailcourse/ingress/_part_suspicions.py
+++ b/src/foxtailcourse/crashes/_suspicions.py
@@ -8,7 +8,7 @@
 """
 
 import hashlib
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -255,6 +255,8 @@
         else:
             crash = Crash(report.run, now)
             self._crashes.append(crash)
+            # Entries also learn of earlier crashes later.
+            self._crashes.sort(key=lambda each: each.at)
         crash.add(report, now)
 
     def judge_requests(self, report: BreakReport, now: float) -> dict[Parts, Block]:
@@ -496,6 +498,12 @@
         self._blocks[parts] = Block(now + remaining_s, times)
         return True
 
+    def adopt_former(self, parts: Parts, ended_at: float, times: int) -> None:
+        """Remember a block of another entry that has ended."""
+        known = self._blocks.get(parts)
+        if parts and (known is None or known.times < times):
+            self._blocks[parts] = Block(ended_at, times)
+
     def contradicts(self, parts: Parts, now: float) -> bool:
         """Whether this entry knows of answers that exclude a block of parts."""
         was_answered = self.answered_at(parts) > float("-inf")
@@ -505,6 +513,11 @@
         """Return the parts that are blocked at present."""
         return {k: v for k, v in self._blocks.items() if now < v.until}
 
+    @property
+    def blocks(self) -> Mapping[Parts, Block]:
+        """The parts that are blocked, or were and are tried again."""
+        return self._blocks
+
 
 def request_parts(service: str, part_ids: Sequence[str]) -> Parts:
     """Return the parts of a prompt that other requests may share, all but the last."""
--- a/src/foxtailcourse/entry/_relay.py
+++ b/src/foxtailcourse/entry/_relay.py
@@ -188,7 +188,10 @@
             try:
                 await self._relay_events(exchange, call, checker, response, delivery)
             except (SseError, StreamError) as exc:
-                raise AttemptBroken("broken_stream", str(exc)) from exc
+                crashed_run = exc.crashed_run if isinstance(exc, StreamError) else 0
+                raise AttemptBroken(
+                    "broken_stream", str(exc), crashed_run=crashed_run
+                ) from exc
             if not checker.ended:
                 raise AttemptBroken(
                     "broken_stream", "stream stopped without an end event"
@@ -206,6 +209,7 @@
         async with aclosing(response.http.iter_chunks()) as body_chunks:
             async for body_chunk in body_chunks:
                 valid, failure = _check_events(parser, checker, body_chunk)
+                response.event_count += len(valid)
                 if valid:
                     # Recorded before they are sent, so that no later attempt repeats
                     # events of which the caller may have received a part.
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from foxtailcourse.crashes import PartSuspicions
 from foxtailcourse.fleet import (
     CallerLimits,
     FleetView,
@@ -36,7 +37,6 @@
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
 from foxtailcourse.ingress._part_exchange import PartExchange
 from foxtailcourse.ingress._part_records import PartRecords
-from foxtailcourse.ingress._part_suspicions import PartSuspicions
 from foxtailcourse.ingress._peer_exchange import PeerExchange
 from foxtailcourse.ingress._peers import Peer
 from foxtailcourse.ingress._recent_weights import (
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from foxtailcourse.crashes import Parts
 from foxtailcourse.fleet import BackendServer, RouteKind, ServerRun
 from foxtailcourse.http import (
     ByteBudget,
@@ -22,7 +23,6 @@
     EventTooLongError,
 )
 from foxtailcourse.ingress._job import AttemptError, Job, ServerResponse
-from foxtailcourse.ingress._part_suspicions import Parts
 from foxtailcourse.ingress._placement_types import Choice
 from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.ingress._server_loads import ServerLoads
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from foxtailcourse.crashes import request_key, request_parts
 from foxtailcourse.fleet import FleetView
 from foxtailcourse.ingress._admission import (
     AdmissionDecision,
@@ -24,7 +25,6 @@
     ServerResponse,
 )
 from foxtailcourse.ingress._part_exchange import PartExchange
-from foxtailcourse.ingress._part_suspicions import request_key, request_parts
 from foxtailcourse.ingress._placement import (
     ASSUMED_SHORT_WORK_TOKENS,
     choose_for_prompt,
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -2,9 +2,9 @@
 
 import attrs
 
+from foxtailcourse.crashes import Parts
 from foxtailcourse.fleet import Account, Route
 from foxtailcourse.http import Exchange, Framing
-from foxtailcourse.ingress._part_suspicions import Parts
 from foxtailcourse.ingress._placement_types import Choice, Prompt
 from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.platform import IngressRequest
--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -10,15 +10,15 @@
 import attrs
 import trio
 
-from foxtailcourse.fleet import ServerRun
-from foxtailcourse.ingress._limit_shares import LimitShares
-from foxtailcourse.ingress._part_suspicions import (
+from foxtailcourse.crashes import (
     Block,
     BreakReport,
     Parts,
     PartSuspicions,
     request_only,
 )
+from foxtailcourse.fleet import ServerRun
+from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._peer_messages import (
     AnsweredPartsUpdate,
     BlockedPartsUpdate,
--- a/src/foxtailcourse/ingress/_part_records.py
+++ b/src/foxtailcourse/ingress/_part_records.py
@@ -12,10 +12,7 @@
 import msgspec
 import trio
 
-from foxtailcourse.fleet import ServerRun
-from foxtailcourse.ingress._leased_record import write_leased_record
-from foxtailcourse.ingress._part_exchange import PartExchange, decode_ages_s
-from foxtailcourse.ingress._part_suspicions import (
+from foxtailcourse.crashes import (
     PAROLE_S,
     REQUEST_MEMORY_S,
     SETTLE_S,
@@ -24,6 +21,9 @@
     Parts,
     block_s,
 )
+from foxtailcourse.fleet import ServerRun
+from foxtailcourse.ingress._leased_record import write_leased_record
+from foxtailcourse.ingress._part_exchange import PartExchange, decode_ages_s
 from foxtailcourse.observe import EventLog
 from foxtailcourse.platform import KeyValueStore, PlatformError
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -51,6 +51,8 @@
     "`caller_closed`, `crossed_draining` or `crossed_idle_timeout` (the request came "
     "after the close and was not read), `send_timeout`, `stopped` or "
     "`too_many_connections`; `path` is missing if the request was not read whole",
+    "crash_exchange_failed": "another `entry` could not be told of a crash at "
+    "once; the periodic exchange repeats it",
     "crash_recorded": "the requests that a server lost as it broke off were written to "
     "the store as `key` for `ttl_ms`",
     "drain_ended": "the drain ended with `active` requests in progress",
@@ -319,6 +321,8 @@
     "outcome_unknown": "the call may have run; retry it with the same key",
     "queue_full": "the backend server's queue is full",
     "request_timeout": "the caller sent the request too slowly",
+    "request_blocked": "the same request crashed several backend servers; it is "
+    "refused for a while, or its idempotency key never runs",
     "requests_rate": "`requests_per_s` of the contract is used up",
     "server_busy": "the limit on buffered request bodies or on connections is reached",
     "service_failed": "the plain service failed; the call may have run",
--- a/tests/ingress/crash_simulation.py
+++ b/tests/ingress/crash_simulation.py
@@ -11,10 +11,10 @@
 import attrs
 import trio
 
+from foxtailcourse.crashes import PartSuspicions
 from foxtailcourse.fleet import ServerRun
 from foxtailcourse.ingress._part_exchange import PartExchange
 from foxtailcourse.ingress._part_records import PartRecords
-from foxtailcourse.ingress._part_suspicions import PartSuspicions
 from foxtailcourse.observe import EventLog, HybridClock
 from foxtailcourse.platform import PlatformError
 
--- a/tests/ingress/test_deadly_parts.py
+++ b/tests/ingress/test_deadly_parts.py
@@ -3,8 +3,8 @@
 from testtools.matchers import Equals
 
 from cluster import wait_until
+from foxtailcourse.crashes import request_parts
 from foxtailcourse.ingress._part_records import record_key
-from foxtailcourse.ingress._part_suspicions import request_parts
 from foxtailcourse.standin._backend_server import BackendServerFaults, part_names
 from support import run_with
 
--- a/tests/ingress/test_part_exchange.py
+++ b/tests/ingress/test_part_exchange.py
@@ -7,9 +7,9 @@
 import trio.testing
 from testtools.matchers import Equals
 
+from foxtailcourse.crashes import PartSuspicions
 from foxtailcourse.fleet import ServerRun
 from foxtailcourse.ingress._part_exchange import PartExchange
-from foxtailcourse.ingress._part_suspicions import PartSuspicions
 from foxtailcourse.observe import EventLog, HybridClock
 
 DEADLY = frozenset({"deadly"})
