Find a deadly part although its requests are blocked

What callers saw: servers crashed on, as different prompts have a part that crashes them and each prompt was sent twice: its key was blocked, and its crashes were then left out of the count for parts. Sound prompts that share a part with one that crashes servers before the head of its response could still be refused.

Cause: crashes were either explained by a blocked request or counted for parts. What matters is how many different requests with the parts were lost.

Ruled out: to count the crashes of a blocked request fully, as the same prompt has all of its parts in common with itself.

Change: each prompt of a crash has the keys of the requests that were lost with it, and parts count only in crashes with a request that did not count before. In crashes that a blocked request explains, only its prompt counts. Crashes that are read from the store count for requests only, as the entry knows of no answers to other prompts; their records are smaller for it.

--- a/src/foxtailcourse/crashes/_suspicions.py
+++ b/src/foxtailcourse/crashes/_suspicions.py
@@ -8,7 +8,7 @@
 """
 
 import hashlib
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 
 import attrs
 
@@ -129,8 +129,9 @@
         Run of the server.
     at : float
         When the first report arrived, in seconds since boot.
-    begun, waiting : set of frozenset of str
-        Parts of the prompts of the requests, as in the reports.
+    begun, waiting : dict of frozenset of str to set of str
+        Parts of the prompts of the requests, as in the reports, each with the keys of
+        the requests that have them.
     sent_at : dict of str to float
         When requests that had begun were sent, in seconds since boot, by their keys.
     waiting_sent_at : dict of str to float
@@ -141,25 +142,34 @@
 
     run: ServerRun
     at: float
-    begun: set[Parts] = attrs.field(factory=set)
-    waiting: set[Parts] = attrs.field(factory=set)
+    begun: dict[Parts, set[str]] = attrs.field(factory=dict)
+    waiting: dict[Parts, set[str]] = attrs.field(factory=dict)
     sent_at: dict[str, float] = attrs.field(factory=dict)
     waiting_sent_at: dict[str, float] = attrs.field(factory=dict)
     judged: bool = False
 
     @property
-    def prompts(self) -> set[Parts]:
+    def prompts(self) -> dict[Parts, set[str]]:
         """Parts of the prompts that may have crashed the server."""
         return self.begun or self.waiting
 
+    def suspected_prompts(self, blocked: Set[str]) -> dict[Parts, set[str]]:
+        """Return those of the blocked requests, which explain it, or all."""
+        explained = {k: v for k, v in self.prompts.items() if v & blocked}
+        return explained or self.prompts
+
     def add(self, report: BreakReport, now: float) -> None:
         """Add what an entry reported."""
         for prompts, reported in (
             (self.begun, report.begun),
             (self.waiting, report.waiting),
         ):
-            parts = [each for row in reported if (each := _prompt_parts(row))]
-            prompts.update(parts[: MAX_PROMPTS - len(prompts)])
+            for row in reported:
+                parts = _prompt_parts(row)
+                if parts and (parts in prompts or len(prompts) < MAX_PROMPTS):
+                    requests = prompts.setdefault(parts, set())
+                    if len(requests) < MAX_REQUESTS:
+                        requests.update(request_only(row))
         for sent_at, ages_s in (
             (self.sent_at, report.requests()),
             (self.waiting_sent_at, report.waiting_requests()),
@@ -183,18 +193,20 @@
         """Keys of the requests that are the likely cause, once all have reported."""
         return frozenset(self.sent_at or self.waiting_sent_at)
 
-    def is_explained_by(self, parts: Parts) -> bool:
-        """Whether a request with these parts is the likely cause."""
-        if _is_block_of_request(parts):
-            return parts <= self.requests
-        return self.may_be_due_to(parts)
+    def is_explained_by(self, request: Parts) -> bool:
+        """Whether a request is a likely cause, once all entries have reported."""
+        return request <= self.requests
 
     def report(self) -> BreakReport:
-        """Return what is known of it as one report."""
+        """Return the requests that were lost as one report, without their prompts.
+
+        An entry that learns of it later knows of no answers to other prompts with the
+        same parts.
+        """
         return BreakReport(
             self.run,
-            begun=(*_request_rows(self.sent_at), *self.begun),
-            waiting=(*_request_rows(self.waiting_sent_at), *self.waiting),
+            begun=_request_rows(self.sent_at),
+            waiting=_request_rows(self.waiting_sent_at),
             ages_s=self._ages_s(self.sent_at),
             waiting_ages_s=self._ages_s(self.waiting_sent_at),
         )
@@ -305,37 +317,54 @@
         return any(not crash.judged for crash in self._crashes)
 
     def _judge(self, crash: Crash, now: float) -> dict[Parts, Block]:
-        known = [each for each in self._blocks if crash.is_explained_by(each)]
+        blocked = self._judge_settled_requests(crash, now)
+        known = [
+            each
+            for each in self._blocks
+            if not _is_block_of_request(each) and crash.may_be_due_to(each)
+        ]
         if known:
             # They explain the crash. Requests sent before a block change nothing.
             ended = [each for each in known if self._blocks[each].until <= crash.at]
-            return {each: self._block(each, now) for each in ended}
-        requests = [frozenset({key}) for key in crash.requests]
-        repeated = [e for e in requests if self._is_suspect(e, crash.at, settled=True)]
-        if repeated:
-            # What the same request has in common with itself says nothing of others.
-            return {each: self._block(each, now) for each in repeated}
+            return blocked | {each: self._block(each, now) for each in ended}
         suspects = self._common_parts(crash)
         if not suspects:
-            return {}
+            return blocked
         # Parts are narrowed down if a crash has only some of those blocked before.
         wider = [each for each in self._blocks if suspects < each]
         times = max((self._blocks.pop(each).times for each in wider), default=1)
-        return {suspects: self._block(suspects, now, times)}
+        return blocked | {suspects: self._block(suspects, now, times)}
+
+    def _judge_settled_requests(self, crash: Crash, now: float) -> dict[Parts, Block]:
+        """Block the requests that are likely causes of this and earlier crashes."""
+        requests = [frozenset({key}) for key in crash.requests]
+        return {
+            each: self._block(each, now)
+            for each in requests
+            if each not in self._blocks
+            and self._is_suspect(each, crash.at, settled=True)
+        }
 
     def _common_parts(self, crash: Crash) -> Parts | None:
         """Return what requests of a crash share with enough others, if anything.
 
         Of several possible sets, the one of most crashes and then of most parts.
         """
-        earlier = {r for e in self._crashes if e.at < crash.at for r in e.prompts}
-        shared = {mine & other for mine in crash.prompts for other in earlier}
+        blocked = self._blocked_requests()
+        earlier = {
+            prompt
+            for each in self._crashes
+            if each.at < crash.at
+            for prompt in each.suspected_prompts(blocked)
+        }
+        mine = crash.suspected_prompts(blocked)
+        shared = {prompt & other for prompt in mine for other in earlier}
         candidates = sorted(
             (
                 (count, len(parts), sorted(parts))
                 for parts in shared
                 if parts
-                and (count := self._count(parts, float("-inf"), crash.at))
+                and (count := self._count_prompts(parts, float("-inf"), crash.at))
                 >= CRASHES_TO_BLOCK
             ),
             reverse=True,
@@ -348,13 +377,15 @@
 
         ``settled`` tells that all entries have reported on the latest of them.
         """
-        if self._count(parts, float("-inf"), until) < CRASHES_TO_BLOCK:
+        is_request = _is_block_of_request(parts)
+        count = self._count if is_request else self._count_prompts
+        if count(parts, float("-inf"), until) < CRASHES_TO_BLOCK:
             return False
         answered_at = self.answered_at(parts)
         was_answered = answered_at > float("-inf")
         needed = CRASHES_TO_BLOCK_KNOWN if was_answered else CRASHES_TO_BLOCK
-        if not _is_block_of_request(parts):
-            return self._count(parts, answered_at, until) >= needed
+        if not is_request:
+            return self._count_prompts(parts, answered_at, until) >= needed
         is_due = Crash.is_explained_by if settled else Crash.had_begun
         if self._count(parts, answered_at, until, is_due) >= needed:
             return True
@@ -367,10 +398,9 @@
         until: float,
         is_due: Callable[[Crash, Parts], bool] = Crash.may_be_due_to,
     ) -> int:
-        """Return in how many separate crashes of a time a request had some parts.
+        """Return in how many separate crashes of a time a request was lost.
 
-        ``is_due`` tells which crashes count. Those that a blocked request explains say
-        nothing of parts.
+        ``is_due`` tells which crashes count.
         """
         count, counted_at = 0, float("-inf")
         for crash in self._crashes:
@@ -378,17 +408,33 @@
                 after < crash.at <= until
                 and is_due(crash, parts)
                 and crash.is_separate(parts, counted_at)
-                and not self._is_explained_by_request(crash, parts)
             ):
                 count, counted_at = count + 1, crash.at
         return count
 
-    def _is_explained_by_request(self, crash: Crash, parts: Parts) -> bool:
-        """Whether a blocked request explains a crash that may be due to parts."""
-        return not _is_block_of_request(parts) and any(
-            _is_block_of_request(each) and crash.is_explained_by(each)
-            for each in self._blocks
-        )
+    def _count_prompts(self, parts: Parts, after: float, until: float) -> int:
+        """Return in how many separate crashes of a time different prompts had parts.
+
+        What the same request has in common with itself says nothing of its parts.
+        """
+        count, counted_at = 0, float("-inf")
+        blocked, seen = self._blocked_requests(), set[str]()
+        for crash in self._crashes:
+            if not after < crash.at <= until:
+                continue
+            prompts = crash.suspected_prompts(blocked)
+            requests = [keys for each, keys in prompts.items() if parts <= each]
+            keys = set[str]().union(*requests)
+            is_new = not keys or not keys <= seen
+            if requests and is_new and crash.is_separate(parts, counted_at):
+                seen |= keys
+                count, counted_at = count + 1, crash.at
+        return count
+
+    def _blocked_requests(self) -> frozenset[str]:
+        """Return the keys of the requests that are or were blocked."""
+        requests = (request_only(each) for each in self._blocks)
+        return frozenset().union(*requests)
 
     def _block(self, parts: Parts, now: float, times: int = 0) -> Block:
         former = self._blocks.get(parts)
--- a/tests/crashes/test_suspicions.py
+++ b/tests/crashes/test_suspicions.py
@@ -95,6 +95,21 @@
         self.crash_under("r-d", at=later)
         self.assertGreater(self.wait_s("r-d", at=later), FIRST_BLOCK_S)
 
+    def test_deadly_part_is_found_although_its_requests_are_blocked(self):
+        for number, request in enumerate(("r-a", "r-a", "r-b")):
+            self.crashes += 1
+            run = ServerRun(f"m{self.crashes}", 1)
+            at = NOW + 2 * number
+            report = BreakReport(
+                run, begun=(parts(request, f"own-{request}", "deadly"),)
+            )
+            self.suspicions.report(report, at)
+            self.suspicions.judge_requests(report, at)
+            blocked = self.suspicions.judge(at + JUDGED_S)
+        self.assertThat(set(blocked), Equals({DEADLY}))
+        self.assertTrue(self.wait_s("r-c", "c", "deadly", at=NOW + 5) > 0)
+        self.assertThat(self.wait_s("r-c", "own-r-a", at=NOW + 5), Equals(0.0))
+
     def test_recorded_crashes_count_once_each(self):
         self.crash_under("r-d", at=NOW)
         (crash,) = self.suspicions.crashes()
