Queue long prompts with a late target only as far as short ones can bear

Cause: a long prompt was sent while it could meet its own target of 2 s, so up to 2 s of prefill were queued at each server, also before short prompts with a target of 0.5 s. Change: where the target of a route is at least three times the shortest one of its service, a long prompt is sent in time only to a server with at most a quarter of that target queued, and is deferred at the entry otherwise. Test: test_late_targets_of_long_prompts_do_not_delay_short_ones simulates the burst (21 servers, a quarter down, 1.4 times the load).

--- a/src/foxtailcourse/emulator/ingress/deployments.py
+++ b/src/foxtailcourse/emulator/ingress/deployments.py
@@ -16,6 +16,7 @@
 # Size of one token in the KV cache; that of the tile workshops' model is larger.
 BYTES_PER_TOKEN = 35_136
 TILE_BYTES_PER_TOKEN = 163_840
+GALLERY_BYTES_PER_TOKEN = 18_432
 LONG, SHORT = "long", "short"
 
 
@@ -61,6 +62,20 @@
     store_token_s=_transfer_token_s(180.0, TILE_BYTES_PER_TOKEN),
     weight_load_s=0.43,
 )
+GALLERY_ENGINE = EngineSpec(
+    slots=64,
+    step_s=4.63e-3,
+    step_s_per_request=0.153e-3,
+    prefill_token_s=1e-3 / 37.9,
+    attention_pair_s=0.248e-9,
+    first_event_delay_s=0.019,
+    chunk_tokens=2048,
+    cache_tokens=154_132,
+    event_tokens=5,
+    fetch_token_s=_transfer_token_s(370.0, GALLERY_BYTES_PER_TOKEN),
+    store_token_s=_transfer_token_s(28.0, GALLERY_BYTES_PER_TOKEN),
+    weight_load_s=1.1,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -157,6 +172,27 @@
     short_worth=1.9,
     short_late_worth=0.56,
 )
+GALLERY_SITE = Site(
+    long_per_s=14.3,
+    short_per_s=266.0,
+    long_parts=376,
+    short_parts=2_699,
+    long_target_s=2.0,
+    short_target_s=0.5,
+    long_worth=4.7,
+    long_late_worth=2.1,
+    short_worth=2.4,
+    short_late_worth=0.28,
+)
+# The load of a burst: long prompts arrive twice as often as usual.
+GALLERY_BURST = FleetScenario(
+    name="gallery-burst",
+    spec=GALLERY_ENGINE,
+    servers=21,
+    entries=22,
+    kinds=attrs.evolve(GALLERY_SITE, long_per_s=28.6).kinds(),
+    outage=(0.25, 2.5, 21.5),
+)
 GROWN_TILE = FleetScenario(
     name="grown-tile-calm",
     spec=TILE_ENGINE,
--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -40,6 +40,7 @@
     RemoteLoad,
     RequestTiming,
     ServerLoads,
+    max_queue_s,
     plan_weight_loads,
 )
 from foxtailcourse.platform import CacheEvent, CacheEvents
@@ -148,6 +149,7 @@
         self.scheduler, self.rng = EventScheduler(), random.Random(seed + 1)
         self._load_generator = LoadGenerator(scenario.kinds, seed)
         self.entries = [_Entry(f"e{n}") for n in range(scenario.entries)]
+        self._shortest_target_s = min(each.target_s for each in scenario.kinds)
         self.desired_version = 1
         # Time of the last change of the desired weights.
         self._desired_since = math.inf
@@ -250,6 +252,7 @@
                 target_s=kind.target_s,
                 patience_s=kind.patience_s,
                 was_deferred=was_deferred,
+                max_queue_s=max_queue_s(kind.target_s, self._shortest_target_s),
             )
             backlog_s = entry.deferred.backlog_s(len(candidates), len(self.entries))
             decision = self.policy.decide_admission(choice, prompt, timing, backlog_s)
--- a/src/foxtailcourse/emulator/ingress/policies.py
+++ b/src/foxtailcourse/emulator/ingress/policies.py
@@ -165,6 +165,17 @@
         return AdmissionDecision.DEFER if overloaded else AdmissionDecision.SEND
 
 
+class UnboundedQueue(ProductPolicy):
+    """Replaced policy that queued long prompts at servers up to their own target."""
+
+    def decide_admission(
+        self, choice: Choice, prompt: Prompt, timing: RequestTiming, backlog_s: float
+    ) -> AdmissionDecision:
+        """Return whether a prompt is sent, deferred or refused."""
+        timing = attrs.evolve(timing, max_queue_s=float("inf"))
+        return super().decide_admission(choice, prompt, timing, backlog_s)
+
+
 class SameChoice(ProductPolicy):
     """Replaced policy without a random part of the cost."""
 
--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -1,5 +1,6 @@
 """Data types of the configuration, client accounts and backend servers."""
 
+import functools
 from collections.abc import Mapping
 from enum import Enum
 
@@ -191,6 +192,26 @@
         addresses = (each.cache_store for each in self.services.values())
         return tuple(each for each in addresses if each is not None)
 
+    @functools.cached_property
+    def _shortest_stream_targets_s(self) -> Mapping[str, float]:
+        targets_s: dict[str, float] = {}
+        for routes in self.routes.values():
+            for route in routes:
+                if route.kind is RouteKind.STREAM and route.target_latency_s > 0:
+                    for backend in route.backends:
+                        known_s = targets_s.get(backend.service, float("inf"))
+                        targets_s[backend.service] = min(
+                            known_s, route.target_latency_s
+                        )
+        return targets_s
+
+    def shortest_stream_target_s(self, service_name: str) -> float:
+        """Return the shortest target of a service's routes with streams, in seconds.
+
+        It is infinity if there is none.
+        """
+        return self._shortest_stream_targets_s.get(service_name, float("inf"))
+
     def event_subscribers(self, service_name: str) -> int:
         """Return how many concurrent event polls a server of a service accepts.
 
--- a/src/foxtailcourse/ingress/__init__.py
+++ b/src/foxtailcourse/ingress/__init__.py
@@ -9,6 +9,7 @@
     DeferredPrompts,
     RequestTiming,
     decide_admission,
+    max_queue_s,
 )
 from foxtailcourse.ingress._app import IngressApp, serve
 from foxtailcourse.ingress._cache_index import CacheIndex
@@ -50,6 +51,7 @@
     "choose_for_prompt",
     "decide_admission",
     "lowest_cost_choice",
+    "max_queue_s",
     "plan_weight_loads",
     "serve",
 ]
--- a/src/foxtailcourse/ingress/_admission.py
+++ b/src/foxtailcourse/ingress/_admission.py
@@ -35,6 +35,11 @@
 # them, so that one large prompt does not cause refusals.
 MAX_BACKLOG_FRACTION = 0.5
 MIN_DEFERRED_PROMPTS = 3
+# Where the target of long prompts is at least this multiple of the shortest target at
+# their service, a queue that they can bear makes the other prompts late. Then only so
+# much is queued at a server as leaves those this fraction of their target.
+DIFFERENT_TARGETS_RATIO = 3.0
+QUEUED_TARGET_FRACTION = 0.25
 
 
 class AdmissionDecision(enum.Enum):
@@ -67,12 +72,16 @@
         Time after which the caller gives up, in seconds.
     was_deferred : bool
         Whether the request was deferred before.
+    max_queue_s : float
+        Longest prefill that may be queued at a server to which a long prompt is sent in
+        time, in seconds.
     """
 
     age_s: float
     target_s: float
     patience_s: float
     was_deferred: bool = False
+    max_queue_s: float = float("inf")
 
 
 def decide_admission(
@@ -97,9 +106,10 @@
     backlog_tokens = choice.candidate.total_load.prefill_tokens
     accepted_tokens = IDLE_SERVER_WORK_TOKENS + OWN_WORK_FRACTION * choice.work_tokens
     accepted_tokens *= 2 ** (timing.age_s / ACCEPTED_WORK_DOUBLING_S)
-    if (
-        _first_event_age_s(choice, timing) <= timing.target_s
-        or backlog_tokens <= accepted_tokens
+    queue_s = backlog_tokens / PREFILL_TOKENS_PER_S
+    if backlog_tokens <= accepted_tokens or (
+        queue_s <= timing.max_queue_s
+        and _first_event_age_s(choice, timing) <= timing.target_s
     ):
         return AdmissionDecision.SEND
     unqueued_s = FIRST_EVENT_LATENCY_S + choice.work_tokens / PREFILL_TOKENS_PER_S
@@ -110,6 +120,30 @@
     return AdmissionDecision.REFUSE if exceeds_patience else AdmissionDecision.DEFER
 
 
+def max_queue_s(target_s: float, shortest_target_s: float) -> float:
+    """Return the longest queue at a server to which a long prompt is sent in time.
+
+    This answers a burst of long prompts with a late target beside short ones with an
+    early target: what is queued at a server delays both, what is deferred at an entry
+    does not.
+
+    Parameters
+    ----------
+    target_s : float
+        Target of the prompt's route, in seconds.
+    shortest_target_s : float
+        Shortest target of a route with prompts to the same service, in seconds.
+
+    Returns
+    -------
+    float
+        Prefill time in seconds; infinity if the targets are similar.
+    """
+    if target_s < DIFFERENT_TARGETS_RATIO * shortest_target_s:
+        return float("inf")
+    return QUEUED_TARGET_FRACTION * shortest_target_s
+
+
 def _first_event_age_s(choice: Choice, timing: RequestTiming) -> float:
     """Return the expected age at the first event of a prompt that is sent now."""
     work_tokens = choice.candidate.total_load.prefill_tokens + choice.work_tokens
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -13,6 +13,7 @@
     DeferredPrompts,
     RequestTiming,
     decide_admission,
+    max_queue_s,
 )
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._candidates import CandidateFilter, Selection
@@ -229,12 +230,16 @@
         RefusedError
             If the prompt is refused.
         """
-        route = job.route
+        route, configuration = job.route, self.view.configuration
+        shortest_target_s = route.target_latency_s
+        if configuration is not None:
+            shortest_target_s = configuration.shortest_stream_target_s(job.service)
         timing = RequestTiming(
             age_s=now - job.started,
             target_s=route.target_latency_s,
             patience_s=min(route.patience_s, job.deadline - job.started),
             was_deferred=self.deferred.remove(id(job)),
+            max_queue_s=max_queue_s(route.target_latency_s, shortest_target_s),
         )
         backlog_s = self.deferred.backlog_s(server_count, len(self.view.entries))
         decision = decide_admission(choice, prompt, timing, backlog_s)
--- a/tests/ingress/test_overload.py
+++ b/tests/ingress/test_overload.py
@@ -7,6 +7,7 @@
 
 from foxtailcourse.emulator.ingress.deployments import (
     COUNTER,
+    GALLERY_BURST,
     GROWN_GUIDING,
     GUIDING_SITE,
     LONG,
@@ -19,12 +20,14 @@
     ProductPolicy,
     SameChoice,
     SizeClasses,
+    UnboundedQueue,
 )
 from foxtailcourse.ingress._admission import (
     AdmissionDecision,
     DeferredPrompts,
     RequestTiming,
     decide_admission,
+    max_queue_s,
 )
 from foxtailcourse.ingress._placement_types import Choice
 
@@ -123,6 +126,23 @@
         decision = decide_admission(choice(10.0**6), small, timing(1.5), 100.0)
         self.assertThat(decision, Equals(AdmissionDecision.DEFER))
 
+    def test_prompt_with_a_late_target_is_not_queued_before_short_ones(self):
+        # Guards against queues that a long prompt can bear and a short one cannot.
+        late_target = attrs.evolve(timing(), target_s=2.0, max_queue_s=0.125)
+        self.assertThat(
+            decide_admission(choice(4_000.0), prompt(), late_target, 0.0),
+            Equals(AdmissionDecision.SEND),
+        )
+        self.assertThat(
+            decide_admission(choice(6_000.0), prompt(), late_target, 0.0),
+            Equals(AdmissionDecision.DEFER),
+        )
+
+    def test_queue_is_limited_only_where_targets_differ_much(self):
+        self.assertThat(max_queue_s(1.0, 0.5), Equals(float("inf")))
+        self.assertThat(max_queue_s(2.0, 0.5), Equals(0.125))
+        self.assertThat(max_queue_s(0.5, float("inf")), Equals(float("inf")))
+
     def test_one_large_deferred_prompt_causes_no_refusals(self):
         deferred = DeferredPrompts()
         deferred.add(1, 400_000.0)
@@ -165,6 +185,18 @@
                 name,
             )
 
+    def test_late_targets_of_long_prompts_do_not_delay_short_ones(self):
+        # The load is a burst of long prompts while a quarter of the servers is down.
+        burst = attrs.evolve(GALLERY_BURST, duration_s=20.0, load_factor=1.4)
+        before = self.simulate(UnboundedQueue(), burst)
+        after = self.simulate(ProductPolicy(), burst)
+        first_event_s = sorted(after.outcomes[SHORT].first_event_s)
+        self.assertTrue(first_event_s[len(first_event_s) * 95 // 100] <= SHORT_P95_S)
+        old, new = before.outcomes[LONG], after.outcomes[LONG]
+        answered = (new.in_time + new.late) / (old.in_time + old.late)
+        self.assertTrue(answered >= LONG_FLOOR, answered)
+        self.assertTrue(after.worth >= before.worth)
+
     def test_no_size_of_prompt_starves(self):
         for name in ("counter-dark", "guiding-dark"):
             for outcome in self.simulate(
