Add the settings of hard load and decayed sums over the fleet

What operators see: foxtail-ingress has the settings contracts, memory_mb, quota_window_s, quota_overage and quota_tolerance, which deploy/ingress.ini fills in. Empty values mean the defaults: no contracts, the memory of the smallest entry (160 MB) and no rule on quotas. Nothing uses them yet, and requests are served as before.

Reason: quotas, fair shares, held memory and server speeds each need a figure summed over all entries and must be off in a deployment that does not enable them.

Change: Features derives from the contracts what is enabled, in one place; FleetSums keeps the own decayed sums by key and those of the other entries, as docs/design/hard-load.md specifies.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -29,6 +29,8 @@
 from foxtailcourse.ingress._configuration_exchange import ConfigurationExchange
 from foxtailcourse.ingress._configuration_refresh import ConfigurationRefresh
 from foxtailcourse.ingress._dispatcher import Dispatcher
+from foxtailcourse.ingress._features import Features
+from foxtailcourse.ingress._fleet_sums import FleetSums
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
 from foxtailcourse.ingress._handler import IngressHandler
 from foxtailcourse.ingress._lease import EntryLease, registration_wait_s
@@ -107,6 +109,8 @@
         self._daemon = daemon
         self._cfg = cfg
         self._events, self._metrics = daemon.events, daemon.metrics
+        self._features = Features.from_contracts(cfg.contracts)
+        self._sums = FleetSums()
         self._rng = random.Random()
         self._pool = ConnectionPool()
         self._view = FleetView()
@@ -506,6 +510,7 @@
     def _apply_limits(self) -> None:
         """Apply changed limits of the platform to the components that enforce them."""
         cfg = self._cfg
+        self._features = Features.from_contracts(cfg.contracts)
         self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
         self._dispatcher.candidates.weights_limit_s = cfg.weights_ms / 1000
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
--- a/src/foxtailcourse/ingress/_settings.py
+++ b/src/foxtailcourse/ingress/_settings.py
@@ -11,6 +11,8 @@
 WATCH_PAUSE_FRACTION = 0.25
 # Bandwidth that the traffic of one core needs.
 LINK_MBPS_PER_CORE = 50.0
+# The smallest entries of all deployments have this memory.
+SMALLEST_MEMORY_MB = 160.0
 # Longest time to live of a lease that the store grants.
 MAX_LEASE_MS = 600_000
 
@@ -137,6 +139,39 @@
         unit="seconds",
         minimum=1,
     )
+    contracts: tuple[str, ...] = setting(
+        tuple[str, ...],
+        (),
+        description="Names of the platform's contracts of this deployment; unknown "
+        "ones are ignored.",
+    )
+    memory_mb: float = setting(
+        float,
+        SMALLEST_MEMORY_MB,
+        description="Memory of this VM's process; the platform kills a larger one.",
+        unit="MB",
+        minimum=1,
+    )
+    quota_window_s: float = setting(
+        float,
+        0.0,
+        description="Window of the platform's rule on quotas; 0 if there is none.",
+        unit="seconds",
+        minimum=0,
+    )
+    quota_overage: float = setting(
+        float,
+        0.0,
+        description="Fraction by which an account may exceed its quota in a window.",
+        minimum=0,
+    )
+    quota_tolerance: float = setting(
+        float,
+        0.0,
+        description="Tokens or requests by which an account may exceed its quota in a "
+        "window, in addition to the fraction.",
+        minimum=0,
+    )
     watch_wait_s: float = setting(
         float,
         1.5,
--- a/tests/scripts/test_deploy.py
+++ b/tests/scripts/test_deploy.py
@@ -58,6 +58,10 @@
     "bounds.retryBudgetExtra": "52",
     "bounds.budgetWindowS": "10",
     "bounds.drainMs": "2000",
+    "bounds.quotaWindowS": "8",
+    "bounds.quotaOverage": "0.1",
+    "bounds.quotaTolerance": "190000",
+    "limits.memoryMb": "160",
     "platform.readsPerS": "2000",
     "platform.writesPerS": "400",
     "platform.minTtlMs": "1000",
@@ -81,6 +85,7 @@
         "limits.cpuShare": draw(NUMBER),
         "limits.cores": str(draw(st.integers(1, 8))),
         "limits.linkMbps": draw(NUMBER),
+        "contracts": draw(st.sampled_from(["", "base", "base,drain,quota,pressure"])),
         "seeds": ",".join(draw(st.lists(ADDRESS, max_size=100))),
     }
     return values | {key: draw(bound_values(text)) for key, text in BOUNDS.items()}
