Exchange decayed sums between entries

What operators see: nothing yet, as no component keeps sums; without keys no message is sent. New metrics: foxtail_ingress_sums_entries, foxtail_ingress_sums_sent_total and foxtail_ingress_old_sums_total.

Reason: quotas, fair shares and server speeds need sums over all entries that are at most some message periods old, and the number of entries that they cover.

Change: up to 12 entries send all rows to each other each 0.4 s, urgent keys at once with a spacing of 50 ms; above, relays send sums to the relays of other failure domains and to each member the fleet without it. Of the relays of a domain a receiver uses only the one that covers most entries, so that a member that changes its relay is never counted twice. After a pause of the process of 0.5 s, what waited in the socket is ignored. Rows carry the decay time, since a relay may not use the key itself. A relay invites the entries of its domain that are silent as they have no keys.

Ruled out: the larger sum of both relays by key, as the number of entries would not match the sums; a list of members in each message, which grows with the fleet.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -54,6 +54,7 @@
 from foxtailcourse.ingress._store_watcher import WATCH_BLACKOUT_S, StoreWatcher
 from foxtailcourse.ingress._stream_origins import SoftwareHistory
 from foxtailcourse.ingress._stream_resumption import StreamResumption
+from foxtailcourse.ingress._sum_exchange import SumExchange
 from foxtailcourse.ingress._watchdog import AttemptWatchdog
 from foxtailcourse.platform import (
     OPERATOR_PREFIX,
@@ -191,6 +192,16 @@
             self._events,
         )
         self._peer_exchange.on_limits = self._limit_exchange.handle
+        self._sum_exchange = SumExchange(
+            vm=daemon.cfg.vm,
+            sums=self._sums,
+            peers=self._membership.peers,
+            plan=self._peer_exchange.plan,
+            send=self._peer_exchange.send,
+            clock=boot_seconds,
+            metrics=self._metrics,
+        )
+        self._peer_exchange.on_sums = self._sum_exchange.handle
         self._parts = PartExchange(
             vm=daemon.cfg.vm,
             suspicions=PartSuspicions(),
@@ -415,6 +426,7 @@
             ).encode()
             nursery.start_soon(self._peer_exchange.run)
             nursery.start_soon(self._limit_exchange.run)
+            nursery.start_soon(self._sum_exchange.run)
             nursery.start_soon(self._parts.run)
             nursery.start_soon(self._part_records.run)
             nursery.start_soon(self._configuration_exchange.run)
--- a/src/foxtailcourse/ingress/_fleet_sums.py
+++ b/src/foxtailcourse/ingress/_fleet_sums.py
@@ -21,6 +21,12 @@
 # A key is forgotten if nothing was added for this time; a user that needs the key
 # longer adds zero.
 KEY_IDLE_S = 60.0
+# A row of a source that is heard is kept for this time, in which two messages may be
+# lost.
+ROW_VALID_S = 1.5
+# A source with more rows than it sends in a period repeats the ones that changed least
+# after some seconds.
+PARTIAL_ROW_VALID_S = 6.0
 
 
 @attrs.define
@@ -45,12 +51,19 @@
         Number of other entries that the rows cover.
     heard_at : float
         When the source was last heard, in seconds since boot.
+    has_keys : bool
+        Whether one of these entries keeps sums.
+    is_partial : bool
+        Whether the source has more rows than it sends in a period.
     """
 
     entries: int = 0
     heard_at: float = float("-inf")
-    # Sums, when they arrived and the decay time of the sender (None if unknown), by
-    # key.
+    has_keys: bool = False
+    is_partial: bool = False
+    # When the newest message was sent, by the clock of the source in milliseconds.
+    _sent_ms: int = 0
+    # Sums, when they arrived and the decay time that the source stated, by key.
     _rows: dict[str, tuple[tuple[float, ...], float, float | None]] = attrs.field(
         factory=dict
     )
@@ -58,40 +71,44 @@
     def __iter__(self) -> Iterator[str]:
         return iter(self._rows)
 
+    def is_newer(self, sent_ms: int, now: float) -> bool:
+        """Whether a message was not overtaken by another one; remembers it.
+
+        The clock of a source that was silent may have started again.
+        """
+        if sent_ms < self._sent_ms and now - self.heard_at <= ROW_VALID_S:
+            return False
+        self._sent_ms = sent_ms
+        return True
+
     def replace(self, rows: Iterable[SumRow], entries: int, now: float) -> None:
         """Replace all rows."""
         self._rows.clear()
-        self.merge(rows, entries, now)
+        self.merge(((*row, None) for row in rows), entries, now)
 
     def merge(
         self,
-        rows: Iterable[SumRow],
+        rows: Iterable[tuple[str, Sequence[float], float | None]],
         entries: int,
         now: float,
-        taus_s: Mapping[str, float] | None = None,
     ) -> None:
         """Replace the rows of the given keys; keep the others.
 
         Parameters
         ----------
         rows : iterable of tuple
-            Key and sums.
+            Key, sums, and the decay time of the source in seconds or None.
         entries : int
             Number of other entries that all rows cover.
         now : float
             Present time in seconds since boot.
-        taus_s : mapping of str to float
-            Decay times of the sender in seconds, by key.
         """
         self.heard_at, self.entries = now, max(0, entries)
-        for key, amounts in rows:
-            tau_s = taus_s.get(key) if taus_s else None
-            self._rows[key] = (_usable(amounts), now, tau_s)
-
-    def discard(self, keys: Iterable[str]) -> None:
-        """Remove rows."""
-        for key in keys:
-            self._rows.pop(key, None)
+        for key, amounts, tau_s in rows:
+            if is_near_zero(amounts):
+                self._rows.pop(key, None)
+            else:
+                self._rows[key] = (_usable(amounts), now, tau_s)
 
     def tau_s(self, key: str) -> float | None:
         """Return the decay time that the source stated for a key, in seconds."""
@@ -111,9 +128,10 @@
         amounts, arrived_at, stated_s = row
         return _decay(amounts, now - arrived_at, tau_s or stated_s or DEFAULT_TAU_S)
 
-    def expire(self, now: float, hold_s: float) -> None:
-        """Remove rows that were not sent again for ``hold_s`` seconds."""
-        self._rows = {k: v for k, v in self._rows.items() if now - v[1] <= hold_s}
+    def expire(self, now: float) -> None:
+        """Remove rows that were not sent again in time."""
+        valid_s = PARTIAL_ROW_VALID_S if self.is_partial else ROW_VALID_S
+        self._rows = {k: v for k, v in self._rows.items() if now - v[1] < valid_s}
 
 
 class FleetSums:
@@ -173,13 +191,15 @@
         rows = [(key, list(own.decayed(now))) for key, own in self._own.items()]
         return [row for row in rows if not is_near_zero(row[1])]
 
-    def tau_s(self, key: str) -> float:
-        """Return the decay time of a key in seconds."""
+    def own_tau_s(self, key: str) -> float | None:
+        """Return the decay time of a key of this entry in seconds, or None."""
         own = self._own.get(key)
-        if own is not None:
-            return own.tau_s
-        stated = (source.tau_s(key) for source in self._sources.values())
-        return next((each for each in stated if each), DEFAULT_TAU_S)
+        return own.tau_s if own else None
+
+    @property
+    def has_own_keys(self) -> bool:
+        """Whether this entry keeps sums."""
+        return bool(self._own)
 
     def _forget_idle(self, now: float) -> None:
         self._own = {k: v for k, v in self._own.items() if now - v.as_of < KEY_IDLE_S}
@@ -213,8 +233,7 @@
 
     def others(self, key: str, now: float) -> tuple[float, ...]:
         """Return the sums of the other entries, decayed since they arrived."""
-        own = self._own.get(key)
-        tau_s = own.tau_s if own else None
+        tau_s = self.own_tau_s(key)
         total: tuple[float, ...] = ()
         for source in self._heard(now):
             total = add_amounts(total, source.decayed(key, now, tau_s))
@@ -258,7 +277,7 @@
 
 def is_near_zero(amounts: Iterable[float]) -> bool:
     """Whether sums are too small to be sent."""
-    return all(each < NEAR_ZERO for each in amounts)
+    return not any(each >= NEAR_ZERO for each in amounts)
 
 
 def add_amounts(left: Sequence[float], right: Sequence[float]) -> tuple[float, ...]:
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -39,6 +39,7 @@
     OriginQuery,
     OriginsUpdate,
     SnapshotRequest,
+    SumsUpdate,
     WeightsUpdate,
     decode,
     encode,
@@ -110,6 +111,8 @@
         Called with a server of which the entry ``by_entry`` says that it leaves.
     on_limits : callable
         Handles statements of servers on their limits that another entry published.
+    on_sums : callable
+        Handles decayed sums of other entries, given the sender and the present time.
     on_parts : callable
         Handles what another entry tells of crashes and of blocked prompt parts.
     on_configuration_query : coroutine function
@@ -148,6 +151,9 @@
     on_parts: Callable[
         [BreaksUpdate | BlockedPartsUpdate | AnsweredPartsUpdate, str], None
     ] = attrs.field(default=lambda message, sender: None)
+    on_sums: Callable[[SumsUpdate, str, float], None] = attrs.field(
+        default=lambda message, sender, now: None
+    )
     on_limits: Callable[[LimitsUpdate, str], None] = attrs.field(
         default=lambda message, sender: None
     )
@@ -238,6 +244,8 @@
             case FleetLoads(rows):
                 self.plan.record_heard(sender, now)
                 self._apply_loads(FLEET_SOURCE, rows, now)
+            case SumsUpdate():
+                self.on_sums(message, sender, now)
             case SnapshotRequest():
                 self._snapshots_for.append(sender)
             case WeightsUpdate():
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -34,6 +34,49 @@
     rows: list[tuple[str, int, int, int]]
 
 
+# Key, decayed sums at the time of sending, and decay time in milliseconds.
+SumWireRow = tuple[str, list[float], int]
+
+
+class SumsUpdate(msgspec.Struct, array_like=True, tag="sums"):
+    """Decayed sums of the sending entry; see ``FleetSums``.
+
+    The other two messages with sums have the same fields. Keys without a row keep the
+    last one.
+
+    Parameters
+    ----------
+    sent_ms : int
+        Time of sending by the sender's clock in milliseconds; an older message does not
+        replace a newer one.
+    entries : int
+        Number of entries that the sums cover.
+    has_keys : bool
+        Whether one of them keeps sums.
+    is_urgent : bool
+        Whether a relay passes the rows on at once.
+    is_partial : bool
+        Whether the sender has more rows than it sends in a period.
+    rows : list of tuple
+        Key, sums and decay time in milliseconds.
+    """
+
+    sent_ms: int
+    entries: int
+    has_keys: bool
+    is_urgent: bool
+    is_partial: bool
+    rows: list[SumWireRow]
+
+
+class DomainSums(SumsUpdate, array_like=True, tag="domain-sums"):
+    """Sums of all members of the sending relay, for relays of other domains."""
+
+
+class OtherSums(SumsUpdate, array_like=True, tag="other-sums"):
+    """Sums of all entries except the receiving one, from its relay."""
+
+
 class WeightsUpdate(msgspec.Struct, array_like=True, tag="weights"):
     """State of the weight loads, published by the leader.
 
@@ -235,6 +278,9 @@
     LoadsUpdate
     | DomainLoads
     | FleetLoads
+    | SumsUpdate
+    | DomainSums
+    | OtherSums
     | WeightsUpdate
     | CacheUpdate
     | CacheBatch
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -194,6 +194,10 @@
     "foxtail_ingress_in_flight": "requests that this entry has sent and that have not "
     "ended",
     "foxtail_ingress_state_age_seconds": "age of the last known state, by `source`",
+    "foxtail_ingress_old_sums_total": "received messages with sums of the fleet that "
+    "are ignored, as newer ones came first or this entry was suspended",
+    "foxtail_ingress_sums_entries": "other entries whose sums this entry has",
+    "foxtail_ingress_sums_sent_total": "messages sent with sums of the fleet",
     "foxtail_ingress_orders_total": "orders to load weights by `outcome`",
     "foxtail_ingress_prefill_tokens": "prompt tokens that this entry has sent to "
     "servers and that are not yet prefilled",
