Merge the sums over the fleet

Settings of the work on hard load, decayed sums by key and their exchange through the relays. Nothing uses them yet; entries without keys send nothing.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -29,6 +29,8 @@
 from foxtailcourse.ingress._configuration_exchange import ConfigurationExchange
 from foxtailcourse.ingress._configuration_refresh import ConfigurationRefresh
 from foxtailcourse.ingress._dispatcher import Dispatcher
+from foxtailcourse.ingress._features import Features
+from foxtailcourse.ingress._fleet_sums import FleetSums
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
 from foxtailcourse.ingress._handler import IngressHandler
 from foxtailcourse.ingress._lease import EntryLease, registration_wait_s
@@ -52,6 +54,7 @@
 from foxtailcourse.ingress._store_watcher import WATCH_BLACKOUT_S, StoreWatcher
 from foxtailcourse.ingress._stream_origins import SoftwareHistory
 from foxtailcourse.ingress._stream_resumption import StreamResumption
+from foxtailcourse.ingress._sum_exchange import SumExchange
 from foxtailcourse.ingress._watchdog import AttemptWatchdog
 from foxtailcourse.platform import (
     OPERATOR_PREFIX,
@@ -107,6 +110,8 @@
         self._daemon = daemon
         self._cfg = cfg
         self._events, self._metrics = daemon.events, daemon.metrics
+        self._features = Features.from_contracts(cfg.contracts)
+        self._sums = FleetSums()
         self._rng = random.Random()
         self._pool = ConnectionPool()
         self._view = FleetView()
@@ -187,6 +192,16 @@
             self._events,
         )
         self._peer_exchange.on_limits = self._limit_exchange.handle
+        self._sum_exchange = SumExchange(
+            vm=daemon.cfg.vm,
+            sums=self._sums,
+            peers=self._membership.peers,
+            plan=self._peer_exchange.plan,
+            send=self._peer_exchange.send,
+            clock=boot_seconds,
+            metrics=self._metrics,
+        )
+        self._peer_exchange.on_sums = self._sum_exchange.handle
         self._parts = PartExchange(
             vm=daemon.cfg.vm,
             suspicions=PartSuspicions(),
@@ -411,6 +426,7 @@
             ).encode()
             nursery.start_soon(self._peer_exchange.run)
             nursery.start_soon(self._limit_exchange.run)
+            nursery.start_soon(self._sum_exchange.run)
             nursery.start_soon(self._parts.run)
             nursery.start_soon(self._part_records.run)
             nursery.start_soon(self._configuration_exchange.run)
@@ -506,6 +522,7 @@
     def _apply_limits(self) -> None:
         """Apply changed limits of the platform to the components that enforce them."""
         cfg = self._cfg
+        self._features = Features.from_contracts(cfg.contracts)
         self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
         self._dispatcher.candidates.weights_limit_s = cfg.weights_ms / 1000
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
