Decode quotas of client accounts

What operators see: ratePerS, burst, unit and uncachedTokens of an account are read. A value that makes no sense (negative, text, NaN, huge, an unknown unit) leaves the configuration and all other accounts readable: such a rate is no limit, a burst 0, a unit requests, uncachedTokens 200. The configuration lists what was replaced, for the log.

Cause: the fields were ignored, so no quota could be kept.

Change: fleet.Quota and Account.quota; JSON numbers that a float cannot express are text, which only the fields of a quota accept. IngressRequest.counted_tokens is the sum of both token counts.

--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -113,6 +113,33 @@
     transfer_token_s: float = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class Quota:
+    """Limit of a client account over all entries together.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Tokens or requests per second; above 0.
+    burst : float
+        Tokens or requests that may be used at once in addition.
+    counts_tokens : bool
+        Whether the limit counts tokens; otherwise it counts requests.
+    default_tokens : float
+        Tokens that a request without token counts counts as.
+    """
+
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool
+    default_tokens: float
+
+    @property
+    def unit(self) -> str:
+        """What the limit counts, ``tokens`` or ``requests``."""
+        return "tokens" if self.counts_tokens else "requests"
+
+
 @attrs.frozen(kw_only=True)
 class Account:
     """A client account.
@@ -125,11 +152,14 @@
         Priority; 0 is the highest.
     isolated : bool
         Whether its cache entries are separate from those of other client accounts.
+    quota : Quota or None
+        Its limit over all entries; None without one.
     """
 
     name: str
     priority: int
     isolated: bool
+    quota: Quota | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -170,6 +200,8 @@
         Whether routes that are not public need an API key.
     limits : CallerLimits
         Limits on callers.
+    problems : tuple of str
+        Values of quotas that were replaced because they make no sense, for the log.
     """
 
     version: int
@@ -178,6 +210,7 @@
     accounts: Mapping[str, Account]
     keys_required: bool
     limits: CallerLimits = CallerLimits()
+    problems: tuple[str, ...] = ()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
--- a/src/foxtailcourse/platform/_headers.py
+++ b/src/foxtailcourse/platform/_headers.py
@@ -1,5 +1,6 @@
 """HTTP headers of callers' requests and of backend servers' responses."""
 
+import math
 import re
 from collections.abc import Iterable, Mapping
 
@@ -122,6 +123,9 @@
         that it resumes; empty if not given.
     headers : mapping of str to str
         Headers to forward to the backend server.
+    counted_tokens : int or None
+        Tokens that count toward a quota, those of the prompt and the maximum to
+        generate; None if the caller does not state both.
     """
 
     id: str
@@ -135,6 +139,7 @@
     last_event_id: str
     resumes: str
     headers: Mapping[str, str]
+    counted_tokens: int | None = None
 
     @property
     def prompt_tokens(self) -> int:
@@ -262,6 +267,7 @@
         model=fields.get(MODEL_HEADER, ""),
         prompt_parts=_parse_prompt_parts(fields.get(PROMPT_PREFIX_HEADER, "")),
         max_output_tokens=_parse_max_output_tokens(fields.get(TOKEN_COUNTS_HEADER, "")),
+        counted_tokens=_parse_counted_tokens(fields.get(TOKEN_COUNTS_HEADER, "")),
         last_event_id=fields.get(LAST_EVENT_ID_HEADER, ""),
         resumes=fields.get(RESUMES_HEADER, ""),
         headers={k: v for k, v in fields.items() if k not in dropped},
@@ -320,6 +326,14 @@
     return int(_parse_number(count.strip()) or 0)
 
 
+def _parse_counted_tokens(text: str) -> int | None:
+    """Return the sum of two token counts, or None if one is missing or malformed."""
+    counts = [_parse_number(each.strip()) for each in text.split(",")]
+    if len(counts) != 2 or None in counts:
+        return None
+    return math.ceil(sum(each for each in counts if each is not None))
+
+
 def encode_attempt_headers(
     request: IngressRequest, attempt: AttemptHeaders, body_bytes: int
 ) -> dict[str, str]:
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -1,5 +1,6 @@
 """Decodes the records that operators and backend servers write to the store."""
 
+import json
 import math
 from collections.abc import Callable
 from typing import Any
@@ -12,6 +13,7 @@
     BackendServer,
     CallerLimits,
     Configuration,
+    Quota,
     Route,
     RouteBackend,
     RouteKind,
@@ -35,6 +37,16 @@
 # these multiples of the route's target latency and of its longest gap between events
 # (PROTOCOL, Requests).
 PATIENCE_MIN_S, PATIENCE_TARGET_RATIO, PATIENCE_GAP_RATIO = 2.0, 4, 8
+# Numbers of a quota outside of these bounds make no sense.
+MIN_QUOTA_RATE, MAX_QUOTA_NUMBER = 1e-6, 1e12
+# Tokens that a request without token counts counts as, if the account does not say it.
+DEFAULT_UNCACHED_TOKENS = 200.0
+# Units of a quota; any other one counts requests.
+TOKENS_UNIT, REQUESTS_UNIT = "tokens", "requests"
+# Longest whole number that is decoded as one.
+MAX_DIGITS = 18
+# Problems of one configuration that are kept for the log, and characters of a value.
+MAX_PROBLEMS, MAX_LOGGED_VALUE = 20, 40
 
 
 class RecordError(ValueError):
@@ -126,6 +138,45 @@
     api_keys: list[str]
     priority: float = 0
     isolated: bool = False
+    # Of any type, so that a malformed quota leaves the configuration readable.
+    rate_per_s: Any = None
+    burst: Any = None
+    unit: Any = None
+    uncached_tokens: Any = None
+
+    def decode_quota(self, problems: list[str]) -> Quota | None:
+        """Return the quota, or None without one, and add what makes no sense."""
+
+        def number(name: str, value: Any, meaning: str, minimum: float = 0.0) -> float:
+            if value is None or value == 0:
+                return 0.0
+            # A bool is an int, too.
+            is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+            if is_number and minimum <= value <= MAX_QUOTA_NUMBER:
+                return float(value)
+            problem(name, value, meaning)
+            return 0.0
+
+        def problem(name: str, value: Any, meaning: str) -> None:
+            text = repr(value)[:MAX_LOGGED_VALUE]
+            account = self.name[:MAX_LOGGED_VALUE]
+            problems.append(f"account {account}: {name} {text} means {meaning}")
+
+        rate_per_s = number("ratePerS", self.rate_per_s, "no limit", MIN_QUOTA_RATE)
+        burst = number("burst", self.burst, "no burst")
+        uncached_tokens = number(
+            "uncachedTokens", self.uncached_tokens, f"{DEFAULT_UNCACHED_TOKENS:g}"
+        )
+        if self.unit not in (None, TOKENS_UNIT, REQUESTS_UNIT):
+            problem("unit", self.unit, REQUESTS_UNIT)
+        if rate_per_s == 0:
+            return None
+        return Quota(
+            rate_per_s=rate_per_s,
+            burst=burst,
+            counts_tokens=self.unit == TOKENS_UNIT,
+            default_tokens=uncached_tokens or DEFAULT_UNCACHED_TOKENS,
+        )
 
 
 class _Limits(msgspec.Struct, rename="camel", frozen=True):
@@ -200,9 +251,30 @@
         raise RecordError(f"{key}: {exc}") from exc
 
 
+def _decode_configuration(value: bytes) -> Any:
+    """Decode a configuration; numbers that JSON or a float cannot express are text."""
+    try:
+        return _decode(_Configuration, value, CONFIGURATION_KEY)
+    except RecordError as exc:
+        try:
+            fields = json.loads(
+                value, parse_constant=str, parse_float=_number, parse_int=_number
+            )
+            return msgspec.convert(fields, _Configuration)
+        except (ValueError, msgspec.ValidationError, RecursionError):
+            # The first error names the place.
+            raise exc from None
+
+
+def _number(text: str) -> float | str:
+    if text.lstrip("-").isdigit() and len(text) <= MAX_DIGITS:
+        return int(text)
+    return value if math.isfinite(value := float(text)) else text
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Return the configuration in a record; raises RecordError."""
-    raw = _decode(_Configuration, value, CONFIGURATION_KEY)
+    raw = _decode_configuration(value)
     by_host: dict[str, list[Route]] = {}
     for each in raw.routes:
         by_host.setdefault(each.host.lower(), []).append(each.decode())
@@ -210,15 +282,16 @@
         host: tuple(sorted(unsorted, key=lambda route: -len(route.path_prefix)))
         for host, unsorted in by_host.items()
     }
-    accounts = {
-        key: Account(
+    accounts: dict[str, Account] = {}
+    problems: list[str] = []
+    for tenant in raw.tenants or ():
+        account = Account(
             name=tenant.name,
             priority=math.floor(tenant.priority),
             isolated=tenant.isolated,
+            quota=tenant.decode_quota(problems),
         )
-        for tenant in raw.tenants or ()
-        for key in tenant.api_keys
-    }
+        accounts |= dict.fromkeys(tenant.api_keys, account)
     try:
         services = {each.name: each.decode() for each in raw.services}
     except ValueError as exc:
@@ -230,6 +303,7 @@
         accounts=accounts,
         keys_required=raw.tenants is not None,
         limits=raw.limits.decode(),
+        problems=tuple(problems[:MAX_PROBLEMS]),
     )
 
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -2,14 +2,14 @@
 import testtools
 from testtools.matchers import Equals
 
-from foxtailcourse.fleet import RouteKind
+from foxtailcourse.fleet import Quota, RouteKind
 from foxtailcourse.platform import (
     RecordDispatcher,
     RequestHeaderError,
     decode_request_headers,
     decode_response_headers,
 )
-from foxtailcourse.platform._records import decode_configuration
+from foxtailcourse.platform._records import RecordError, decode_configuration
 
 SERVER = {
     "service": "llm",
@@ -146,6 +146,51 @@
         self.assertTrue(decoded.accounts["k2"].isolated)
 
 
+class TestQuotas(testtools.TestCase):
+    """Guards the configuration and other accounts against a malformed quota."""
+
+    def decode(self, text):
+        """Return the quota of an account with the JSON fields, and the problems."""
+        sound = '{"name":"b","apiKeys":["kb"],"ratePerS":5,"burst":7}'
+        value = (
+            f'{{"version":1,"routes":[],"tenants":[{{"name":"a","apiKeys":["ka","k2"]'
+            f"{text}}},{sound}]}}"
+        )
+        decoded = decode_configuration(value.encode())
+        other = Quota(rate_per_s=5, burst=7, counts_tokens=False, default_tokens=200)
+        self.assertThat(decoded.accounts["kb"].quota, Equals(other))
+        self.assertIs(decoded.accounts["ka"], decoded.accounts["k2"])
+        return decoded.accounts["ka"].quota, decoded.problems
+
+    def test_quota_is_decoded(self):
+        text = ',"ratePerS":9.5,"burst":0,"unit":"tokens","uncachedTokens":300'
+        expected = Quota(
+            rate_per_s=9.5, burst=0, counts_tokens=True, default_tokens=300
+        )
+        self.assertThat(self.decode(text), Equals((expected, ())))
+        for none in ("", ',"ratePerS":0', ',"ratePerS":null,"burst":4'):
+            self.assertThat(self.decode(none), Equals((None, ())))
+
+    def test_rate_that_makes_no_sense_is_no_limit_and_logged(self):
+        values = ('"12"', "-1", "NaN", "Infinity", "1e400", "1" * 400, "1e300")
+        for value in (*values, "true", "[]", "{}", "1e-300"):
+            quota, problems = self.decode(f',"ratePerS":{value}')
+            self.assertThat(quota, Equals(None))
+            self.assertThat(len(problems), Equals(1), value)
+            self.assertTrue("ratePerS" in problems[0] and len(problems[0]) < 150)
+
+    def test_other_values_that_make_no_sense_have_a_safe_meaning(self):
+        quota, problems = self.decode(
+            ',"ratePerS":8,"burst":NaN,"unit":"bytes","uncachedTokens":-3'
+        )
+        expected = Quota(rate_per_s=8, burst=0, counts_tokens=False, default_tokens=200)
+        self.assertThat((quota, len(problems)), Equals((expected, 3)))
+
+    def test_impossible_numbers_elsewhere_are_unreadable_as_before(self):
+        for text in (',"priority":NaN', ',"priority":1e400'):
+            self.assertRaises(RecordError, self.decode, text)
+
+
 class TestRequestHeaders(testtools.TestCase):
     """Guards against wrong decoding of callers' headers."""
 
@@ -168,6 +213,22 @@
         self.assertThat(request.deadline_s, Equals(12.0))
         self.assertThat(request.max_output_tokens, Equals(80))
 
+    def test_tokens_that_count_are_the_sum_of_both_numbers(self):
+        for text, tokens in (
+            ("100,20", 120),
+            (" 100 , 0.5", 101),
+            ("0,0", 0),
+            ("", None),
+            ("100", None),
+            ("100,", None),
+            ("1,2,3", None),
+            ("-1,5", None),
+            ("x,1", None),
+        ):
+            headers = [(b"x-foxtailcourse-token-counts", text.encode())]
+            request = decode_request_headers("/", headers)
+            self.assertThat(request.counted_tokens, Equals(tokens))
+
     def test_resumed_stream_is_decoded_and_forwarded(self):
         request = self.decode(last_event_id="4", resumes="5d2e")
         self.assertThat((request.last_event_id, request.resumes), Equals(("4", "5d2e")))
