Keep quotas of client accounts over all entries

What callers see: a request over its account's quota is answered with 429, reason quota, and a Retry-After of the time until the use has leaked far enough. Accounts without a quota and routes that need no account are served as before.

What operators see: one line quota_refused for each refusal, with the limit, the use, the own part and how many entries are heard; quota_unreadable for a value that makes no sense; tokens admitted, refused and returned by account, with at most 100 accounts as labels.

Change: AccountQuotas keeps the use of an account as a level over all entries, of which each one has a part in FleetSums. The parts leak in proportion, so that the level leaks at the quota's rate however high it is; with a fixed decay time, a request of 100,000 tokens would raise the rate with the level and exceed the rule. The handler charges a request after its authorization and returns the tokens at the end if the verdict is that it has not run. Its tokens do not leak before it is sent, so that deferred prompts do not pile up in a window.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -21,6 +21,12 @@
     HttpLimits,
     HttpServer,
 )
+from foxtailcourse.ingress._account_quotas import (
+    WATCH_PARTS,
+    WATCH_PERIOD_S,
+    AccountQuotas,
+    QuotaRule,
+)
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._cache_feed import CacheFeed
 from foxtailcourse.ingress._cache_index import CacheIndex
@@ -126,6 +132,12 @@
             membership_freshness,
             _share_hold_s(cfg),
         )
+        self._quotas = AccountQuotas(
+            sums=self._sums,
+            shares=self._shares,
+            rng=self._rng,
+            rule=_quota_rule(cfg),
+        )
         self._store = RateLimitedStore(
             store=KeyValueClient(self._pool, cfg.store, cfg.call_timeout_s),
             reads=RateLimiter(cfg.store_reads_per_s),
@@ -274,6 +286,7 @@
         self._handler = IngressHandler(
             view=self._view,
             dispatcher=self._dispatcher,
+            quotas=self._quotas,
             resumption=StreamResumption(
                 view=self._view,
                 history=software,
@@ -319,6 +332,7 @@
                 self._parts.record_answered,
             ),
             parts=self._parts,
+            quotas=self._quotas,
             retry_budget_for=self._retry_budget_for,
             clock=boot_seconds,
             rng=self._rng,
@@ -423,6 +437,7 @@
             nursery.start_soon(self._rollout.run)
             nursery.start_soon(self._cache_feed.run)
             nursery.start_soon(self._maintain_loads)
+            nursery.start_soon(self._watch_quotas)
             nursery.start_soon(self._watch_reload)
             self.listening = True
             self._events.emit("entry_listening", port=self.address.port)
@@ -465,6 +480,17 @@
             self._limits.expire(runs, boot_seconds())
             self._update_gauges()
 
+    async def _watch_quotas(self) -> None:
+        """Periodically follow the use of quotas at the other entries."""
+        while True:
+            self._follow_quotas()
+            await trio.sleep(WATCH_PERIOD_S / WATCH_PARTS)
+
+    def _follow_quotas(self) -> None:
+        configuration = self._view.configuration
+        if configuration is not None:
+            self._quotas.update(configuration.accounts, boot_seconds())
+
     def _update_gauges(self) -> None:
         now = boot_seconds()
         for source, freshness in (
@@ -514,6 +540,7 @@
         self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
         self._dispatcher.candidates.weights_limit_s = cfg.weights_ms / 1000
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
+        self._quotas.set_rule(_quota_rule(cfg))
         self._shares.hold_s = _share_hold_s(cfg)
         self._recent_weights.usable_s = recorded_weights_s(cfg.weights_ms / 1000)
         for budget in self._retry_budgets.values():
@@ -556,6 +583,14 @@
         )
 
 
+def _quota_rule(cfg: IngressSettings) -> QuotaRule:
+    return QuotaRule(
+        window_s=cfg.quota_window_s,
+        overage=cfg.quota_overage,
+        tolerance=cfg.quota_tolerance,
+    )
+
+
 def _share_hold_s(cfg: IngressSettings) -> float:
     """Return the time for which an entry that disappeared keeps its shares."""
     confirmed_s = cfg.watch_wait_s + cfg.call_timeout_s + WATCH_BLACKOUT_S
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -8,6 +8,7 @@
 
 from foxtailcourse.crashes import request_key, request_parts
 from foxtailcourse.fleet import FleetView
+from foxtailcourse.ingress._account_quotas import AccountQuotas
 from foxtailcourse.ingress._admission import (
     AdmissionDecision,
     DeferredPrompts,
@@ -85,6 +86,8 @@
         Runs attempts.
     parts : PartExchange
         Requests and prompt parts that crash servers.
+    quotas : AccountQuotas
+        Quotas of client accounts; counts when a request is sent.
     retry_budget_for : callable
         Returns the retry budget of a service.
     clock : callable
@@ -105,6 +108,7 @@
     candidates: CandidateFilter
     attempts: AttemptRunner
     parts: PartExchange
+    quotas: AccountQuotas
     retry_budget_for: Callable[[str], RetryBudget]
     clock: Callable[[], float]
     rng: random.Random
@@ -153,6 +157,8 @@
                 choice = await self._wait_for_admission(job)
                 run = choice.candidate.server.run
                 self.candidates.limits.record_sent(run, self.clock())
+                if job.grant is not None:
+                    self.quotas.record_sent(job.grant, self.clock())
             else:
                 choice = job.replacement.choice
             job.choice, job.attempt_pending = choice, True
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -109,6 +109,8 @@
                 )
             return
         self._apply_limits(configuration.limits)
+        for problem in configuration.problems:
+            self._events.emit("quota_unreadable", reason=problem)
         self._events.emit(
             "configuration_applied",
             version=configuration.version,
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -9,6 +9,7 @@
 
 from foxtailcourse.fleet import Account, Configuration, FleetView, Route
 from foxtailcourse.http import Exchange
+from foxtailcourse.ingress._account_quotas import AccountQuotas, Grant, QuotaRefusal
 from foxtailcourse.ingress._dispatcher import Dispatcher
 from foxtailcourse.ingress._job import AttemptError, Job, RefusedError, ServerResponse
 from foxtailcourse.ingress._stream_resumption import StreamResumption
@@ -35,17 +36,21 @@
 ANSWERED, REFUSED = "answered", "refused"
 # Reason and result of requests that a planned stop ends.
 STOPPING = "stopping"
-# Number of routes with a metric label of their own. The others share one label, so that
-# a large configuration does not add more time series.
-MAX_ROUTE_LABELS = 100
+# Number of routes, and of accounts, with a metric label of their own. The others share
+# one label, so that a large configuration does not add more time series.
+MAX_LABELS = 100
 # Refusals because of the configuration that this entry has.
 CONFIGURATION_REASONS = frozenset(
     {"keys_stale", "no_configuration", "configuration_stale", "configuration_outdated"}
 )
 # A larger age means that the state was never received.
 MAX_REPORTED_AGE_S = 1e6
+# A quota without a ceiling is reported with this one.
+MAX_REPORTED_USE = 1e15
 BAD_REQUEST, UNAUTHORIZED, NOT_FOUND = 400, 401, 404
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
+TOO_MANY_REQUESTS = 429
+QUOTA = "quota"
 
 
 class DeniedError(Exception):
@@ -67,6 +72,8 @@
         Last known state of the fleet.
     dispatcher : Dispatcher
         Sends jobs to backend servers.
+    quotas : AccountQuotas
+        Quotas of client accounts.
     resumption : StreamResumption
         Binds resumed streams to the software version that began them.
     confirm : coroutine function
@@ -84,12 +91,13 @@
         Counts and times requests.
     draining : bool
         Whether the process is stopping; connections are then closed after a response.
-    route_labels : set of str
-        Routes that have a metric label of their own.
+    route_labels, account_labels : set of str
+        Routes and client accounts that have a metric label of their own.
     """
 
     view: FleetView
     dispatcher: Dispatcher
+    quotas: AccountQuotas
     resumption: StreamResumption
     confirm: Callable[[float, float], Awaitable[bool]]
     key_age_limit_s: float
@@ -99,6 +107,7 @@
     metrics: Metrics
     draining: bool = False
     route_labels: set[str] = attrs.field(factory=set)
+    account_labels: set[str] = attrs.field(factory=set)
     _interrupted: bool = attrs.field(default=False, init=False)
     _scopes: set[trio.CancelScope] = attrs.field(factory=set, init=False)
 
@@ -138,7 +147,11 @@
         except RefusedError as exc:
             await self._refuse(exchange, request, exc)
         else:
-            await self._serve(job)
+            refusal = self._charge_quota(job)
+            if refusal is None:
+                await self._serve(job)
+            else:
+                await self._refuse_quota(job, refusal)
 
     async def _serve(self, job: Job) -> None:
         """Run an authorized request until its deadline and log its outcome."""
@@ -156,6 +169,7 @@
             raise
         finally:
             self.dispatcher.attempts.buffered.release(job.buffered_bytes)
+            self._settle_quota(job)
         if scope.cancelled_caught:
             if job.response_complete:
                 outcome = ANSWERED
@@ -166,6 +180,69 @@
         if outcome != REFUSED:
             self._record_finished(job, outcome)
 
+    def _charge_quota(self, job: Job) -> QuotaRefusal | None:
+        """Count a request toward its account's quota; return why it is refused."""
+        if job.account is None or job.account.quota is None or job.route.public:
+            return None
+        tokens = job.request.counted_tokens
+        result = self.quotas.admit(job.account, tokens, self.clock())
+        if isinstance(result, Grant):
+            job.grant = result
+            self._count_quota(job.account_name, "admitted", result.tokens)
+        elif result is not None:
+            self._count_quota(job.account_name, "refused", result.tokens)
+            return result
+        return None
+
+    def _settle_quota(self, job: Job) -> None:
+        """Return the tokens of a request that has not run."""
+        grant = job.grant
+        if grant is None:
+            return
+        if job.response_complete or self._verdict(job) is not Verdict.NOT_RUN:
+            self.quotas.record_sent(grant, self.clock())
+        else:
+            self.quotas.give_back(grant, self.clock())
+            self._count_quota(grant.account, "returned", grant.tokens)
+
+    def _count_quota(self, account: str, outcome: str, tokens: float) -> None:
+        self.metrics.count(
+            "foxtail_ingress_quota_tokens_total",
+            tokens,
+            account=_bounded_label(self.account_labels, account),
+            outcome=outcome,
+        )
+
+    async def _refuse_quota(self, job: Job, refusal: QuotaRefusal) -> None:
+        """Respond that the quota of the account is used up, and log it."""
+        self.metrics.count("foxtail_ingress_refusals_total", reason=QUOTA)
+        quota, use = refusal.quota, refusal.use
+        age_s = self.view.configuration_freshness.age_s(self.clock())
+        self._emit(
+            "quota_refused",
+            job.exchange,
+            job.request.id,
+            reason=QUOTA,
+            client_account=refusal.account,
+            unit=quota.unit,
+            tokens=int(refusal.tokens),
+            limit=quota.rate_per_s,
+            burst=quota.burst,
+            use=int(use.total),
+            own_use=int(use.own),
+            unheard=int(use.unheard),
+            heard_entries=use.heard_entries,
+            entries=use.entries,
+            cap=int(refusal.threshold),
+            ceiling=int(min(refusal.ceiling, MAX_REPORTED_USE)),
+            too_large=refusal.too_large or None,
+            retry_after_ms=int(refusal.retry_after_s * 1000),
+            configuration_age_ms=_age_ms(age_s),
+        )
+        await self._respond_error(
+            job.exchange, job.request, TOO_MANY_REQUESTS, QUOTA, refusal.retry_after_s
+        )
+
     async def _run_job(self, job: Job) -> str:
         """Dispatch a request, respond to the caller and return the outcome."""
         try:
@@ -400,15 +477,9 @@
         return Verdict.MAY_HAVE_RUN if is_pending else job.verdict
 
     def _count_route(self, job: Job, outcome: str, verdict: str) -> None:
-        label = job.route.name
-        if label not in self.route_labels:
-            if len(self.route_labels) >= MAX_ROUTE_LABELS:
-                label = "other"
-            else:
-                self.route_labels.add(label)
         self.metrics.count(
             "foxtail_ingress_route_requests_total",
-            route=label,
+            route=_bounded_label(self.route_labels, job.route.name),
             outcome=outcome,
             verdict=verdict,
         )
@@ -426,6 +497,15 @@
         )
 
 
+def _bounded_label(labels: set[str], name: str) -> str:
+    """Return the metric label of a name, ``other`` beyond the first MAX_LABELS."""
+    if name not in labels:
+        if len(labels) >= MAX_LABELS:
+            return "other"
+        labels.add(name)
+    return name
+
+
 def _confirmation_wait_s(request: IngressRequest) -> float:
     """Return how long a request may wait for the configuration to be confirmed."""
     if request.deadline_s is None:
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -5,6 +5,7 @@
 from foxtailcourse.crashes import Parts
 from foxtailcourse.fleet import Account, Route
 from foxtailcourse.http import Exchange, Framing
+from foxtailcourse.ingress._account_quotas import Grant
 from foxtailcourse.ingress._placement_types import Choice, Prompt
 from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.platform import IngressRequest
@@ -80,6 +81,8 @@
         request and of the parts of its prompt that other requests may have as well.
     request_key : str
         Key that only the same request of the same caller has.
+    grant : Grant or None
+        Tokens of the account's quota that the request uses; None without a quota.
     """
 
     exchange: Exchange
@@ -111,6 +114,7 @@
     attempt: "AttemptState" = attrs.field(factory=lambda: AttemptState())
     crash_keys: Parts = frozenset()
     request_key: str = ""
+    grant: Grant | None = None
 
     @property
     def prompt(self) -> Prompt | None:
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -94,6 +94,13 @@
     "process_stopped": "the process stops",
     "record_malformed": "a configuration record is malformed; the previous one "
     "stays in force",
+    "quota_refused": "a request was refused as the quota of its client account is used "
+    "up: `tokens` (of a quota of requests, 1), the quota's `limit` per second and "
+    "`burst`, what may be in use before a request (`cap`) and with it (`ceiling`), the "
+    "`use` over all entries, which has what `unheard` entries may use, the `own_use`, "
+    "and of how many `entries` this one hears (`heard_entries`, without itself)",
+    "quota_unreadable": "a value of an account's quota makes no sense; `reason` says "
+    "what it means instead",
     "record_unreadable": "a record of the platform is malformed and treated as absent",
     "record_written_back": "a record that the platform had lost was written back",
     "refresh_failed": "the configuration could not be refreshed before a denial",
@@ -197,6 +204,10 @@
     "foxtail_ingress_orders_total": "orders to load weights by `outcome`",
     "foxtail_ingress_prefill_tokens": "prompt tokens that this entry has sent to "
     "servers and that are not yet prefilled",
+    "foxtail_ingress_quota_tokens_total": "tokens (requests, for quotas of requests) "
+    "of accounts with quotas, by `account` and `outcome`: `admitted`, `refused` or "
+    "`returned` as the request has not run; accounts beyond the first hundred count as "
+    "`other`",
     "foxtail_ingress_refusals_total": "requests refused before they were run, by "
     "`reason`",
     "foxtail_ingress_requests_total": "requests by `outcome`",
@@ -250,6 +261,8 @@
     "overloaded": "a long prompt could not be served before its caller gives up; the "
     "decision is based on `held_ms`, `queued_tokens`, `work_tokens` and `ahead_ms` "
     "(time to process the prompts queued at the entry)",
+    "quota": "the account's quota over all entries is used up; `quota_refused` has the "
+    "limit and the use",
     "refused_after_run": "the server refused without reporting that nothing was run",
     "server_error": "the server ran the request and failed",
     "server_limits": "each server names a limit of requests per second, and this "
--- a/tests/ingress/ingress_case.py
+++ b/tests/ingress/ingress_case.py
@@ -47,7 +47,9 @@
 )
 
 
-def configuration(version=1, routes=ROUTES, keys=("key-1",), limits=None):
+def configuration(version=1, routes=ROUTES, keys=("key-1",), limits=None, quota=None):
+    """Return an encoded configuration; ``quota`` has fields of the first account."""
+    account = {"name": "teatro", "apiKeys": list(keys), "priority": 1} | (quota or {})
     return msgspec.json.encode(
         {
             "version": version,
@@ -62,7 +64,7 @@
             ],
             "limits": limits or {},
             "tenants": [
-                {"name": "teatro", "apiKeys": list(keys), "priority": 1},
+                account,
                 {"name": "walled", "apiKeys": ["key-w"], "isolated": True},
             ],
         }
