Give client accounts fair shares of prefill work under pressure

What callers see: with the contract "pressure", a prompt of an account that used more than its share is refused at once with 503 account_share while prompts queue, unless it meets a part of the shortest target now or a server is nearly idle. Retry-After is the time until the account's recent work has decayed to its share. Operators see the inputs of each decision in request_refused and the counter foxtail_ingress_prompt_work_tokens_total. Without the contract nothing changes.

Reason: admission saw only queues, so one account at 7.5 times its usual rate delayed and displaced the prompts of all others.

Change: entries add the prefill work that they send and refuse to the sums over the fleet. AccountShares divides what the fleet completed by max-min fairness, with a least fraction for each account, for its kinds of prompts and for its large ones. Work that was sent less what was done is the backlog less its decaying mean, so no further state is needed.

--- a/src/foxtailcourse/ingress/_admission.py
+++ b/src/foxtailcourse/ingress/_admission.py
@@ -76,7 +76,12 @@
 
 
 def decide_admission(
-    choice: Choice, prompt: Prompt, timing: RequestTiming, backlog_s: float
+    choice: Choice,
+    prompt: Prompt,
+    timing: RequestTiming,
+    backlog_s: float,
+    *,
+    above_share_target_s: float | None = None,
 ) -> AdmissionDecision:
     """Return whether a prompt is sent to its selected server, deferred or refused.
 
@@ -91,7 +96,13 @@
     backlog_s : float
         Time that this entry's fraction of the fleet needs to prefill the other prompts
         deferred at this entry, in seconds.
+    above_share_target_s : float or None
+        Time in seconds in which the first event of a prompt must come whose account is
+        above its share; otherwise it is refused unless a server is nearly idle. None
+        for the other accounts.
     """
+    if above_share_target_s is not None:
+        return _decide_above_share(choice, timing, above_share_target_s)
     if not prompt.is_long:
         return AdmissionDecision.SEND
     backlog_tokens = choice.candidate.total_load.prefill_tokens
@@ -110,6 +121,17 @@
     return AdmissionDecision.REFUSE if exceeds_patience else AdmissionDecision.DEFER
 
 
+def _decide_above_share(
+    choice: Choice, timing: RequestTiming, target_s: float
+) -> AdmissionDecision:
+    """Return whether a new prompt of an account above its share is sent or refused."""
+    backlog_tokens = choice.candidate.total_load.prefill_tokens
+    idle_tokens = IDLE_SERVER_WORK_TOKENS + OWN_WORK_FRACTION * choice.work_tokens
+    if _first_event_age_s(choice, timing) <= target_s or backlog_tokens <= idle_tokens:
+        return AdmissionDecision.SEND
+    return AdmissionDecision.REFUSE
+
+
 def _first_event_age_s(choice: Choice, timing: RequestTiming) -> float:
     """Return the expected age at the first event of a prompt that is sent now."""
     work_tokens = choice.candidate.total_load.prefill_tokens + choice.work_tokens
@@ -125,15 +147,47 @@
 
     def __init__(self) -> None:
         self._work_tokens: dict[int, float] = {}
+        # By key; empty without an account.
+        self._accounts: dict[int, str] = {}
 
-    def add(self, key: int, work_tokens: float) -> None:
+    def __len__(self) -> int:
+        return len(self._work_tokens)
+
+    def add(self, key: int, work_tokens: float, account: str = "") -> None:
         """Add a deferred prompt, or update its prefill work."""
         self._work_tokens[key] = work_tokens
+        self._accounts[key] = account
 
     def remove(self, key: int) -> bool:
         """Remove a prompt; return whether it was deferred."""
+        self._accounts.pop(key, None)
         return self._work_tokens.pop(key, None) is not None
 
+    def account_tokens(self) -> dict[str, float]:
+        """Return the prefill work of the deferred prompts by account."""
+        totals: dict[str, float] = {}
+        for key, work_tokens in self._work_tokens.items():
+            account = self._accounts[key]
+            totals[account] = totals.get(account, 0.0) + work_tokens
+        return totals
+
+    def fair_backlog_s(
+        self, account: str, work_tokens: float, servers: int, entries: int
+    ) -> float:
+        """Return the backlog ahead of a new prompt if accounts take turns.
+
+        Of each other account, only as much work counts as its own account then has, so
+        that the deferred prompts of a large account do not have a small one refused.
+        """
+        backlog_s = self.backlog_s(servers, entries)
+        if not backlog_s:
+            return 0.0
+        totals = self.account_tokens()
+        own_tokens = totals.pop(account, 0.0)
+        limit_tokens = own_tokens + work_tokens
+        ahead = own_tokens + sum(min(e, limit_tokens) for e in totals.values())
+        return backlog_s * ahead / (own_tokens + sum(totals.values()))
+
     def backlog_s(self, servers: int, entries: int) -> float:
         """Return the time that this entry's fraction of the servers needs for them.
 
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -21,6 +21,7 @@
     HttpLimits,
     HttpServer,
 )
+from foxtailcourse.ingress._account_shares import AccountShares
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._cache_feed import CacheFeed
 from foxtailcourse.ingress._cache_index import CacheIndex
@@ -112,6 +113,9 @@
         self._events, self._metrics = daemon.events, daemon.metrics
         self._features = Features.from_contracts(cfg.contracts)
         self._sums = FleetSums()
+        self._account_shares = AccountShares(
+            self._sums, enabled=self._features.fair_shares
+        )
         self._rng = random.Random()
         self._pool = ConnectionPool()
         self._view = FleetView()
@@ -335,6 +339,7 @@
             rng=self._rng,
             events=self._events,
             metrics=self._metrics,
+            shares=self._account_shares,
         )
 
     def _retry_budget_for(self, service: str) -> RetryBudget:
@@ -523,6 +528,7 @@
         """Apply changed limits of the platform to the components that enforce them."""
         cfg = self._cfg
         self._features = Features.from_contracts(cfg.contracts)
+        self._account_shares.enabled = self._features.fair_shares
         self._handler.key_age_limit_s = cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S
         self._dispatcher.candidates.weights_limit_s = cfg.weights_ms / 1000
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -8,6 +8,12 @@
 
 from foxtailcourse.crashes import request_key, request_parts
 from foxtailcourse.fleet import FleetView
+from foxtailcourse.ingress._account_shares import (
+    AccountShares,
+    Pressure,
+    PromptKind,
+    ShareExcess,
+)
 from foxtailcourse.ingress._admission import (
     AdmissionDecision,
     DeferredPrompts,
@@ -69,6 +75,8 @@
 # Shortest retry-after time of an overloaded entry. By then it may have fewer deferred
 # prompts.
 MIN_OVERLOAD_RETRY_S = 0.5
+# Retry-after times of accounts above their share are spread by up to this fraction.
+SHARE_RETRY_SPREAD = 0.25
 
 
 @attrs.define(kw_only=True)
@@ -99,6 +107,8 @@
         Prompts that are deferred at this entry.
     sizes : RequestSizes
         Typical sizes of the prompts.
+    shares : AccountShares or None
+        Fair shares of the client accounts; None without them.
     """
 
     view: FleetView
@@ -112,6 +122,7 @@
     metrics: Metrics
     deferred: DeferredPrompts = attrs.field(factory=DeferredPrompts)
     sizes: RequestSizes = attrs.field(factory=RequestSizes)
+    shares: AccountShares | None = None
 
     async def run(self, job: Job) -> ServerResponse | None:
         """Send a request, with retries.
@@ -148,6 +159,13 @@
             job.typical_prompt_tokens = self.sizes.record_prompt(
                 job.route.name, job.request.prompt_tokens
             )
+            shares = self._active_shares
+            if shares is not None:
+                shares.record_asked(
+                    job.account_name,
+                    PromptKind.of(job.route.name, job.prompt),
+                    self.clock(),
+                )
         while True:
             if job.replacement is None:
                 choice = await self._wait_for_admission(job)
@@ -162,10 +180,12 @@
             job.outdated_s = self.candidates.outdated_s(
                 choice.candidate.server, job.request.model, self.clock()
             )
+            self._record_work_sent(job, choice)
             try:
                 response = await self._attempt(job, choice)
             except AttemptError as exc:
                 job.attempt_pending = False
+                self._record_work_not_run(job, choice, exc)
                 if (
                     exc.reason == "broken_off"
                     and job.attempt.events <= MAX_EVENTS_BEFORE_CRASH
@@ -199,7 +219,7 @@
         prompt, was_deferred = job.prompt, False
         try:
             while True:
-                choice, server_count = self._choose(job, was_deferred)
+                choice, pressure = self._choose(job, was_deferred)
                 now = self.clock()
                 age_s = now - job.started
                 # A request that may have run would be lost if it were refused now.
@@ -207,12 +227,12 @@
                 if (
                     prompt is None
                     or is_retry
-                    or self._is_admitted(job, prompt, choice, server_count, now)
+                    or self._is_admitted(job, prompt, choice, pressure, now)
                 ):
                     job.deferred_s += now - wait_started
                     return choice
                 was_deferred = True
-                self.deferred.add(id(job), choice.work_tokens)
+                self.deferred.add(id(job), choice.work_tokens, job.account_name)
                 # Jitter keeps entries from finding the same capacity at the same time.
                 pause_s = max(DEFERRED_CHECK_S, DEFERRED_CHECK_FRACTION * age_s)
                 await trio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
@@ -220,7 +240,7 @@
             self.deferred.remove(id(job))
 
     def _is_admitted(
-        self, job: Job, prompt: Prompt, choice: Choice, server_count: int, now: float
+        self, job: Job, prompt: Prompt, choice: Choice, pressure: Pressure, now: float
     ) -> bool:
         """Return whether a prompt that has not run is sent now.
 
@@ -236,9 +256,19 @@
             patience_s=min(route.patience_s, job.deadline - job.started),
             was_deferred=self.deferred.remove(id(job)),
         )
-        backlog_s = self.deferred.backlog_s(server_count, len(self.view.entries))
-        decision = decide_admission(choice, prompt, timing, backlog_s)
+        above_share = self._above_share(job, prompt, pressure, timing, now)
+        backlog_s = self._deferred_backlog_s(job, choice, pressure.servers)
+        decision = decide_admission(
+            choice,
+            prompt,
+            timing,
+            backlog_s,
+            above_share_target_s=above_share.target_s if above_share else None,
+        )
         if decision is AdmissionDecision.REFUSE:
+            self._record_work_refused(job, choice)
+            if above_share is not None:
+                raise self._share_refusal(job, choice, above_share)
             retry_after_s = max(MIN_OVERLOAD_RETRY_S, backlog_s) * self.rng.uniform(
                 0.75, 1.25
             )
@@ -252,6 +282,99 @@
             )
         return decision is AdmissionDecision.SEND
 
+    def _above_share(
+        self,
+        job: Job,
+        prompt: Prompt,
+        pressure: Pressure,
+        timing: RequestTiming,
+        now: float,
+    ) -> ShareExcess | None:
+        """Return the shares if a prompt that has just arrived exceeds its account's.
+
+        A deferred prompt is decided as when it arrived, and so is one whose server
+        refused it.
+        """
+        shares, configuration = self._active_shares, self.view.configuration
+        is_new = not (timing.was_deferred or job.sent_to or job.unreachable)
+        if shares is None or configuration is None or not is_new:
+            return None
+        return shares.excess(
+            job.account_name,
+            PromptKind.of(job.route.name, prompt),
+            self.deferred.account_tokens().get(job.account_name, 0.0),
+            pressure,
+            configuration,
+            now,
+        )
+
+    def _deferred_backlog_s(self, job: Job, choice: Choice, servers: int) -> float:
+        """Return how long the prompts deferred at this entry keep its servers busy."""
+        entries = len(self.view.entries)
+        if self._active_shares is None:
+            return self.deferred.backlog_s(servers, entries)
+        return self.deferred.fair_backlog_s(
+            job.account_name, choice.work_tokens, servers, entries
+        )
+
+    def _share_refusal(
+        self, job: Job, choice: Choice, above_share: ShareExcess
+    ) -> RefusedError:
+        """Return the refusal of an account above its share, with its inputs."""
+        spread = 1.0 + SHARE_RETRY_SPREAD * self.rng.random()
+        return RefusedError(
+            "account_share",
+            above_share.retry_after_s * spread,
+            client_account=job.account_name or None,
+            route=job.route.name,
+            account_tokens=int(above_share.account_tokens),
+            share_tokens=int(above_share.share_tokens),
+            done_tokens=int(above_share.done_tokens),
+            work_tokens=int(choice.work_tokens),
+            queued_tokens=int(choice.candidate.total_load.prefill_tokens),
+            backlog_ms=int(above_share.backlog_s * 1000),
+            deferred=above_share.deferred,
+            heard_entries=above_share.heard_entries,
+            shares_age_ms=int(above_share.shares_age_s * 1000),
+        )
+
+    @property
+    def _active_shares(self) -> AccountShares | None:
+        """The fair shares, if they apply in this deployment."""
+        return self.shares if self.shares is not None and self.shares.enabled else None
+
+    def _record_work_sent(self, job: Job, choice: Choice) -> None:
+        """Count the prefill work of an attempt for its account."""
+        shares, work_tokens = self._active_shares, choice.work_tokens
+        if shares is None or job.prompt is None:
+            return
+        is_first = not (job.sent_to or job.unreachable)
+        kind = PromptKind.of(job.route.name, job.prompt) if is_first else None
+        shares.record_sent(job.account_name, kind, work_tokens, self.clock())
+        self._count_work("sent", work_tokens)
+
+    def _record_work_not_run(self, job: Job, choice: Choice, exc: AttemptError) -> None:
+        """Take back the work of an attempt that its server has not run."""
+        shares, work_tokens = self._active_shares, choice.work_tokens
+        is_run = exc.verdict is not Verdict.NOT_RUN
+        if shares is None or job.prompt is None or is_run:
+            return
+        shares.record_not_run(job.account_name, work_tokens, self.clock())
+        self._count_work("not_run", work_tokens)
+
+    def _record_work_refused(self, job: Job, choice: Choice) -> None:
+        """Count the prefill work of a refused prompt for its account."""
+        shares, work_tokens = self._active_shares, choice.work_tokens
+        if shares is None:
+            return
+        shares.record_refused(job.account_name, work_tokens, self.clock())
+        self._count_work("refused", work_tokens)
+
+    def _count_work(self, outcome: str, work_tokens: float) -> None:
+        self.metrics.count(
+            "foxtail_ingress_prompt_work_tokens_total", work_tokens, outcome=outcome
+        )
+
     async def _attempt(self, job: Job, choice: Choice) -> ServerResponse | None:
         """Run one attempt; its shared parts are expected in the server's cache."""
         prompt, store_address = job.prompt, None
@@ -347,8 +470,8 @@
         ]
         return preferred_store(prompt.largest_part.id, stores)
 
-    def _choose(self, job: Job, was_deferred: bool) -> tuple[Choice, int]:
-        """Return the best server and the number of eligible servers.
+    def _choose(self, job: Job, was_deferred: bool) -> tuple[Choice, Pressure]:
+        """Return the best server, and what waits at the eligible ones.
 
         A deferred prompt waits for the server that is nearly idle, and its checks are
         spread in time, so its choice has no random part.
@@ -382,7 +505,14 @@
             raise AttemptError(selection.reason, job.verdict)
         rng = None if was_deferred else self.rng
         choice = self._place(job, selection.candidates, now, rng)
-        return choice, len(selection.candidates)
+        loads = [each.total_load for each in selection.candidates]
+        pressure = Pressure(
+            backlog_tokens=sum(each.prefill_tokens for each in loads),
+            servers=len(loads),
+            deferred=len(self.deferred),
+            entries=len(self.view.entries),
+        )
+        return choice, pressure
 
     def _place(
         self,
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -235,11 +235,13 @@
         Short code for logs and metrics.
     retry_after_s : float
         Time in seconds after which the caller may retry.
-    inputs : dict of str to int
+    inputs : dict of str to int, str or None
         Inputs of the decision, for the log.
     """
 
-    def __init__(self, reason: str, retry_after_s: float, **inputs: int) -> None:
+    def __init__(
+        self, reason: str, retry_after_s: float, **inputs: int | str | None
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_s = retry_after_s
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -201,6 +201,9 @@
     "foxtail_ingress_orders_total": "orders to load weights by `outcome`",
     "foxtail_ingress_prefill_tokens": "prompt tokens that this entry has sent to "
     "servers and that are not yet prefilled",
+    "foxtail_ingress_prompt_work_tokens_total": "prefill work of prompts by `outcome`: "
+    "`sent` to a server, `not_run` (sent before, and refused by the server) or "
+    "`refused`; counted where accounts have fair shares",
     "foxtail_ingress_refusals_total": "requests refused before they were run, by "
     "`reason`",
     "foxtail_ingress_requests_total": "requests by `outcome`",
@@ -231,6 +234,10 @@
 }
 
 REASONS = {
+    "account_share": "prompts queue, and the client account used more than its fair "
+    "share of the servers' work; the decision is based on `account_tokens` (its recent "
+    "work), `share_tokens`, `done_tokens` (recent work of the fleet), `backlog_ms` and "
+    "`deferred` (what waits), `heard_entries` and `shares_age_ms`",
     "all_tried": "every server that could take the request has been tried",
     "blocked_parts": "requests with the same parts of the prompt crash servers",
     "blocked_request": "servers crashed under the same request of the same caller",
