--- a/src/foxtailcourse/ingress/_account_quotas.py
+++ b/src/foxtailcourse/ingress/_account_quotas.py
@@ -105,6 +105,10 @@
             ceiling=quota.burst + CEILING_PART * excess,
         )
 
+    def tau_s(self, level: float) -> float:
+        """Return the decay time with which a level leaks at the rate, in seconds."""
+        return max(level, LINEAR_LEAK_FRACTION * self.threshold) / self.rate_per_s
+
     @property
     def divided(self) -> float:
         """What entries that do not hear each other divide among themselves."""
@@ -320,6 +324,7 @@
                 retry_after_s=self._retry_after_s(state, use, excess, now),
                 too_large=tokens > caps.ceiling,
             )
+        state.tau_s = caps.tau_s(use.total + tokens)
         self.sums.add(key, (tokens,), state.tau_s, now)
         state.held += tokens
         state.unsent += tokens
@@ -416,6 +421,12 @@
         heard = sums.heard_entries(now)
         entries = self._entries(heard, now)
         remains = _decay(now - state.as_of, state.tau_s)
+        own = _first(sums.own(key, now))
+        # The others' sums decay with the time that is set, which may be that of a lower
+        # level, from before they arrived.
+        sums.set_own(key, (own,), caps.tau_s(max(own, caps.divided)), now)
+        highest = own + _first(sums.others(key, now))
+        sums.set_own(key, (own,), caps.tau_s(max(state.lost, highest)), now)
         others = _first(sums.others(key, now))
         change = others - state.others * remains
         state.lost *= remains
@@ -428,7 +439,7 @@
         state.assumed *= remains
         surplus = max(0.0, state.assumed - caps.divided / entries)
         state.assumed -= surplus
-        own = max(0.0, _first(sums.own(key, now)) + added - surplus)
+        own = max(0.0, own + added - surplus)
         if own < NEAR_ZERO and not state.held and caps.threshold > 1 / NEAR_ZERO:
             own = 0.0
         state.as_of, state.others, state.heard_entries = now, others, heard
@@ -437,9 +448,7 @@
         if self._is_starting(state, now):
             assumed_others = caps.divided * (entries - 1) / entries
             unheard = max(unheard, assumed_others - others)
-        level = own + others + unheard
-        floor = LINEAR_LEAK_FRACTION * caps.threshold
-        state.tau_s = max(level, floor) / caps.rate_per_s
+        state.tau_s = caps.tau_s(own + others + unheard)
         sums.set_own(key, (own,), state.tau_s, now)
         return Use(
             own=own,
