Explain where a request would go now

It prints each candidate with its cost split into queue, running requests, prefill, transfer, failures and placement, the ages of the figures, what excluded the other servers and the verdict of admission, also with `--json`. An unknown route, account or entry ends with exit code 2. `foxtailctl explain REQUEST-ID LOGFILE...` is as before.

Reason: the log says where a request went, but not why another server was not chosen.

Change: the entry answers POST /explain on its administration address only. It copies the state that a decision may change (loads, cache index table, limits and their shares, sizes, random state) and calls `Dispatcher.preview`, which is the same selection, placement and admission as for a real request. The only hooks in the decision code are `preview`, and a `CostTrace` that records what `lowest_cost_choice` and `choose_without_prompt` rank by. A server is said to be excluded for the reason that `CandidateFilter.select` gives with this server as the only one, so a new filter needs no change here.

Tests: tests/ingress/test_explanation.py, 7 tests. One compares all values that are reachable from the entry before and after explanations, and checks that a real request does change them; one that the next real request goes to the server that was named.

--- a/src/foxtailcourse/ctl/_app.py
+++ b/src/foxtailcourse/ctl/_app.py
@@ -9,7 +9,7 @@
 
 import typer
 
-from foxtailcourse.ctl import _explain, _records, _show, _timeline
+from foxtailcourse.ctl import _explain, _explain_now, _records, _show, _timeline
 from foxtailcourse.ctl._errors import CtlError, ExitCode
 from foxtailcourse.ctl._ini import InputErrors, parse_contracts, parse_services
 from foxtailcourse.ctl._operator import Operator
@@ -19,10 +19,13 @@
     input_error,
     read_text,
     run_command,
+    run_entry_command,
     run_offline_command,
 )
 from foxtailcourse.ctl._wait import wait_in_force
+from foxtailcourse.http import ConnectionPool
 from foxtailcourse.observe import Event, EventFilter
+from foxtailcourse.settings import Address
 
 MAIN_HELP = """Operate a foxtailcourse installation.
 
@@ -331,13 +334,58 @@
 
 @app.command()
 def explain(
-    request: str = typer.Argument(help="Request identifier of one attempt."),
-    file: list[Path] = typer.Argument(help="Log files of the processes."),
+    ctx: typer.Context,
+    request: str = typer.Argument("", help="Request identifier of one attempt."),
+    file: list[Path] = typer.Argument(None, help="Log files of the processes."),
+    entry: str = typer.Option(
+        "",
+        help="Ask this foxtail-ingress, by IP:PORT of its admin_listen or by VM.",
+    ),
+    route: str = typer.Option("", help="Name of the route."),
+    host: str = typer.Option("", help="Host, in place of a route."),
+    path: str = typer.Option("", help="Path, in place of a route."),
+    account: str = typer.Option("", help="Name of the client account."),
+    key: str = typer.Option(
+        "", envvar="FOXTAILCTL_KEY", help="API key, in place of an account."
+    ),
+    model: str = typer.Option("", help="Model that the request asks for."),
+    part: list[str] = typer.Option(
+        None, help="Part of the prompt as ID:TOKENS; may be repeated, in order."
+    ),
+    output_tokens: int = typer.Option(0, min=0, help="Most tokens to generate."),
+    headers: Path = typer.Option(
+        None, help="File with a request line and header fields; - for standard input."
+    ),
     as_json: bool = JSON,
 ) -> None:
-    """Explain the outcome of one request from log files."""
+    """Explain the outcome of one request from log files, or where one would go now.
+
+    With --entry, a running entry is asked where a request would go now. The request is
+    not sent, and nothing of the entry changes.
+    """
+    if entry:
+
+        async def ask(pool: ConnectionPool, address: Address) -> Result:
+            question = _explain_now.make_question(
+                headers,
+                route=route,
+                host=host,
+                path=path,
+                account=account,
+                key=key,
+                model=model,
+                parts=part or [],
+                output_tokens=output_tokens,
+            )
+            return await _explain_now.explain_now(pool, address, question)
+
+        run_entry_command(ctx, as_json, entry, ask)
+        return
 
     def show() -> Result:
+        if not request or not file:
+            message = "give a request identifier and log files, or --entry"
+            raise CtlError(ExitCode.BAD_INPUT, message)
         return _explain.explain_request(
             request, [_timeline.read_log(each) for each in file]
         )
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -29,6 +29,7 @@
 from foxtailcourse.ingress._configuration_exchange import ConfigurationExchange
 from foxtailcourse.ingress._configuration_refresh import ConfigurationRefresh
 from foxtailcourse.ingress._dispatcher import Dispatcher
+from foxtailcourse.ingress._explanation import decode_question, explain
 from foxtailcourse.ingress._features import Features
 from foxtailcourse.ingress._fleet_sums import FleetSums
 from foxtailcourse.ingress._fleet_updates import FleetUpdates
@@ -404,9 +405,15 @@
             "draining": self._draining,
         }
 
+    def explain(self, body: bytes) -> dict[str, object]:
+        """Return the contents of ``/explain``; raises HttpError."""
+        return explain(decode_question(body), self._handler, boot_seconds())
+
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
-        admin = AdminServer(self._events, self._metrics, self.readiness, self.status)
+        admin = AdminServer(
+            self._events, self._metrics, self.readiness, self.status, self.explain
+        )
         readiness_server = HttpServer(
             self._respond_readiness, READINESS_LIMITS, self._on_error
         )
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -31,7 +31,13 @@
     choose_without_prompt,
     preferred_store,
 )
-from foxtailcourse.ingress._placement_types import CacheStore, Candidate, Choice, Prompt
+from foxtailcourse.ingress._placement_types import (
+    CacheStore,
+    Candidate,
+    Choice,
+    CostTrace,
+    Prompt,
+)
 from foxtailcourse.ingress._replacement import UNREACHABLE, Replacement
 from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._retry_budget import RetryBudget
@@ -99,6 +105,8 @@
         Prompts that are deferred at this entry.
     sizes : RequestSizes
         Typical sizes of the prompts.
+    cost_trace : CostTrace or None
+        Records the costs of the candidates, for an explanation.
     """
 
     view: FleetView
@@ -112,6 +120,7 @@
     metrics: Metrics
     deferred: DeferredPrompts = attrs.field(factory=DeferredPrompts)
     sizes: RequestSizes = attrs.field(factory=RequestSizes)
+    cost_trace: CostTrace | None = None
 
     async def run(self, job: Job) -> ServerResponse | None:
         """Send a request, with retries.
@@ -134,20 +143,7 @@
             If the last attempt failed and the request may have run.
         """
         self.retry_budget_for(job.service).record_request(self.clock())
-        job.request_key = request_key(
-            job.service,
-            job.account_name,
-            job.exchange.method,
-            job.request.host,
-            job.exchange.target,
-            job.exchange.body,
-        )
-        part_ids = [each.id for each in job.request.prompt_parts]
-        job.crash_keys = request_parts(job.service, part_ids) | {job.request_key}
-        if job.prompt is not None:
-            job.typical_prompt_tokens = self.sizes.record_prompt(
-                job.route.name, job.request.prompt_tokens
-            )
+        self._prepare(job)
         while True:
             if job.replacement is None:
                 choice = await self._wait_for_admission(job)
@@ -193,6 +189,47 @@
             self.metrics.count("foxtail_ingress_attempts_total", outcome="answered")
             return response
 
+    def _prepare(self, job: Job) -> None:
+        """Set what the decisions on a job depend on, and record its size."""
+        job.request_key = request_key(
+            job.service,
+            job.account_name,
+            job.exchange.method,
+            job.request.host,
+            job.exchange.target,
+            job.exchange.body,
+        )
+        part_ids = [each.id for each in job.request.prompt_parts]
+        job.crash_keys = request_parts(job.service, part_ids) | {job.request_key}
+        if job.prompt is not None:
+            job.typical_prompt_tokens = self.sizes.record_prompt(
+                job.route.name, job.request.prompt_tokens
+            )
+
+    def preview(self, job: Job) -> tuple[Choice, bool]:
+        """Decide on a job as on its arrival, without sending it.
+
+        The state of this dispatcher changes as by a real decision.
+
+        Returns
+        -------
+        choice : Choice
+            The best server.
+        is_admitted : bool
+            Whether the job would be sent now.
+
+        Raises
+        ------
+        RefusedError
+            If the job would be refused.
+        """
+        self._prepare(job)
+        choice, server_count = self._choose(job, was_deferred=False)
+        prompt, now = job.prompt, self.clock()
+        return choice, prompt is None or self._is_admitted(
+            job, prompt, choice, server_count, now
+        )
+
     async def _wait_for_admission(self, job: Job) -> Choice:
         """Select a server; repeat this while admission control defers the prompt."""
         wait_started = self.clock()
@@ -394,10 +431,14 @@
         """Return the best of the eligible servers."""
         prompt = job.prompt
         if prompt is None:
-            return choose_without_prompt(eligible, now, self.rng.random())
+            return choose_without_prompt(
+                eligible, now, self.rng.random(), self.cost_trace
+            )
         store = self._cache_store(prompt)
         short_work_tokens = self.sizes.short_work_tokens(ASSUMED_SHORT_WORK_TOKENS)
-        choice = choose_for_prompt(eligible, prompt, store, now, short_work_tokens, rng)
+        choice = choose_for_prompt(
+            eligible, prompt, store, now, short_work_tokens, rng, self.cost_trace
+        )
         if not prompt.is_long:
             self.sizes.record_short_work(choice.work_tokens)
         return choice
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -218,7 +218,7 @@
             If there is no configuration, or it cannot be confirmed in time.
         """
         try:
-            return self._find_route_and_account(request)
+            return self.find_route_and_account(request)
         except DeniedError:
             # A newer configuration may allow the request, so it is read again first.
             wait_s, is_confirmed = _confirmation_wait_s(request), False
@@ -226,9 +226,9 @@
                 is_confirmed = await self.confirm(DENIAL_MAX_AGE_S, wait_s)
             if not is_confirmed:
                 raise RefusedError("configuration_stale", STALE_RETRY_AFTER_S) from None
-            return self._find_route_and_account(request)
+            return self.find_route_and_account(request)
 
-    def _find_route_and_account(
+    def find_route_and_account(
         self, request: IngressRequest
     ) -> tuple[Route, Account | None]:
         """Authorize a request by the present configuration; see ``_authorize``."""
--- a/src/foxtailcourse/ingress/_limit_shares.py
+++ b/src/foxtailcourse/ingress/_limit_shares.py
@@ -4,6 +4,7 @@
 different times, and the sum of their shares must stay below the limit meanwhile.
 """
 
+import copy
 from collections.abc import Callable, Set
 
 import attrs
@@ -56,6 +57,12 @@
     _members: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _members_version: int = attrs.field(default=0, init=False)
 
+    def snapshot(self) -> "LimitShares":
+        """Return a copy on which decisions can be evaluated without a request."""
+        result = copy.copy(self)
+        result._left_at = dict(self._left_at)
+        return result
+
     def members(self, now: float) -> frozenset[str]:
         """Return the entries that count at present, in seconds since boot ``now``."""
         self.update(now)
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -16,6 +16,7 @@
     CacheStore,
     Candidate,
     Choice,
+    CostTrace,
     Prompt,
 )
 
@@ -86,7 +87,10 @@
 
 
 def choose_without_prompt(
-    candidates: Sequence[Candidate], now: float, spread: float
+    candidates: Sequence[Candidate],
+    now: float,
+    spread: float,
+    trace: CostTrace | None = None,
 ) -> Choice:
     """Return the least busy server, for a request without a prompt.
 
@@ -101,6 +105,8 @@
         Present time in seconds since boot.
     spread : float
         Random number from 0 to 1 that spreads entries over equal servers.
+    trace : CostTrace or None
+        Records the cost of each candidate.
     """
 
     def cost(indexed: tuple[int, Candidate]) -> tuple[float, float]:
@@ -112,7 +118,8 @@
         )
         return busy, (index / len(candidates) + spread) % 1.0
 
-    _, best = min(enumerate(candidates), key=cost)
+    key = cost if trace is None else trace.watch_plain(cost)
+    _, best = min(enumerate(candidates), key=key)
     return Choice(candidate=best, cost_tokens=0.0)
 
 
@@ -123,6 +130,7 @@
     now: float,
     short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
     rng: random.Random | None = None,
+    trace: CostTrace | None = None,
 ) -> Choice:
     """Return the server with the lowest cost for a prompt.
 
@@ -143,12 +151,14 @@
         Mean prefill work of a short prompt, in tokens.
     rng : random.Random or None
         Source of the random part of the cost; None leaves it out.
+    trace : CostTrace or None
+        Records the cost of each candidate.
     """
     sources = None
     if prompt.is_long:
         sources = FetchSources.find(candidates, prompt, store)
     choices = [_evaluate(each, prompt, sources, now) for each in candidates]
-    return lowest_cost_choice(choices, prompt, short_work_tokens, rng)
+    return lowest_cost_choice(choices, prompt, short_work_tokens, rng, trace)
 
 
 def lowest_cost_choice(
@@ -156,6 +166,7 @@
     prompt: Prompt,
     short_work_tokens: float = ASSUMED_SHORT_WORK_TOKENS,
     rng: random.Random | None = None,
+    trace: CostTrace | None = None,
 ) -> Choice:
     """Return the choice with the lowest cost.
 
@@ -173,6 +184,8 @@
         Mean prefill work of a short prompt, in tokens.
     rng : random.Random or None
         Source of the random part of the cost; None leaves it out.
+    trace : CostTrace or None
+        Records what each choice is ranked by.
     """
     candidates = [each.candidate for each in choices]
     preferred = preferred_candidate(prompt.largest_part.id, candidates)
@@ -195,7 +208,7 @@
             return cost_tokens + is_reserved * RESERVED_COST_TOKENS
         return cost_tokens + (not is_reserved) * UNRESERVED_COST_TOKENS
 
-    return min(choices, key=rank)
+    return min(choices, key=rank if trace is None else trace.watch(rank))
 
 
 def _evaluate(
--- a/src/foxtailcourse/ingress/_placement_types.py
+++ b/src/foxtailcourse/ingress/_placement_types.py
@@ -1,5 +1,7 @@
 """Prompts, candidate servers and choices of the placement."""
 
+from collections.abc import Callable
+
 import attrs
 
 from foxtailcourse.fleet import BackendServer
@@ -120,3 +122,38 @@
     prefill_tokens: float = 0.0
     work_tokens: float = 0.0
     cost_tokens: float = 0.0
+
+
+@attrs.define
+class CostTrace:
+    """Records what the candidates of one decision are ranked by.
+
+    Parameters
+    ----------
+    choices : list of (Choice, float)
+        One choice for each candidate, and its cost with what the ranking adds.
+    """
+
+    choices: list[tuple[Choice, float]] = attrs.field(factory=list)
+
+    def watch(self, rank: Callable[[Choice], float]) -> Callable[[Choice], float]:
+        """Return a ranking that is the same and records its results."""
+
+        def recorded(choice: Choice) -> float:
+            cost = rank(choice)
+            self.choices.append((choice, cost))
+            return cost
+
+        return recorded
+
+    def watch_plain(
+        self, cost: Callable[[tuple[int, Candidate]], tuple[float, float]]
+    ) -> Callable[[tuple[int, Candidate]], tuple[float, float]]:
+        """Do the same for requests without a prompt; ties are not recorded."""
+
+        def recorded(indexed: tuple[int, Candidate]) -> tuple[float, float]:
+            result = cost(indexed)
+            self.choices.append((Choice(candidate=indexed[1]), result[0]))
+            return result
+
+        return recorded
--- a/src/foxtailcourse/ingress/_server_limits.py
+++ b/src/foxtailcourse/ingress/_server_limits.py
@@ -5,6 +5,7 @@
 of a large fleet sent only one request, they could exceed a small limit many times.
 """
 
+import copy
 import heapq
 
 import attrs
@@ -115,6 +116,14 @@
 
     # Sending requests
 
+    def snapshot(self) -> "ServerLimits":
+        """Return a copy on which decisions can be evaluated without a request."""
+        result = copy.copy(self)
+        result.shares = self.shares.snapshot()
+        result._shares = {run: copy.copy(e) for run, e in self._shares.items()}
+        result._ranked = dict(self._ranked)
+        return result
+
     def available_in_s(self, run: ServerRun, now: float) -> float | None:
         """Return the time until a request may be sent to a run, in seconds.
 
--- a/src/foxtailcourse/ingress/_server_loads.py
+++ b/src/foxtailcourse/ingress/_server_loads.py
@@ -1,5 +1,7 @@
 """Load and health of backend servers."""
 
+import copy
+
 import attrs
 import trio
 
@@ -226,6 +228,22 @@
             short_prompts=own.short_prompts + others.short_prompts,
         )
 
+    def published_age_s(self, server_id: str, now: float) -> float | None:
+        """Return the age of the oldest load that another entry published for a server.
+
+        It is in seconds, and None if there is none.
+        """
+        others = self._remote.get(server_id)
+        times = [e.received_at for e in others.by_vm.values()] if others else []
+        return now - min(times) if times else None
+
+    def snapshot(self) -> "ServerLoads":
+        """Return a copy on which decisions can be evaluated without a request."""
+        result = ServerLoads()
+        result._loads = dict(self._loads)
+        result._remote = {k: copy.copy(each) for k, each in self._remote.items()}
+        return result
+
     def discard_unregistered(self, registered: set[tuple[str, int]]) -> None:
         """Discard the loads of idle servers that are no longer registered.
 
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -338,6 +338,7 @@
     "stream_broken": "the stream could not be completed; sent in its last event",
     "tokens_rate": "`tokens_per_s` of the contract is used up",
     "unknown_model": "no such model",
+    "unknown_account": "no such client account",
     "unknown_path": "no such path",
     "unknown_route": "no such route",
     "unsupported_content": "a message has parts that are not text",
--- a/src/foxtailcourse/platform/_headers.py
+++ b/src/foxtailcourse/platform/_headers.py
@@ -1,7 +1,7 @@
 """HTTP headers of callers' requests and of backend servers' responses."""
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -320,6 +320,39 @@
     return int(_parse_number(count.strip()) or 0)
 
 
+def encode_request_fields(
+    *,
+    host: str = "",
+    key: str = "",
+    model: str = "",
+    parts: Sequence[str] = (),
+    max_output_tokens: int = 0,
+) -> dict[str, str]:
+    """Return the headers of a caller's request; empty values are left out.
+
+    Parameters
+    ----------
+    host : str
+        Host of the route.
+    key : str
+        API key of the client account.
+    model : str
+        Requested model.
+    parts : sequence of str
+        Parts of the prompt, as ``ID:TOKENS``.
+    max_output_tokens : int
+        Maximum number of tokens to generate.
+    """
+    fields = {
+        "host": host,
+        ACCOUNT_KEY_HEADER: key,
+        MODEL_HEADER: model,
+        PROMPT_PREFIX_HEADER: ",".join(parts),
+        TOKEN_COUNTS_HEADER: f"0,{max_output_tokens}" if max_output_tokens else "",
+    }
+    return {name: value for name, value in fields.items() if value}
+
+
 def encode_attempt_headers(
     request: IngressRequest, attempt: AttemptHeaders, body_bytes: int
 ) -> dict[str, str]:
