--- a/src/foxtailcourse/ingress/_account_shares.py
+++ b/src/foxtailcourse/ingress/_account_shares.py
@@ -6,6 +6,7 @@
 that its own requests are refused before those of the others wait.
 """
 
+import copy
 import math
 from collections.abc import Mapping, Sequence
 from typing import Protocol
@@ -340,6 +341,25 @@
         self._forget_above = max(MIN_COUNTS_TO_FORGET, 2 * len(self))
 
 
+@attrs.frozen
+class _UnchangedSums:
+    """Sums over the fleet to which nothing is added."""
+
+    sums: WorkSums
+
+    def add(self, key: str, amounts: Sequence[float], tau_s: float, now: float) -> None:
+        """Do nothing."""
+
+    def total(self, key: str, now: float) -> tuple[float, ...]:
+        return self.sums.total(key, now)
+
+    def keys(self, prefix: str) -> list[str]:
+        return self.sums.keys(prefix)
+
+    def heard_entries(self, now: float) -> int:
+        return self.sums.heard_entries(now)
+
+
 class AccountShares:
     """Decides which accounts are above their share of the servers' work.
 
@@ -364,6 +384,14 @@
         self._accounts = 0
         self._refreshed_at = float("-inf")
 
+    def snapshot(self) -> "AccountShares":
+        """Return a copy for decisions that must not change the shares."""
+        copied = copy.copy(self)
+        copied._sums = _UnchangedSums(self._sums)
+        copied._served = copy.deepcopy(self._served)
+        copied._backlog_mean = copy.deepcopy(self._backlog_mean)
+        return copied
+
     def record_asked(self, account: str, kind: PromptKind, now: float) -> None:
         """Record a prompt that arrived at this entry."""
         self._served.record_asked(account, kind, now)
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -247,7 +247,7 @@
         """Dispatch a request, respond to the caller and return the outcome."""
         try:
             await self.resumption.bind(job)
-            response = await self.dispatcher.run(job)
+            response = await self.dispatcher.attempts.run_job(job, self.dispatcher.run)
             if response is not None:
                 await self._forward_response(job.exchange, response)
                 job.response_complete = True
@@ -295,7 +295,7 @@
             If there is no configuration, or it cannot be confirmed in time.
         """
         try:
-            return self._find_route_and_account(request)
+            return self.find_route_and_account(request)
         except DeniedError:
             # A newer configuration may allow the request, so it is read again first.
             wait_s, is_confirmed = _confirmation_wait_s(request), False
@@ -303,9 +303,9 @@
                 is_confirmed = await self.confirm(DENIAL_MAX_AGE_S, wait_s)
             if not is_confirmed:
                 raise RefusedError("configuration_stale", STALE_RETRY_AFTER_S) from None
-            return self._find_route_and_account(request)
+            return self.find_route_and_account(request)
 
-    def _find_route_and_account(
+    def find_route_and_account(
         self, request: IngressRequest
     ) -> tuple[Route, Account | None]:
         """Authorize a request by the present configuration; see ``_authorize``."""
@@ -463,6 +463,7 @@
             framing=job.attempt.framing.value if job.attempt.framing else None,
             last_event=job.last_event_id or None,
             unfinished_bytes=job.attempt.unfinished_bytes or None,
+            buffered_bytes=job.held.peak_bytes or None if job.held else None,
             resumes=job.request.resumes or None,
             software=job.chosen_software or None,
             weights=job.chosen_version,
--- a/src/foxtailcourse/platform/_headers.py
+++ b/src/foxtailcourse/platform/_headers.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -334,6 +334,39 @@
     return math.ceil(sum(each for each in counts if each is not None))
 
 
+def encode_request_fields(
+    *,
+    host: str = "",
+    key: str = "",
+    model: str = "",
+    parts: Sequence[str] = (),
+    max_output_tokens: int = 0,
+) -> dict[str, str]:
+    """Return the headers of a caller's request; empty values are left out.
+
+    Parameters
+    ----------
+    host : str
+        Host of the route.
+    key : str
+        API key of the client account.
+    model : str
+        Requested model.
+    parts : sequence of str
+        Parts of the prompt, as ``ID:TOKENS``.
+    max_output_tokens : int
+        Maximum number of tokens to generate.
+    """
+    fields = {
+        "host": host,
+        ACCOUNT_KEY_HEADER: key,
+        MODEL_HEADER: model,
+        PROMPT_PREFIX_HEADER: ",".join(parts),
+        TOKEN_COUNTS_HEADER: f"0,{max_output_tokens}" if max_output_tokens else "",
+    }
+    return {name: value for name, value in fields.items() if value}
+
+
 def encode_attempt_headers(
     request: IngressRequest, attempt: AttemptHeaders, body_bytes: int
 ) -> dict[str, str]:
