Deliver what waits for a frozen entry when it goes on

Cause: in the simulation of the sums, a datagram for a frozen entry came at the end of the first freeze. If the entry was frozen again for a shorter time, or restarted, it came up to 3.4 s late, or to the next process.

Change: the datagrams wait in a socket of the simulated process, which is read when it goes on and lost with it. No bound is changed.

--- a/tests/ingress/sums_simulation.py
+++ b/tests/ingress/sums_simulation.py
@@ -37,6 +37,8 @@
     next_at: float
     frozen_until: float = 0.0
     urgent_at: float = 0.0
+    # Datagrams that were not read yet: sender and contents.
+    socket: list = attrs.field(factory=list)
     sums: FleetSums = attrs.field(factory=FleetSums)
     exchange: SumExchange = attrs.field(init=False)
     # What was really added, without the code under test: amount and its time, by key.
@@ -115,18 +117,15 @@
             each_step()
 
     def deliver(self):
-        waiting = []
         while self.datagrams and self.datagrams[0][0] <= self.now:
-            datagram = heapq.heappop(self.datagrams)
-            _, _, sender, receiver, data = datagram
-            entry = self.entries.get(receiver)
-            if entry is not None and entry.frozen_until > self.now:
-                # It waits in the socket.
-                waiting.append((entry.frozen_until, *datagram[1:]))
-            elif entry is not None:
-                entry.exchange.handle(decode(data), sender, self.now)
-        for datagram in waiting:
-            heapq.heappush(self.datagrams, datagram)
+            _, _, sender, receiver, data = heapq.heappop(self.datagrams)
+            if receiver in self.entries:
+                self.entries[receiver].socket.append((sender, data))
+        for entry in self.entries.values():
+            if entry.frozen_until <= self.now:
+                received, entry.socket = entry.socket, []
+                for sender, data in received:
+                    entry.exchange.handle(decode(data), sender, self.now)
 
     def play(self, entry):
         """Do what the tasks of the exchange do at this time."""
