--- a/tests/ingress/test_odd_configurations.py
+++ b/tests/ingress/test_odd_configurations.py
@@ -30,3 +30,19 @@
         response = await self.call_configured(fleet, entry, routes=routes)
         self.assertThat(response.status, Equals(503))
         self.assertIn("retry-after", response.headers)
+
+    @run_with("with_fleet")
+    async def test_quota_that_is_no_number_is_logged_and_no_limit(self, fleet, entry):
+        quota = {"ratePerS": "lots", "burst": -1, "unit": "tokens"}
+        response = await self.call_configured(fleet, entry, quota=quota)
+        self.assertThat(response.status, Equals(200))
+        reasons = [each["reason"] for each in entry.events("quota_unreadable")]
+        self.assertThat(
+            reasons,
+            Equals(
+                [
+                    "account teatro: ratePerS 'lots' means no limit",
+                    "account teatro: burst -1 means no burst",
+                ]
+            ),
+        )
--- a/tests/ingress/test_quota_requests.py
+++ b/tests/ingress/test_quota_requests.py
@@ -97,3 +97,31 @@
         await self.configure(fleet, entry, TOKENS)
         statuses = [(await fleet.call(entry, "look")).status for _ in range(5)]
         self.assertThat(statuses, Equals([200, 200, 200, 200, 429]))
+
+    @run_with("with_fleet")
+    async def test_use_at_one_entry_counts_at_another(self, fleet, entry):
+        await self.configure(fleet, entry, TOKENS)
+        other = await fleet.start_entry("e2")
+        await wait_until(lambda: other.app.readiness().ready)
+        other.app._shares.hold_s = 1.5
+        for app in (entry.app, other.app):
+            clock = app._handler.clock
+            await wait_until(
+                lambda app=app, clock=clock: (
+                    app._shares.is_settled(clock())
+                    and app._sums.heard_entries(clock()) == 1
+                )
+            )
+        await trio.sleep(3)
+        for _ in range(4):
+            await fleet.call(entry, "brief", stream=4, **LARGE)
+        statuses = []
+        with trio.move_on_after(1):
+            while 429 not in statuses:
+                response = await fleet.call(other, "look")
+                statuses.append(response.status)
+                await trio.sleep(0.02)
+        self.assertIn(429, statuses)
+        refused = other.events("quota_refused")[-1]
+        self.assertTrue(int(refused["use"]) > int(refused["own_use"]), refused)
+        self.assertThat(refused["heard_entries"], Equals("1"))
