Leave more of the rule on quotas to use that is not yet known

What callers see: an overloaded account may use a little less at once.

Change: requests are admitted below burst + 1/5 of the excess (1/4 before) and fill the level up to burst + 3/5 of it (3/4 before).

Tests: tests/ingress/test_account_quotas.py, 10 passed; demand within rate and burst is still never refused. tests/ingress/test_quota_requests.py and tests/docs passed.

--- a/src/foxtailcourse/ingress/_account_quotas.py
+++ b/src/foxtailcourse/ingress/_account_quotas.py
@@ -23,7 +23,7 @@
 # Parts of what the rule allows in addition to rate and burst. Requests are admitted
 # below the burst and the first part, whatever their size, and may fill up to the burst
 # and the second one. The rest covers use that entries have not yet heard of.
-THRESHOLD_PART, CEILING_PART = 0.25, 0.75
+THRESHOLD_PART, CEILING_PART = 0.2, 0.6
 # Without a rule and without a burst, so many seconds of the rate may be used at once.
 DEFAULT_BURST_S = 1.0
 # A level below this fraction of the threshold leaks exponentially, so that the decay
