Place and admit by expected time where servers differ in speed

What callers see: where the servers of a service differ by a factor of 1.5 or more, a prompt goes to the server that is expected to complete it first, and is deferred or refused by that server's own rate. Where they do not differ every choice is as before. What operators see: the metrics foxtail_ingress_speed_ratio and foxtail_ingress_speeds_used, and the events server_speeds_used and server_speeds_unused.

Reason: one prefill rate for all servers sends long prompts to servers of speed 0.6 as if they were typical, which makes them late at the rosters.

Change: ServerSpeeds adds the work and time of each first event to FleetSums. The time until the first event besides prefill is learned, as work, since it scales with the speed. Requests without a prompt count the requests of all entries, discounted by their age.

--- a/src/foxtailcourse/ingress/__init__.py
+++ b/src/foxtailcourse/ingress/__init__.py
@@ -9,24 +9,31 @@
     DeferredPrompts,
     RequestTiming,
     decide_admission,
+    mean_tokens_per_s,
 )
 from foxtailcourse.ingress._app import IngressApp, serve
 from foxtailcourse.ingress._cache_index import CacheIndex
+from foxtailcourse.ingress._candidates import with_speed
 from foxtailcourse.ingress._fetch_sources import FetchSources
+from foxtailcourse.ingress._fleet_sums import FleetSums
 from foxtailcourse.ingress._placement import (
     ASSUMED_SHORT_WORK_TOKENS,
     OUTDATED_WEIGHTS_COST_TOKENS,
+    PROMPT_OVERHEAD_TOKENS,
     RUNNING_REQUEST_COST_TOKENS,
     choose_for_prompt,
     lowest_cost_choice,
+    prefill_work_tokens,
 )
 from foxtailcourse.ingress._placement_types import CacheStore, Candidate, Choice, Prompt
 from foxtailcourse.ingress._request_sizes import RequestSizes
 from foxtailcourse.ingress._rollout import plan_weight_loads
 from foxtailcourse.ingress._server_loads import (
     RemoteLoad,
+    ServerLoad,
     ServerLoads,
 )
+from foxtailcourse.ingress._server_speeds import ServerSpeed, ServerSpeeds
 from foxtailcourse.ingress._settings import IngressSettings
 
 __all__ = [
@@ -38,18 +45,26 @@
     "Choice",
     "DeferredPrompts",
     "FetchSources",
+    "FleetSums",
     "IngressApp",
     "IngressSettings",
     "OUTDATED_WEIGHTS_COST_TOKENS",
+    "PROMPT_OVERHEAD_TOKENS",
     "Prompt",
     "RUNNING_REQUEST_COST_TOKENS",
     "RemoteLoad",
     "RequestSizes",
     "RequestTiming",
+    "ServerLoad",
     "ServerLoads",
+    "ServerSpeed",
+    "ServerSpeeds",
     "choose_for_prompt",
     "decide_admission",
     "lowest_cost_choice",
+    "mean_tokens_per_s",
     "plan_weight_loads",
+    "prefill_work_tokens",
     "serve",
+    "with_speed",
 ]
--- a/src/foxtailcourse/ingress/_admission.py
+++ b/src/foxtailcourse/ingress/_admission.py
@@ -11,17 +11,17 @@
 """
 
 import enum
+from collections.abc import Sequence
 
 import attrs
 
-from foxtailcourse.ingress._placement_types import Choice, Prompt
+from foxtailcourse.ingress._placement_types import (
+    PREFILL_TOKENS_PER_S,
+    Candidate,
+    Choice,
+    Prompt,
+)
 
-# Prefill rate of an engine that also decodes its running requests: a chunk of 1,024
-# tokens in a step of 26 ms, according to the engines' data sheets.
-PREFILL_TOKENS_PER_S = 40_000.0
-# Time from the end of the prefill to the first event of the response: a few engine
-# steps.
-FIRST_EVENT_LATENCY_S = 0.12
 # Backlog at which a server counts as nearly idle and accepts a late prompt.
 IDLE_SERVER_WORK_TOKENS = 2_500.0
 # A late prompt also accepts a backlog of this fraction of its own work, so that large
@@ -94,15 +94,20 @@
     """
     if not prompt.is_long:
         return AdmissionDecision.SEND
-    backlog_tokens = choice.candidate.total_load.prefill_tokens
-    accepted_tokens = IDLE_SERVER_WORK_TOKENS + OWN_WORK_FRACTION * choice.work_tokens
+    candidate = choice.candidate
+    # In tokens of a typical server.
+    backlog_tokens = candidate.total_load.prefill_tokens / candidate.speed
+    accepted_tokens = (
+        IDLE_SERVER_WORK_TOKENS
+        + OWN_WORK_FRACTION * choice.work_tokens / candidate.speed
+    )
     accepted_tokens *= 2 ** (timing.age_s / ACCEPTED_WORK_DOUBLING_S)
     if (
         _first_event_age_s(choice, timing) <= timing.target_s
         or backlog_tokens <= accepted_tokens
     ):
         return AdmissionDecision.SEND
-    unqueued_s = FIRST_EVENT_LATENCY_S + choice.work_tokens / PREFILL_TOKENS_PER_S
+    unqueued_s = candidate.latency_s + choice.work_tokens / candidate.tokens_per_s
     if timing.was_deferred:
         exceeds_patience = timing.age_s + unqueued_s > timing.patience_s
     else:
@@ -112,8 +117,19 @@
 
 def _first_event_age_s(choice: Choice, timing: RequestTiming) -> float:
     """Return the expected age at the first event of a prompt that is sent now."""
-    work_tokens = choice.candidate.total_load.prefill_tokens + choice.work_tokens
-    return timing.age_s + FIRST_EVENT_LATENCY_S + work_tokens / PREFILL_TOKENS_PER_S
+    candidate = choice.candidate
+    work_tokens = candidate.total_load.prefill_tokens + choice.work_tokens
+    return (
+        timing.age_s
+        + candidate.latency_s
+        + work_tokens / candidate.tokens_per_s
+        + candidate.delay_s
+    )
+
+
+def mean_tokens_per_s(candidates: Sequence[Candidate]) -> float:
+    """Return the mean prefill rate of servers, in tokens per second."""
+    return sum(each.tokens_per_s for each in candidates) / max(1, len(candidates))
 
 
 class DeferredPrompts:
@@ -134,7 +150,12 @@
         """Remove a prompt; return whether it was deferred."""
         return self._work_tokens.pop(key, None) is not None
 
-    def backlog_s(self, servers: int, entries: int) -> float:
+    def backlog_s(
+        self,
+        servers: int,
+        entries: int,
+        tokens_per_s: float = PREFILL_TOKENS_PER_S,
+    ) -> float:
         """Return the time that this entry's fraction of the servers needs for them.
 
         It is in seconds, and 0 while fewer than MIN_DEFERRED_PROMPTS are deferred.
@@ -143,10 +164,10 @@
         ----------
         servers, entries : int
             Number of eligible servers, and of entries that share them.
+        tokens_per_s : float
+            Mean prefill rate of the eligible servers, in tokens per second.
         """
         if len(self._work_tokens) < MIN_DEFERRED_PROMPTS:
             return 0.0
         servers_per_entry = max(1, servers) / max(1, entries)
-        return sum(self._work_tokens.values()) / (
-            PREFILL_TOKENS_PER_S * servers_per_entry
-        )
+        return sum(self._work_tokens.values()) / (tokens_per_s * servers_per_entry)
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -49,6 +49,7 @@
 from foxtailcourse.ingress._rollout import Rollout
 from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoads
+from foxtailcourse.ingress._server_speeds import ServerSpeeds
 from foxtailcourse.ingress._settings import IngressSettings
 from foxtailcourse.ingress._store_rate_limit import RateLimitedStore, RateLimiter
 from foxtailcourse.ingress._store_watcher import WATCH_BLACKOUT_S, StoreWatcher
@@ -111,6 +112,7 @@
         self._events, self._metrics = daemon.events, daemon.metrics
         self._features = Features.from_contracts(cfg.contracts)
         self._sums = FleetSums()
+        self._speeds = ServerSpeeds(self._sums, self._events)
         self._rng = random.Random()
         self._pool = ConnectionPool()
         self._view = FleetView()
@@ -306,6 +308,8 @@
                 self._cache_indexes,
                 weights_limit_s,
                 self._limits,
+                self._speeds,
+                self._daemon.cfg.failure_domain,
             ),
             attempts=AttemptRunner(
                 self._pool,
@@ -317,6 +321,7 @@
                 self._peer_exchange.origins.publish,
                 self._record_limit_statement,
                 self._parts.record_answered,
+                self._speeds,
             ),
             parts=self._parts,
             retry_budget_for=self._retry_budget_for,
@@ -463,6 +468,7 @@
             runs = {e.run for e in servers}
             self._view.withdrawn.expire(runs, boot_seconds())
             self._limits.expire(runs, boot_seconds())
+            self._speeds.expire(runs)
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -478,6 +484,10 @@
         self._metrics.gauge("foxtail_ingress_in_flight", sum(row[2] for row in rows))
         tokens = sum(row[1] for row in rows)
         self._metrics.gauge("foxtail_ingress_prefill_tokens", tokens)
+        for service, (ratio, differs) in self._speeds.summary().items():
+            labels = {"service": service}
+            self._metrics.gauge("foxtail_ingress_speed_ratio", ratio, **labels)
+            self._metrics.gauge("foxtail_ingress_speeds_used", int(differs), **labels)
 
     async def _watch_reload(self) -> None:
         """Reload the settings at SIGHUP, and periodically in case the file changed."""
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -22,10 +22,12 @@
     EventSplitter,
     EventTooLongError,
 )
+from foxtailcourse.ingress._fleet_sums import FleetSums
 from foxtailcourse.ingress._job import AttemptError, Job, ServerResponse
 from foxtailcourse.ingress._placement_types import Choice
 from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.ingress._server_loads import ServerLoads
+from foxtailcourse.ingress._server_speeds import ServerSpeeds
 from foxtailcourse.ingress._stream_origins import StreamOrigin
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
 from foxtailcourse.platform import (
@@ -93,6 +95,8 @@
     on_answered : callable
         Called once for an attempt with the ``crash_keys`` of its job, when its stream
         goes on for ANSWERED_AFTER_S or its response is complete.
+    speeds : ServerSpeeds
+        Learns the speeds of the servers from the first events.
     """
 
     pool: ConnectionPool
@@ -113,6 +117,7 @@
         attrs.field(default=lambda run, head, sent_at: None)
     )
     on_answered: Callable[[Parts], None] = attrs.field(default=lambda parts: None)
+    speeds: ServerSpeeds = attrs.field(factory=lambda: ServerSpeeds(FleetSums()))
 
     async def run(
         self,
@@ -155,6 +160,7 @@
             len(job.exchange.body),
         )
         is_short = job.prompt is not None and not job.prompt.is_long
+        is_plain = job.prompt is None
         watched = WatchedAttempt(
             load, self._idle_timeout_s(job, now), now, find_replacement
         )
@@ -162,10 +168,15 @@
         job.replacement = None
         self.watchdog.add(watched)
         try:
-            with self._tracked_load(choice, is_short) as on_first_event, watched.scope:
+            with (
+                self._tracked_load(choice, is_short, is_plain) as on_first_event,
+                watched.scope,
+            ):
                 response = await self._exchange(
                     job, choice, headers, watched, on_first_event, conn
                 )
+                if is_plain and response is not None and response.status < 300:
+                    on_first_event()
         finally:
             self.watchdog.remove(watched)
             if watched.scope.cancelled_caught:
@@ -446,7 +457,7 @@
 
     @contextmanager
     def _tracked_load(
-        self, choice: Choice, is_short: bool
+        self, choice: Choice, is_short: bool, is_plain: bool
     ) -> Iterator[Callable[[], None]]:
         """Count a request in the load of its server.
 
@@ -458,9 +469,16 @@
         load.short_prompts += is_short
         load.prefill_tokens += remaining_tokens
         self.loads.changed.set()
+        observe_end = self.speeds.record_sent(
+            choice.candidate, choice.work_tokens, self.clock(), is_plain=is_plain
+        )
+        observed = False
 
         def on_first_event() -> None:
-            nonlocal remaining_tokens
+            nonlocal remaining_tokens, observed
+            if not observed:
+                observed = True
+                observe_end(self.clock())
             if remaining_tokens > DECODE_WORK_FRACTION * choice.work_tokens:
                 load.prefill_tokens -= (
                     remaining_tokens - DECODE_WORK_FRACTION * choice.work_tokens
@@ -471,6 +489,7 @@
         try:
             yield on_first_event
         finally:
+            observe_end(None)
             load.in_flight -= 1
             load.short_prompts -= is_short
             load.prefill_tokens = max(0.0, load.prefill_tokens - remaining_tokens)
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -10,14 +10,18 @@
 import attrs
 
 from foxtailcourse.fleet import Account, BackendServer, FleetView
-from foxtailcourse.ingress._admission import PREFILL_TOKENS_PER_S
 from foxtailcourse.ingress._cache_index import CacheIndex
+from foxtailcourse.ingress._fleet_sums import FleetSums
 from foxtailcourse.ingress._placement_types import Candidate
 from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoads
+from foxtailcourse.ingress._server_speeds import ServerSpeed, ServerSpeeds
 
 # Outdated weights are no longer used this long before the platform's limit.
 OUTDATED_WEIGHTS_MARGIN_S = 2.0
+# Price of a request to a server in another failure domain, in seconds: two messages
+# of 1.4 ms each, and as much for the bytes.
+OTHER_DOMAIN_DELAY_S = 0.005
 # Time until a request reaches its server, and is the next one there.
 TRANSIT_S = 0.5
 # Fraction of a server's connection limit that all entries use together.
@@ -66,6 +70,10 @@
         Time in seconds after which outdated weights must not be used.
     limits : ServerLimits
         Rate limits that servers name.
+    speeds : ServerSpeeds
+        Learned speeds of the servers.
+    failure_domain : str
+        Name of this entry's failure domain, empty if unknown.
     """
 
     view: FleetView
@@ -73,6 +81,8 @@
     cache_indexes: dict[str, CacheIndex]
     weights_limit_s: float
     limits: ServerLimits
+    speeds: ServerSpeeds = attrs.field(factory=lambda: ServerSpeeds(FleetSums()))
+    failure_domain: str = ""
 
     def select(
         self,
@@ -157,8 +167,9 @@
             for each in not_loading
             if self.loads.for_server(each.id, each.started_ms).suspended_until <= now
         ]
+        speeds = self.speeds.speeds(serving, now)
         candidates = tuple(
-            self._candidate(each, model, account, now)
+            self._candidate(each, model, account, now, speeds.get(each.run))
             for each in healthy or not_loading
         )
         return Selection(candidates=candidates)
@@ -216,7 +227,8 @@
         A request begins once the server has prefilled the prompts before it.
         """
         queued = self.loads.total(server.id, server.started_ms, now).prefill_tokens
-        return max(OUTDATED_WEIGHTS_MARGIN_S, queued / PREFILL_TOKENS_PER_S + TRANSIT_S)
+        tokens_per_s = self.speeds.tokens_per_s(server)
+        return max(OUTDATED_WEIGHTS_MARGIN_S, queued / tokens_per_s + TRANSIT_S)
 
     def _has_capacity(self, server: BackendServer, entries: int, now: float) -> bool:
         """Whether the connection limit of a server allows another request."""
@@ -233,11 +245,16 @@
         return own + 1 <= max(1.0, FAIR_SHARE_MULTIPLE * limit / entries)
 
     def _candidate(
-        self, server: BackendServer, model: str, account: Account | None, now: float
+        self,
+        server: BackendServer,
+        model: str,
+        account: Account | None,
+        now: float,
+        speed: ServerSpeed | None,
     ) -> Candidate:
         desired = self.view.desired_weights.get(model)
         version = server.weights.get(model, 0)
-        return Candidate(
+        candidate = Candidate(
             server=server,
             own_load=self.loads.for_server(server.id, server.started_ms),
             total_load=self.loads.total(server.id, server.started_ms, now),
@@ -247,6 +264,7 @@
             outdated_weights=desired is not None and version < desired.version,
             transfer_token_s=self._transfer_token_s(server.service),
         )
+        return with_speed(candidate, speed, self.failure_domain)
 
     def _transfer_token_s(self, service_name: str) -> float:
         configuration = self.view.configuration
@@ -254,6 +272,33 @@
         return service.transfer_token_s if service else 0.0
 
 
+def with_speed(
+    candidate: Candidate, speed: ServerSpeed | None, failure_domain: str
+) -> Candidate:
+    """Return a candidate with the speed of its server.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The candidate.
+    speed : ServerSpeed or None
+        Speed of the server; None if the servers of its service count as equal.
+    failure_domain : str
+        Name of this entry's failure domain, empty if unknown.
+    """
+    if speed is None:
+        return candidate
+    is_near = failure_domain in ("", candidate.server.failure_domain)
+    return attrs.evolve(
+        candidate,
+        has_speed=True,
+        speed=speed.speed,
+        tokens_per_s=speed.per_s,
+        latency_s=speed.latency_s,
+        delay_s=speed.delay_s + (0.0 if is_near else OTHER_DOMAIN_DELAY_S),
+    )
+
+
 def cache_salt(version: int, account: Account | None) -> str:
     """Return the cache salt, which separates weights versions and isolated accounts."""
     if account is not None and account.isolated:
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -13,6 +13,7 @@
     DeferredPrompts,
     RequestTiming,
     decide_admission,
+    mean_tokens_per_s,
 )
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._candidates import CandidateFilter, Selection
@@ -199,7 +200,7 @@
         prompt, was_deferred = job.prompt, False
         try:
             while True:
-                choice, server_count = self._choose(job, was_deferred)
+                choice, eligible = self._choose(job, was_deferred)
                 now = self.clock()
                 age_s = now - job.started
                 # A request that may have run would be lost if it were refused now.
@@ -207,7 +208,7 @@
                 if (
                     prompt is None
                     or is_retry
-                    or self._is_admitted(job, prompt, choice, server_count, now)
+                    or self._is_admitted(job, prompt, choice, eligible, now)
                 ):
                     job.deferred_s += now - wait_started
                     return choice
@@ -220,7 +221,12 @@
             self.deferred.remove(id(job))
 
     def _is_admitted(
-        self, job: Job, prompt: Prompt, choice: Choice, server_count: int, now: float
+        self,
+        job: Job,
+        prompt: Prompt,
+        choice: Choice,
+        eligible: Sequence[Candidate],
+        now: float,
     ) -> bool:
         """Return whether a prompt that has not run is sent now.
 
@@ -236,7 +242,9 @@
             patience_s=min(route.patience_s, job.deadline - job.started),
             was_deferred=self.deferred.remove(id(job)),
         )
-        backlog_s = self.deferred.backlog_s(server_count, len(self.view.entries))
+        backlog_s = self.deferred.backlog_s(
+            len(eligible), len(self.view.entries), mean_tokens_per_s(eligible)
+        )
         decision = decide_admission(choice, prompt, timing, backlog_s)
         if decision is AdmissionDecision.REFUSE:
             retry_after_s = max(MIN_OVERLOAD_RETRY_S, backlog_s) * self.rng.uniform(
@@ -347,8 +355,10 @@
         ]
         return preferred_store(prompt.largest_part.id, stores)
 
-    def _choose(self, job: Job, was_deferred: bool) -> tuple[Choice, int]:
-        """Return the best server and the number of eligible servers.
+    def _choose(
+        self, job: Job, was_deferred: bool
+    ) -> tuple[Choice, Sequence[Candidate]]:
+        """Return the best server and the eligible servers.
 
         A deferred prompt waits for the server that is nearly idle, and its checks are
         spread in time, so its choice has no random part.
@@ -382,7 +392,7 @@
             raise AttemptError(selection.reason, job.verdict)
         rng = None if was_deferred else self.rng
         choice = self._place(job, selection.candidates, now, rng)
-        return choice, len(selection.candidates)
+        return choice, selection.candidates
 
     def _place(
         self,
--- a/src/foxtailcourse/ingress/_fetch_sources.py
+++ b/src/foxtailcourse/ingress/_fetch_sources.py
@@ -16,10 +16,11 @@
 # its prefill.
 PEER_FETCH_COST_RATIO = 0.2
 STORE_FETCH_COST_RATIO = 0.5
-# Time to prefill a token in a busy engine, in seconds; see PREFILL_TOKENS_PER_S.
-PREFILL_TOKEN_S = 25e-6
 # Multiple of the transfer time between failure domains, set by the platform.
 CROSS_DOMAIN_TRANSFER_RATIO = 2.0
+# Cost of fetching a token from another failure domain, relative to its prefill by a
+# typical server, where servers have unequal speeds: such deployments pay for the bytes.
+CROSS_DOMAIN_COST_RATIO = 0.2
 # Fewest uncached tokens that are worth a fetch.
 MIN_FETCH_TOKENS = 500
 
@@ -117,8 +118,11 @@
     distance = CROSS_DOMAIN_TRANSFER_RATIO
     if domain == candidate.server.failure_domain:
         distance = 1.0
-    transfer_ratio = distance * candidate.transfer_token_s / PREFILL_TOKEN_S
-    return min(1.0, max(least, transfer_ratio))
+    transfer_ratio = distance * candidate.transfer_token_s * candidate.tokens_per_s
+    cost_ratio = max(least, transfer_ratio)
+    if candidate.has_speed and domain and domain != candidate.server.failure_domain:
+        cost_ratio += CROSS_DOMAIN_COST_RATIO * candidate.speed
+    return min(1.0, cost_ratio)
 
 
 def should_save(store: CacheStore, salt: str, prompt: Prompt) -> bool:
--- a/src/foxtailcourse/ingress/_placement.py
+++ b/src/foxtailcourse/ingress/_placement.py
@@ -8,6 +8,7 @@
 import functools
 import hashlib
 import heapq
+import math
 import random
 from collections.abc import Sequence
 
@@ -44,6 +45,14 @@
 # Cost of a server that fails all requests, for requests without a prompt, as a multiple
 # of its slots.
 PLAIN_FAILURE_COST_RATIO = 4.0
+# Time in which what is known of the requests in progress of other entries loses most of
+# its weight, in seconds.
+IN_FLIGHT_DECAY_S = 0.4
+# Random part of the cost of a server without prompts, as a multiple of the time that a
+# typical server takes for one request, so that entries do not all select the fastest.
+PLAIN_SPREAD = 1.0
+# Multiple of the random number by which neighbours in the list differ.
+SPREAD_STRIDE = 97.31
 # Cost of outdated weights, in prefilled tokens.
 OUTDATED_WEIGHTS_COST_TOKENS = 6_000.0
 # Some servers are reserved for short prompts. A long prompt uses one of them only if
@@ -91,7 +100,8 @@
     """Return the least busy server, for a request without a prompt.
 
     Only the requests of this entry count. Entries that used the same stale totals would
-    all select the same server.
+    all select the same server. Where servers differ in speed, the expected time counts,
+    with the requests of all entries discounted by their age.
 
     Parameters
     ----------
@@ -107,6 +117,13 @@
         index, candidate = indexed
         slots = max(1, candidate.server.slots)
         failure_cost = PLAIN_FAILURE_COST_RATIO * candidate.own_load.failure_rate(now)
+        if candidate.has_speed:
+            # Nearly independent of the positions of other servers.
+            position = spread * SPREAD_STRIDE * (index + 1) % 1.0
+            expected = 1 + _expected_in_flight(candidate) / slots
+            expected = expected / candidate.speed + failure_cost
+            expected += candidate.delay_s * candidate.tokens_per_s / candidate.speed
+            return expected + PLAIN_SPREAD * position, position
         busy = (
             candidate.own_load.in_flight * candidate.entry_count / slots + failure_cost
         )
@@ -116,6 +133,20 @@
     return Choice(candidate=best, cost_tokens=0.0)
 
 
+def _expected_in_flight(candidate: Candidate) -> float:
+    """Return how many requests are expected to be in progress at a server.
+
+    What other entries have sent is known for some time ago. It is used with a weight
+    that falls with its age; the rest of the weight has what they send if they send as
+    much as this entry.
+    """
+    own, total = candidate.own_load.in_flight, candidate.total_load
+    others = max(0, total.in_flight - own)
+    weight = math.exp(-total.others_age_s / IN_FLIGHT_DECAY_S)
+    alike = own * max(0, candidate.entry_count - 1)
+    return own + weight * others + (1 - weight) * alike
+
+
 def choose_for_prompt(
     candidates: Sequence[Candidate],
     prompt: Prompt,
@@ -215,12 +246,16 @@
     work_tokens = PROMPT_OVERHEAD_TOKENS + prefill_work_tokens(
         prefill_tokens, prompt.tokens - prefill_tokens
     )
-    cost_tokens = (
+    server_tokens = (
         candidate.total_load.prefill_tokens
         + RUNNING_REQUEST_COST_TOKENS
         * candidate.own_load.in_flight
         * candidate.entry_count
         + MISS_WEIGHT * work_tokens
+    )
+    cost_tokens = (
+        server_tokens / candidate.speed
+        + candidate.delay_tokens
         + FAILURE_COST_TOKENS * candidate.own_load.failure_rate(now)
         + (OUTDATED_WEIGHTS_COST_TOKENS if candidate.outdated_weights else 0.0)
     )
@@ -254,10 +289,26 @@
     short_prompts = sum(each.total_load.short_prompts for each in candidates)
     wanted = int(short_prompts * short_work_tokens / SHORT_WORK_PER_RESERVED_SERVER)
     count = max(1, min(wanted, int(len(candidates) * MAX_RESERVED_FRACTION)))
+    if any(each.has_speed for each in candidates):
+        return _reserved_by_speed(candidates, count)
     ids = [each.server.id for each in candidates]
     return frozenset(heapq.nsmallest(count, ids, key=_short_rank))
 
 
+def _reserved_by_speed(candidates: Sequence[Candidate], count: int) -> frozenset[str]:
+    """Return servers that are together as fast as ``count`` typical ones."""
+    ranked = sorted(candidates, key=lambda each: _short_rank(each.server.id))
+    most = int(len(candidates) * MAX_RESERVED_FRACTION)
+    reserved: list[str] = []
+    speed = 0.0
+    for each in ranked[:most]:
+        if reserved and speed + each.speed / 2 > count:
+            break
+        reserved.append(each.server.id)
+        speed += each.speed
+    return frozenset(reserved)
+
+
 def reserved_for_large(
     candidates: Sequence[Candidate], for_short: frozenset[str]
 ) -> frozenset[str]:
--- a/src/foxtailcourse/ingress/_placement_types.py
+++ b/src/foxtailcourse/ingress/_placement_types.py
@@ -10,6 +10,12 @@
 
 # Above this size the prefill dominates the cost of a prompt: it takes about 0.1 s.
 LONG_PROMPT_TOKENS = 4000
+# Prefill rate of an engine that also decodes its running requests: a chunk of 1,024
+# tokens in a step of 26 ms, according to the engines' data sheets.
+PREFILL_TOKENS_PER_S = 40_000.0
+# Time from the end of the prefill to the first event of the response: a few engine
+# steps.
+FIRST_EVENT_LATENCY_S = 0.12
 
 
 @attrs.frozen(kw_only=True)
@@ -76,6 +82,18 @@
     transfer_token_s : float
         Time to transfer the KV cache of a token to the server within its failure
         domain, in seconds; 0 if unknown.
+    has_speed : bool
+        Whether the speed of the server is used. Then the transfer between failure
+        domains is priced as well.
+    speed : float
+        Speed relative to that of a typical server.
+    tokens_per_s : float
+        Prefill rate, in tokens at the start of a prompt per second.
+    latency_s : float
+        Time from the end of the prefill to the first event, in seconds.
+    delay_s : float
+        Additional delay because of a momentary slow-down or the way to another failure
+        domain, in seconds.
     """
 
     server: BackendServer
@@ -86,6 +104,21 @@
     salt: str = ""
     outdated_weights: bool = False
     transfer_token_s: float = 0.0
+    has_speed: bool = False
+    speed: float = 1.0
+    tokens_per_s: float = PREFILL_TOKENS_PER_S
+    latency_s: float = FIRST_EVENT_LATENCY_S
+    delay_s: float = 0.0
+
+    @property
+    def queued_s(self) -> float:
+        """Time that the server needs for the prompt tokens sent to it, in seconds."""
+        return self.total_load.prefill_tokens / self.tokens_per_s
+
+    @property
+    def delay_tokens(self) -> float:
+        """The additional delay as tokens that a typical server prefills in it."""
+        return self.delay_s * self.tokens_per_s / self.speed
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/ingress/_server_loads.py
+++ b/src/foxtailcourse/ingress/_server_loads.py
@@ -51,11 +51,14 @@
         Requests sent and not finished.
     short_prompts : int
         Short prompts among them.
+    others_age_s : float
+        Mean age of what is known of the requests of other entries, in seconds.
     """
 
     prefill_tokens: float
     in_flight: int
     short_prompts: int
+    others_age_s: float = 0.0
 
 
 @attrs.define
@@ -143,6 +146,8 @@
     prefill_tokens: float = 0.0
     in_flight: int = 0
     short_prompts: int = 0
+    # Sum of the times at which the requests in flight were received.
+    received_sum: float = 0.0
     # Lower bound of the times at which the loads were received.
     oldest_at: float = float("inf")
 
@@ -165,6 +170,7 @@
             if now - load.received_at < REMOTE_VALID_S
         }
         self.prefill_tokens, self.in_flight, self.short_prompts = 0.0, 0, 0
+        self.received_sum = 0.0
         for load in self.by_vm.values():
             self._add(load, 1)
         times = (load.received_at for load in self.by_vm.values())
@@ -174,6 +180,13 @@
         self.prefill_tokens += sign * load.prefill_tokens
         self.in_flight += sign * load.in_flight
         self.short_prompts += sign * load.short_prompts
+        self.received_sum += sign * load.in_flight * load.received_at
+
+    def age_s(self, now: float) -> float:
+        """Return the mean age of the requests in flight, in seconds."""
+        if self.in_flight <= 0:
+            return 0.0
+        return max(0.0, now - self.received_sum / self.in_flight)
 
 
 class ServerLoads:
@@ -224,6 +237,7 @@
             prefill_tokens=own.prefill_tokens + others.prefill_tokens,
             in_flight=own.in_flight + others.in_flight,
             short_prompts=own.short_prompts + others.short_prompts,
+            others_age_s=others.age_s(now),
         )
 
     def discard_unregistered(self, registered: set[tuple[str, int]]) -> None:
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -125,6 +125,12 @@
     "server_limit_unreadable": "a backend server names a limit that is no number; "
     "it is ignored",
     "server_reinstated": "a backend server that was leaving or gone registered again",
+    "server_speeds_unused": "the servers of `service` count as equally fast again; "
+    "`ratio` is the 90th percentile of their rates as a multiple of the 10th",
+    "server_speeds_used": "the servers of `service` differ in speed by `ratio`, the "
+    "90th percentile of their rates as a multiple of the 10th; placement and "
+    "admission use the rate of each one. `typical_per_s` is the median, in prefilled "
+    "tokens per second, or requests of a plain service",
     "server_registered": "a backend server registered, or changed its registration",
     "reload_ignored": "the process received SIGHUP, but applies changed settings only "
     "at its next start",
@@ -199,6 +205,10 @@
     "servers and that are not yet prefilled",
     "foxtail_ingress_refusals_total": "requests refused before they were run, by "
     "`reason`",
+    "foxtail_ingress_speed_ratio": "90th percentile of the learned rates of the "
+    "servers of a `service` as a multiple of the 10th; 0 if too few were measured",
+    "foxtail_ingress_speeds_used": "whether the learned rates of the servers of a "
+    "`service` are used",
     "foxtail_ingress_requests_total": "requests by `outcome`",
     "foxtail_ingress_route_requests_total": "requests by `route`, `outcome` and "
     "`verdict`; routes beyond the first hundred count as `other`",
