Emulate servers of unequal speed and report the regret against an oracle

Reason: placement by speed needs a load to be judged on that the emulator did not have.

Change: engines have a speed over time with slow-downs; scenarios have speeds, failure domains with a delay and counted bytes, waves and steps of demand, and late, lost, false and missing messages between entries.

--- a/src/foxtailcourse/emulator/ingress/deployments.py
+++ b/src/foxtailcourse/emulator/ingress/deployments.py
@@ -6,7 +6,11 @@
 import attrs
 
 from foxtailcourse.emulator.ingress.engine import EngineSpec
-from foxtailcourse.emulator.ingress.scenario import FleetScenario
+from foxtailcourse.emulator.ingress.scenario import (
+    Demand,
+    FleetScenario,
+    SlowDowns,
+)
 from foxtailcourse.emulator.ingress.workload import (
     RequestKind,
     SharedParts,
@@ -15,6 +19,7 @@
 
 # Size of one token in the KV cache; that of the tile workshops' model is larger.
 BYTES_PER_TOKEN = 35_136
+ROSTERS_BYTES_PER_TOKEN = 327_680
 TILE_BYTES_PER_TOKEN = 163_840
 LONG, SHORT = "long", "short"
 
@@ -61,6 +66,21 @@
     store_token_s=_transfer_token_s(180.0, TILE_BYTES_PER_TOKEN),
     weight_load_s=0.43,
 )
+# Its delay of the first event and the size of its events are those of the tile engine.
+ROSTERS_ENGINE = EngineSpec(
+    slots=16,
+    step_s=3.7e-3,
+    step_s_per_request=0.0193e-3,
+    prefill_token_s=1e-3 / 63.9,
+    attention_pair_s=0.367e-9,
+    first_event_delay_s=0.012,
+    chunk_tokens=2_048,
+    cache_tokens=149_025,
+    event_tokens=6,
+    fetch_token_s=_transfer_token_s(1_100.0, ROSTERS_BYTES_PER_TOKEN),
+    store_token_s=_transfer_token_s(180.0, ROSTERS_BYTES_PER_TOKEN),
+    weight_load_s=1.9,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -157,6 +177,41 @@
     short_worth=1.9,
     short_late_worth=0.56,
 )
+ROSTERS_SITE = Site(
+    long_per_s=32.7,
+    short_per_s=333.0,
+    long_parts=460,
+    short_parts=2_190,
+    long_target_s=0.663,
+    short_target_s=0.823,
+    long_worth=9.7,
+    long_late_worth=0.97,
+    short_worth=1.3,
+    short_late_worth=0.13,
+)
+# Servers of unequal speed. The long kind has the rosters' deadline and output length.
+ROSTERS = FleetScenario(
+    name="rosters-uneven",
+    spec=ROSTERS_ENGINE,
+    servers=25,
+    entries=27,
+    kinds=(
+        attrs.evolve(
+            ROSTERS_SITE.kinds()[0],
+            patience_s=6.6,
+            output=SizeDistribution(mean=15, sigma=1.4, maximum=60),
+        ),
+        attrs.evolve(
+            ROSTERS_SITE.kinds()[1],
+            output=SizeDistribution(mean=9, sigma=1.0, maximum=60),
+        ),
+    ),
+    speeds=(0.6, 1.0, 1.6),
+    slow_downs=SlowDowns(factor=2.5, fraction=0.15, period_s=0.6),
+    domains=4,
+    domain_delay_s=0.0014,
+    demand=Demand(wave_ratio=0.55),
+)
 GROWN_TILE = FleetScenario(
     name="grown-tile-calm",
     spec=TILE_ENGINE,
--- a/src/foxtailcourse/emulator/ingress/engine.py
+++ b/src/foxtailcourse/emulator/ingress/engine.py
@@ -165,6 +165,9 @@
     on_cache_change : callable
         Called with the salt, the identifier of the part, its tokens and the time when
         a part was cached; with 0 tokens when it was evicted.
+    speed : callable
+        Returns the speed at a time relative to the specification; it divides the
+        duration of a step that starts then.
     """
 
     def __init__(
@@ -173,8 +176,9 @@
         spec: EngineSpec,
         scheduler: EventScheduler,
         on_cache_change: Callable[[str, str, int, float], None],
+        speed: Callable[[float], float] = lambda now: 1.0,
     ) -> None:
-        self.name, self.spec = name, spec
+        self.name, self.spec, self.speed = name, spec, speed
         self.cache = PartCache()
         self._scheduler, self._on_cache_change = scheduler, on_cache_change
         self._waiting: list[tuple[int, int, EngineRequest]] = []
@@ -204,6 +208,10 @@
             return True
         return False
 
+    def unfinished(self) -> list[EngineRequest]:
+        """Return the requests that wait or run."""
+        return [*self._running, *(item[2] for item in self._waiting)]
+
     def crash(self, now: float) -> None:
         """Discard all requests and the cache."""
         self._generation += 1
@@ -269,7 +277,10 @@
             return
         self._step_running = True
         self._scheduler.call_at(
-            now + duration_s, self._end_step, decoding, self._generation
+            now + duration_s / self.speed(now),
+            self._end_step,
+            decoding,
+            self._generation,
         )
 
     def _resume(self, generation: int, now: float) -> None:
--- a/src/foxtailcourse/emulator/ingress/fleet.py
+++ b/src/foxtailcourse/emulator/ingress/fleet.py
@@ -26,29 +26,41 @@
     Outcome,
     Policy,
     Result,
+    SlowDowns,
+    SpeedKnowledge,
 )
 from foxtailcourse.emulator.ingress.workload import Arrival, LoadGenerator
-from foxtailcourse.fleet import BackendServer, FleetView
+from foxtailcourse.fleet import BackendServer, FleetView, ServerRun
 from foxtailcourse.ingress import (
+    PROMPT_OVERHEAD_TOKENS,
     AdmissionDecision,
     CacheIndex,
     CacheStore,
     Candidate,
     Choice,
     DeferredPrompts,
+    FleetSums,
     Prompt,
     RemoteLoad,
     RequestTiming,
+    ServerLoad,
     ServerLoads,
+    ServerSpeed,
+    ServerSpeeds,
+    mean_tokens_per_s,
     plan_weight_loads,
+    prefill_work_tokens,
+    with_speed,
 )
 from foxtailcourse.platform import CacheEvent, CacheEvents
 from foxtailcourse.settings import Address
 
 MODEL = "m"
 STORE = Address("store", 1)
-# Age of another entry's load when it arrives, and period at which loads are published.
-LOAD_REPORT_AGE_S, LOAD_REPORT_PERIOD_S = 0.015, 0.4
+# Period at which loads are published.
+LOAD_REPORT_PERIOD_S = 0.4
+# Multiple of the time of a fetch between failure domains.
+CROSS_DOMAIN_TRANSFER_RATIO = 2.0
 # A change of a server's load by this much is published immediately.
 URGENT_CHANGE_TOKENS = 1_500
 # Time after the last arrival during which requests may still finish.
@@ -73,10 +85,12 @@
 class _Attempt:
     """One attempt of a caller, who retries a refused request at most once.
 
-    ``started_at`` is the virtual time of the attempt, in seconds.
+    ``started_at`` is the virtual time of the attempt, in seconds, and ``domain`` the
+    failure domain of its entry.
     """
 
     arrival: Arrival
+    domain: str
     started_at: float
     is_retry: bool = False
 
@@ -84,10 +98,16 @@
 class _Entry:
     """State of one entry."""
 
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.loads = ServerLoads()
+    def __init__(self, name: str, domain: str) -> None:
+        self.name, self.domain = name, domain
         self.deferred = DeferredPrompts()
+        self.restart()
+
+    def restart(self) -> None:
+        """Forget what was learned and heard; the own load is that of open requests."""
+        self.loads = ServerLoads()
+        self.sums = FleetSums()
+        self.speeds = ServerSpeeds(self.sums)
 
 
 @attrs.define
@@ -98,6 +118,8 @@
     ----------
     engine : BatchEngine
         Engine of the server.
+    speed : _ServerSpeed
+        Speed of the engine over time.
     description : BackendServer
         The server as entries see it.
     weights_version : int
@@ -112,18 +134,52 @@
 
     engine: BatchEngine
     description: BackendServer
+    speed: "_ServerSpeed"
     weights_version: int = 1
     loading: bool = False
     down: bool = False
     open_requests: set[int] = attrs.field(factory=set)
 
 
-def _describe_server(name: str, spec: EngineSpec) -> BackendServer:
+class _ServerSpeed:
+    """Speed of one server over time.
+
+    The start of each slow-down is drawn when its cycle is first asked for, from the
+    number of the cycle, so that it does not depend on the policy.
+    """
+
+    def __init__(self, speed: float, slow_downs: SlowDowns, seed: str) -> None:
+        self.speed, self._slow_downs, self._seed = speed, slow_downs, seed
+        self._starts: dict[int, float] = {}
+
+    def __call__(self, now: float) -> float:
+        is_slowed = self.remaining_s(now) > 0
+        return self.speed / (self._slow_downs.factor if is_slowed else 1.0)
+
+    def lost_s(self, now: float) -> float:
+        """Return the time that the rest of a present slow-down costs, in seconds."""
+        return self.remaining_s(now) * (1 - 1 / self._slow_downs.factor)
+
+    def remaining_s(self, now: float) -> float:
+        """Return the rest of a present slow-down, in seconds."""
+        slow_downs = self._slow_downs
+        if not slow_downs.fraction:
+            return 0.0
+        cycle_s = slow_downs.period_s / slow_downs.fraction
+        cycle = int(now // cycle_s)
+        if cycle not in self._starts:
+            rng = random.Random(f"{self._seed}/{cycle}")
+            self._starts[cycle] = rng.uniform(0, cycle_s - slow_downs.period_s)
+        elapsed_s = now - cycle * cycle_s - self._starts[cycle]
+        return max(0.0, slow_downs.period_s - elapsed_s) if elapsed_s >= 0 else 0.0
+
+
+def _describe_server(name: str, spec: EngineSpec, domain: str) -> BackendServer:
     return BackendServer(
         id=name,
         service="engines",
         address=Address(name, 1),
-        failure_domain="d",
+        failure_domain=domain,
         slots=spec.slots,
         leaving=False,
         weights={MODEL: 1},
@@ -147,17 +203,34 @@
         self.scenario, self.policy = scenario, policy
         self.scheduler, self.rng = EventScheduler(), random.Random(seed + 1)
         self._load_generator = LoadGenerator(scenario.kinds, seed)
-        self.entries = [_Entry(f"e{n}") for n in range(scenario.entries)]
+        self.entries = [
+            _Entry(f"e{n}", f"d{n % scenario.domains}") for n in range(scenario.entries)
+        ]
+        self._demand_rng = random.Random(seed + 2)
+        self._message_rng = random.Random(seed + 3)
         self.desired_version = 1
         # Time of the last change of the desired weights.
         self._desired_since = math.inf
         self.servers: dict[str, _Server] = {}
         for number in range(scenario.servers):
             name = f"s{number}"
+            speed = _ServerSpeed(
+                scenario.speeds[number % len(scenario.speeds)],
+                scenario.slow_downs,
+                f"{seed}/{name}",
+            )
             engine = BatchEngine(
-                name, scenario.spec, self.scheduler, self._cache_change_handler(name)
+                name,
+                scenario.spec,
+                self.scheduler,
+                self._cache_change_handler(name),
+                speed,
+            )
+            domain = f"d{number % scenario.domains}"
+            description = _describe_server(name, scenario.spec, domain)
+            self.servers[name] = _Server(
+                engine=engine, description=description, speed=speed
             )
-            self.servers[name] = _Server(engine, _describe_server(name, scenario.spec))
         # Salt and part of all parts in the KV-cache store.
         self._stored: set[tuple[str, str]] = set()
         self._cache_indexes: dict[str, CacheIndex] = {
@@ -178,17 +251,15 @@
     def run(self) -> Result:
         """Run the scenario and return the results."""
         scenario = self.scenario
-        arrivals = list(
-            self._load_generator.arrivals(scenario.duration_s, scenario.load_factor)
-        )
+        arrivals = self._arrivals()
         for kind in scenario.kinds:
-            sizes = sorted(each.tokens for each in arrivals if each.kind is kind)
+            sizes = sorted(each.tokens for each, _ in arrivals if each.kind is kind)
             self._large_tokens[kind.name] = (
                 sizes[len(sizes) * 9 // 10],
                 sizes[len(sizes) * 7 // 10],
             )
-        for arrival in arrivals:
-            self.scheduler.call_at(arrival.time, self._on_arrival, arrival)
+        for arrival, domain in arrivals:
+            self.scheduler.call_at(arrival.time, self._on_arrival, arrival, domain)
         for time in scenario.weight_changes:
             self.scheduler.call_at(time, self._change_weights)
         fraction, start, end = scenario.outage
@@ -206,16 +277,32 @@
         self._compute_worth()
         return self.result
 
+    def _arrivals(self) -> list[tuple[Arrival, str]]:
+        """Return the requests, each with the failure domain that it arrives in."""
+        scenario, demand = self.scenario, self.scenario.demand
+        arrivals = self._load_generator.arrivals(
+            scenario.duration_s, scenario.load_factor * demand.highest
+        )
+        chosen = []
+        for arrival in arrivals:
+            domain = self._demand_rng.randrange(scenario.domains)
+            position = domain / max(1, scenario.domains - 1)
+            accepted = demand.at(arrival.time, position) / demand.highest
+            if self._demand_rng.random() < accepted:
+                chosen.append((arrival, f"d{domain}"))
+        return chosen
+
     # Requests
 
-    def _on_arrival(self, arrival: Arrival, now: float) -> None:
+    def _on_arrival(self, arrival: Arrival, domain: str, now: float) -> None:
         outcome = self.result.outcomes[arrival.kind.name]
         outcome.offered += 1
         is_largest, is_second_largest = self._size_tenths(arrival)
         outcome.offered_largest += is_largest
         outcome.offered_second_largest += is_second_largest
         self._offered[int(arrival.time)] += arrival.kind.worth
-        self._start_attempt(_Attempt(arrival=arrival, started_at=now), now)
+        attempt = _Attempt(arrival=arrival, domain=domain, started_at=now)
+        self._start_attempt(attempt, now)
 
     def _size_tenths(self, arrival: Arrival) -> tuple[bool, bool]:
         """Whether a prompt is in the largest tenth, and in the fifth below it."""
@@ -223,7 +310,9 @@
         return arrival.tokens >= largest, second_largest <= arrival.tokens < largest
 
     def _start_attempt(self, attempt: _Attempt, now: float) -> None:
-        entry = self.rng.choice(self.entries)
+        entry = self.rng.choice(
+            [each for each in self.entries if each.domain == attempt.domain]
+        )
         arrival = attempt.arrival
         prompt = Prompt(
             parts=arrival.parts,
@@ -251,7 +340,9 @@
                 patience_s=kind.patience_s,
                 was_deferred=was_deferred,
             )
-            backlog_s = entry.deferred.backlog_s(len(candidates), len(self.entries))
+            backlog_s = entry.deferred.backlog_s(
+                len(candidates), len(self.entries), mean_tokens_per_s(candidates)
+            )
             decision = self.policy.decide_admission(choice, prompt, timing, backlog_s)
             work_tokens = choice.work_tokens
         if decision is AdmissionDecision.SEND:
@@ -275,11 +366,15 @@
         retry_at = now + RETRY_AFTER_S * self.rng.uniform(0.75, 1.25)
         if attempt.is_retry or retry_at > attempt.arrival.time + kind.retry_limit_s:
             return
-        retry = _Attempt(arrival=attempt.arrival, started_at=retry_at, is_retry=True)
+        retry = attrs.evolve(attempt, started_at=retry_at, is_retry=True)
         self.scheduler.call_at(retry_at, self._start_attempt, retry)
 
     def _candidates(self, entry: _Entry, now: float) -> list[Candidate]:
-        return [
+        speeds: dict[ServerRun, ServerSpeed] = {}
+        if self.policy.knowledge is SpeedKnowledge.LEARNED:
+            up = [each.description for each in self.servers.values() if not each.down]
+            speeds = entry.speeds.speeds(up, now)
+        candidates = [
             Candidate(
                 server=server.description,
                 own_load=entry.loads.for_server(name, 0),
@@ -293,6 +388,36 @@
             for name, server in self.servers.items()
             if not server.down and not server.loading
         ]
+        if self.policy.knowledge is SpeedKnowledge.TRUE:
+            return [self._with_truth(each, entry, now) for each in candidates]
+        return [
+            with_speed(each, speeds.get(each.server.run), entry.domain)
+            for each in candidates
+        ]
+
+    def _with_truth(self, candidate: Candidate, entry: _Entry, now: float) -> Candidate:
+        """Return a candidate with the true speed and remaining work of its server."""
+        server, spec = self.servers[candidate.server.id], self.scenario.spec
+        work_tokens = 0.0
+        for request in server.engine.unfinished():
+            done = max(request.prefilled_tokens, request.fetched_tokens)
+            missing = max(0, request.prompt_tokens - done)
+            if missing:
+                work_tokens += PROMPT_OVERHEAD_TOKENS
+                work_tokens += prefill_work_tokens(missing, done)
+        chunk_s = spec.step_s + spec.chunk_tokens * spec.prefill_token_s
+        per_s = server.speed.speed * spec.chunk_tokens / chunk_s
+        speed = ServerSpeed(
+            speed=server.speed.speed,
+            per_s=per_s,
+            latency_s=spec.first_event_delay_s
+            + spec.event_tokens * spec.step_s / server.speed.speed,
+            delay_s=server.speed.lost_s(now),
+        )
+        total = attrs.evolve(candidate.total_load, prefill_tokens=work_tokens)
+        return with_speed(
+            attrs.evolve(candidate, total_load=total), speed, entry.domain
+        )
 
     def _send(
         self,
@@ -307,6 +432,7 @@
         name = choice.candidate.server.id
         load, salt = choice.candidate.own_load, choice.candidate.salt
         work_tokens = choice.work_tokens
+        observe_end = entry.speeds.record_sent(choice.candidate, work_tokens, now)
         load.in_flight += 1
         load.short_prompts += not prompt.is_long
         load.prefill_tokens += work_tokens
@@ -326,6 +452,7 @@
 
         def on_first_event(at: float) -> None:
             progress["first"] = True
+            observe_end(at)
             load.prefill_tokens = max(
                 0.0, load.prefill_tokens - (1 - DECODE_WORK_RATIO) * work_tokens
             )
@@ -336,6 +463,7 @@
                 self._save_to_store(salt, prompt, at)
 
         def on_done(at: float) -> None:
+            observe_end(None)
             load.in_flight -= 1
             load.short_prompts -= not prompt.is_long
             load.prefill_tokens = max(0.0, load.prefill_tokens - progress["left"])
@@ -356,7 +484,12 @@
             on_first_event=on_first_event,
             on_done=on_done,
         )
-        server.engine.start(request, now)
+        if server.description.failure_domain == entry.domain:
+            server.engine.start(request, now)
+        else:
+            self.result.cross_domain_tokens += prompt.tokens
+            reaches_at = now + self.scenario.domain_delay_s
+            self.scheduler.call_at(reaches_at, server.engine.start, request)
         self.scheduler.call_at(
             attempt.started_at + arrival.kind.patience_s, cancel_if_unanswered
         )
@@ -414,6 +547,14 @@
         missing = max(0, available - cached)
         if not missing:
             return 0, 0.0
+        receiver = self.servers[choice.candidate.server.id].description
+        if (
+            source != STORE
+            and self.servers[source.host].description.failure_domain
+            != receiver.failure_domain
+        ):
+            token_s *= CROSS_DOMAIN_TRANSFER_RATIO
+            self.result.cross_domain_tokens += missing
         return available, spec.fetch_setup_s + missing * token_s
 
     def _save_to_store(self, salt: str, prompt: Prompt, now: float) -> None:
@@ -468,25 +609,53 @@
     def _publish_load(self, entry: _Entry, server: str, now: float) -> None:
         load = entry.loads.for_server(server, 0)
         self._published[entry.name, server] = load.prefill_tokens
+        if int(server[1:]) < self.scenario.idle_claims:
+            load = ServerLoad()
+        delay_s = self._message_delay_s()
         report = RemoteLoad(
             prefill_tokens=load.prefill_tokens,
             in_flight=load.in_flight,
             short_prompts=load.short_prompts,
-            received_at=now + LOAD_REPORT_AGE_S,
+            received_at=now + delay_s,
         )
 
         def deliver(later: float) -> None:
-            for other in self.entries:
-                if other is not entry:
-                    other.loads.update_remote(entry.name, server, report)
+            for other in self._reached(entry, now):
+                other.loads.update_remote(entry.name, server, report)
+
+        self.scheduler.call_at(now + delay_s, deliver)
+
+    def _message_delay_s(self) -> float:
+        shortest, longest = self.scenario.report_delay_s
+        if shortest == longest:
+            return shortest
+        return self._message_rng.uniform(shortest, longest)
+
+    def _reached(self, entry: _Entry, now: float) -> list[_Entry]:
+        """Return the entries that get a message which an entry sent."""
+        count, start, end = self.scenario.cut_off
+        cut_off = set(self.entries[:count]) if start <= now < end else set()
+        loss = self.scenario.report_loss
+        if entry in cut_off or (loss and self._message_rng.random() < loss):
+            return []
+        return [e for e in self.entries if e is not entry and e not in cut_off]
+
+    def _publish_sums(self, entry: _Entry, now: float) -> None:
+        if rows := entry.sums.own_rows(now):
+
+            def deliver(later: float) -> None:
+                for other in self._reached(entry, now):
+                    other.sums.update_others(entry.name, rows, 1, later)
 
-        self.scheduler.call_at(now + LOAD_REPORT_AGE_S, deliver)
+            self.scheduler.call_at(now + self._message_delay_s(), deliver)
 
     def _publish_loads(self, entry: _Entry, now: float) -> None:
         for server in self.servers:
             load = entry.loads.for_server(server, 0)
             if load.in_flight or self._published.get((entry.name, server)):
                 self._publish_load(entry, server, now)
+        if self.policy.knowledge is SpeedKnowledge.LEARNED:
+            self._publish_sums(entry, now)
         if now < self.scenario.duration_s + TAIL_S - 3.0:
             self.scheduler.call_at(
                 now + LOAD_REPORT_PERIOD_S, self._publish_loads, entry
--- a/src/foxtailcourse/emulator/ingress/policies.py
+++ b/src/foxtailcourse/emulator/ingress/policies.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from foxtailcourse.emulator.ingress.scenario import SpeedKnowledge
 from foxtailcourse.ingress import (
     ASSUMED_SHORT_WORK_TOKENS,
     OUTDATED_WEIGHTS_COST_TOKENS,
@@ -32,6 +33,8 @@
     All entries share the sizes that each entry learns in operation.
     """
 
+    knowledge = SpeedKnowledge.LEARNED
+
     def __init__(self) -> None:
         self._sizes = RequestSizes()
         self._rng = random.Random(SPREAD_SEED)
@@ -68,6 +71,8 @@
 class LeastOutstanding:
     """Chooses the server with the least queued prefill and sends immediately."""
 
+    knowledge = SpeedKnowledge.EQUAL
+
     def choose(
         self,
         candidates: Sequence[Candidate],
@@ -101,6 +106,7 @@
     prompts is the present one, not that of the release.
     """
 
+    knowledge = SpeedKnowledge.EQUAL
     # Cost of a token to prefill, relative to one that is queued at the server.
     MISS_WEIGHT = 2.0
     # A new prompt is sent below this load; the limit doubles each DOUBLING_S.
@@ -165,7 +171,19 @@
         return AdmissionDecision.DEFER if overloaded else AdmissionDecision.SEND
 
 
-class SameChoice(ProductPolicy):
+class EqualSpeeds(ProductPolicy):
+    """Replaced policy to which all servers are equally fast."""
+
+    knowledge = SpeedKnowledge.EQUAL
+
+
+class Oracle(ProductPolicy):
+    """The product's decisions with true speeds, slow-downs and remaining work."""
+
+    knowledge = SpeedKnowledge.TRUE
+
+
+class SameChoice(EqualSpeeds):
     """Replaced policy without a random part of the cost."""
 
     def choose(
@@ -181,7 +199,7 @@
         return super().choose(candidates, prompt, store, now, was_deferred=True)
 
 
-class SizeClasses(ProductPolicy):
+class SizeClasses(EqualSpeeds):
     """Replaced policy that classified each prompt by its own size.
 
     It deferred and refused the large prompts of a short kind like long ones, and
@@ -217,3 +235,9 @@
     "same-choice": SameChoice,
     "ours": ProductPolicy,
 }
+# Policies that are compared on servers of unequal speeds.
+SPEED_POLICIES = {
+    "equal-speeds": EqualSpeeds,
+    "ours": ProductPolicy,
+    "oracle": Oracle,
+}
