Merge the speeds of backend servers

Learned speeds are used only where the measured speeds of a service's servers differ by 1.5 or more.

--- a/src/foxtailcourse/ingress/_account_shares.py
+++ b/src/foxtailcourse/ingress/_account_shares.py
@@ -177,12 +177,15 @@
         Other prompts that are deferred at this entry.
     entries : int
         Registered entries, with this one.
+    tokens_per_s : float
+        Mean prefill rate of the servers, in tokens per second.
     """
 
     backlog_tokens: float
     servers: int
     deferred: int
     entries: int = 1
+    tokens_per_s: float = PREFILL_TOKENS_PER_S
 
     def rate(self, heard_entries: int) -> float:
         """Return what the servers nominally complete, in tokens per second.
@@ -191,7 +194,7 @@
         the work of the missing ones, so their part of the servers does not count.
         """
         heard = min(1.0, (1 + heard_entries) / max(1, self.entries))
-        return PREFILL_TOKENS_PER_S * max(1, self.servers) * heard
+        return self.tokens_per_s * max(1, self.servers) * heard
 
 
 @attrs.frozen(kw_only=True)
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -58,6 +58,7 @@
 from foxtailcourse.ingress._server_limits import ServerLimits
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.ingress._server_memory import ServerMemory
+from foxtailcourse.ingress._server_speeds import ServerSpeeds
 from foxtailcourse.ingress._settings import IngressSettings
 from foxtailcourse.ingress._store_rate_limit import RateLimitedStore, RateLimiter
 from foxtailcourse.ingress._store_watcher import WATCH_BLACKOUT_S, StoreWatcher
@@ -126,6 +127,7 @@
         self._account_shares = AccountShares(
             self._sums, enabled=self._features.fair_shares
         )
+        self._speeds = ServerSpeeds(self._sums, self._events)
         self._rng = random.Random()
         self._pool = ConnectionPool()
         self._view = FleetView()
@@ -342,6 +344,8 @@
                 weights_limit_s,
                 self._limits,
                 self._memory,
+                self._speeds,
+                self._daemon.cfg.failure_domain,
             ),
             attempts=AttemptRunner(
                 self._pool,
@@ -355,6 +359,7 @@
                 self._parts.record_answered,
                 self._record_bound,
                 self._memory,
+                self._speeds,
             ),
             parts=self._parts,
             quotas=self._quotas,
@@ -522,6 +527,7 @@
             self._view.withdrawn.expire(runs, boot_seconds())
             self._limits.expire(runs, boot_seconds())
             self._memory.expire(runs)
+            self._speeds.expire(runs)
             self._update_gauges()
 
     async def _watch_quotas(self) -> None:
@@ -551,6 +557,10 @@
         held_tokens = sum(row[4] for row in rows)
         self._metrics.gauge("foxtail_ingress_held_tokens", held_tokens)
         self._report_buffers()
+        for service, (ratio, differs) in self._speeds.summary().items():
+            labels = {"service": service}
+            self._metrics.gauge("foxtail_ingress_speed_ratio", ratio, **labels)
+            self._metrics.gauge("foxtail_ingress_speeds_used", int(differs), **labels)
 
     def _report_buffers(self) -> None:
         """Update the gauges of what is buffered, and log that a bound was reached."""
--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -23,6 +23,7 @@
     EventSplitter,
     EventTooLongError,
 )
+from foxtailcourse.ingress._fleet_sums import FleetSums
 from foxtailcourse.ingress._held_responses import (
     BUFFERED_MEMORY_FRACTION,
     HeldMemory,
@@ -33,6 +34,7 @@
 from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.ingress._server_loads import HeldRequest, ServerLoads
 from foxtailcourse.ingress._server_memory import ServerMemory, held_request
+from foxtailcourse.ingress._server_speeds import ServerSpeeds
 from foxtailcourse.ingress._stream_origins import StreamOrigin
 from foxtailcourse.ingress._watchdog import AttemptWatchdog, WatchedAttempt
 from foxtailcourse.platform import (
@@ -108,6 +110,8 @@
         Bounds of the held streams.
     memory : ServerMemory
         Learns for how long requests hold memory.
+    speeds : ServerSpeeds
+        Learns the speeds of the servers from the first events.
     """
 
     pool: ConnectionPool
@@ -130,6 +134,7 @@
     on_answered: Callable[[Parts], None] = attrs.field(default=lambda parts: None)
     on_bound: Callable[[str], None] = attrs.field(default=lambda bound: None)
     memory: ServerMemory = attrs.field(factory=ServerMemory)
+    speeds: ServerSpeeds = attrs.field(factory=lambda: ServerSpeeds(FleetSums()))
     held_memory: HeldMemory = attrs.field(init=False)
     _holds_responses: bool = attrs.field(default=False, init=False)
 
@@ -203,6 +208,7 @@
             len(job.exchange.body),
         )
         is_short = job.prompt is not None and not job.prompt.is_long
+        is_plain = job.prompt is None
         watched = WatchedAttempt(
             load, self._idle_timeout_s(job, now), now, find_replacement
         )
@@ -212,12 +218,14 @@
         try:
             held = self._held(job, choice)
             with (
-                self._tracked_load(choice, is_short, held) as on_first_event,
+                self._tracked_load(choice, is_short, is_plain, held) as on_first_event,
                 watched.scope,
             ):
                 response = await self._exchange(
                     job, choice, headers, watched, on_first_event, conn
                 )
+                if is_plain and response is not None and response.status < 300:
+                    on_first_event()
         finally:
             self.watchdog.remove(watched)
             if watched.scope.cancelled_caught:
@@ -517,7 +525,7 @@
 
     @contextmanager
     def _tracked_load(
-        self, choice: Choice, is_short: bool, held: HeldRequest
+        self, choice: Choice, is_short: bool, is_plain: bool, held: HeldRequest
     ) -> Iterator[Callable[[], None]]:
         """Count a request in the load of its server.
 
@@ -531,9 +539,16 @@
         load.hold(held)
         started = self.clock()
         self.loads.changed.set()
+        observe_end = self.speeds.record_sent(
+            choice.candidate, choice.work_tokens, self.clock(), is_plain=is_plain
+        )
+        observed = False
 
         def on_first_event() -> None:
-            nonlocal remaining_tokens
+            nonlocal remaining_tokens, observed
+            if not observed:
+                observed = True
+                observe_end(self.clock())
             if remaining_tokens > DECODE_WORK_FRACTION * choice.work_tokens:
                 load.prefill_tokens -= (
                     remaining_tokens - DECODE_WORK_FRACTION * choice.work_tokens
@@ -544,6 +559,7 @@
         try:
             yield on_first_event
         finally:
+            observe_end(None)
             load.in_flight -= 1
             load.short_prompts -= is_short
             load.release(held)
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -21,6 +21,7 @@
     RequestTiming,
     decide_admission,
     max_queue_s,
+    mean_tokens_per_s,
 )
 from foxtailcourse.ingress._attempt import AttemptRunner
 from foxtailcourse.ingress._candidates import CandidateFilter, Selection
@@ -255,10 +256,10 @@
             If the job would be refused.
         """
         self._prepare(job)
-        choice, pressure = self._choose(job, was_deferred=False)
+        choice, eligible = self._choose(job, was_deferred=False)
         prompt, now = job.prompt, self.clock()
         return choice, prompt is None or self._is_admitted(
-            job, prompt, choice, pressure, now
+            job, prompt, choice, eligible, now
         )
 
     async def _wait_for_admission(self, job: Job) -> Choice:
@@ -267,7 +268,7 @@
         prompt, was_deferred = job.prompt, False
         try:
             while True:
-                choice, pressure = self._choose(job, was_deferred)
+                choice, eligible = self._choose(job, was_deferred)
                 now = self.clock()
                 age_s = now - job.started
                 # A request that may have run would be lost if it were refused now.
@@ -275,7 +276,7 @@
                 if (
                     prompt is None
                     or is_retry
-                    or self._is_admitted(job, prompt, choice, pressure, now)
+                    or self._is_admitted(job, prompt, choice, eligible, now)
                 ):
                     job.deferred_s += now - wait_started
                     return choice
@@ -288,7 +289,12 @@
             self.deferred.remove(id(job))
 
     def _is_admitted(
-        self, job: Job, prompt: Prompt, choice: Choice, pressure: Pressure, now: float
+        self,
+        job: Job,
+        prompt: Prompt,
+        choice: Choice,
+        eligible: Sequence[Candidate],
+        now: float,
     ) -> bool:
         """Return whether a prompt that has not run is sent now.
 
@@ -308,8 +314,8 @@
             was_deferred=self.deferred.remove(id(job)),
             max_queue_s=max_queue_s(route.target_latency_s, shortest_target_s),
         )
-        above_share = self._above_share(job, prompt, pressure, timing, now)
-        backlog_s = self._deferred_backlog_s(job, choice, pressure.servers)
+        above_share = self._above_share(job, prompt, eligible, timing, now)
+        backlog_s = self._deferred_backlog_s(job, choice, eligible)
         decision = decide_admission(
             choice,
             prompt,
@@ -338,7 +344,7 @@
         self,
         job: Job,
         prompt: Prompt,
-        pressure: Pressure,
+        eligible: Sequence[Candidate],
         timing: RequestTiming,
         now: float,
     ) -> ShareExcess | None:
@@ -355,18 +361,31 @@
             job.account_name,
             PromptKind.of(job.route.name, prompt),
             self.deferred.account_tokens().get(job.account_name, 0.0),
-            pressure,
+            self._pressure(eligible),
             configuration,
             now,
         )
 
-    def _deferred_backlog_s(self, job: Job, choice: Choice, servers: int) -> float:
+    def _pressure(self, eligible: Sequence[Candidate]) -> Pressure:
+        """Return what waits at the eligible servers and at this entry."""
+        loads = [each.total_load for each in eligible]
+        return Pressure(
+            backlog_tokens=sum(each.prefill_tokens for each in loads),
+            servers=len(loads),
+            deferred=len(self.deferred),
+            entries=len(self.view.entries),
+            tokens_per_s=mean_tokens_per_s(eligible),
+        )
+
+    def _deferred_backlog_s(
+        self, job: Job, choice: Choice, eligible: Sequence[Candidate]
+    ) -> float:
         """Return how long the prompts deferred at this entry keep its servers busy."""
-        entries = len(self.view.entries)
+        entries, rate = len(self.view.entries), mean_tokens_per_s(eligible)
         if self._active_shares is None:
-            return self.deferred.backlog_s(servers, entries)
+            return self.deferred.backlog_s(len(eligible), entries, rate)
         return self.deferred.fair_backlog_s(
-            job.account_name, choice.work_tokens, servers, entries
+            job.account_name, choice.work_tokens, len(eligible), entries, rate
         )
 
     def _share_refusal(
@@ -525,8 +544,10 @@
         ]
         return preferred_store(prompt.largest_part.id, stores)
 
-    def _choose(self, job: Job, was_deferred: bool) -> tuple[Choice, Pressure]:
-        """Return the best server, and what waits at the eligible ones.
+    def _choose(
+        self, job: Job, was_deferred: bool
+    ) -> tuple[Choice, Sequence[Candidate]]:
+        """Return the best server and the eligible servers.
 
         A deferred prompt waits for the server that is nearly idle, and its checks are
         spread in time, so its choice has no random part.
@@ -560,14 +581,7 @@
             raise AttemptError(selection.reason, job.verdict)
         rng = None if was_deferred else self.rng
         choice = self._place(job, selection.candidates, now, rng)
-        loads = [each.total_load for each in selection.candidates]
-        pressure = Pressure(
-            backlog_tokens=sum(each.prefill_tokens for each in loads),
-            servers=len(loads),
-            deferred=len(self.deferred),
-            entries=len(self.view.entries),
-        )
-        return choice, pressure
+        return choice, selection.candidates
 
     def _place(
         self,
--- a/src/foxtailcourse/ingress/_explanation.py
+++ b/src/foxtailcourse/ingress/_explanation.py
@@ -397,7 +397,7 @@
     )
     queue = candidate.total_load.prefill_tokens
     running = _running_cost(candidate)
-    work = MISS_WEIGHT * choice.work_tokens
+    work = MISS_WEIGHT * choice.work_tokens / candidate.speed
     return CandidateCost(
         server=server.id,
         failure_domain=server.failure_domain,
--- a/src/foxtailcourse/ingress/_server_loads.py
+++ b/src/foxtailcourse/ingress/_server_loads.py
@@ -74,12 +74,15 @@
         Short prompts among them.
     held_tokens : int
         Tokens of the prompts and expected outputs in progress.
+    others_age_s : float
+        Mean age of what is known of the requests of other entries, in seconds.
     """
 
     prefill_tokens: float
     in_flight: int
     short_prompts: int
     held_tokens: int = 0
+    others_age_s: float = 0.0
 
 
 @attrs.define
@@ -196,6 +199,8 @@
     in_flight: int = 0
     short_prompts: int = 0
     held_tokens: int = 0
+    # Sum of the times at which the requests in flight were received.
+    received_sum: float = 0.0
     # Lower bound of the times at which the loads were received.
     oldest_at: float = float("inf")
 
@@ -219,6 +224,7 @@
         }
         self.prefill_tokens, self.in_flight, self.short_prompts = 0.0, 0, 0
         self.held_tokens = 0
+        self.received_sum = 0.0
         for load in self.by_vm.values():
             self._add(load, 1)
         times = (load.received_at for load in self.by_vm.values())
@@ -229,6 +235,13 @@
         self.in_flight += sign * load.in_flight
         self.short_prompts += sign * load.short_prompts
         self.held_tokens += sign * load.held_tokens
+        self.received_sum += sign * load.in_flight * load.received_at
+
+    def age_s(self, now: float) -> float:
+        """Return the mean age of the requests in flight, in seconds."""
+        if self.in_flight <= 0:
+            return 0.0
+        return max(0.0, now - self.received_sum / self.in_flight)
 
 
 class ServerLoads:
@@ -287,6 +300,7 @@
             in_flight=own.in_flight + others.in_flight,
             short_prompts=own.short_prompts + others.short_prompts,
             held_tokens=own.held_tokens + others.held_tokens,
+            others_age_s=others.age_s(now),
         )
 
     def published_age_s(self, server_id: str, now: float) -> float | None:
