Explain costs at servers of unequal speed in the unit of the decision

foxtailctl explain showed the queue and the prefill of a slow or fast server unscaled and put the difference into other; the decision divides both by the server's speed. tests/ingress/test_explanation.py passes.

--- a/src/foxtailcourse/ingress/_explanation.py
+++ b/src/foxtailcourse/ingress/_explanation.py
@@ -395,7 +395,11 @@
     prefill = MISS_WEIGHT * (
         PROMPT_OVERHEAD_TOKENS + prefill_work_tokens(prefill_tokens, available)
     )
-    queue = candidate.total_load.prefill_tokens
+    # Costs are in tokens of a typical server.
+    prefill /= candidate.speed
+    queue = (
+        candidate.total_load.prefill_tokens / candidate.speed + candidate.delay_tokens
+    )
     running = _running_cost(candidate)
     work = MISS_WEIGHT * choice.work_tokens / candidate.speed
     return CandidateCost(
