Check explanations of deferred and refused prompts for effects

Operators may ask an entry under load, where an explanation takes the paths of deferred and refused prompts; parts to come keep records there. The test that nothing changes covers these verdicts now, and a server whose published load has expired or whose cache index does not exist yet.

--- a/tests/ingress/test_explanation.py
+++ b/tests/ingress/test_explanation.py
@@ -77,7 +77,14 @@
         load = RemoteLoad(
             prefill_tokens=9e3, in_flight=3, short_prompts=1, received_at=now - 60
         )
-        entry.app._loads.update_remote("e9", "m1", load)
+        entry.app._loads.update_remote("e9", "m2", load)
+        # A decision would create it again.
+        entry.app._cache_indexes.pop("m2", None)
+
+    def check_unchanged(self, entry, before):
+        after = state_of(entry.app)
+        changed = [p for p in before | after if before.get(p) != after.get(p)]
+        self.assertThat(changed, Equals([]))
 
     @run_with("with_fleet", contracts=("base", "pressure"))
     async def test_nothing_of_the_entry_changes(self, fleet, entry):
@@ -92,10 +99,20 @@
             LONG | {"parts": ["aa:60", "bb:40"], "output_tokens": 5},
         ):
             self.explain(entry, **question)
-        after = state_of(entry.app)
-        changed = [p for p in before | after if before.get(p) != after.get(p)]
-        self.assertThat(changed, Equals([]))
+        self.check_unchanged(entry, before)
         self.assertThat(entry.daemon.metrics.render()[0], Equals(metrics))
+        # A prompt that is deferred, and one that is refused.
+        for name in ("m1", "m2"):
+            server = entry.app._view.servers[name]
+            entry.app._loads.for_server(name, server.started_ms).prefill_tokens = 1e6
+        for verdict in ("wait", "refuse"):
+            before = state_of(entry.app)
+            (service,) = self.explain(entry, **LONG, parts=LONG_PARTS)["services"]
+            self.assertThat(service["verdict"], Equals(verdict))
+            self.check_unchanged(entry, before)
+            for key in range(3):
+                entry.app._dispatcher.deferred.add(key, 1e6)
+        before = state_of(entry.app)
         # The check itself must notice what a real decision changes.
         await fleet.call(entry, "ask", stream=3)
         self.assertFalse(state_of(entry.app) == before)
