Add a review case: one record of another writer ends all entries

Claim: an entry of another writer in the list of workers ends every process, again after each restart. Its service is in no configuration and its address has a host name with a label of 64 characters. CacheFeed polls every server that names models, and trio.open_tcp_stream raises UnicodeError for such a name, which ConnectionPool.connect does not catch; decode_server accepts the address (parse_address checks the port only).

--- a/review/common/http11.py
+++ b/review/common/http11.py
@@ -217,6 +217,45 @@
     return answer
 
 
+class KeptConnection:
+    """A client's connection that is kept for several requests."""
+
+    def __init__(self, address):
+        self.address = address
+        self.answered = 0
+        self._reader = self._writer = None
+
+    async def send(self, method, target, headers, body=b"", timeout_s=10.0):
+        """Send a request and return its Answer; the first one opens the connection."""
+        answer = Answer()
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self._writer is None:
+                    host, _, port = self.address.rpartition(":")
+                    self._reader, self._writer = await asyncio.open_connection(
+                        host, int(port), limit=MAX_HEAD_BYTES
+                    )
+                fields = {"content-length": str(len(body)), **headers}
+                head = _head(f"{method} {target} HTTP/1.1", fields)
+                self._writer.write(head + body)
+                await self._writer.drain()
+                await _receive(self._reader, answer)
+        except (OSError, EOFError, TimeoutError, ValueError) as exc:
+            answer.error = repr(exc)
+        self.answered += answer.complete
+        return answer
+
+    @property
+    def is_usable(self):
+        """Whether the connection can be used again after the last answer."""
+        return self._writer is None or not self._reader.at_eof()
+
+    def close(self):
+        """Close the connection."""
+        if self._writer is not None:
+            self._writer.close()
+
+
 async def _receive(reader, answer):
     head = await _read_head(reader)
     if head is None:
