--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -24,6 +25,7 @@
 # Times of the sheet of Puebla (further/LATER.md), in seconds.
 CONTACT_S, VERSION_S, LEASE_S, GRACE_S = 3.0, 8.0, 3.0, 8.0
 RESTART_DELAY_S = 0.3
+PORTS = (15000, 30000)
 
 PUEBLA = {
     "zone": "a",
@@ -87,15 +89,22 @@
 
 
 def _free_ports(count, kind):
-    """Return ports that are free now."""
-    sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return ports that are free now.
+
+    They are below those that the system gives to outgoing connections, which could take
+    them while a process is down.
+    """
+    found = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 class Entry:
@@ -267,12 +276,14 @@
     """Play a case and exit with its status."""
 
     async def run():
-        case = Case(folder)
+        case, task = Case(folder), asyncio.current_task()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(signum, task.cancel)
         try:
             await case.store.start()
             async with asyncio.timeout(limit_s):
                 return await play(case)
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             case.note(f"the case could not run: {exc!r}")
             return UNUSABLE
         finally:
--- a/review/common/http11.py
+++ b/review/common/http11.py
@@ -152,7 +152,9 @@
         await asyncio.wait({closed, work}, return_when=asyncio.FIRST_COMPLETED)
         if not work.done():
             work.cancel()
-            await asyncio.wait({work})
+            await asyncio.wait({closed, work})
+            # A reset is a close as well.
+            closed.exception()
             return False
         error = work.exception()
         if not closed.done():
