Accept IP addresses only in registrations of servers and entries

Cause: the decoder of server records checked the port only. The task that polls cache events connected to a host name with a label of 64 characters, for which the resolver raises UnicodeError instead of OSError. ConnectionPool.connect did not expect it.

Ruled out: fields of other types and unreadable bytes, which the decoder refuses already.

The same cause on related paths: registrations of entries accepted host names too, and sendto resolves them; a request header that Latin-1 lacks raised UnicodeEncodeError in the same call, which a server identifier from a key of the store reaches as a header of weight orders. Both now fail the record or the request only.

--- a/src/foxtailcourse/http/_client.py
+++ b/src/foxtailcourse/http/_client.py
@@ -374,7 +374,8 @@
                 return conn
         try:
             stream = await _open_stream(address, options.connect_timeout_s)
-        except (OSError, trio.TooSlowError) as exc:
+        # ValueError: a host name that cannot be encoded for the resolver.
+        except (OSError, ValueError, trio.TooSlowError) as exc:
             message = f"cannot connect to {address}: {exc!r}"
             raise ClientError(message, Verdict.NOT_RUN) from exc
         return ClientConnection(stream, h11.Connection(h11.CLIENT))
@@ -403,10 +404,11 @@
         """Send a request and return the head of its response."""
         header_fields = {"host": str(address), "content-length": str(len(body))}
         header_fields |= headers or {}
-        encoded = [
-            (n.encode("ascii"), v.encode("latin-1")) for n, v in header_fields.items()
-        ]
         try:
+            encoded = [
+                (n.encode("ascii"), v.encode("latin-1"))
+                for n, v in header_fields.items()
+            ]
             request = h11.Request(method=method, target=target, headers=encoded)
         except (h11.LocalProtocolError, UnicodeEncodeError) as exc:
             raise ClientError(f"invalid request: {exc}", Verdict.NOT_RUN) from exc
--- a/src/foxtailcourse/ingress/_peers.py
+++ b/src/foxtailcourse/ingress/_peers.py
@@ -5,7 +5,7 @@
 import attrs
 import msgspec
 
-from foxtailcourse.settings import Address, parse_address
+from foxtailcourse.settings import Address, parse_ip_address
 
 # Capacity that is assumed for an entry that states none, in cores.
 ASSUMED_CAPACITY_CORES = 1.0
@@ -52,7 +52,7 @@
     try:
         raw = msgspec.json.decode(value, type=_PeerRecord)
         return Peer(
-            address=parse_address(raw.address),
+            address=parse_ip_address(raw.address),
             failure_domain=raw.failure_domain,
             capacity_cores=max(0.0, raw.capacity_cores),
         )
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -19,7 +19,7 @@
     RouteKind,
     Service,
 )
-from foxtailcourse.settings import parse_address
+from foxtailcourse.settings import parse_address, parse_ip_address
 
 OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
@@ -315,7 +315,7 @@
     if raw.state not in KNOWN_STATES:
         raise RecordError(f"{key}: unknown state {raw.state!r}")
     try:
-        address = parse_address(raw.address)
+        address = parse_ip_address(raw.address)
     except ValueError as exc:
         raise RecordError(f"{key}: {exc}") from exc
     return BackendServer(
