Contain unexpected errors in background work of the ingress

Cause: 16 tasks and those that they start shared one nursery without a boundary; one connection with an unexpected error ended the HTTP server and so the process as well.

A record of the store, a message of another entry, the index of one cache, the weight load of one server, and one connection are contained by themselves, so that the next one is handled. No error is hidden: AsyncTestCase fails on a contained failure unless a test expects it, and so does the soak. Stand-ins still raise.

Ruled out: a boundary around the whole set of tasks, which would stop and start sound ones.

--- a/src/foxtailcourse/http/_server.py
+++ b/src/foxtailcourse/http/_server.py
@@ -64,6 +64,8 @@
     on_unanswered : callable, optional
         Called with an EndReason each time a connection ends while a request, or a part
         of one, has no complete response, and with the exchange or None.
+    on_failure : callable, optional
+        Called with each other exception, which ends its connection only.
 
     Attributes
     ----------
@@ -77,12 +79,16 @@
         limits: HttpLimits,
         on_error: Callable[[Exchange, Exception], None],
         on_unanswered: UnansweredObserver = lambda reason, exchange: None,
+        on_failure: Callable[[Exception], None] = lambda exc: LOGGER.error(
+            "a connection failed", exc_info=exc
+        ),
     ) -> None:
         self._handler = handler
         self._current_limits = CurrentLimits(limits)
         self._budget = ByteBudget(limits.max_buffered_bytes)
         self._on_error = on_error
         self._on_unanswered = on_unanswered
+        self._on_failure = on_failure
         self._connection_slots = trio.CapacityLimiter(limits.max_connections)
         self._refusals = 0
         self._draining = trio.Event()
@@ -140,13 +146,20 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         async with stream:
-            if not await self._wait_for_slot(stream):
-                await self._refuse_connection(stream)
-                return
             try:
-                await self._serve_requests(stream)
-            finally:
-                self._connection_slots.release_on_behalf_of(stream)
+                await self._serve_or_refuse(stream)
+            except* Exception as group:
+                # It would end all other connections as well.
+                self._on_failure(group)
+
+    async def _serve_or_refuse(self, stream: trio.SocketStream) -> None:
+        if not await self._wait_for_slot(stream):
+            await self._refuse_connection(stream)
+            return
+        try:
+            await self._serve_requests(stream)
+        finally:
+            self._connection_slots.release_on_behalf_of(stream)
 
     async def _wait_for_slot(self, stream: trio.SocketStream) -> bool:
         """Wait until a connection may be served; returns False to refuse it.
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import time
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 
 import trio
@@ -73,7 +74,12 @@
     ResponseHeaders,
     ServerClient,
 )
-from foxtailcourse.process import AdminServer, DaemonContext, Readiness
+from foxtailcourse.process import (
+    AdminServer,
+    DaemonContext,
+    Readiness,
+    TaskSupervisor,
+)
 from foxtailcourse.settings import Address, SettingsErrors, declarations
 
 # API keys are no longer accepted once the configuration is older than the platform's
@@ -121,6 +127,7 @@
         self._daemon = daemon
         self._cfg = cfg
         self._events, self._metrics = daemon.events, daemon.metrics
+        self._supervisor = TaskSupervisor(self._events, self._metrics, boot_seconds)
         self._features = Features.from_contracts(cfg.contracts)
         self._sums = FleetSums()
         self._memory = ServerMemory(self._features.server_memory)
@@ -132,7 +139,7 @@
         self._pool = ConnectionPool()
         self._view = FleetView()
         self._loads = ServerLoads()
-        self._watchdog = AttemptWatchdog(boot_seconds)
+        self._watchdog = AttemptWatchdog(boot_seconds, self._supervisor)
         self._cache_indexes: dict[str, CacheIndex] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
         # Streams that waited for their callers since the last log line about them.
@@ -184,6 +191,7 @@
             boot_seconds,
             self._events,
             self._metrics,
+            self._supervisor,
         )
         self._cache_feed = CacheFeed(
             self._view,
@@ -193,6 +201,7 @@
             self._peer_exchange.plan,
             daemon.cfg.vm,
             self._events,
+            self._supervisor,
         )
         self._rollout = Rollout(
             self._view,
@@ -205,6 +214,7 @@
             boot_seconds,
             self._events,
             self._metrics,
+            self._supervisor,
         )
         self._peer_exchange.store_era = lambda: self._store.era
         self._peer_exchange.on_cache_update = self._cache_feed.apply_published
@@ -266,6 +276,7 @@
             clock=boot_seconds,
             events=self._events,
             metrics=self._metrics,
+            supervisor=self._supervisor,
         )
         self._updates.on_parts_record = self._part_records.apply_change
         self._peer_exchange.on_leaving = self._updates.announce_leaving
@@ -331,6 +342,7 @@
             cfg.http_limits(CallerLimits()),
             self._on_error,
             self._on_unanswered,
+            self._on_connection_failed,
         )
 
     def _build_dispatcher(self) -> Dispatcher:
@@ -454,7 +466,10 @@
             self._events, self._metrics, self.readiness, self.status, self.explain
         )
         readiness_server = HttpServer(
-            self._respond_readiness, READINESS_LIMITS, self._on_error
+            self._respond_readiness,
+            READINESS_LIMITS,
+            self._on_error,
+            on_failure=self._on_connection_failed,
         )
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._pool.aclose)
@@ -465,34 +480,41 @@
             await nursery.start(
                 self._listen, self._http_server, self._cfg.listen, closed
             )
-            nursery.start_soon(self._watcher.run)
-            nursery.start_soon(self._refresh.run)
-            nursery.start_soon(self._recent_weights.run)
             await self._peer_exchange.bind()
             self._lease.registration = Peer(
                 address=self._peer_exchange.address,
                 failure_domain=self._daemon.cfg.failure_domain,
                 capacity_cores=self._cfg.capacity_cores,
             ).encode()
-            nursery.start_soon(self._peer_exchange.run)
-            nursery.start_soon(self._limit_exchange.run)
-            nursery.start_soon(self._sum_exchange.run)
-            nursery.start_soon(self._parts.run)
-            nursery.start_soon(self._part_records.run)
-            nursery.start_soon(self._configuration_exchange.run)
-            nursery.start_soon(self._lease.run)
-            nursery.start_soon(self._watchdog.run)
-            nursery.start_soon(self._rollout.run)
-            nursery.start_soon(self._cache_feed.run)
-            nursery.start_soon(self._maintain_loads)
-            nursery.start_soon(self._watch_quotas)
-            nursery.start_soon(self._watch_reload)
+            for task, run in self._background_tasks().items():
+                nursery.start_soon(self._supervisor.keep_running, task, run)
             self.listening = True
             self._events.emit("entry_listening", port=self.address.port)
             await self._daemon.stopping.wait()
             await self._stop(closed)
             nursery.cancel_scope.cancel()
 
+    def _background_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks that run until the entry stops, by name."""
+        return {
+            "watch_store": self._watcher.run,
+            "refresh_configuration": self._refresh.run,
+            "record_weights": self._recent_weights.run,
+            "exchange_state": self._peer_exchange.run,
+            "exchange_limits": self._limit_exchange.run,
+            "exchange_sums": self._sum_exchange.run,
+            "judge_crashes": self._parts.run,
+            "record_parts": self._part_records.run,
+            "exchange_configuration": self._configuration_exchange.run,
+            "keep_lease": self._lease.run,
+            "watch_attempts": self._watchdog.run,
+            "order_weights": self._rollout.run,
+            "feed_cache_indexes": self._cache_feed.run,
+            "maintain_loads": self._maintain_loads,
+            "follow_quotas": self._watch_quotas,
+            "watch_settings": self._watch_reload,
+        }
+
     async def _listen(
         self,
         server: HttpServer,
@@ -650,6 +672,9 @@
         self._metrics.count("foxtail_ingress_requests_total", outcome="internal")
         self._events.emit("request_failed", path=exchange.path, error=repr(exc))
 
+    def _on_connection_failed(self, exc: Exception) -> None:
+        self._supervisor.record_failure("serve_connection", exc, boot_seconds())
+
     def _on_unanswered(self, reason: EndReason, exchange: Exchange | None) -> None:
         self._events.emit(
             "connection_cut",
--- a/src/foxtailcourse/ingress/_cache_feed.py
+++ b/src/foxtailcourse/ingress/_cache_feed.py
@@ -19,6 +19,7 @@
     ServerClient,
     SubscribersExceededError,
 )
+from foxtailcourse.process import TaskSupervisor
 from foxtailcourse.settings import Address
 
 POLL_WAIT_S = 0.9
@@ -151,6 +152,8 @@
         Name of this VM.
     events : EventLog
         Receives an event when the feed of a cache is lost or restored.
+    supervisor : TaskSupervisor
+        Runs the task of each cache.
     """
 
     def __init__(
@@ -162,6 +165,7 @@
         plan: RelayPlan,
         vm: str,
         events: EventLog,
+        supervisor: TaskSupervisor,
     ) -> None:
         self._view = view
         self._indexes = indexes
@@ -170,6 +174,7 @@
         self._plan = plan
         self._vm = vm
         self._events = events
+        self._supervisor = supervisor
         # Sources whose index a task maintains, and sources that still exist.
         self._active_sources: set[CacheSource] = set()
         self._current_sources: set[CacheSource] = set()
@@ -181,12 +186,19 @@
 
     async def run(self) -> None:
         """Maintain the indexes of all caches until cancelled."""
+        # A call that failed has ended the tasks of all sources.
+        self._active_sources.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 self._current_sources = self._sources()
                 for source in self._current_sources - self._active_sources:
                     self._active_sources.add(source)
-                    nursery.start_soon(self._maintain_index, source)
+                    nursery.start_soon(
+                        self._supervisor.keep_running,
+                        "maintain_cache_index",
+                        self._maintain_index,
+                        source,
+                    )
                 await trio.sleep(SOURCE_CHECK_PERIOD_S)
 
     def _sources(self) -> set[CacheSource]:
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -23,6 +23,7 @@
 from foxtailcourse.ingress._stream_origins import SoftwareHistory
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import RecordDispatcher
+from foxtailcourse.process import TaskSupervisor
 
 
 class FleetUpdates:
@@ -46,6 +47,8 @@
         Receives an event for each change.
     metrics : Metrics
         Counts unreadable records.
+    supervisor : TaskSupervisor
+        Reports a record that cannot be applied for an unexpected reason.
 
     Attributes
     ----------
@@ -66,6 +69,7 @@
         clock: Callable[[], float],
         events: EventLog,
         metrics: Metrics,
+        supervisor: TaskSupervisor,
     ) -> None:
         self._view = view
         self._software = software
@@ -75,6 +79,7 @@
         self._clock = clock
         self._events = events
         self._metrics = metrics
+        self._supervisor = supervisor
         self.state = StoreState()
         self.on_parts_record: Callable[[str, bytes | None], None] = lambda k, v: None
         self._records = RecordDispatcher(
@@ -85,7 +90,17 @@
         )
 
     def apply_change(self, key: str, value: bytes | None, revision: int) -> None:
-        """Apply one change of a key; the value is None once the key is deleted."""
+        """Apply one change of a key; the value is None once the key is deleted.
+
+        A record that cannot be applied does not keep the others from being applied.
+        """
+        try:
+            self._apply_record(key, value, revision)
+        except Exception as exc:
+            self._count_unreadable(f"{key}: {exc!r}")
+            self._supervisor.record_failure("apply_record", exc, self._clock())
+
+    def _apply_record(self, key: str, value: bytes | None, revision: int) -> None:
         if key.startswith(RECENT_WEIGHTS_PREFIX):
             self._apply_recent_weights(key, value, revision)
         elif key.startswith((BLOCKED_PARTS_PREFIX, CRASHES_PREFIX)):
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -52,6 +52,7 @@
 from foxtailcourse.ingress._stream_origins import OwnerRing
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import fencing_token
+from foxtailcourse.process import TaskSupervisor
 from foxtailcourse.settings import Address
 
 # Shortest time between two load updates for urgent changes.
@@ -105,6 +106,8 @@
         Log of the process.
     metrics : Metrics
         Counts malformed, foreign and lost datagrams.
+    supervisor : TaskSupervisor
+        Runs the tasks of the exchange.
     on_cache_update : callable
         Handles cache events that another entry published.
     cache_snapshot : callable
@@ -145,6 +148,7 @@
     clock: Callable[[], float]
     events: EventLog
     metrics: Metrics
+    supervisor: TaskSupervisor
     on_cache_update: Callable[[CacheUpdate], None] = attrs.field(
         default=lambda update: None
     )
@@ -205,31 +209,41 @@
         """Send and receive messages until cancelled."""
         with self._socket:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive)
-                nursery.start_soon(self._publish_changes)
-                nursery.start_soon(self._republish)
-                nursery.start_soon(self._publish_leaving)
-                nursery.start_soon(self._relay_loads)
-                nursery.start_soon(self._relay_caches)
-                nursery.start_soon(self.origins.run)
+                for task, run in {
+                    "receive_messages": self._receive,
+                    "publish_loads": self._publish_changes,
+                    "republish_state": self._republish,
+                    "publish_leaving": self._publish_leaving,
+                    "relay_loads": self._relay_loads,
+                    "relay_caches": self._relay_caches,
+                    "publish_origins": self.origins.run,
+                }.items():
+                    nursery.start_soon(self.supervisor.keep_running, task, run)
 
     # Receiving
 
     async def _receive(self) -> None:
         while True:
             data, address = await self._socket.recvfrom(MAX_RECEIVED_BYTES)
-            sender = self.peers.vm_at(*address[:2])
             try:
-                message = decode(data)
-            except msgspec.DecodeError:
-                self.metrics.count("foxtail_ingress_bad_datagrams_total")
-                continue
-            if isinstance(message, ConfigurationQuery):
-                await self.on_configuration_query(address[:2])
-            elif sender is None or sender == self.vm:
-                self.metrics.count("foxtail_ingress_foreign_datagrams_total")
-            else:
-                self.handle(message, sender)
+                await self._handle_datagram(data, address[:2])
+            except Exception as exc:
+                # The next message may be from another entry.
+                self.supervisor.record_failure("handle_message", exc, self.clock())
+
+    async def _handle_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        sender = self.peers.vm_at(*address)
+        try:
+            message = decode(data)
+        except msgspec.DecodeError:
+            self.metrics.count("foxtail_ingress_bad_datagrams_total")
+            return
+        if isinstance(message, ConfigurationQuery):
+            await self.on_configuration_query(address)
+        elif sender is None or sender == self.vm:
+            self.metrics.count("foxtail_ingress_foreign_datagrams_total")
+        else:
+            self.handle(message, sender)
 
     def handle(self, message: Message, sender: str) -> None:
         """Handle one message of the registered entry ``sender``."""
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -22,6 +22,7 @@
     ServerCallError,
     ServerClient,
 )
+from foxtailcourse.process import TaskSupervisor
 
 # Largest fraction of a model's servers that load weights concurrently. More of them
 # load more slowly and leave too few servers for requests.
@@ -158,6 +159,8 @@
         Receives an event for each order and failed report.
     metrics : Metrics
         Counts orders by outcome.
+    supervisor : TaskSupervisor
+        Runs the weight loads.
     """
 
     def __init__(
@@ -172,6 +175,7 @@
         clock: Callable[[], float],
         events: EventLog,
         metrics: Metrics,
+        supervisor: TaskSupervisor,
     ) -> None:
         self._view = view
         self._lease = lease
@@ -183,6 +187,7 @@
         self._clock = clock
         self._events = events
         self._metrics = metrics
+        self._supervisor = supervisor
         self._busy: set[str] = set()
         # Recently loaded weights by server: when, and a row of a WeightsUpdate.
         self._loaded: dict[str, tuple[float, tuple[str, int, str, int]]] = {}
@@ -197,23 +202,28 @@
                         self._view, self._busy, self._loads, now, self.weights_limit_s
                     ):
                         self._busy.add(load.server.id)
-                        nursery.start_soon(self._run_weight_load, load)
+                        nursery.start_soon(self._run_contained, load)
                 await trio.sleep(PLAN_PERIOD_S)
 
-    async def _run_weight_load(self, load: WeightLoad) -> None:
-        """Announce and order a weight load; repeat the order until it has succeeded."""
-        server_id = load.server.id
+    async def _run_contained(self, load: WeightLoad) -> None:
+        """Run a weight load; one that fails may be planned again after a pause."""
         try:
-            await self._announce()
-            await trio.sleep(ANNOUNCE_LEAD_S)
-            while self._lease.may_order(self._clock()) and self._is_outdated(load):
-                outcome = await self._send_order(load)
-                if outcome is OrderOutcome.FENCED:
-                    self._lease.resign("fenced")
-                    return
-                await self._wait_until_loaded(load, outcome)
+            await self._supervisor.run_contained(
+                "load_weights", self._run_weight_load, load
+            )
         finally:
-            self._busy.discard(server_id)
+            self._busy.discard(load.server.id)
+
+    async def _run_weight_load(self, load: WeightLoad) -> None:
+        """Announce and order a weight load; repeat the order until it has succeeded."""
+        await self._announce()
+        await trio.sleep(ANNOUNCE_LEAD_S)
+        while self._lease.may_order(self._clock()) and self._is_outdated(load):
+            outcome = await self._send_order(load)
+            if outcome is OrderOutcome.FENCED:
+                self._lease.resign("fenced")
+                return
+            await self._wait_until_loaded(load, outcome)
 
     def _is_outdated(self, load: WeightLoad) -> bool:
         server = self._view.servers.get(load.server.id)
--- a/src/foxtailcourse/ingress/_watchdog.py
+++ b/src/foxtailcourse/ingress/_watchdog.py
@@ -15,6 +15,7 @@
 
 from foxtailcourse.ingress._replacement import Replacement
 from foxtailcourse.ingress._server_loads import SERVER_ALIVE_S, ServerLoad
+from foxtailcourse.process import TaskSupervisor
 
 CHECK_PERIOD_S = 0.1
 # After a longer delay of a check or a connection, the process counts as having been
@@ -118,10 +119,13 @@
     ----------
     clock : callable
         Returns seconds since boot.
+    supervisor : TaskSupervisor
+        Runs the moves of attempts.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], supervisor: TaskSupervisor) -> None:
         self._clock = clock
+        self._supervisor = supervisor
         self._watched: set[WatchedAttempt] = set()
         self._checked_at = clock()
         self._nursery: trio.Nursery | None = None
@@ -152,7 +156,12 @@
                     continue
                 watched.replacement = watched.find_replacement()
                 if watched.replacement is not None and self._nursery is not None:
-                    self._nursery.start_soon(watched.move, self._clock)
+                    self._nursery.start_soon(
+                        self._supervisor.run_contained,
+                        "move_attempt",
+                        watched.move,
+                        self._clock,
+                    )
 
     async def run(self) -> None:
         """Check the attempts until cancelled."""
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -170,6 +170,9 @@
     "stream_origin_unknown": "a caller takes a stream up again of which neither this "
     "entry nor the `asked` ones know what began it; it is refused",
     "stream_broken": "a stream ended with an explicit error",
+    "task_failed": "background work failed with an unexpected `error` and goes on "
+    "after `pause_ms`; `where` has the innermost calls, `unlogged` counts the failures "
+    "since the last line",
     "vm_list_failed": "the VM list could not be read",
     "vm_list_malformed": "an entry of the VM list is malformed and ignored",
     "watch_expired": "the store has discarded the history of `prefix`, which is "
@@ -247,6 +250,8 @@
     "`source` of the software version that began them; `none` if it is unknown",
     "foxtail_ingress_unrecorded_streams_total": "streams that cannot be taken up again "
     "at other entries, as their request identifier is missing or too long",
+    "foxtail_task_failures_total": "unexpected errors in background work, by `task`; "
+    "the process goes on",
     "foxtail_ingress_unreadable_records_total": "records of the platform that "
     "are malformed",
 }
--- a/tests/ingress/exchange_case.py
+++ b/tests/ingress/exchange_case.py
@@ -9,6 +9,7 @@
 from foxtailcourse.ingress._server_loads import ServerLoads
 from foxtailcourse.observe import EventLog, HybridClock, Metrics
 from foxtailcourse.settings import Address
+from support import make_supervisor
 
 LOCAL = Address("127.0.0.1", 0)
 
@@ -24,6 +25,7 @@
         boot_seconds,
         EventLog("x", HybridClock(time.time)),
         Metrics(),
+        make_supervisor(boot_seconds),
     )
     await exchange.bind()
     peers.add(exchange.vm, Peer(address=exchange.address, **registration))
--- a/tests/ingress/test_silent_servers.py
+++ b/tests/ingress/test_silent_servers.py
@@ -16,7 +16,7 @@
     BackendServerFaults,
     BackendServerStandin,
 )
-from support import run_with
+from support import make_supervisor, run_with
 
 # Longer than an entry waits for a silent server before it looks for another one.
 SILENCE_S = 1.0
@@ -36,7 +36,7 @@
             given_up.append(True)
             return None
 
-        watchdog = AttemptWatchdog(lambda: 0.0)
+        watchdog = AttemptWatchdog(lambda: 0.0, make_supervisor())
         watchdog.add(WatchedAttempt(ServerLoad(), 0.6, 0.0, give_up))
         watchdog.check(0.1)
         watchdog.check(5.0)
@@ -73,7 +73,7 @@
 
     def test_silent_server_is_suspended_although_its_requests_stay(self):
         load = ServerLoad()
-        watchdog = AttemptWatchdog(lambda: 0.0)
+        watchdog = AttemptWatchdog(lambda: 0.0, make_supervisor())
         for _ in range(3):
             watchdog.add(WatchedAttempt(load, 0.6, 0.0))
         for tenths in range(1, 100):
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -213,6 +213,8 @@
         Times at which all entries were ended, so that none can tell what it knew.
     timeouts : list of (float, float)
         Time of each configuration, and the timeout of its routes in seconds.
+    task_failures : list of str
+        Log lines of entries about background work that failed unexpectedly.
     """
 
     sent: dict[str, RequestRecord] = attrs.field(factory=dict)
@@ -228,6 +230,7 @@
     planned: list[tuple[str, float, float]] = attrs.field(factory=list)
     all_ended: list[float] = attrs.field(factory=list)
     timeouts: list[tuple[float, float]] = attrs.field(factory=list)
+    task_failures: list[str] = attrs.field(factory=list)
 
     def is_sound(self, name: str, since: float, until: float) -> bool:
         """Return whether no unplanned fault at an entry or server is near a time."""
@@ -310,6 +313,7 @@
             found.append(f"fence {fence} of {holder} and {holder_by_fence[fence]}")
     return [
         *found,
+        *observations.task_failures,
         *_drain_violations(observations),
         *_refusal_violations(observations),
         *_limit_violations(observations),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -253,6 +253,12 @@
             self.observations.disturbances += [
                 (server.id, at, at + server.restart_s) for at in server.crashed_at
             ]
+        self.observations.task_failures += [
+            line
+            for path in sorted(self._folder.glob("*.log"))
+            for line in path.read_text(errors="replace").splitlines()
+            if "event=task_failed" in line
+        ]
         return violations(self.observations)
 
     async def _start_fleet(self, nursery) -> None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -67,6 +67,10 @@
             runs=[make_run("a"), make_run("a")],
         )
 
+    def test_background_work_that_failed(self):
+        line = "event=task_failed task=watch_store"
+        self.check("watch_store", task_failures=[line])
+
     def test_repeatable_request_may_run_twice(self):
         observations = Observations(
             sent={"a": make_request("a", "look")}, runs=[make_run("a"), make_run("a")]
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,16 +1,26 @@
 """Shared base classes of the tests."""
 
 import functools
+import time
 from collections.abc import Awaitable, Callable
 
 import testtools
 import trio
 
+from foxtailcourse.observe import EventLog, HybridClock, Metrics
+from foxtailcourse.process import TaskSupervisor
+
 TEST_TIMEOUT_S = 60.0
 
 
 class AsyncTestCase(testtools.TestCase):
-    """A test case that runs coroutines under trio."""
+    """A test case that runs coroutines under trio.
+
+    It fails if background work fails, which daemons contain, unless the test sets
+    ``expects_task_failures``.
+    """
+
+    expects_task_failures = False
 
     def run_async(self, main: Callable[[], Awaitable[None]], **options: object) -> None:
         """Run a coroutine function; raises TooSlowError if it hangs.
@@ -22,7 +32,19 @@
             with trio.fail_after(TEST_TIMEOUT_S):
                 await main()
 
+        failures: list[BaseException] = []
+        record = TaskSupervisor.record_failure
+
+        def collect(
+            supervisor: TaskSupervisor, task: str, exc: BaseException, now: float
+        ) -> float:
+            failures.append(exc)
+            return record(supervisor, task, exc, now)
+
+        self.patch(TaskSupervisor, "record_failure", collect)
         trio.run(run_with_timeout, **options)
+        if failures and not self.expects_task_failures:
+            raise BaseExceptionGroup("background work failed", failures)
 
     async def catch_error(
         self, error_type: type, call: Callable, *args: object
@@ -35,6 +57,11 @@
         self.fail(f"expected {error_type}")
 
 
+def make_supervisor(clock: Callable[[], float] = time.monotonic) -> TaskSupervisor:
+    """Return a supervisor with a log and metrics of its own."""
+    return TaskSupervisor(EventLog("test", HybridClock(time.time)), Metrics(), clock)
+
+
 AsyncTest = Callable[..., Awaitable[None]]
 
 
