Let an entry lead whose write of the leader's key was not answered

Cause: the store executed the write of ingress/orders and its answer was lost. The key named the entry itself and stayed, as its lease was renewed.

Ruled out: an order that is lost (they are repeated), and a lapsed lease (the key would go).

Change: an entry that does not lead writes again while the key is empty or names it. A refusal has the key: under its own lease the entry leads from then on, with the key's revision as the token and the usual pause. A stop gives up such a key. A key under another lease that is there for 1.5 times the time to live, as in a store restored without leases, is replaced; nobody led after such a restore either.

--- a/src/foxtailcourse/ingress/_lease.py
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -7,7 +7,13 @@
 
 from foxtailcourse.ingress._membership import ENTRIES_PREFIX, ORDERS_KEY, Membership
 from foxtailcourse.observe import EventLog
-from foxtailcourse.platform import KeyValueStore, LeaseLostError, PlatformError, Put
+from foxtailcourse.platform import (
+    KeyValue,
+    KeyValueStore,
+    LeaseLostError,
+    PlatformError,
+    Put,
+)
 
 # Renewals per time to live, so that one lost reply does not end the lease.
 RENEWALS_PER_TTL = 4
@@ -22,6 +28,10 @@
 # the era: the former one may give orders for half of it, and a whole one lies between.
 NEW_ERA_PAUSE_TTLS = 1.5
 
+# A key that names this entry under another lease is replaced after this multiple of the
+# time to live.
+FORMER_KEY_TTLS = 1.5
+
 # The pause between two renewals varies by this fraction of it.
 RENEWAL_JITTER = 0.2
 # Time of the calls of a renewal that registers an entry again.
@@ -103,6 +113,9 @@
         self._era_seen_at = float("-inf")
         self._registered = False
         self._may_lead = True
+        # A key of the leader that names this entry and that it does not hold: its
+        # revision, and when it was first seen.
+        self._former_key: tuple[int, float] = 0, float("inf")
         self.lease = ""
         self.fence = 0
         self.registration = b""
@@ -126,7 +139,10 @@
                 await self.follow_era()
                 if not self.lease:
                     continue
-                if self._may_lead and not self.fence and not self._membership.leader:
+                # A key that names this entry while it does not lead may be its own.
+                if not self._may_lead and self._names_this_entry:
+                    await self.release()
+                elif self._may_lead and not self.fence and self._may_be_vacant:
                     await self._acquire_leadership()
             except LeaseLostError:
                 self._discard_lease("lease_lapsed")
@@ -142,6 +158,14 @@
             ):
                 await self._membership.wait_for_vacancy(bool(self.fence))
 
+    @property
+    def _names_this_entry(self) -> bool:
+        return self._membership.leader == self._vm
+
+    @property
+    def _may_be_vacant(self) -> bool:
+        return not self._membership.leader or self._names_this_entry
+
     async def follow_era(self) -> None:
         """Give up what was written in an earlier era of the store.
 
@@ -168,7 +192,7 @@
         The entry stays registered while it finishes its requests.
         """
         self._may_lead = False
-        if self.fence:
+        if self.fence or self._names_this_entry:
             await self.release()
 
     async def release(self) -> None:
@@ -212,17 +236,51 @@
         self._valid_until = sent_at + self._ttl_s
 
     async def _acquire_leadership(self) -> None:
-        """Become the leader, unless another entry is."""
+        """Become the leader, unless another entry is.
+
+        This entry may be the leader already without knowing it, as the answer to its
+        write was lost.
+        """
+        former_revision = self._replaceable_revision(self._clock())
         put = Put(key=ORDERS_KEY, value=self._vm.encode(), lease=self.lease)
-        result = await self._store.txn({ORDERS_KEY: 0}, [put])
+        result = await self._store.txn({ORDERS_KEY: former_revision}, [put])
+        held = next(iter(result.current), None)
         if result.succeeded:
-            self.fence = result.fencing_token
-            pause_s = (1 - LEADERSHIP_MARGIN_FRACTION) * self._ttl_s
-            self._may_order_from = ORDER_TRANSIT_S + max(
-                self._clock() + pause_s,
-                self._era_seen_at + NEW_ERA_PAUSE_TTLS * self._ttl_s,
-            )
-            self._events.emit("orders_acquired", fence=self.fence)
+            self._lead(result.fencing_token)
+        elif held is not None and held.value == self._vm.encode():
+            # An identifier of a lease is unique within an era only.
+            if held.lease == self.lease and result.era == self._era:
+                self._lead(result.fencing_token, answer_lost=True)
+            else:
+                self._note_former_key(held)
+
+    def _lead(self, fence: int, *, answer_lost: bool = False) -> None:
+        self.fence = fence
+        pause_s = (1 - LEADERSHIP_MARGIN_FRACTION) * self._ttl_s
+        self._may_order_from = ORDER_TRANSIT_S + max(
+            self._clock() + pause_s,
+            self._era_seen_at + NEW_ERA_PAUSE_TTLS * self._ttl_s,
+        )
+        self._events.emit(
+            "orders_acquired", fence=self.fence, answer_lost=answer_lost or None
+        )
+
+    def _note_former_key(self, held: KeyValue) -> None:
+        """Remember a key that a former process on this VM wrote."""
+        if self._former_key[0] != held.mod_revision:
+            self._former_key = held.mod_revision, self._clock()
+
+    def _replaceable_revision(self, now: float) -> int:
+        """Return the revision of a key to replace, or 0 to create the key.
+
+        The key of a former process ends with its lease. A restored store may have the
+        key and not the lease, so that the key would stay.
+        """
+        revision, seen_at = self._former_key
+        if now - seen_at < FORMER_KEY_TTLS * self._ttl_s:
+            return 0
+        self._former_key = 0, float("inf")
+        return revision
 
     def _discard_lease(self, reason: str) -> None:
         if self.fence:
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -77,7 +77,7 @@
     "order_failed": "an order to the engine failed or its outcome is unknown",
     "order_given": "a backend server was ordered to load weights, with `outcome`",
     "orders_acquired": "this entry became the leader and sends orders after one lease "
-    "time, with `fence`",
+    "time, with `fence`; `answer_lost` if the store did not answer its write",
     "orders_lost": "this entry is no longer the leader that sends orders, for `reason`",
     "out_of_service": "the agent accepts no work while its engine loads weights",
     "parts_blocked": "requests with all of `parts` are refused, as such requests crash "
--- a/tests/ingress/test_lease.py
+++ b/tests/ingress/test_lease.py
@@ -3,13 +3,19 @@
 
 import trio
 from testtools.matchers import Equals
+from trio.testing import MockClock
 
 from foxtailcourse.fleet import FleetView
 from foxtailcourse.ingress._lease import EntryLease
 from foxtailcourse.ingress._membership import ORDERS_KEY, Membership
 from foxtailcourse.observe import EventLog, HybridClock
-from foxtailcourse.platform import LeaseLostError, PlatformError, TxnResult
-from support import AsyncTestCase
+from foxtailcourse.platform import (
+    KeyValue,
+    LeaseLostError,
+    PlatformError,
+    TxnResult,
+)
+from support import AsyncTestCase, run_with
 
 TTL_S = 3.0
 
@@ -24,6 +30,13 @@
         self.now = now
         self.leases = {}
         self.leader_lease = None
+        # Value and revision of the leader's key.
+        self.leader = b""
+        self.leader_revision = 0
+        # Writes of that key that are applied and not answered.
+        self.lose_answers = 0
+        # Whether keys outlive their leases, as in a store restored without them.
+        self.keeps_keys = False
         self.revision = 0
         self.era = 0
         self.down = False
@@ -32,9 +45,20 @@
         if self.down:
             raise PlatformError("down", may_have_applied=False)
         self.leases = {k: v for k, v in self.leases.items() if v > self.now[0]}
-        if self.leader_lease is not None and self.leader_lease not in self.leases:
+        if self.leader_lease not in self.leases and not self.keeps_keys:
             self.leader_lease = None
 
+    def orders_key(self):
+        """Return the item of the leader's key, or None without one."""
+        if self.leader_lease is None:
+            return None
+        return KeyValue(
+            key=ORDERS_KEY,
+            value=self.leader,
+            mod_revision=self.leader_revision,
+            lease=self.leader_lease,
+        )
+
     async def lease_grant(self, ttl_s):
         self._check()
         lease = str(len(self.leases) + 1 + self.revision * 10)
@@ -55,20 +79,33 @@
         self._check()
         self.revision += 1
         if ORDERS_KEY in compare:
-            if self.leader_lease is not None:
-                return TxnResult(succeeded=False, revision=self.revision, era=self.era)
-            self.leader_lease = put[0].lease
+            held = self.orders_key()
+            if (held.mod_revision if held else 0) != compare[ORDERS_KEY]:
+                return TxnResult(
+                    succeeded=False,
+                    revision=held.mod_revision if held else 0,
+                    current=(held,) if held else (),
+                    era=self.era,
+                )
+            self.leader_lease, self.leader = put[0].lease, put[0].value
+            self.leader_revision = self.revision
+            if self.lose_answers:
+                self.lose_answers -= 1
+                raise PlatformError("no answer", may_have_applied=True)
         return TxnResult(succeeded=True, revision=self.revision, era=self.era)
 
 
+def make_lease(store, name, clock):
+    log = EventLog(name, HybridClock(time.time))
+    membership = Membership(FleetView(), log)
+    return EntryLease(store, name, TTL_S, membership, clock, random.Random(name), log)
+
+
 class TestEntryLease(AsyncTestCase):
     """Guards the time between the orders of two leaders."""
 
     def make_lease(self, store, now, name):
-        log = EventLog(name, HybridClock(time.time))
-        membership = Membership(FleetView(), log)
-        rng = random.Random(name)
-        return EntryLease(store, name, TTL_S, membership, lambda: now[0], rng, log)
+        return make_lease(store, name, lambda: now[0])
 
     async def step(self, store, entry_lease):
         """Run one iteration of ``run``, including its error handling."""
@@ -132,3 +169,116 @@
             await trio.lowlevel.checkpoint()
 
         self.run_async(main)
+
+
+class TestLostAnswers(AsyncTestCase):
+    """Guards against a leader that does not know that it is the leader.
+
+    Its lease keeps the key from all others, so that nobody orders weight loads.
+    """
+
+    def with_entries(self, check):
+        """Run two entries that learn of the leader as by a watch, on virtual time."""
+
+        async def main():
+            now = [0.0]
+            store = FakeStore(now)
+            entries = [make_lease(store, vm, trio.current_time) for vm in ("e1", "e2")]
+
+            async def watch():
+                while True:
+                    now[0] = trio.current_time()
+                    if not store.down:
+                        store._check()
+                    item = store.orders_key()
+                    for each in entries:
+                        known = each._membership.leader.encode()
+                        if known != (item.value if item else b""):
+                            value = item.value if item else None
+                            each._membership.apply_change(ORDERS_KEY, value, 1)
+                    await trio.sleep(0.05)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch)
+                await check(nursery, store, *entries)
+                nursery.cancel_scope.cancel()
+
+        self.run_async(main, clock=MockClock(autojump_threshold=0))
+
+    @run_with("with_entries")
+    async def test_entry_leads_although_the_answer_to_its_write_was_lost(
+        self, nursery, store, first, second
+    ):
+        store.lose_answers = 1
+        nursery.start_soon(first.run)
+        await trio.sleep(TTL_S)
+        self.assertThat(store.lose_answers, Equals(0))
+        self.assertThat(first.fence, Equals(store.leader_revision))
+        self.assertTrue(first.may_order(trio.current_time()))
+        self.assertFalse(second.may_order(trio.current_time()))
+
+    @run_with("with_entries")
+    async def test_orders_are_a_lease_apart_although_the_answer_was_lost(
+        self, nursery, store, first, second
+    ):
+        stopped = trio.CancelScope()
+
+        async def run_first():
+            with stopped:
+                await first.run()
+
+        nursery.start_soon(run_first)
+        await trio.sleep(2 * TTL_S)
+        store.lose_answers = 1
+        nursery.start_soon(second.run)
+        stopped.cancel()
+        last_order_at = trio.current_time()
+        while first.may_order(trio.current_time()):
+            last_order_at = trio.current_time()
+            await trio.sleep(0.02)
+        while not second.may_order(trio.current_time()):
+            await trio.sleep(0.02)
+        self.assertTrue(trio.current_time() - last_order_at >= TTL_S)
+        self.assertThat(store.lose_answers, Equals(0))
+
+    @run_with("with_entries")
+    async def test_key_that_a_former_process_wrote_is_left_to_its_lease(
+        self, nursery, store, first, second
+    ):
+        await store.lease_grant(TTL_S)
+        store.leader, store.leader_lease = b"e1", next(iter(store.leases))
+        store.revision = store.leader_revision = 7
+        nursery.start_soon(first.run)
+        await trio.sleep(0.9 * TTL_S)
+        self.assertThat(first.fence, Equals(0))
+        await trio.sleep(TTL_S)
+        self.assertTrue(first.fence)
+
+    @run_with("with_entries")
+    async def test_key_that_outlives_its_lease_is_replaced(
+        self, nursery, store, first, second
+    ):
+        store.keeps_keys = True
+        store.leader, store.leader_lease, store.leader_revision = b"e1", "copy", 7
+        store.revision = 7
+        nursery.start_soon(first.run)
+        nursery.start_soon(second.run)
+        await trio.sleep(TTL_S)
+        self.assertThat((first.fence, second.fence), Equals((0, 0)))
+        await trio.sleep(3 * TTL_S)
+        self.assertTrue(first.fence > 7)
+        self.assertTrue(first.may_order(trio.current_time()))
+
+    @run_with("with_entries")
+    async def test_entry_that_stops_gives_up_a_key_that_it_does_not_know_it_holds(
+        self, nursery, store, first, second
+    ):
+        store.lose_answers = 1
+        nursery.start_soon(first.run)
+        while store.lose_answers:
+            await trio.sleep(0.001)
+        await first.stand_down()
+        nursery.start_soon(second.run)
+        await trio.sleep(TTL_S)
+        self.assertThat((first.fence, store.leader), Equals((0, b"e2")))
+        self.assertTrue(first.lease and second.fence)
