Repeat the removal of a block of prompt parts that failed

What callers saw: nothing was reported. An entry that started within the life of the block could refuse sound requests as crashing servers, though an answer had excluded it.

Cause: PartRecords forgot a block's record before it knew that the store had removed it, so a removal that failed was never repeated.

Test that failed before: test_part_records.py (nothing was removed after two failures).

--- a/src/foxtailcourse/ingress/_part_records.py
+++ b/src/foxtailcourse/ingress/_part_records.py
@@ -120,11 +120,14 @@
     _crashes: set[str] = attrs.field(factory=set, init=False)
     # When this entry writes a record that is missing.
     _write_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    # When it tries again to remove one.
+    _remove_at: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def apply_change(self, key: str, value: bytes | None) -> None:
         """Apply one change of a record; the value is None once it is removed."""
         if value is None:
             self._blocks.pop(key, None)
+            self._remove_at.pop(key, None)
             self._crashes.discard(key)
             return
         try:
@@ -223,6 +226,7 @@
             for key, (parts, _) in self._blocks.items()
             if self.exchange.suspicions.contradicts(parts, now)
             and self.exchange.rank(parts) < WRITERS
+            and now >= self._remove_at.get(key, now)
         ]
 
     async def _write(self, key: str, wanted: _Wanted) -> None:
@@ -245,5 +249,8 @@
             await self.store.txn({}, delete=[key])
         except PlatformError as exc:
             self.events.emit("parts_record_failed", error=exc)
-        # The watch confirms the removal; until then it is not tried again.
-        self._blocks.pop(key, None)
+            self._remove_at[key] = self.clock() + REWRITE_PAUSE_S
+        else:
+            # The watch confirms the removal.
+            self._blocks.pop(key, None)
+            self._remove_at.pop(key, None)
