Record in the store what began the streams that callers may take up

Cause: the origins of streams were in the memory of entries only, and "one version only" needed 30 s of the entry's own observation.

A guard is test_streams_begun_before_the_only_version_was_replaced_are_refused.

Change, decided for both together: the store has a record of each service's software versions which may have begun streams that callers can still take up. Any entry adds a version at once by compare-and-swap and removes one that it has seen absent for 30 s; a record of an earlier era counts once it is confirmed. An entry that starts concludes from it. While the record has several versions, the origins of streams in progress and of broken ones are written as well, by each entry at most once in 0.2 s and 32 at a time, under leases of 41 s; one reading serves all callers that wait. With one version nothing is written. The bound on the age of the list follows from the settings of the watch.

Ruled out: a version that follows from the caller's identifier (the shares change while servers are replaced); a version in the event identifiers (responses are returned unchanged); origins of all streams at any time (a write for each).

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -46,6 +46,7 @@
 from foxtailcourse.ingress._limit_exchange import LimitExchange
 from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._membership import MEMBERSHIP_PREFIX, Membership
+from foxtailcourse.ingress._origin_records import OriginRecorder
 from foxtailcourse.ingress._part_exchange import PartExchange
 from foxtailcourse.ingress._part_records import PartRecords
 from foxtailcourse.ingress._peer_exchange import PeerExchange
@@ -61,6 +62,7 @@
 from foxtailcourse.ingress._server_memory import ServerMemory
 from foxtailcourse.ingress._server_speeds import ServerSpeeds
 from foxtailcourse.ingress._settings import IngressSettings
+from foxtailcourse.ingress._software_records import SoftwareRecords
 from foxtailcourse.ingress._store_rate_limit import RateLimitedStore, RateLimiter
 from foxtailcourse.ingress._store_watcher import WATCH_BLACKOUT_S, StoreWatcher
 from foxtailcourse.ingress._stream_origins import SoftwareHistory
@@ -314,6 +316,32 @@
             clock=boot_seconds,
             events=self._events,
         )
+        self._software = SoftwareRecords(
+            view=self._view,
+            history=software,
+            store=self._store,
+            clock=boot_seconds,
+            max_view_age_s=_max_view_age_s(cfg),
+            rng=self._rng,
+            events=self._events,
+        )
+        self._updates.on_software_record = self._software.apply_change
+        self._origin_recorder = OriginRecorder(
+            store=self._store,
+            can_conclude=self._software.can_conclude,
+            clock=boot_seconds,
+            events=self._events,
+            metrics=self._metrics,
+        )
+        self._resumption = StreamResumption(
+            view=self._view,
+            software=self._software,
+            exchange=self._peer_exchange.origins,
+            recorder=self._origin_recorder,
+            clock=boot_seconds,
+            events=self._events,
+            metrics=self._metrics,
+        )
         self.address = cfg.listen
         self.listening = False
         self._dispatcher = self._build_dispatcher()
@@ -322,14 +350,7 @@
             view=self._view,
             dispatcher=self._dispatcher,
             quotas=self._quotas,
-            resumption=StreamResumption(
-                view=self._view,
-                history=software,
-                exchange=self._peer_exchange.origins,
-                clock=boot_seconds,
-                events=self._events,
-                metrics=self._metrics,
-            ),
+            resumption=self._resumption,
             confirm=self._refresh.confirm,
             key_age_limit_s=cfg.revocation_ms / 1000 - KEY_AGE_MARGIN_S,
             clock=boot_seconds,
@@ -366,7 +387,7 @@
                 self._cfg.connect_timeout_s,
                 boot_seconds,
                 self._updates.announce_leaving,
-                self._peer_exchange.origins.publish,
+                self._resumption.record_begun,
                 self._record_limit_statement,
                 self._parts.record_answered,
                 self._record_bound,
@@ -505,6 +526,8 @@
             "exchange_sums": self._sum_exchange.run,
             "judge_crashes": self._parts.run,
             "record_parts": self._part_records.run,
+            "record_software": self._software.run,
+            "record_origins": self._origin_recorder.run,
             "exchange_configuration": self._configuration_exchange.run,
             "keep_lease": self._lease.run,
             "watch_attempts": self._watchdog.run,
@@ -641,6 +664,7 @@
         self._rollout.weights_limit_s = cfg.weights_ms / 1000
         self._quotas.set_rule(_quota_rule(cfg))
         self._shares.hold_s = _share_hold_s(cfg)
+        self._software.max_view_age_s = _max_view_age_s(cfg)
         self._recent_weights.usable_s = recorded_weights_s(cfg.weights_ms / 1000)
         for budget in self._retry_budgets.values():
             budget.ratio, budget.extra = cfg.retry_ratio, cfg.retry_extra
@@ -693,6 +717,12 @@
     )
 
 
+def _max_view_age_s(cfg: IngressSettings) -> float:
+    """Return how old the known records get while the store responds, in seconds."""
+    waits_s = cfg.watch_pause_s + cfg.watch_wait_s + cfg.call_timeout_s
+    return waits_s + WATCH_BLACKOUT_S
+
+
 def _share_hold_s(cfg: IngressSettings) -> float:
     """Return the time for which an entry that disappeared keeps its shares."""
     confirmed_s = cfg.watch_wait_s + cfg.call_timeout_s + WATCH_BLACKOUT_S
--- a/src/foxtailcourse/ingress/_fleet_updates.py
+++ b/src/foxtailcourse/ingress/_fleet_updates.py
@@ -19,7 +19,11 @@
     RECENT_WEIGHTS_PREFIX,
     parse_recent_weights_key,
 )
-from foxtailcourse.ingress._store_watcher import StoreState
+from foxtailcourse.ingress._software_records import (
+    SOFTWARE_PREFIX,
+    SoftwareRecordError,
+)
+from foxtailcourse.ingress._store_watcher import ApplyChange, StoreState
 from foxtailcourse.ingress._stream_origins import SoftwareHistory
 from foxtailcourse.observe import EventLog, Metrics
 from foxtailcourse.platform import RecordDispatcher
@@ -56,6 +60,9 @@
         Which state of the store the changes belong to.
     on_parts_record : callable
         Called with the key and the value of a changed record of a crash or a block.
+    on_software_record : callable
+        Called with the key, the value and the revision of a changed record of software
+        versions; raises SoftwareRecordError.
     """
 
     def __init__(
@@ -82,6 +89,7 @@
         self._supervisor = supervisor
         self.state = StoreState()
         self.on_parts_record: Callable[[str, bytes | None], None] = lambda k, v: None
+        self.on_software_record: ApplyChange = lambda key, value, revision: None
         self._records = RecordDispatcher(
             on_configuration=self._apply_configuration,
             on_weights=self._apply_weights,
@@ -105,6 +113,11 @@
             self._apply_recent_weights(key, value, revision)
         elif key.startswith((BLOCKED_PARTS_PREFIX, CRASHES_PREFIX)):
             self.on_parts_record(key, value)
+        elif key.startswith(SOFTWARE_PREFIX):
+            try:
+                self.on_software_record(key, value, revision)
+            except SoftwareRecordError as exc:
+                self._count_unreadable(str(exc))
         elif key.startswith(MEMBERSHIP_PREFIX):
             self._membership.apply_change(key, value, revision)
         else:
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -170,6 +170,8 @@
         finally:
             self.dispatcher.attempts.buffered.release(job.buffered_bytes)
             self._settle_quota(job)
+            if job.response_complete:
+                self.resumption.record_complete(job)
         if scope.cancelled_caught:
             if job.response_complete:
                 outcome = ANSWERED
--- a/src/foxtailcourse/ingress/_origin_exchange.py
+++ b/src/foxtailcourse/ingress/_origin_exchange.py
@@ -124,6 +124,11 @@
             self._pending.setdefault(vm, []).append(row)
         self._publish_wakeup.set()
 
+    def remember(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record a stream that another entry began, here only."""
+        if self.origins.get(request_id, self.clock()) is None:
+            self.origins.record(request_id, origin, self.clock())
+
     def handle(
         self, message: OriginsUpdate | OriginQuery | OriginAnswer, sender: str
     ) -> None:
@@ -162,8 +167,6 @@
             queries.remove(query)
             if not queries:
                 del self._queries[request_id]
-        if query.origin is not None:
-            self.origins.record(request_id, query.origin, self.clock())
         return OriginLookup(query.origin, len(asked))
 
     async def _ask(self, request_id: str, query: _Query) -> None:
--- a/src/foxtailcourse/ingress/_stream_origins.py
+++ b/src/foxtailcourse/ingress/_stream_origins.py
@@ -169,13 +169,14 @@
         }
         self._seen[server.service] = recent | {server.software_version: now}
 
-    def only_version(
-        self, service: str, registered: Iterable[BackendServer], now: float
-    ) -> str | None:
-        """Return the version that began each stream that may still be taken up.
+    def is_complete(self, now: float) -> bool:
+        """Whether this entry has known the servers for the lifetime of a stream."""
+        return self._since is not None and now - self._since >= self._lifetime_s
 
-        It is None if there were several, or if this entry has not known the servers for
-        long enough.
+    def versions(
+        self, service: str, registered: Iterable[BackendServer], now: float
+    ) -> frozenset[str]:
+        """Return the versions that are registered or were in the lifetime of a stream.
 
         Parameters
         ----------
@@ -186,10 +187,8 @@
         now : float
             Present time in seconds since boot.
         """
-        if self._since is None or now - self._since < self._lifetime_s:
-            return None
         versions = {e.software_version for e in registered if e.service == service}
         for version, seen_at in self._seen.get(service, {}).items():
             if now - seen_at < self._lifetime_s:
                 versions.add(version)
-        return versions.pop() if len(versions) == 1 else None
+        return frozenset(versions)
--- a/src/foxtailcourse/ingress/_stream_resumption.py
+++ b/src/foxtailcourse/ingress/_stream_resumption.py
@@ -7,14 +7,14 @@
 from foxtailcourse.fleet import FleetView, RouteKind
 from foxtailcourse.ingress._job import Job, RefusedError
 from foxtailcourse.ingress._origin_exchange import OriginExchange
-from foxtailcourse.ingress._stream_origins import SoftwareHistory, StreamOrigin
+from foxtailcourse.ingress._origin_records import OriginRecorder
+from foxtailcourse.ingress._software_records import SoftwareRecords
+from foxtailcourse.ingress._stream_origins import StreamOrigin
 from foxtailcourse.observe import EventLog, Metrics
 
 # Another entry may know a stream that this one does not.
 UNKNOWN_STREAM_RETRY_AFTER_S = 0.3
 OTHER_SERVICE_RETRY_AFTER_S = 0.5
-# The list of servers must be at most this old for a conclusion from the versions in it.
-ONLY_VERSION_MAX_AGE_S = 3.0
 
 
 @attrs.define(kw_only=True)
@@ -25,10 +25,12 @@
     ----------
     view : FleetView
         Last known state of the fleet.
-    history : SoftwareHistory
-        Recent software versions of each service.
+    software : SoftwareRecords
+        Knows the software version of a service that had one only.
     exchange : OriginExchange
         Knows the origins of streams, or asks other entries for them.
+    recorder : OriginRecorder
+        Writes the other origins to the store, and finds them there.
     clock : callable
         Returns seconds since boot.
     events : EventLog
@@ -38,8 +40,9 @@
     """
 
     view: FleetView
-    history: SoftwareHistory
+    software: SoftwareRecords
     exchange: OriginExchange
+    recorder: OriginRecorder
     clock: Callable[[], float]
     events: EventLog
     metrics: Metrics
@@ -65,6 +68,11 @@
         origin, source = lookup.origin, "entry" if lookup.asked else "own"
         if origin is None:
             origin, source = self._assumed_origin(job.service), "only_version"
+        if origin is None:
+            origin, source = await self.recorder.find(request.resumes), "store"
+        if origin is not None:
+            self.exchange.remember(request.resumes, origin)
+            self.recorder.add(request.resumes, origin, self.clock())
         self._record(job, origin, source, lookup.asked, self.clock() - started)
         if origin is None:
             raise RefusedError("unknown_stream", UNKNOWN_STREAM_RETRY_AFTER_S)
@@ -72,12 +80,18 @@
             raise RefusedError("other_software", OTHER_SERVICE_RETRY_AFTER_S)
         job.service, job.software_version = origin.service, origin.software_version
 
+    def record_begun(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record a stream whose first event is about to be forwarded."""
+        self.exchange.publish(request_id, origin)
+        self.recorder.add(request_id, origin, self.clock())
+
+    def record_complete(self, job: Job) -> None:
+        """Record that a caller has a whole response; it takes up no stream of it."""
+        self.recorder.discard(job.request.resumes or job.request.id)
+
     def _assumed_origin(self, service: str) -> StreamOrigin | None:
         """Return what must have begun a stream if the service had one version only."""
-        now = self.clock()
-        if self.view.servers_freshness.age_s(now) > ONLY_VERSION_MAX_AGE_S:
-            return None
-        version = self.history.only_version(service, self.view.servers.values(), now)
+        version = self.software.only_version(service, self.clock())
         return None if version is None else StreamOrigin(service, version)
 
     def _record(
@@ -102,4 +116,15 @@
             source=source if found else None,
             waited_ms=int(waited_s * 1000),
             asked=asked,
+            **({} if found else self._known_versions(job.service)),
         )
+
+    def _known_versions(self, service: str) -> dict[str, object]:
+        """Return for the log why no version of the service is concluded."""
+        now = self.clock()
+        age_s = self.view.servers_freshness.age_s(now)
+        return {
+            "servers_age_ms": -1 if age_s == float("inf") else int(age_s * 1000),
+            "versions": ",".join(sorted(self.software.versions(service, now))),
+            "is_confirmed": self.software.is_confirmed(service),
+        }
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -155,6 +155,10 @@
     "silent_server_kept": "a request stays at a silent server for `reason`: "
     "`deadline`, `blocked` (it may crash servers), `budget`, `unreachable` (the other "
     "server), or why no server can take it; once for an attempt",
+    "software_record_failed": "the store did not record which versions of their "
+    "`software` the servers of `service` have had",
+    "software_recorded": "the store has for entries that start which versions of their "
+    "`software` may have begun the streams of `service`",
     "standin_listening": "a stand-in accepts connections on `address`",
     "stop_announced": "the configuration announces the stop of this VM",
     "stop_requested": "the process received SIGTERM or SIGINT",
@@ -165,10 +169,18 @@
     "again",
     "store_regained": "the platform's store responds again for `prefix`",
     "stream_origin_found": "a caller takes a stream up again that `software` began; "
-    "`source` is the entry's `own` table, another `entry`, or `only_version` if the "
-    "service had no other one",
+    "`source` is the entry's `own` table, another `entry`, `only_version` if the "
+    "service had no other one, or the `store`",
     "stream_origin_unknown": "a caller takes a stream up again of which neither this "
-    "entry nor the `asked` ones know what began it; it is refused",
+    "entry nor the `asked` ones nor the store know what began it; it is refused. The "
+    "service may have had several `versions`, the store's record of them is not "
+    "confirmed, or the list of servers is `servers_age_ms` old",
+    "stream_origins_concluded": "the streams of `service` were all begun by one "
+    "software version; what began them is no longer written to the store",
+    "stream_origins_failed": "the store did not write or return what began streams; "
+    "`pending` ones are written later",
+    "stream_origins_recorded": "the streams of `service` may have been begun by "
+    "several software versions; what began each one is written to the store",
     "stream_broken": "a stream ended with an explicit error",
     "task_failed": "background work failed with an unexpected `error` and goes on "
     "after `pause_ms`; `where` has the innermost calls, `unlogged` counts the failures "
@@ -246,6 +258,8 @@
     "`verdict`; routes beyond the first hundred count as `other`",
     "foxtail_ingress_store_failures_total": "failed calls to the platform's store "
     "by `prefix`",
+    "foxtail_ingress_recorded_streams_total": "streams whose origin was written to the "
+    "store, as the service has several software versions",
     "foxtail_ingress_stream_origins_total": "streams that callers took up again, by "
     "`source` of the software version that began them; `none` if it is unknown",
     "foxtail_ingress_unrecorded_streams_total": "streams that cannot be taken up again "
--- a/tests/ingress/test_stream_origins.py
+++ b/tests/ingress/test_stream_origins.py
@@ -5,9 +5,11 @@
 import trio
 from decision_case import NOW, server
 from exchange_case import start_exchange
+from records_case import make_records
 from testtools.matchers import Equals
 
 from cluster import wait_until
+from foxtailcourse.fleet import FleetView
 from foxtailcourse.ingress._clock import boot_seconds
 from foxtailcourse.ingress._origin_exchange import GIVE_UP_AFTER_S
 from foxtailcourse.ingress._peer_messages import (
@@ -45,6 +47,13 @@
     return peers
 
 
+def only_version(history, service, servers, now):
+    """Return the version that an entry concludes from what it has seen."""
+    view = FleetView(servers={each.id: each for each in servers})
+    view.servers_freshness.advance(now)
+    return make_records(view=view, history=history).only_version(service, now)
+
+
 def silence(entry):
     """Make an entry ignore all datagrams, as if it were dead."""
     entry.peers = PeerDirectory()
@@ -122,15 +131,18 @@
 
 
 class TestSoftwareHistory(testtools.TestCase):
-    """Guards the conclusion that a service had one software version only."""
+    """Guards the conclusion that a service had one software version only.
+
+    The store has no record of the versions, so the entry has to know them itself.
+    """
 
     def test_version_counts_only_after_a_whole_lifetime(self):
         history, servers = SoftwareHistory(LIFETIME_S), [software("a", "v1")]
-        self.assertIs(history.only_version("llm", servers, NOW), None)
+        self.assertIs(only_version(history, "llm", servers, NOW), None)
         history.record(servers[0], NOW)
         just_before = NOW + LIFETIME_S - 0.1
-        self.assertIs(history.only_version("llm", servers, just_before), None)
-        found = history.only_version("llm", servers, NOW + LIFETIME_S)
+        self.assertIs(only_version(history, "llm", servers, just_before), None)
+        found = only_version(history, "llm", servers, NOW + LIFETIME_S)
         self.assertThat(found, Equals("v1"))
 
     def test_version_that_left_counts_for_a_lifetime(self):
@@ -140,7 +152,7 @@
         left_at = NOW + 100
         history.record(software("a", "v1"), left_at)
         for age_s, expected in ((0, None), (LIFETIME_S - 1, None), (LIFETIME_S, "v2")):
-            found = history.only_version("llm", servers, left_at + age_s)
+            found = only_version(history, "llm", servers, left_at + age_s)
             self.assertThat(found, Equals(expected))
 
     def test_versions_of_other_services_do_not_count(self):
@@ -149,10 +161,10 @@
         for each in servers:
             history.record(each, NOW)
         now = NOW + LIFETIME_S
-        self.assertThat(history.only_version("llm", servers, now), Equals("v1"))
-        self.assertIs(history.only_version("none", servers, now), None)
+        self.assertThat(only_version(history, "llm", servers, now), Equals("v1"))
+        self.assertIs(only_version(history, "none", servers, now), None)
         servers.append(software("b", "v2"))
-        self.assertIs(history.only_version("llm", servers, now), None)
+        self.assertIs(only_version(history, "llm", servers, now), None)
 
 
 class TestOriginExchange(AsyncTestCase):
--- a/tests/ingress/test_stream_software.py
+++ b/tests/ingress/test_stream_software.py
@@ -16,6 +16,8 @@
 # Each server cuts a stream after this number of events.
 CUT_AFTER = 3
 STREAMS = 12
+# An entry that has just started calls the store rarely, as it assumes a large fleet.
+UNLIMITED_STORE = {"store_reads_per_s": 100_000, "store_writes_per_s": 100_000}
 
 
 def versions(*responses):
@@ -54,7 +56,7 @@
 
 async def join_entry(fleet, entry, vm="e2"):
     """Start another entry, and wait until both know each other."""
-    other = await fleet.start_entry(vm)
+    other = await fleet.start_entry(vm, **UNLIMITED_STORE)
     await wait_until(lambda: other.app.readiness().ready)
     for each in (entry, other):
         await wait_until(lambda each=each: len(each.app._view.entries) >= 2)
@@ -86,6 +88,29 @@
     return other
 
 
+async def wait_for_record(entry, count=1):
+    """Wait until the store has as many software versions of the model's service."""
+    records = entry.app._software._records
+    await wait_until(lambda: "llm" in records and len(records["llm"].versions) == count)
+
+
+async def restart_all(fleet, entries, while_down=None):
+    """Kill all entries at once and start them again; return the new ones."""
+    for each in entries:
+        each.scope.cancel()
+    for each in entries:
+        await each.ended.wait()
+    if while_down is not None:
+        await while_down()
+    started = []
+    for each in entries:
+        vm = each.daemon.cfg.vm
+        started.append(await fleet.start_entry(vm, **UNLIMITED_STORE))
+    for each in started:
+        await wait_until(lambda each=each: each.app.readiness().ready)
+    return started
+
+
 async def resume(fleet, entry, name, broken, events):
     """Take a broken stream up as its caller does; ``events`` is its whole length."""
     return await fleet.call(
@@ -97,11 +122,8 @@
     )
 
 
-class TestStreamSoftware(IngressCase):
-    """Guards streams against events of several software versions.
-
-    What two versions generate does not fit together, and servers do not check it.
-    """
+class StreamSoftwareCase(IngressCase):
+    """Checks that streams over several responses have one software version."""
 
     def check_whole(self, broken, rest, events):
         """Check that two responses are one stream of one software version."""
@@ -109,6 +131,13 @@
         self.assertThat(event_count(broken, rest), Equals(events))
         self.assertThat(len(versions(broken, rest)), Equals(1))
 
+
+class TestStreamSoftware(StreamSoftwareCase):
+    """Guards streams against events of several software versions.
+
+    What two versions generate does not fit together, and servers do not check it.
+    """
+
     @run_with("with_fleet")
     async def test_stream_resumed_within_a_response_stays_at_its_version(
         self, fleet, entry
@@ -209,10 +238,14 @@
                 entry, "ask", stream=6, last_event_id="3", resumes="lost"
             )
 
-        # Another version may have served until shortly before this entry started.
+        # Another version may have served until shortly before this entry started, as
+        # far as the restored store tells.
+        await wait_for_record(entry)
+        fleet.platform.restore(fleet.platform.revision)
+        await wait_until(lambda: entry.events("store_restored"))
         self.assertThat((await take_up()).status, Equals(503))
         self.assertThat(self.runs(fleet), Equals([]))
-        entry.app._handler.resumption.history._lifetime_s = 0.2
+        entry.app._software.history._lifetime_s = 0.2
         await trio.sleep(0.3)
         response = await take_up()
         self.assertThat((response.status, event_count(response)), Equals((200, 3)))
@@ -253,3 +286,118 @@
         broken = await fleet.call(entry, "once", stream=2 * CUT_AFTER)
         rest = await resume(fleet, other, "once", broken, 2 * CUT_AFTER)
         self.check_whole(broken, rest, 2 * CUT_AFTER)
+
+
+class TestAllEntriesKilled(StreamSoftwareCase):
+    """Guards streams of which no entry knows any more what began them.
+
+    Refusing all of them breaks off what could go on; a wrong guess joins the text of
+    two software versions.
+    """
+
+    async def begin(self, fleet, *entries, count=STREAMS):
+        """Begin streams that break off, at the entries in turn."""
+        return [
+            await fleet.call(entries[n % len(entries)], "once", stream=2 * CUT_AFTER)
+            for n in range(count)
+        ]
+
+    async def take_up(self, fleet, entries, broken):
+        """Take streams up at the entries in turn; return the responses."""
+        return [
+            await resume(
+                fleet, entries[(n + 1) % len(entries)], "once", each, 2 * CUT_AFTER
+            )
+            for n, each in enumerate(broken)
+        ]
+
+    @run_with("with_fleet", **UNLIMITED_STORE)
+    async def test_streams_of_the_only_version_go_on_at_any_time_after_the_start(
+        self, fleet, entry
+    ):
+        entries = [entry, await join_entry(fleet, entry)]
+        await configure_single_attempts(fleet, *entries)
+        await wait_for_record(entry)
+        cut_streams(fleet)
+        for after_s in (0.0, 0.2, 1.0):
+            broken = await self.begin(fleet, *entries, count=4)
+            entries = await restart_all(fleet, entries)
+            await trio.sleep(after_s)
+            for first, rest in zip(
+                broken, await self.take_up(fleet, entries, broken), strict=True
+            ):
+                self.check_whole(first, rest, 2 * CUT_AFTER)
+
+    @run_with("with_fleet", **UNLIMITED_STORE)
+    async def test_streams_of_two_versions_go_on_at_their_own(self, fleet, entry):
+        entries = [entry, await mix_software(fleet, entry)]
+        for after_s in (0.0, 1.0):
+            broken = await self.begin(fleet, *entries)
+            self.assertThat(versions(*broken), Equals({"v1", "v2"}))
+            await trio.sleep(0.5)
+            entries = await restart_all(fleet, entries)
+            await trio.sleep(after_s)
+            for first, rest in zip(
+                broken, await self.take_up(fleet, entries, broken), strict=True
+            ):
+                self.check_whole(first, rest, 2 * CUT_AFTER)
+
+    @run_with("with_fleet", **UNLIMITED_STORE)
+    async def test_streams_of_a_version_that_has_left_are_refused(self, fleet, entry):
+        entries = [entry, await mix_software(fleet, entry)]
+        broken = await self.begin(fleet, *entries)
+        await trio.sleep(0.5)
+
+        async def leave():
+            for name in ("m1", "m2"):
+                fleet.remove(fleet.servers[name])
+
+        entries = await restart_all(fleet, entries, leave)
+        taken_up = await self.take_up(fleet, entries, broken)
+        for first, rest in zip(broken, taken_up, strict=True):
+            if versions(first) == {"v2"}:
+                self.check_whole(first, rest, 2 * CUT_AFTER)
+            else:
+                self.assertThat(
+                    (rest.status, rest.body), Equals((503, b"other_software"))
+                )
+        self.assertTrue(versions(*broken) == {"v1", "v2"})
+
+    @run_with("with_fleet", **UNLIMITED_STORE)
+    async def test_streams_begun_before_the_only_version_was_replaced_are_refused(
+        self, fleet, entry
+    ):
+        entries = [entry, await join_entry(fleet, entry)]
+        await configure_single_attempts(fleet, *entries)
+        await wait_for_record(entry)
+        cut_streams(fleet)
+        broken = await self.begin(fleet, *entries, count=4)
+        runs = len(self.runs(fleet))
+
+        async def replace():
+            await update_software(fleet, [], {"m1": "v2", "m2": "v2"})
+
+        entries = await restart_all(fleet, entries, replace)
+        for _ in range(3):
+            for response in await self.take_up(fleet, entries, broken):
+                self.assertThat(
+                    (response.status, response.body), Equals((503, b"unknown_stream"))
+                )
+            await trio.sleep(0.5)
+        self.assertThat(len(self.runs(fleet)), Equals(runs))
+
+    @run_with("with_fleet", **UNLIMITED_STORE)
+    async def test_streams_in_progress_are_recorded_once_a_second_version_serves(
+        self, fleet, entry
+    ):
+        entries = [entry, await join_entry(fleet, entry)]
+        await configure_single_attempts(fleet, *entries)
+        await wait_for_record(entry)
+        cut_streams(fleet)
+        broken = await self.begin(fleet, *entries, count=4)
+        await update_software(fleet, entries, {"m3": "v2", "m4": "v2"})
+        await trio.sleep(0.5)
+        entries = await restart_all(fleet, entries)
+        taken_up = await self.take_up(fleet, entries, broken)
+        for first, rest in zip(broken, taken_up, strict=True):
+            self.check_whole(first, rest, 2 * CUT_AFTER)
