Believe a refusal only if it names the request

Other operators report that a faulty server wrote an earlier refusal once more, so that requests which ran were answered as not run, or ran at a second server.

Here each attempt has a connection of its own, and a refusal that names another request was no answer already. A refusal that names none was believed: a server that ran the request and wrote one made an entry send it to a second server.

Cause: the identifier was compared only if the response had one.

Change: servers name the request in each response, so a refusal without a name says nothing, and the request may have run. Stand-ins name it in refusals now, as servers do.

Ruled out: connections that requests share (a test shows that there are none).

Test that failed before: test_refusal_that_names_no_request_says_nothing (200 of a second server in place of 502). The other three of test_earlier_refusals.py guard what held.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -328,7 +328,7 @@
             choice.candidate.own_load.record_retry_after(
                 self.clock(), head.retry_after_s
             )
-        if head.request_id and head.request_id != job.request.id:
+        if _may_be_foreign(head, job.request.id):
             raise self._rejected(job, choice, "foreign_answer", Verdict.MAY_HAVE_RUN)
         if head.status != MISDIRECTED_STATUS:
             # Another server at the address gives the status, and names its own limit.
@@ -576,6 +576,17 @@
     """A server sends more than a stream may have."""
 
 
+def _may_be_foreign(head: ResponseHeaders, request_id: str) -> bool:
+    """Whether a response may belong to another request than that with an identifier.
+
+    A faulty server may send an earlier refusal once more. One that names no request
+    does not tell that this one has not run.
+    """
+    if not head.request_id:
+        return head.not_executed and bool(request_id)
+    return head.request_id != request_id
+
+
 def _encode_events(
     exchange: Exchange,
     response: ClientResponse,
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -295,7 +295,8 @@
     "broken_off": "the server's connection broke before the response was complete",
     "configuration_stale": "the configuration could not be confirmed before a denial",
     "connection_limit": "every server is at its connection limit",
-    "foreign_answer": "the server sent the response to another request",
+    "foreign_answer": "the server sent the response to another request, or a refusal "
+    "that does not name its request",
     "keys_stale": "the configuration is too old for an API key to be accepted",
     "loading_weights": "every server that could take the request is loading weights",
     "misdirected": "the address now belongs to another server or serves other weights",
--- a/src/foxtailcourse/standin/_backend_server.py
+++ b/src/foxtailcourse/standin/_backend_server.py
@@ -316,6 +316,7 @@
             await self._wait_for_pause()
         if expected_id != self.id:
             headers = {"x-foxtailcourse-instance-id": self.id}
+            headers[REQUEST_ID] = exchange.headers.get(REQUEST_ID, "")
             await exchange.respond(421, b"", headers)
         elif exchange.path == "/health":
             headers = {"x-foxtailcourse-instance-id": self.id}
@@ -391,10 +392,10 @@
         expected_version = exchange.headers.get("x-foxtailcourse-expected-version")
         if expected_version is not None and int(expected_version) != version:
             await self._wait_for_pause()
-            await exchange.respond(421, b"", {NOT_EXECUTED: "1"})
+            await exchange.respond(421, b"", _refusal_headers(exchange))
             return
         if self.faults.refuse or self.busy:
-            fields = {NOT_EXECUTED: "1"}
+            fields = _refusal_headers(exchange)
             if self.faults.retry_after:
                 fields["retry-after"] = self.faults.retry_after
             await self._wait_for_pause()
@@ -494,6 +495,11 @@
         await exchange.end_stream()
 
 
+def _refusal_headers(exchange: Exchange) -> dict[str, str]:
+    """Return the header fields of a response that a request has not run."""
+    return {REQUEST_ID: exchange.headers.get(REQUEST_ID, ""), NOT_EXECUTED: "1"}
+
+
 def part_names(headers: Mapping[str, str]) -> list[str]:
     """Return the names of the parts of a prompt, without the last one."""
     parts = headers.get("x-foxtailcourse-prompt-prefix", "").split(",")
