Change the shared cache salt when other accounts are isolated

Cause: the salt that all other accounts share is the version of the weights alone, so what the account had cached before stayed within everybody's reach.

Change: the shared salt holds a digest of the isolated accounts' names, with and without keys.

Ruled out: a salt that changes only if an account was not isolated before; an entry that starts later would not know it.

Test that failed before: test_what_an_account_cached_before_it_was_isolated_is_not_shared (there was no such input).

--- a/src/foxtailcourse/fleet/_types.py
+++ b/src/foxtailcourse/fleet/_types.py
@@ -1,6 +1,7 @@
 """Data types of the configuration, client accounts and backend servers."""
 
 import functools
+import hashlib
 from collections.abc import Mapping
 from enum import Enum
 
@@ -207,6 +208,8 @@
         Limits on callers.
     problems : tuple of str
         Values of quotas that were replaced because they make no sense, for the log.
+    isolated : frozenset of str
+        Names of the isolated accounts, those without an API key included.
     """
 
     version: int
@@ -216,6 +219,15 @@
     keys_required: bool
     limits: CallerLimits = CallerLimits()
     problems: tuple[str, ...] = ()
+    isolated: frozenset[str] = frozenset()
+
+    @functools.cached_property
+    def isolation(self) -> str:
+        """Digest of which accounts are isolated; empty if none is."""
+        if not self.isolated:
+            return ""
+        names = "\0".join(sorted(self.isolated))
+        return hashlib.blake2b(names.encode(), digest_size=4).hexdigest()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
--- a/src/foxtailcourse/ingress/_candidates.py
+++ b/src/foxtailcourse/ingress/_candidates.py
@@ -277,7 +277,7 @@
         """Return by how many tokens a request exceeds a server, and what it holds."""
         if request is None or not model or not self.memory.enabled:
             return 0, 0
-        salt = cache_salt(server.weights.get(model, 0), account)
+        salt = self._salt(server.weights.get(model, 0), account)
         total = self.loads.total(server.id, server.started_ms, now)
         tokens = self.memory.missing_tokens(
             held_request(request, salt),
@@ -288,6 +288,11 @@
         )
         return tokens, total.held_tokens
 
+    def _salt(self, version: int, account: Account | None) -> str:
+        configuration = self.view.configuration
+        isolation = configuration.isolation if configuration else ""
+        return cache_salt(version, account, isolation)
+
     def cache_tokens(self, service_name: str) -> int:
         """Return the memory of each server of a service in tokens, 0 if unknown."""
         configuration = self.view.configuration
@@ -310,7 +315,7 @@
             total_load=self.loads.total(server.id, server.started_ms, now),
             entry_count=len(self.view.entries) or ASSUMED_ENTRIES,
             cache_index=self.cache_indexes.setdefault(server.id, CacheIndex()),
-            salt=cache_salt(version, account) if model else "",
+            salt=self._salt(version, account) if model else "",
             outdated_weights=desired is not None and version < desired.version,
             transfer_token_s=self._transfer_token_s(server.service),
         )
@@ -349,8 +354,21 @@
     )
 
 
-def cache_salt(version: int, account: Account | None) -> str:
-    """Return the cache salt, which separates weights versions and isolated accounts."""
+def cache_salt(version: int, account: Account | None, isolation: str = "") -> str:
+    """Return the cache salt, which separates weights versions and isolated accounts.
+
+    The salt that other accounts share changes with ``isolation``, as an account may
+    have cached parts under it before it was isolated.
+
+    Parameters
+    ----------
+    version : int
+        Version of the weights.
+    account : Account or None
+        The client account, if it is known.
+    isolation : str
+        Which accounts are isolated, see ``Configuration``.
+    """
     if account is not None and account.isolated:
         return f"{version}/{account.name}"
-    return str(version)
+    return f"{version}.{isolation}" if isolation else str(version)
--- a/src/foxtailcourse/platform/_records.py
+++ b/src/foxtailcourse/platform/_records.py
@@ -306,6 +306,7 @@
         keys_required=raw.tenants is not None,
         limits=raw.limits.decode(),
         problems=tuple(problems[:MAX_PROBLEMS]),
+        isolated=frozenset(each.name for each in raw.tenants or () if each.isolated),
     )
 
 
--- a/tests/ingress/test_fleet_state.py
+++ b/tests/ingress/test_fleet_state.py
@@ -3,6 +3,7 @@
 import attrs
 import testtools
 from decision_case import NOW, make_limits, server
+from ingress_case import configuration
 from testtools.matchers import Equals
 
 from foxtailcourse.fleet import (
@@ -14,6 +15,7 @@
 from foxtailcourse.ingress._candidates import CandidateFilter, cache_salt
 from foxtailcourse.ingress._rollout import plan_weight_loads
 from foxtailcourse.ingress._server_loads import RemoteLoad, ServerLoad, ServerLoads
+from foxtailcourse.platform._records import decode_configuration
 
 
 class TestServerLoads(testtools.TestCase):
@@ -175,6 +177,25 @@
         self.assertThat(len(set(salts)), Equals(6))
         self.assertThat(cache_salt(1, shared), Equals(cache_salt(1, None)))
 
+    def test_what_an_account_cached_before_it_was_isolated_is_not_shared(self):
+        shared = Account(name="t", priority=0, isolated=False)
+        salts = {}
+        for isolated in ((), ("w",), ("v",), ("v", "w")):
+            tenants = [
+                # An account without keys has cached parts all the same.
+                {"name": name, "apiKeys": [], "isolated": name in isolated}
+                for name in ("w", "v", "t")
+            ]
+            for order in (tenants, tenants[::-1]):
+                decoded = decode_configuration(configuration(accounts=order))
+                salt = cache_salt(1, shared, decoded.isolation)
+                salts.setdefault(isolated, set()).add(salt)
+        self.assertThat(salts[()], Equals({cache_salt(1, None)}))
+        self.assertThat({len(each) for each in salts.values()}, Equals({1}))
+        self.assertThat(len(set.union(*salts.values())), Equals(len(salts)))
+        own = Account(name="w", priority=0, isolated=True)
+        self.assertThat(cache_salt(1, own, "x"), Equals(cache_salt(1, own, "y")))
+
 
 class TestRolloutPlan(testtools.TestCase):
     """Guards how many servers load weights concurrently."""
