Keep the leader's key for half a lease after the last order of a stop

Cause: a leader that is stopped gave up its key at once, and the next one waits for half of a lease and 0.2 s only, as the former one usually stops ordering half a lease before its lease can end.

Change: a leader that stops gives no more orders and releases the key half a lease after the end of its last order; without a recent one at once, as before.

Ruled out: a whole lease as the pause of each new leader, which would delay weight loads after each kill.

Tests that failed before: two of TestStoppingLeader (1.85 s between orders, with record_order left out of the test as it did not exist); the third guards that a stop without a recent order costs no time.

--- a/src/foxtailcourse/ingress/_lease.py
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -113,6 +113,7 @@
         self._era_seen_at = float("-inf")
         self._registered = False
         self._may_lead = True
+        self._ordered_at = float("-inf")
         # A key of the leader that names this entry and that it does not hold: its
         # revision, and when it was first seen.
         self._former_key: tuple[int, float] = 0, float("inf")
@@ -124,11 +125,24 @@
         """Whether this entry may give orders at time ``now``."""
         return (
             self.fence > 0
+            and self._may_lead
             and self._store.era == self._era
             and now >= self._may_order_from
             and now < self._valid_until - LEADERSHIP_MARGIN_FRACTION * self._ttl_s
         )
 
+    def record_order(self, now: float) -> None:
+        """Record that this entry sends an order, or that one may have arrived."""
+        self._ordered_at = now
+
+    def _release_in_s(self, now: float) -> float:
+        """Return how long the key must be kept after the last order, in seconds.
+
+        The next leader waits for the rest of the time to live.
+        """
+        kept_s = LEADERSHIP_MARGIN_FRACTION * self._ttl_s
+        return max(0.0, self._ordered_at + kept_s - now)
+
     async def run(self) -> None:
         """Keep the lease and compete for leadership until cancelled."""
         while True:
@@ -140,9 +154,11 @@
                 if not self.lease:
                     continue
                 # A key that names this entry while it does not lead may be its own.
-                if not self._may_lead and self._names_this_entry:
-                    await self.release()
-                elif self._may_lead and not self.fence and self._may_be_vacant:
+                if not self._may_lead:
+                    is_due = self._release_in_s(self._clock()) == 0
+                    if self._names_this_entry and is_due:
+                        await self.release()
+                elif not self.fence and self._may_be_vacant:
                     await self._acquire_leadership()
             except LeaseLostError:
                 self._discard_lease("lease_lapsed")
@@ -187,13 +203,17 @@
         return True
 
     async def stand_down(self) -> None:
-        """Give up leadership for good, so that another entry can lead at once.
+        """Give up leadership for good, so that another entry can lead soon.
 
-        The entry stays registered while it finishes its requests.
+        The entry gives no more orders, and keeps the key for a while after the last
+        one. It stays registered while it finishes its requests.
         """
         self._may_lead = False
-        if self.fence or self._names_this_entry:
-            await self.release()
+        while self.fence or self._names_this_entry:
+            pause_s = self._release_in_s(self._clock())
+            if pause_s == 0:
+                return await self.release()
+            await trio.sleep(pause_s)
 
     async def release(self) -> None:
         """Revoke the lease, and with it the registration and leadership."""
--- a/src/foxtailcourse/ingress/_rollout.py
+++ b/src/foxtailcourse/ingress/_rollout.py
@@ -247,17 +247,17 @@
         # Leadership may have ended while waiting for the report.
         if not self._lease.may_order(now):
             return OrderOutcome.REFUSED
-        outcome = await self._client.send_order(
-            server.address,
-            LoadOrder(
-                instance=server.id,
-                model=load.model,
-                version=load.version,
-                accepted_orders=report.accepted_orders,
-                holder=self._vm,
-                fence=self._lease.fence,
-            ),
+        order = LoadOrder(
+            instance=server.id,
+            model=load.model,
+            version=load.version,
+            accepted_orders=report.accepted_orders,
+            holder=self._vm,
+            fence=self._lease.fence,
         )
+        self._lease.record_order(now)
+        outcome = await self._client.send_order(server.address, order)
+        self._lease.record_order(self._clock())
         self._metrics.count("foxtail_ingress_orders_total", outcome=outcome.value)
         self._events.emit(
             "order_given",
--- a/tests/ingress/test_lease.py
+++ b/tests/ingress/test_lease.py
@@ -171,11 +171,8 @@
         self.run_async(main)
 
 
-class TestLostAnswers(AsyncTestCase):
-    """Guards against a leader that does not know that it is the leader.
-
-    Its lease keeps the key from all others, so that nobody orders weight loads.
-    """
+class TwoEntriesCase(AsyncTestCase):
+    """Runs two entries that compete for leadership."""
 
     def with_entries(self, check):
         """Run two entries that learn of the leader as by a watch, on virtual time."""
@@ -205,6 +202,13 @@
 
         self.run_async(main, clock=MockClock(autojump_threshold=0))
 
+
+class TestLostAnswers(TwoEntriesCase):
+    """Guards against a leader that does not know that it is the leader.
+
+    Its lease keeps the key from all others, so that nobody orders weight loads.
+    """
+
     @run_with("with_entries")
     async def test_entry_leads_although_the_answer_to_its_write_was_lost(
         self, nursery, store, first, second
@@ -282,3 +286,53 @@
         await trio.sleep(TTL_S)
         self.assertThat((first.fence, store.leader), Equals((0, b"e2")))
         self.assertTrue(first.lease and second.fence)
+
+
+class TestStoppingLeader(TwoEntriesCase):
+    """Guards the time between orders of a leader that stops and of the next one."""
+
+    async def stop_after(self, nursery, first, second, pause_s):
+        """Stop a leader some time after its order; return when the next one may."""
+        nursery.start_soon(first.run)
+        await trio.sleep(2 * TTL_S)
+        nursery.start_soon(second.run)
+        await trio.sleep(TTL_S)
+        first.record_order(trio.current_time())
+        ordered_at = trio.current_time()
+        await trio.sleep(pause_s)
+        nursery.start_soon(first.stand_down)
+        await trio.sleep(0.001)
+        self.assertFalse(first.may_order(trio.current_time()))
+        while not second.may_order(trio.current_time()):
+            await trio.sleep(0.01)
+        return trio.current_time() - ordered_at
+
+    @run_with("with_entries")
+    async def test_next_orders_follow_a_lease_after_the_last_one(
+        self, nursery, store, first, second
+    ):
+        after_s = await self.stop_after(nursery, first, second, 0.1)
+        self.assertTrue(TTL_S <= after_s < TTL_S + 1, after_s)
+        self.assertTrue(first.lease)
+
+    @run_with("with_entries")
+    async def test_leader_without_a_recent_order_gives_up_at_once(
+        self, nursery, store, first, second
+    ):
+        after_s = await self.stop_after(nursery, first, second, 10.0)
+        self.assertTrue(after_s < 10.0 + 0.75 * TTL_S, after_s)
+
+    @run_with("with_entries")
+    async def test_order_that_is_on_its_way_at_the_stop_counts(
+        self, nursery, store, first, second
+    ):
+        sent_at = []
+
+        async def order():
+            await trio.sleep(2 * TTL_S + TTL_S + 0.3)
+            first.record_order(trio.current_time())
+            sent_at.append(trio.current_time())
+
+        nursery.start_soon(order)
+        after_s = await self.stop_after(nursery, first, second, 0.1)
+        self.assertTrue(after_s - 0.3 >= TTL_S, after_s)
