--- a/tests/ingress/test_stream_software.py
+++ b/tests/ingress/test_stream_software.py
@@ -401,3 +401,21 @@
         taken_up = await self.take_up(fleet, entries, broken)
         for first, rest in zip(broken, taken_up, strict=True):
             self.check_whole(first, rest, 2 * CUT_AFTER)
+
+    @run_with("with_fleet", **UNLIMITED_STORE)
+    async def test_streams_go_on_at_an_entry_that_hears_no_other_one(
+        self, fleet, entry
+    ):
+        other = await mix_software(fleet, entry)
+        broken = await self.begin(fleet, entry)
+        await trio.sleep(0.5)
+
+        async def lose(message, to):
+            await trio.lowlevel.checkpoint()
+
+        other.app._peer_exchange.origins.send = lose
+        other.app._peer_exchange.origins.origins._origins.clear()
+        for first, rest in zip(
+            broken, await self.take_up(fleet, [other], broken), strict=True
+        ):
+            self.check_whole(first, rest, 2 * CUT_AFTER)
