Send different requests in the test of streams that break again

What was seen: 16 to 18 of 24 streams marked broken in about half of the runs of test_streams_that_break_again_use_the_retry_budget, the others got 503 (KNOWN-RED.txt). Callers saw nothing; the fault is the test's.

Cause, as KNOWN-RED.txt has it: the 24 streams were one request of one caller, which breaks off after its first event at each agent, so the entry refuses it as one that crashes servers. That is what it promises.

Change: each stream asks another question. The number of streams, the bound on attempts and the check that all are marked stay as they are.

--- a/tests/entry/test_continuation.py
+++ b/tests/entry/test_continuation.py
@@ -86,10 +86,12 @@
         """Read STREAMS streams at once; return how many satisfy the predicate."""
         bodies = []
 
-        async def read_one():
-            bodies.append(await read_stream(entry, TOKENS))
+        async def read_one(number):
+            # One request that breaks off at each server would be refused.
+            content = f"question {number}"
+            bodies.append(await read_stream(entry, TOKENS, content))
 
         async with trio.open_nursery() as nursery:
-            for _ in range(STREAMS):
-                nursery.start_soon(read_one)
+            for number in range(STREAMS):
+                nursery.start_soon(read_one, number)
         return sum(bool(predicate(body, TOKENS)) for body in bodies)
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -259,11 +259,11 @@
         self.stream(flood, check, n_agents=1, send_timeout_s=0.1)
 
 
-async def read_stream(entry, max_tokens=5):
+async def read_stream(entry, max_tokens=5, content="ciao"):
     """Return the body of a stream, which may be cut."""
     value = {
         "model": "guide",
-        "messages": [{"role": "user", "content": "ciao"}],
+        "messages": [{"role": "user", "content": content}],
         "stream": True,
         "max_tokens": max_tokens,
     }
