Forget the revision of a former leader's key when the era changes

Cause: the revision of a key that a former process wrote was kept across a restore of the store, which assigns revisions again, so another leader's key could have been replaced by it.

Change: a new era forgets it.

Test that failed before: test_revision_of_an_earlier_era_replaces_no_key (revision 7 in place of 0, with the change taken out).

Measured: that test passes.

--- a/src/foxtailcourse/ingress/_lease.py
+++ b/src/foxtailcourse/ingress/_lease.py
@@ -31,6 +31,8 @@
 # A key that names this entry under another lease is replaced after this multiple of the
 # time to live.
 FORMER_KEY_TTLS = 1.5
+# Revision of no key, first seen never.
+NO_KEY: tuple[int, float] = 0, float("inf")
 
 # The pause between two renewals varies by this fraction of it.
 RENEWAL_JITTER = 0.2
@@ -116,7 +118,7 @@
         self._ordered_at = float("-inf")
         # A key of the leader that names this entry and that it does not hold: its
         # revision, and when it was first seen.
-        self._former_key: tuple[int, float] = 0, float("inf")
+        self._former_key = NO_KEY
         self.lease = ""
         self.fence = 0
         self.registration = b""
@@ -200,6 +202,8 @@
         if self._store.era == self._era:
             return False
         self._era, self._era_seen_at = self._store.era, self._clock()
+        # Revisions are comparable within an era only.
+        self._former_key = NO_KEY
         return True
 
     async def stand_down(self) -> None:
@@ -299,7 +303,7 @@
         revision, seen_at = self._former_key
         if now - seen_at < FORMER_KEY_TTLS * self._ttl_s:
             return 0
-        self._former_key = 0, float("inf")
+        self._former_key = NO_KEY
         return revision
 
     def _discard_lease(self, reason: str) -> None:
--- a/src/foxtailcourse/process/_supervision.py
+++ b/src/foxtailcourse/process/_supervision.py
@@ -68,7 +68,7 @@
         """Run a coroutine function until it returns or is cancelled.
 
         It is called again after each exception, so a call must not depend on how far
-        the one before it came. Programs whose calls share a name share its pauses.
+        the one before it came. Tasks with the same name share its pauses.
 
         Parameters
         ----------
--- a/tests/ingress/test_lease.py
+++ b/tests/ingress/test_lease.py
@@ -273,6 +273,19 @@
         self.assertTrue(first.fence > 7)
         self.assertTrue(first.may_order(trio.current_time()))
 
+    @run_with("with_entries")
+    async def test_revision_of_an_earlier_era_replaces_no_key(
+        self, nursery, store, first, second
+    ):
+        held = KeyValue(key=ORDERS_KEY, value=b"e1", mod_revision=7, lease="copy")
+        for era, expected in ((0, 7), (1, 0)):
+            first._note_former_key(held)
+            store.era = era
+            first._note_era()
+            await trio.sleep(2 * TTL_S)
+            revision = first._replaceable_revision(trio.current_time())
+            self.assertThat(revision, Equals(expected), era)
+
     @run_with("with_entries")
     async def test_entry_that_stops_gives_up_a_key_that_it_does_not_know_it_holds(
         self, nursery, store, first, second
