--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -18,7 +18,12 @@
 from foxtailcourse.entry._relay import Relay
 from foxtailcourse.entry._settings import EntrySettings
 from foxtailcourse.http import ConnectionPool, Exchange, HttpServer
-from foxtailcourse.process import AdminServer, DaemonContext, Readiness
+from foxtailcourse.process import (
+    AdminServer,
+    DaemonContext,
+    Readiness,
+    TaskSupervisor,
+)
 from foxtailcourse.routing import PlacementSettings, PrefixPlacement
 from foxtailcourse.settings import Address
 from foxtailcourse.sharing import AccountLimiter
@@ -100,8 +105,14 @@
             daemon.events,
             daemon.metrics,
         )
+        self._supervisor = TaskSupervisor(
+            daemon.events, daemon.metrics, trio.current_time
+        )
         self._server = HttpServer(
-            self._gateway.handle, cfg.http_limits(), self._on_error
+            self._gateway.handle,
+            cfg.http_limits(),
+            self._on_error,
+            on_failure=self._on_connection_failed,
         )
 
     def readiness(self) -> Readiness:
@@ -138,9 +149,12 @@
             await nursery.start(admin.serve, self._daemon.cfg.admin_listen)
             closed = trio.Event()
             await nursery.start(self._serve_requests, closed)
-            nursery.start_soon(self._follow_config)
-            nursery.start_soon(self._demand_exchange.run)
-            nursery.start_soon(self._crash_exchange.run)
+            for task, run in {
+                "follow_configuration": self._follow_config,
+                "exchange_demand": self._demand_exchange.run,
+                "exchange_crashes": self._crash_exchange.run,
+            }.items():
+                nursery.start_soon(self._supervisor.keep_running, task, run)
             self._daemon.events.emit("entry_listening", port=self.address.port)
             task_status.started()
             await self._daemon.stopping.wait()
@@ -191,6 +205,9 @@
         with trio.move_on_after(END_TIMEOUT_S):
             await closed.wait()
 
+    def _on_connection_failed(self, exc: Exception) -> None:
+        self._supervisor.record_failure("serve_connection", exc, trio.current_time())
+
     def _on_error(self, exchange: Exchange, exc: Exception) -> None:
         self._daemon.metrics.count("foxtail_entry_requests_total", code="internal")
         self._daemon.events.emit("request_failed", path=exchange.path, error=repr(exc))
