Check streams that are taken up in one place

Four tests of TestAllEntriesKilled repeated the loop that takes streams up and checks each one. It is check_go_on now, with the same assertions.

--- a/tests/ingress/test_stream_software.py
+++ b/tests/ingress/test_stream_software.py
@@ -311,6 +311,12 @@
             for n, each in enumerate(broken)
         ]
 
+    async def check_go_on(self, fleet, entries, broken):
+        """Check that each stream goes on at its version when it is taken up."""
+        taken_up = await self.take_up(fleet, entries, broken)
+        for first, rest in zip(broken, taken_up, strict=True):
+            self.check_whole(first, rest, 2 * CUT_AFTER)
+
     @run_with("with_fleet", **UNLIMITED_STORE)
     async def test_streams_of_the_only_version_go_on_at_any_time_after_the_start(
         self, fleet, entry
@@ -323,10 +329,7 @@
             broken = await self.begin(fleet, *entries, count=4)
             entries = await restart_all(fleet, entries)
             await trio.sleep(after_s)
-            for first, rest in zip(
-                broken, await self.take_up(fleet, entries, broken), strict=True
-            ):
-                self.check_whole(first, rest, 2 * CUT_AFTER)
+            await self.check_go_on(fleet, entries, broken)
 
     @run_with("with_fleet", **UNLIMITED_STORE)
     async def test_streams_of_two_versions_go_on_at_their_own(self, fleet, entry):
@@ -337,10 +340,7 @@
             await trio.sleep(0.5)
             entries = await restart_all(fleet, entries)
             await trio.sleep(after_s)
-            for first, rest in zip(
-                broken, await self.take_up(fleet, entries, broken), strict=True
-            ):
-                self.check_whole(first, rest, 2 * CUT_AFTER)
+            await self.check_go_on(fleet, entries, broken)
 
     @run_with("with_fleet", **UNLIMITED_STORE)
     async def test_streams_of_a_version_that_has_left_are_refused(self, fleet, entry):
@@ -398,9 +398,7 @@
         await update_software(fleet, entries, {"m3": "v2", "m4": "v2"})
         await trio.sleep(0.5)
         entries = await restart_all(fleet, entries)
-        taken_up = await self.take_up(fleet, entries, broken)
-        for first, rest in zip(broken, taken_up, strict=True):
-            self.check_whole(first, rest, 2 * CUT_AFTER)
+        await self.check_go_on(fleet, entries, broken)
 
     @run_with("with_fleet", **UNLIMITED_STORE)
     async def test_streams_go_on_at_an_entry_that_hears_no_other_one(
@@ -415,7 +413,4 @@
 
         other.app._peer_exchange.origins.send = lose
         other.app._peer_exchange.origins.origins._origins.clear()
-        for first, rest in zip(
-            broken, await self.take_up(fleet, [other], broken), strict=True
-        ):
-            self.check_whole(first, rest, 2 * CUT_AFTER)
+        await self.check_go_on(fleet, [other], broken)
