Hold the first server until the next ones are known in the test of errors

Cause: the first server broke off 0.09 s after its first event, and the entry had to learn of the next ones within that time. Under load it had not, so the stream was cut as no other server was known. The fault is the test's.

Change: the first server pauses after its first event until the entry knows the others.

--- a/tests/ingress/test_errors_after_events.py
+++ b/tests/ingress/test_errors_after_events.py
@@ -59,6 +59,19 @@
 }
 
 
+class BreakingServer(BackendServerStandin):
+    """A server that pauses after its first event and breaks off some events later."""
+
+    def __init__(self, name):
+        super().__init__(name, "llm", {MODEL: 1}, event_s=0.01)
+        self.faults = BackendServerFaults(cut_after_events=CUT_AFTER)
+        self.released = trio.Event()
+
+    async def _wait_for_pause(self):
+        if self.runs and self.runs[0].events:
+            await self.released.wait()
+
+
 class TestErrorsAfterEvents(IngressCase):
     """Guards a stream that has begun against what the next server answers.
 
@@ -72,8 +85,7 @@
         Also returns the events that the first server sends before it breaks off.
         ``others`` are servers that register together with the next one.
         """
-        first = BackendServerStandin(f"first-{number}", "llm", {MODEL: 1}, event_s=0.03)
-        first.faults = BackendServerFaults(cut_after_events=CUT_AFTER)
+        first = BreakingServer(f"first-{number}")
         second = BackendServerStandin(f"second-{number}", "llm", {MODEL: 1})
         fleet.addresses[second.id] = await serve_bytes(fleet._nursery, response)
         for server in fleet.servers.values():
@@ -97,6 +109,9 @@
             fleet.register(second)
             for server in others:
                 await fleet.add_server(server)
+            names = {each.id for each in (first, second, *others)}
+            await wait_until(lambda: names <= known.keys())
+            first.released.set()
         request_id = first.runs[0].request_id
         events = [stream_event(request_id, n) for n in range(1, CUT_AFTER + 1)]
         return results[0], b"".join(events)
