--- a/tests/ingress/crash_simulation.py
+++ b/tests/ingress/crash_simulation.py
@@ -49,6 +49,7 @@
     """An entry, with what keeps it from its work at present."""
 
     name: str
+    settle_s: float = SETTLE_S
     started_at: float = 0.0
     ready: bool = False
     frozen: bool = False
@@ -72,7 +73,7 @@
         return self.names
 
     def is_settled(self, now):
-        return now - self.started_at >= SETTLE_S
+        return now - self.started_at >= self.settle_s
 
 
 @attrs.define
@@ -122,13 +123,32 @@
     """Entries, servers and callers with a seeded course of faults.
 
     ``heads`` is the fraction of prompts that are lost after the head of the response.
+    ``crash_s`` is the range of times after which a deadly request crashes its server,
+    in addition to that of a sound one. Each deadly request comes for ``deadly_s`` from
+    so many callers. An entry has a share of the limits ``settle_s`` after its start.
     """
 
-    def __init__(self, seed, *, loss=0.1, heads=1.0, with_faults=True):
+    def __init__(
+        self,
+        seed,
+        *,
+        loss=0.1,
+        heads=1.0,
+        with_faults=True,
+        entries=4,
+        crash_s=(0.0, 0.0),
+        deadly_s=DEADLY_S,
+        deadly_callers=1,
+        settle_s=SETTLE_S,
+    ):
         self.rng, self.loss, self.with_faults = random.Random(seed), loss, with_faults
-        self.heads, entries, servers = heads, 4, 4
+        self.heads, servers = heads, 4
+        self.crash_s, self.deadly_s = crash_s, deadly_s
+        self.deadly_callers, self.settle_s = deadly_callers, settle_s
         self.names = frozenset(f"e{number}" for number in range(entries))
-        self.entries = {name: SimulatedEntry(name) for name in sorted(self.names)}
+        self.entries = {
+            name: SimulatedEntry(name, settle_s=settle_s) for name in sorted(self.names)
+        }
         self.servers = [SimulatedServer(ServerRun(f"c{n}", 1)) for n in range(servers)]
         self.store, self.store_down = {}, False
         self.outcomes: list[Outcome] = []
@@ -147,7 +167,8 @@
                 self.nursery.start_soon(self._inject_faults, seconds)
             self.nursery.start_soon(self._crash_servers, seconds)
             async with trio.open_nursery() as callers:
-                callers.start_soon(self._send_deadly, seconds)
+                for _ in range(self.deadly_callers):
+                    callers.start_soon(self._send_deadly, seconds)
                 for number in range(6):
                     callers.start_soon(self._send_sound, callers, number, seconds)
             self.nursery.cancel_scope.cancel()
@@ -286,7 +307,7 @@
     async def _send_deadly(self, seconds):
         end = trio.current_time() + seconds
         while (now := trio.current_time()) < end:
-            request = SHARED | {f"r-deadly{now // DEADLY_S:.0f}"}
+            request = SHARED | {f"r-deadly{now // self.deadly_s:.0f}"}
             await self._send_repeatedly(request, deadly=True)
             await trio.sleep(self.rng.uniform(*PAUSE_S))
 
@@ -338,7 +359,10 @@
         """Run a request at a server; return whether the entry has its response."""
         run, sent_at = server.run, trio.current_time()
         exchange.record_sent(outcome.request)
-        await trio.sleep(self.rng.uniform(*RUN_S))
+        run_s = self.rng.uniform(*RUN_S)
+        if outcome.deadly:
+            run_s += self.rng.uniform(*self.crash_s)
+        await trio.sleep(run_s)
         is_broken = run != server.run
         if outcome.deadly and not is_broken:
             runs = self.deadly_runs.setdefault(outcome.request, [])
--- a/tests/ingress/test_crash_simulation.py
+++ b/tests/ingress/test_crash_simulation.py
@@ -13,6 +13,15 @@
 CRASHES, MAX_LATE_RUNS, DELAY_S = 3, 3, 3.0
 SEEDS = range(20)
 SECONDS = 60.0
+# Longer than the first two blocks of a request, as many callers repeat it that each
+# server crashes only seconds after it got it.
+LONG_S = 200.0
+SLOW_CRASHES = {
+    "crash_s": (0.0, 3.0),
+    "deadly_s": 2 * LONG_S,
+    "deadly_callers": 6,
+    "settle_s": 12.0,
+}
 # Sound requests that may be blocked, as they were lost in two crashes by chance.
 MAX_BLOCKED = 0.02
 
@@ -20,7 +29,7 @@
 class TestCrashSimulation(testtools.TestCase):
     """Guards the count of a request that crashes servers while entries fail."""
 
-    def play(self, seed, **options):
+    def play(self, seed, seconds=SECONDS, **options):
         simulation = Simulation(seed, **options)
         clock = trio.testing.MockClock(autojump_threshold=0)
         # The scheduler of trio chooses the order of tasks by chance.
@@ -29,13 +38,13 @@
             _r=random.Random(seed),
             _ALLOW_DETERMINISTIC_SCHEDULING=True,
         ):
-            trio.run(simulation.run, SECONDS, clock=clock)
+            trio.run(simulation.run, seconds, clock=clock)
         return simulation
 
-    def late_runs(self, **options):
+    def late_runs(self, seeds=SEEDS, **options):
         """Return the seeds on which a request runs too often, with the runs."""
         late = {}
-        for seed in SEEDS:
+        for seed in seeds:
             found = self.play(seed, **options).late_deadly_runs(CRASHES, DELAY_S)
             if len(found) > MAX_LATE_RUNS:
                 late[seed] = found
@@ -53,6 +62,22 @@
             counts = [len(runs) for runs in simulation.deadly_runs.values()]
             self.assertTrue(max(counts) <= CRASHES, f"seed {seed}: {counts}")
 
+    def test_entries_do_not_all_try_a_slow_deadly_request_at_the_end_of_a_block(self):
+        for entries in (3, 8):
+            late = self.late_runs(
+                seeds=range(4),
+                seconds=LONG_S,
+                with_faults=False,
+                loss=0.0,
+                entries=entries,
+                **SLOW_CRASHES,
+            )
+            self.assertThat(late, Equals({}), f"{entries} entries")
+
+    def test_entries_do_not_all_try_a_slow_deadly_request_while_entries_fail(self):
+        late = self.late_runs(seeds=range(6), seconds=LONG_S, **SLOW_CRASHES)
+        self.assertThat(late, Equals({}))
+
     def check_sound_requests(self, seeds=SEEDS, **options):
         for seed in seeds:
             simulation = self.play(seed, **options)
