--- a/src/foxtailcourse/crashes/_suspicions.py
+++ b/src/foxtailcourse/crashes/_suspicions.py
@@ -498,11 +498,11 @@
         trial_until = self._trials.get(parts, float("-inf")) + TRIAL_TIMEOUT_S
         return max(0.0, own_turn_at - now, trial_until - now)
 
-    def record_sent(self, request: Parts, now: float) -> None:
-        """Record a request; with parts that were blocked, it is a trial."""
-        for parts in self._blocks:
-            if parts <= request:
-                self._trials[parts] = now
+    def record_sent(self, request: Parts, now: float) -> dict[Parts, Block]:
+        """Record a request; return the ended blocks of which it is a trial."""
+        tried = {k: v for k, v in self._blocks.items() if k <= request}
+        self._trials |= dict.fromkeys(tried, now)
+        return tried
 
     def record_answered(self, request: Parts, now: float) -> list[Parts]:
         """Record that a server answers a request; return the blocks that this ends."""
--- a/src/foxtailcourse/http/_exchange.py
+++ b/src/foxtailcourse/http/_exchange.py
@@ -32,6 +32,8 @@
 MAX_ANNOUNCED_IDLE_S = 3600.0
 # Period in which a blocked connection is checked for bytes that the caller accepted.
 PROGRESS_CHECK_S = 0.5
+# Position in Linux's ``struct tcp_info`` of the milliseconds since the last data.
+TCP_INFO_BYTES, LAST_DATA_OFFSET = 56, 52
 # Limits on reading the rest of a request after an error response.
 LINGER_S = 1.0
 # Time in which a request that crossed the close of an idle connection is noticed.
@@ -91,6 +93,8 @@
         Whether sending the response has begun.
     common_fields : dict of str to str
         Header fields that are added to the response, whatever its status.
+    read_late_s : float
+        For how long the beginning of the request had waited to be read, in seconds.
 
     Raises
     ------
@@ -118,9 +122,15 @@
             self.headers[key] = value.decode("latin-1")
         self.response_started = False
         self.common_fields: dict[str, str] = {}
+        self.read_late_s = conn.read_late_s
+        self._arrived_at = conn.arrived_at
         self._closing = False
         self.body = b""
 
+    def age_s(self) -> float:
+        """Return how long ago the request began to arrive, in seconds."""
+        return trio.current_time() - self._arrived_at
+
     def json(self) -> object:
         """Return the decoded JSON body; raises HttpError if it is malformed."""
         try:
@@ -295,6 +305,24 @@
     return struct.unpack("i", data)[0]
 
 
+def _since_last_data_s(stream: trio.SocketStream) -> float:
+    """Return how long ago the last data of a connection arrived, in seconds.
+
+    It may have waited in the accept queue or the receive buffer. 0 if the system does
+    not tell.
+    """
+    try:
+        info = stream.socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+    except OSError:
+        return 0.0
+    if len(info) < TCP_INFO_BYTES:
+        return 0.0
+    (age_ms,) = struct.unpack_from("@I", info, LAST_DATA_OFFSET)
+    return age_ms / 1000
+
+
 def _response(status: int, fields: Mapping[str, str]) -> h11.Response:
     encoded = [
         (name.encode("ascii"), _clean_header_value(value))
@@ -343,6 +371,11 @@
         self._unsent = False
         self.aborted = False
         self.served_requests = 0
+        # When the present request began to arrive, and how long it waited to be read.
+        self.arrived_at = self.accepted_at
+        self.read_late_s = 0.0
+        # When the first bytes behind the present request arrived; None without any.
+        self._next_arrived_at: float | None = None
 
     @property
     def limits(self) -> HttpLimits:
@@ -506,7 +539,12 @@
             data = await self._wait_for_bytes()
             if not data:
                 return None
+            self.read_late_s = _since_last_data_s(self.stream)
+            self.arrived_at = trio.current_time() - self.read_late_s
             self.h11.receive_data(data)
+        elif self._next_arrived_at is not None:
+            self.arrived_at, self.read_late_s = self._next_arrived_at, 0.0
+        self._next_arrived_at = None
         self._apply_header_limit()
         with trio.fail_after(self.limits.receive_timeout_s):
             with trio.fail_after(self.limits.header_timeout_s):
@@ -607,6 +645,8 @@
                 data = await self.stream.receive_some(MAX_READ_BYTES)
                 if not data:
                     break
+                if self._next_arrived_at is None:
+                    self._next_arrived_at = trio.current_time()
                 # h11 buffers a pipelined request until this response has been sent.
                 self.h11.receive_data(data)
                 if len(self.h11.trailing_data[0]) > self.limits.max_header_bytes:
--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -715,8 +715,12 @@
         """Finish all requests after the load balancer has removed this entry."""
         started = boot_seconds()
         self._draining = self._handler.draining = True
-        self._events.emit("drain_started", active=self._http_server.active)
         stop_s = self._cfg.stop_s - STOP_MARGIN_S
+        self._events.emit(
+            "drain_started",
+            active=self._http_server.active,
+            ends_in_ms=int(stop_s * 1000),
+        )
         notice_s = min(LOAD_BALANCER_NOTICE_S, stop_s)
         with trio.move_on_after(notice_s):
             await self._lease.stand_down()
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -703,6 +703,7 @@
         self, job: Job, choice: Choice, exc: AttemptError, retry_refusal: str
     ) -> None:
         self.metrics.count("foxtail_ingress_attempts_total", outcome=exc.reason)
+        budget = self.retry_budget_for(job.service)
         self.events.emit(
             "attempt_failed",
             request_id=job.request.id,
@@ -710,6 +711,8 @@
             reason=exc.reason,
             verdict=exc.verdict.value,
             no_retry=retry_refusal or None,
+            retries=budget.used,
+            retries_allowed=round(budget.allowed(self.clock()), 1),
             attempt=len(job.sent_to),
             age_ms=int((self.clock() - job.started) * 1000),
             last_event=job.last_event_id or None,
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -282,6 +282,7 @@
             account=account,
             service=backend.service,
             started=started,
+            read_s=exchange.age_s(),
             deadline=started + min(time_limits_s),
             last_event_id=request.last_event_id,
         )
@@ -459,6 +460,8 @@
             duration_ms=int((now - job.started) * 1000),
             prompt_tokens=job.request.prompt_tokens or None,
             held_ms=int(job.deferred_s * 1000) or None,
+            read_late_ms=int(job.exchange.read_late_s * 1000) or None,
+            read_ms=int(job.read_s * 1000) or None,
             queued_tokens=job.queued_tokens or None,
             to_read_tokens=int(choice.prefill_tokens) if choice else None,
             fetch_from=choice.fetch_from if choice else None,
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -31,6 +31,8 @@
         Service that the request is sent to.
     started : float
         When the request was received, in seconds since boot.
+    read_s : float
+        Time from its first byte until it was read and authorized, in seconds.
     deadline : float
         When the response must be complete, in seconds since boot.
     sent_to : list of str
@@ -96,6 +98,7 @@
     service: str
     started: float
     deadline: float
+    read_s: float = 0.0
     sent_to: list[str] = attrs.field(factory=list)
     unreachable: set[str] = attrs.field(factory=set)
     given_up: set[str] = attrs.field(factory=set)
--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -89,8 +89,18 @@
         return self.suspicions.wait_s(request, self._trial_rank, self.clock())
 
     def record_sent(self, request: Parts) -> None:
-        """Record a request that is sent to a server."""
-        self.suspicions.record_sent(request, self.clock())
+        """Record a request that is sent to a server, and log a trial."""
+        now = self.clock()
+        for parts, block in self.suspicions.record_sent(request, now).items():
+            self.events.emit(
+                "parts_tried",
+                parts=",".join(sorted(parts)),
+                times=block.times,
+                ended_ms=int((now - block.until) * 1000),
+                rank=self._trial_rank(parts),
+                entries=len(self.shares.members(now)),
+                is_settled=self.shares.is_settled(now),
+            )
 
     def record_broken_off(
         self, run: ServerRun, request: Parts, *, begun: bool, sent_at: float
--- a/src/foxtailcourse/ingress/_retry_budget.py
+++ b/src/foxtailcourse/ingress/_retry_budget.py
@@ -57,6 +57,21 @@
 
         With ``server_is_silent``, the request may still be answered by its server.
         """
+        allowed = self.allowed(now)
+        if server_is_silent:
+            allowed *= 1 - KEPT_FRACTION
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now)
+        return True
+
+    @property
+    def used(self) -> int:
+        """Retries in the window, as of the last decision."""
+        return len(self._retries)
+
+    def allowed(self, now: float) -> float:
+        """Return the retries that are allowed in the window that ends now."""
         self._expire(now)
         members = self.shares.members(now)
         entries = max(1, len(members))
@@ -68,13 +83,7 @@
             is_known = self.shares.vm in members
             few = (1 - USED_EXTRA_FRACTION) * self.extra
             extra = float(is_known and entries <= few)
-        allowed = USED_RATIO_FRACTION * self.ratio * len(self._requests) + extra
-        if server_is_silent:
-            allowed *= 1 - KEPT_FRACTION
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now)
-        return True
+        return USED_RATIO_FRACTION * self.ratio * len(self._requests) + extra
 
     def give_back(self) -> None:
         """Remove the latest retry, which was not sent."""
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -58,7 +58,8 @@
     "crash_recorded": "the requests that a server lost as it broke off were written to "
     "the store as `key` for `ttl_ms`",
     "drain_ended": "the drain ended with `active` requests in progress",
-    "drain_started": "the process is no longer ready but still serves requests",
+    "drain_started": "the process is no longer ready but still serves requests, for "
+    "at most `ends_in_ms` where that is known",
     "engine_incarnation": "the engine lost its cache; the block index was cleared",
     "engine_reachable": "the engine responds",
     "engine_unreachable": "the engine does not respond",
@@ -86,6 +87,8 @@
     "servers; `by_entry` names the entry that told, or `store`",
     "parts_cleared": "a server answered a request with `parts`, which are no longer "
     "blocked; `by_entry` names the entry that told, if it was another one",
+    "parts_tried": "a request with `parts` is sent `ended_ms` after the end of their "
+    "block, as the turn of this entry, `rank` of `entries`, has come",
     "parts_record_failed": "a record of blocked parts could not be written or removed; "
     "it is tried again",
     "parts_recorded": "blocked parts were written to the store as `key` for `ttl_ms`",
