Count a request's deadline from its first byte

Cause: Job.started was taken when the whole body had been read, so the wait in the accept queue, a busy event loop, a slow head and a slow body were given to the caller's deadline once more; and the header with the time left was encoded before the connection to the server was made. The class: a remaining time that is computed at another moment than the one it counts from or is used at.

Ruled out: repeats, whose deadline is that of the job.

The headers of an attempt are encoded when it can be sent.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -218,13 +218,8 @@
             If there is no response that may be forwarded to the caller.
         """
         server, load = choice.candidate.server, choice.candidate.own_load
-        now = job.attempt_sent_at = self.clock()
+        now = self.clock()
         attempts_before = len(job.sent_to)
-        headers = encode_attempt_headers(
-            job.request,
-            _attempt_headers(job, choice, store, job.deadline - now),
-            len(job.exchange.body),
-        )
         is_short = job.prompt is not None and not job.prompt.is_long
         is_plain = job.prompt is None
         watched = WatchedAttempt(
@@ -240,7 +235,7 @@
                 watched.scope,
             ):
                 response = await self._exchange(
-                    job, choice, headers, watched, on_first_event, conn
+                    job, choice, store, watched, on_first_event, conn
                 )
                 if is_plain and response is not None and response.status < 300:
                     on_first_event()
@@ -270,22 +265,31 @@
         self,
         job: Job,
         choice: Choice,
-        headers: dict[str, str],
+        store: Address | None,
         watched: WatchedAttempt,
         on_first_event: Callable[[], None],
         conn: ClientConnection | None,
     ) -> ServerResponse | None:
         """Make the HTTP request; returns and raises the same as ``run``."""
-        remaining_s = max(MIN_TIMEOUT_S, job.deadline - self.clock())
+        address = choice.candidate.server.address
         options = RequestOptions(
-            connect_timeout_s=self._connect_s(job),
-            idle_timeout_s=remaining_s,
-            reuse=False,
-            keep_alive=False,
+            connect_timeout_s=self._connect_s(job), reuse=False, keep_alive=False
         )
         try:
+            conn = conn or await self.pool.connect(address, options)
+            # Encoded once it can be sent, as the time left is one of the fields.
+            now = job.attempt_sent_at = self.clock()
+            remaining_s = job.deadline - now
+            headers = encode_attempt_headers(
+                job.request,
+                _attempt_headers(job, choice, store, remaining_s),
+                len(job.exchange.body),
+            )
+            options = attrs.evolve(
+                options, idle_timeout_s=max(MIN_TIMEOUT_S, remaining_s)
+            )
             async with self.pool.request(
-                choice.candidate.server.address,
+                address,
                 job.exchange.method,
                 job.exchange.target,
                 headers=headers,
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -268,9 +268,11 @@
     ) -> Job:
         """Authorize a request and pick its service; raises as ``_authorize`` does."""
         route, account = await self._authorize(request)
-        time_limits_s = [route.timeout_s]
+        read_s = exchange.age_s()
+        deadline = started - exchange.read_late_s + route.timeout_s
         if request.deadline_s is not None:
-            time_limits_s.append(request.deadline_s)
+            # The caller waits since it began to send.
+            deadline = min(deadline, self.clock() - read_s + request.deadline_s)
         split_weights = [max(0.0, each.weight) for each in route.backends]
         if not any(split_weights):
             raise RefusedError("no_server", NO_CONFIGURATION_RETRY_AFTER_S)
@@ -282,8 +284,8 @@
             account=account,
             service=backend.service,
             started=started,
-            read_s=exchange.age_s(),
-            deadline=started + min(time_limits_s),
+            read_s=read_s,
+            deadline=deadline,
             last_event_id=request.last_event_id,
         )
 
