Hand on in a planned stop only what ends before the process does

What callers saw: requests that came late in the grace of a planned stop, in calm, were passed on and cut at its end without an answer, also ones that may not be repeated (LOST).

Cause: no step that hands a request on knew when the process ends. The class: work accepted by a process without the time to finish it.

Ruled out: the close of the listeners and of idle connections, which lose nothing.

Change: a StopWindow, which a stop begins, tells whether work that may last until a time may be handed on. Until the load balancer knows of the stop, all may; then only what has its deadline before the end. The dispatcher asks it before each choice of a server (first send, repeat, resume, each check for admission), before it repeats and before it moves a request. What has not run is refused with 503 and a short Retry-After, a begun stream is cut at once so that its caller takes it up elsewhere.

--- a/src/foxtailcourse/ingress/_app.py
+++ b/src/foxtailcourse/ingress/_app.py
@@ -101,6 +101,8 @@
 # which callers receive the errors for requests that did not end in time.
 STOP_MARGIN_S = 0.4
 INTERRUPT_TIMEOUT_S = 0.2
+# Fraction of a short stop after which requests that may not end in time are refused.
+MAX_NOTICE_FRACTION = 0.5
 # Longest wait for the store when a stopped entry gives up its registration.
 RELEASE_TIMEOUT_S = 0.1
 # An entry that disappeared keeps its share of the limits that all entries keep together
@@ -722,6 +724,8 @@
             ends_in_ms=int(stop_s * 1000),
         )
         notice_s = min(LOAD_BALANCER_NOTICE_S, stop_s)
+        strict_s = min(notice_s, MAX_NOTICE_FRACTION * stop_s)
+        self._dispatcher.stop_window.begin(started, strict_s, stop_s)
         with trio.move_on_after(notice_s):
             await self._lease.stand_down()
         await trio.sleep(max(0.0, notice_s - (boot_seconds() - started)))
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -52,6 +52,7 @@
 from foxtailcourse.ingress._retry_budget import RetryBudget
 from foxtailcourse.ingress._server_memory import held_request
 from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.process import StopWindow
 from foxtailcourse.protocol import Verdict
 
 # A deferred prompt checks for capacity in this period, or in this fraction of its age
@@ -73,7 +74,10 @@
     "connection_limit": 0.3,
     "server_limits": 0.4,
     "all_tried": 0.15,
+    # Another entry can serve the request at once.
+    "stopping": 0.1,
 }
+STOPPING = "stopping"
 DEFAULT_RETRY_AFTER_S = 0.15
 # A server that crashes as it begins to answer may have sent the first event.
 MAX_EVENTS_BEFORE_CRASH = 1
@@ -123,6 +127,8 @@
         Fair shares of the client accounts; None without them.
     cost_trace : CostTrace or None
         Records the costs of the candidates, for an explanation.
+    stop_window : StopWindow
+        What this process may still hand on if it is stopping.
     """
 
     view: FleetView
@@ -139,6 +145,7 @@
     sizes: RequestSizes = attrs.field(factory=RequestSizes)
     shares: AccountShares | None = None
     cost_trace: CostTrace | None = None
+    stop_window: StopWindow = attrs.field(factory=StopWindow)
 
     async def run(self, job: Job) -> ServerResponse | None:
         """Send a request, with retries.
@@ -491,7 +498,9 @@
         now = self.clock()
         budget = self.retry_budget_for(job.service)
         reason = ""
-        if self._lacks_time(job, now):
+        if not self.stop_window.has_time(job.deadline, now):
+            reason = STOPPING
+        elif self._lacks_time(job, now):
             reason = "deadline"
         elif self.parts.wait_s(job.crash_keys) > 0:
             reason = "blocked"
@@ -556,11 +565,21 @@
         Raises
         ------
         RefusedError
-            If no server is eligible and the request has not run.
+            If no server is eligible, or this process ends too soon, and the request has
+            not run.
         AttemptError
-            If no server is eligible and the request may have run.
+            If it may have run.
         """
         now = self.clock()
+        if not self.stop_window.has_time(job.deadline, now):
+            if job.verdict is Verdict.NOT_RUN:
+                raise RefusedError(
+                    STOPPING,
+                    self._retry_after_s(STOPPING),
+                    left_ms=int((job.deadline - now) * 1000),
+                    ends_in_ms=int(self.stop_window.left_s(now) * 1000),
+                )
+            raise AttemptError(STOPPING, job.verdict)
         blocked_s = self.parts.wait_s(job.crash_keys)
         if blocked_s > 0:
             is_request = self.parts.wait_s(frozenset({job.request_key})) > 0
@@ -666,6 +685,8 @@
         now = self.clock()
         if job.replacement is not None:
             return ""
+        if not self.stop_window.has_time(job.deadline, now):
+            return STOPPING
         if self._lacks_time(job, now):
             return "deadline"
         if exc.verdict is not Verdict.NOT_RUN and not job.route.idempotent:
--- a/src/foxtailcourse/ingress/_handler.py
+++ b/src/foxtailcourse/ingress/_handler.py
@@ -10,7 +10,7 @@
 from foxtailcourse.fleet import Account, Configuration, FleetView, Route
 from foxtailcourse.http import Exchange
 from foxtailcourse.ingress._account_quotas import AccountQuotas, Grant, QuotaRefusal
-from foxtailcourse.ingress._dispatcher import Dispatcher
+from foxtailcourse.ingress._dispatcher import RETRY_AFTER_S, STOPPING, Dispatcher
 from foxtailcourse.ingress._job import AttemptError, Job, RefusedError, ServerResponse
 from foxtailcourse.ingress._stream_resumption import StreamResumption
 from foxtailcourse.observe import EventLog, Metrics
@@ -24,8 +24,6 @@
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 STALE_RETRY_AFTER_S = 0.2
-# Another entry can serve the request at once.
-STOPPING_RETRY_AFTER_S = 0.1
 # A request is denied only by a configuration that was confirmed at most this long ago.
 DENIAL_MAX_AGE_S = 0.3
 # Longest wait for that, and as a fraction of the time that the caller waits: a refused
@@ -34,8 +32,6 @@
 CONFIRMATION_DEADLINE_FRACTION = 0.5
 # Results of IngressHandler._run_job; a failed request has the reason of its error.
 ANSWERED, REFUSED = "answered", "refused"
-# Reason and result of requests that a planned stop ends.
-STOPPING = "stopping"
 # Number of routes, and of accounts, with a metric label of their own. The others share
 # one label, so that a large configuration does not add more time series.
 MAX_LABELS = 100
@@ -315,7 +311,7 @@
     ) -> tuple[Route, Account | None]:
         """Authorize a request by the present configuration; see ``_authorize``."""
         if self._interrupted:
-            raise RefusedError(STOPPING, STOPPING_RETRY_AFTER_S)
+            raise RefusedError(STOPPING, RETRY_AFTER_S[STOPPING])
         configuration = self.view.configuration
         if configuration is None:
             raise RefusedError("no_configuration", NO_CONFIGURATION_RETRY_AFTER_S)
@@ -377,7 +373,7 @@
         if exchange.response_started:
             exchange.abort()
         elif self._verdict(job) is Verdict.NOT_RUN:
-            exc = RefusedError(STOPPING, STOPPING_RETRY_AFTER_S)
+            exc = RefusedError(STOPPING, RETRY_AFTER_S[STOPPING])
             await self._refuse(exchange, job.request, exc)
             return REFUSED
         else:
