Wait for the outcome of a trial at another entry after a block

What callers saw: a request that crashes servers reached more of them than allowed (BUDGET): each end of its block let several entries try it.

Cause: after a block, entries took turns half a second apart. A request that crashes its server later than that was sent by the next entries before the first one's crash was known. Entries without a share of the limits, as all are after all were killed, had the same turn. The class: steps that are to follow each other's outcome, kept apart by time alone.

Ruled out: the first crashes, which are counted in time.

Change: an entry tells the others of a trial as it sends the request, twice and each second while it lasts, and they wait up to ten seconds for the outcome, as it does itself. Entries that others may not know take turns among themselves after all others. foxtail-entry, which had the same fault, tells of trials in its summaries.

--- a/src/foxtailcourse/crashes/_suspicions.py
+++ b/src/foxtailcourse/crashes/_suspicions.py
@@ -69,7 +69,7 @@
 # For this time after its end, one more crash is enough for the next block.
 PAROLE_S = 600.0
 # After the end of a block, each entry may try the parts this much later than the one
-# ranked before it, so that they do not all crash a server at the same time.
+# ranked before it, so that it has heard by then of that one's trial.
 TRIAL_SPACING_S = 0.5
 # Longest time for which an entry waits for the outcome of a trial.
 TRIAL_TIMEOUT_S = 10.0
@@ -260,7 +260,7 @@
     _answered_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
     # The same of other entries, which tell it of blocked parts only.
     _answered_elsewhere_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
-    # When this entry began to try parts whose block has ended.
+    # When this or another entry last tried parts whose block has ended.
     _trials: dict[Parts, float] = attrs.field(factory=dict, init=False)
 
     # Crashes
@@ -504,6 +504,19 @@
         self._trials |= dict.fromkeys(tried, now)
         return tried
 
+    def record_trial(self, parts: Parts, at: float) -> None:
+        """Record that another entry tries parts; its outcome is waited for."""
+        if parts in self._blocks:
+            self._trials[parts] = max(at, self._trials.get(parts, at))
+
+    def trials(self, now: float) -> dict[Parts, float]:
+        """Return the parts whose trials are in progress, and since when."""
+        return {
+            parts: at
+            for parts, at in self._trials.items()
+            if now - at < TRIAL_TIMEOUT_S
+        }
+
     def record_answered(self, request: Parts, now: float) -> list[Parts]:
         """Record that a server answers a request; return the blocks that this ends."""
         self._answered_at.pop(request, None)
--- a/src/foxtailcourse/entry/_crash_exchange.py
+++ b/src/foxtailcourse/entry/_crash_exchange.py
@@ -65,6 +65,13 @@
     answered_ms: int
 
 
+class _Trial(msgspec.Struct, array_like=True, frozen=True):
+    """A request that is tried after its block, and how long ago it was sent."""
+
+    key: str
+    age_ms: int
+
+
 class CrashSummary(msgspec.Struct):
     """What an entry knows of the crashes under requests."""
 
@@ -72,6 +79,7 @@
     reports: list[_Report] = []
     blocks: list[_Block] = []
     answers: list[_Answer] = []
+    trials: list[_Trial] = []
 
 
 @attrs.frozen
@@ -155,8 +163,9 @@
         return trial_rank(request, self.vm, entries)
 
     def record_sent(self, request: Parts) -> None:
-        """Record a request that is sent to a server."""
-        self.suspicions.record_sent(request, self.clock())
+        """Record a request that is sent to a server; the others are told of a trial."""
+        if self.suspicions.record_sent(request, self.clock()):
+            self._wakeup.set()
 
     def record_answered(self, request: Parts) -> None:
         """Record that a server answered a request."""
@@ -273,7 +282,14 @@
             _Answer(key, _ms(now - answered.at), answered.wall_ms)
             for key, answered in self._answers.items()
         ]
-        summary = CrashSummary(self.vm, reports, blocks[-MAX_BLOCKS:], answers)
+        trials = [
+            _Trial(key, _ms(now - tried_at))
+            for request, tried_at in self.suspicions.trials(now).items()
+            for key in request
+        ]
+        summary = CrashSummary(
+            self.vm, reports, blocks[-MAX_BLOCKS:], answers, trials[-MAX_BLOCKS:]
+        )
         return msgspec.msgpack.encode(summary)
 
     def apply_summary(self, vm: str, payload: bytes) -> None:
@@ -284,6 +300,9 @@
             self._apply_answer(answer, vm, now)
         for block in summary.blocks[:MAX_BLOCKS]:
             self._apply_block(block, vm, now)
+        for trial in summary.trials[:MAX_BLOCKS]:
+            request = frozenset({trial.key})
+            self.suspicions.record_trial(request, now - _seconds(trial.age_ms))
         self._apply_reports(summary.reports[:MAX_REPORTS], now)
 
     def _apply_answer(self, answer: _Answer, vm: str, now: float) -> None:
--- a/src/foxtailcourse/entry/_trial_order.py
+++ b/src/foxtailcourse/entry/_trial_order.py
@@ -9,13 +9,13 @@
 def trial_rank(request: Parts, vm: str, entries: Set[str]) -> int:
     """Return how many entries come before one for a request.
 
-    An entry that is not listed yet comes last, as the others do not count it.
+    Entries that are not listed yet come last, one after the other, as those that are
+    listed do not count them.
     """
-    if vm not in entries:
-        return len(entries)
     key = "+".join(sorted(request))
 
     def order(entry: str) -> bytes:
         return hashlib.blake2b(f"{key}/{entry}".encode(), digest_size=8).digest()
 
-    return sum(order(each) < order(vm) for each in entries)
+    rank = sum(order(each) < order(vm) for each in entries)
+    return rank if vm in entries else len(entries) + rank
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -181,6 +181,8 @@
             job.choice, job.attempt_pending = choice, True
             job.attempt = AttemptState()
             self.parts.record_sent(job.crash_keys)
+            # Another entry may get the same request at once.
+            await self.parts.announce()
             job.queued_tokens = int(choice.candidate.total_load.prefill_tokens)
             job.outdated_s = self.candidates.outdated_s(
                 choice.candidate.server, job.request.model, self.clock()
--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -25,6 +25,7 @@
     BlockedPartsUpdate,
     BreaksUpdate,
     Message,
+    TriedPartsUpdate,
 )
 from foxtailcourse.ingress._peers import PeerDirectory
 from foxtailcourse.ingress._relays import weighted_rank
@@ -37,6 +38,8 @@
 # Blocks are sent again in this period, by so many entries.
 REPEAT_PERIOD_S = 1.0
 PUBLISHERS = 3
+# A trial is told so many times at first, as a datagram may be lost.
+TRIAL_MESSAGES = 2
 # An entry that ends a block repeats this for so long.
 REPEAT_CLEARED_S = 5.0
 # Parts of a request, and requests, that fit into a datagram.
@@ -78,6 +81,9 @@
     _pending: list[Message] = attrs.field(factory=list, init=False)
     # Blocks that were not sent yet.
     _announced: dict[Parts, Block] = attrs.field(factory=dict, init=False)
+    # How many more times its trials are told at once, and when they began.
+    _trials_to_tell: dict[Parts, int] = attrs.field(factory=dict, init=False)
+    _own_trials: dict[Parts, float] = attrs.field(factory=dict, init=False)
     # When this entry ended blocks, by their parts.
     _cleared_at: dict[Parts, float] = attrs.field(factory=dict, init=False)
     _wakeup: trio.Event = attrs.field(factory=trio.Event, init=False)
@@ -101,6 +107,9 @@
                 entries=len(self.shares.members(now)),
                 is_settled=self.shares.is_settled(now),
             )
+            self._own_trials[parts] = now
+            self._trials_to_tell[parts] = TRIAL_MESSAGES
+            self._wakeup.set()
 
     def record_broken_off(
         self, run: ServerRun, request: Parts, *, begun: bool, sent_at: float
@@ -168,16 +177,19 @@
 
     def _trial_rank(self, parts: Parts) -> int:
         """Return the rank for trials; an entry that others may not know is the last."""
-        now = self.clock()
+        now, rank = self.clock(), self.rank(parts)
         if not self.shares.is_settled(now):
-            return len(self.shares.members(now))
-        return self.rank(parts)
+            # Several of them, as all were started at once, come one after the other.
+            return len(self.shares.members(now)) + rank
+        return rank
 
     # Messages
 
     def handle(
         self,
-        message: BreaksUpdate | BlockedPartsUpdate | AnsweredPartsUpdate,
+        message: (
+            BreaksUpdate | BlockedPartsUpdate | AnsweredPartsUpdate | TriedPartsUpdate
+        ),
         sender: str,
     ) -> None:
         """Handle one message of the registered entry ``sender``."""
@@ -203,6 +215,10 @@
                 if self.suspicions.record_answered_elsewhere(parts, answered_at, now):
                     self._log_cleared(parts, by_entry=sender)
 
+            case TriedPartsUpdate(row, age_ms):
+                (age_s,) = decode_ages_s([age_ms])
+                self.suspicions.record_trial(frozenset(row), now - age_s)
+
     def adopt(
         self, parts: Parts, remaining_s: float, times: int, *, by_entry: str = ""
     ) -> None:
@@ -222,8 +238,8 @@
         self._wakeup.set()
 
     async def announce(self) -> None:
-        """Send what is pending now, if a request was blocked since the last time."""
-        if self._announced:
+        """Send what is pending now, if a block or a trial began since the last time."""
+        if self._announced or self._trials_to_tell:
             await self._send_pending()
 
     async def _send_pending(self) -> None:
@@ -231,9 +247,28 @@
         announced, self._announced = self._announced, {}
         for message in _merged(pending):
             await self.send(message, self.peers)
+        await self._tell_trials()
         for parts, block in announced.items():
             await self._send_block(parts, block)
 
+    async def _tell_trials(self) -> None:
+        """Tell the others to wait for the outcome of this entry's trials."""
+        now = self.clock()
+        due = self._trials_to_tell
+        self._trials_to_tell = {k: times - 1 for k, times in due.items() if times > 1}
+        for parts in due.keys() & self._own_trials.keys():
+            age_ms = int((now - self._own_trials[parts]) * 1000)
+            await self.send(TriedPartsUpdate(sorted(parts), age_ms), self.peers)
+
+    def _repeat_trials(self, now: float) -> None:
+        """Tell again of the trials of this entry that are in progress."""
+        in_progress = self.suspicions.trials(now)
+        self._own_trials = {
+            parts: at for parts, at in self._own_trials.items() if parts in in_progress
+        }
+        for parts in self._own_trials:
+            self._trials_to_tell.setdefault(parts, 1)
+
     async def run(self) -> None:
         """Judge crashes and send messages until cancelled."""
         repeated_at = self.clock()
@@ -252,6 +287,7 @@
                 repeated_at = now
                 blocked = self.suspicions.active_blocks(now)
                 self._repeat_cleared(now)
+                self._repeat_trials(now)
             for parts, block in blocked.items():
                 if self.rank(parts) < PUBLISHERS:
                     await self._send_block(parts, block)
--- a/src/foxtailcourse/ingress/_peer_exchange.py
+++ b/src/foxtailcourse/ingress/_peer_exchange.py
@@ -47,6 +47,7 @@
     OriginsUpdate,
     SnapshotRequest,
     SumsUpdate,
+    TriedPartsUpdate,
     WeightsUpdate,
     decode,
     encode,
@@ -167,7 +168,11 @@
     cache_snapshot: Callable[[], list[CacheUpdate]] = attrs.field(default=list)
     on_leaving: Callable[..., None] = attrs.field(default=lambda server, by_entry: None)
     on_parts: Callable[
-        [BreaksUpdate | BlockedPartsUpdate | AnsweredPartsUpdate, str], None
+        [
+            BreaksUpdate | BlockedPartsUpdate | AnsweredPartsUpdate | TriedPartsUpdate,
+            str,
+        ],
+        None,
     ] = attrs.field(default=lambda message, sender: None)
     on_sums: Callable[[SumsUpdate, str, float], None] = attrs.field(
         default=lambda message, sender, now: None
@@ -296,7 +301,12 @@
                     self.on_cache_update(update)
             case LimitsUpdate():
                 self.on_limits(message, sender)
-            case BreaksUpdate() | BlockedPartsUpdate() | AnsweredPartsUpdate():
+            case (
+                BreaksUpdate()
+                | BlockedPartsUpdate()
+                | AnsweredPartsUpdate()
+                | TriedPartsUpdate()
+            ):
                 self.on_parts(message, sender)
             case ConfigurationNotice():
                 self.on_configuration_notice(message, sender)
--- a/src/foxtailcourse/ingress/_peer_messages.py
+++ b/src/foxtailcourse/ingress/_peer_messages.py
@@ -208,6 +208,21 @@
     times: int
 
 
+class TriedPartsUpdate(msgspec.Struct, array_like=True, tag="tried"):
+    """The sender tries a request with parts whose block has ended.
+
+    Parameters
+    ----------
+    parts : list of str
+        Keys of the parts.
+    age_ms : int
+        How long ago it was sent to a server, in milliseconds.
+    """
+
+    parts: list[str]
+    age_ms: int
+
+
 class AnsweredPartsUpdate(msgspec.Struct, array_like=True, tag="answered"):
     """A server answered a request with parts that are blocked.
 
@@ -298,6 +313,7 @@
     | BreaksUpdate
     | BlockedPartsUpdate
     | AnsweredPartsUpdate
+    | TriedPartsUpdate
     | ConfigurationQuery
     | ConfigurationNotice
     | OriginsUpdate
@@ -345,7 +361,7 @@
     match message:
         case LimitsUpdate(rows):
             message.rows = [(*row[:3], row[3] + delay_ms) for row in rows]
-        case AnsweredPartsUpdate():
+        case AnsweredPartsUpdate() | TriedPartsUpdate():
             message.age_ms += delay_ms
         case BlockedPartsUpdate():
             message.remaining_ms -= delay_ms
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -339,7 +339,8 @@
     "silent": "the server sent nothing for too long",
     "spoiled_answer": "the response lacks the server's signature or has a content "
     "encoding",
-    "stopping": "a planned stop of the entry ended the request, or ends too soon for it",
+    "stopping": "a planned stop of the entry ended the request, or leaves too little "
+    "time for it",
     "out_of_order": (
         "the server sent an event whose number does not follow the one before, or ran a"
         " resumed stream from its start"
--- a/tests/crashes/test_suspicions.py
+++ b/tests/crashes/test_suspicions.py
@@ -10,6 +10,7 @@
     PAROLE_S,
     SETTLE_S,
     TRIAL_SPACING_S,
+    TRIAL_TIMEOUT_S,
     BreakReport,
     PartSuspicions,
     block_s,
@@ -183,6 +184,15 @@
         self.assertThat(ended, Equals([parts("sound")]))
         self.assertThat(self.wait_s("sound", at=end + 1, rank=9), Equals(0.0))
 
+    def test_trial_of_another_entry_is_waited_for(self):
+        self.crash(NOW, ("a", "deadly"))
+        self.crash(NOW + 2, ("b", "deadly"))
+        end = NOW + 2 + JUDGED_S + FIRST_BLOCK_S
+        # The other entry's block ended a little earlier.
+        self.suspicions.record_trial(DEADLY, end - 0.1)
+        waits_s = [self.wait_s("deadly", at=end + s) for s in (0.1, TRIAL_TIMEOUT_S)]
+        self.assertThat([round(w, 6) for w in waits_s], Equals([9.8, 0.0]))
+
     def test_crash_after_the_end_of_a_block_begins_a_longer_one(self):
         self.crash(NOW, ("a", "deadly"))
         self.crash(NOW + 2, ("b", "deadly"))
--- a/tests/entry/test_crash_exchange.py
+++ b/tests/entry/test_crash_exchange.py
@@ -5,6 +5,7 @@
 from foxtailcourse.config import ConfigStore
 from foxtailcourse.control import PeerError
 from foxtailcourse.crashes import block_s
+from foxtailcourse.crashes._suspicions import TRIAL_SPACING_S, TRIAL_TIMEOUT_S
 from foxtailcourse.entry import _crash_exchange
 from foxtailcourse.entry._crash_exchange import (
     CRASH_TOPIC,
@@ -138,6 +139,19 @@
         ends = {round(self.entries[vm].wait_s(DEADLY), 1) for vm in NAMES}
         self.assertThat(ends, Equals({block_s(2)}))
 
+    @run_trio
+    async def test_entries_wait_for_the_outcome_of_a_trial_that_takes_long(self):
+        await self.crash("e1")
+        await self.crash("e1")
+        await self.exchange()
+        self.now += block_s(1) + len(NAMES) * TRIAL_SPACING_S
+        self.assertThat(self.blocked(), Equals([]))
+        self.entries["e2"].record_sent(DEADLY)
+        await self.exchange(0.0)
+        self.assertThat(self.blocked(), Equals(list(NAMES)))
+        await self.exchange(TRIAL_TIMEOUT_S)
+        self.assertThat(self.blocked(), Equals([]))
+
     @run_trio
     async def test_answer_ends_a_suspicion_at_all_entries_that_come_back(self):
         self.unreachable.add("e3")
