Let a draining foxtail-entry send only what ends before its drain does

What callers saw: nothing reported; with a short drain_limit_s a request whose body ended late was sent to a server and ended with 502 at the limit.

Change: the dispatcher and the calls with a key ask the StopWindow before each attempt. Without an attempt the caller gets 503 stopping, not-run; for a key the verdict stays may-have-run, as it is about all calls with it.

--- a/src/foxtailcourse/entry/_app.py
+++ b/src/foxtailcourse/entry/_app.py
@@ -93,6 +93,7 @@
             config.record_peer_revision,
             self._crash_exchange,
         )
+        self._stop_window = dispatcher.stop_window
         relay = Relay(dispatcher)
         self._gateway = Gateway(
             cfg,
@@ -190,11 +191,18 @@
 
         New requests are still accepted for ``drain_grace_s``, so that the load balancer
         can see that this entry is not ready. The active requests then have
-        ``drain_limit_s`` to end; those without a response by then get an error.
+        ``drain_limit_s`` to end; those without a response by then get an error, and
+        those that may take longer are no longer sent to a server.
         """
         cfg, events = self._daemon.cfg, self._daemon.events
         self._gateway.draining = True
-        events.emit("drain_started", active=self._server.active)
+        ends_in_s = cfg.drain_grace_s + cfg.drain_limit_s
+        self._stop_window.begin(trio.current_time(), cfg.drain_grace_s, ends_in_s)
+        events.emit(
+            "drain_started",
+            active=self._server.active,
+            ends_in_ms=int(ends_in_s * 1000),
+        )
         await trio.sleep(cfg.drain_grace_s)
         self._server.stop_accepting()
         self._server.drain()
--- a/src/foxtailcourse/entry/_at_most_once.py
+++ b/src/foxtailcourse/entry/_at_most_once.py
@@ -160,6 +160,9 @@
         for attempt_number in range(self._dispatcher.cfg.max_attempts):
             if attempt_number and not await self._delay_retry(call, attempt_number):
                 break
+            if not self._dispatcher.has_time(call):
+                message = "this entry stops before the call may be complete"
+                raise _unknown("stopping", message)
             blocked_s = self._dispatcher.crashes.wait_s(call.crash_key)
             try:
                 async with self._dispatcher.attempt(
--- a/src/foxtailcourse/entry/_dispatcher.py
+++ b/src/foxtailcourse/entry/_dispatcher.py
@@ -24,6 +24,7 @@
 from foxtailcourse.entry._settings import EntrySettings
 from foxtailcourse.http import ConnectionPool, RequestOptions
 from foxtailcourse.observe import EventLog, Metrics
+from foxtailcourse.process import StopWindow
 from foxtailcourse.protocol import Attempt, Reply
 from foxtailcourse.routing import Placement, RankedServer, ServerReply
 from foxtailcourse.sharing import FeasibilityTable, Refusal, RetryBudget
@@ -81,6 +82,7 @@
         self.servers = ServerDirectory()
         self.retries = RetryBudget()
         self.feasibility = FeasibilityTable(cfg.refusal_memory_s)
+        self.stop_window = StopWindow()
         self.probes = LivenessProbes(pool, cfg.probe_after_s, cfg.probe_timeout_s)
 
     def record_agent_state(self, reply: Reply) -> None:
@@ -111,7 +113,8 @@
             None for a request whose response has not started.
         """
         history.blocked_s = self.crashes.wait_s(call.crash_key)
-        if history.blocked_s > 0:
+        history.is_stopping = not self.has_time(call)
+        if history.blocked_s > 0 or history.is_stopping:
             return None
         reserved, history.reserved = history.reserved, None
         if reserved is not None and version in (None, reserved.version):
@@ -137,6 +140,10 @@
         history.attempt_count += 1
         return target
 
+    def has_time(self, call: Call) -> bool:
+        """Return whether an attempt may begin, if this entry is stopping."""
+        return self.stop_window.has_time(call.ends_by, trio.current_time())
+
     def reserve_other(
         self,
         call: Call,
--- a/src/foxtailcourse/observe/catalogue.py
+++ b/src/foxtailcourse/observe/catalogue.py
@@ -416,7 +416,8 @@
     "server_busy": "the limit on buffered request bodies or on connections is reached",
     "service_failed": "the plain service failed; the call may have run",
     "service_unreachable": "the plain service accepts no connection; nothing was run",
-    "stopping": "the entry reached its `drain_limit_s` before the request was complete",
+    "stopping": "the entry reached its `drain_limit_s` before the request was "
+    "complete, or would reach it before the request may be",
     "stream_broken": "the stream could not be completed; sent in its last event",
     "tokens_rate": "`tokens_per_s` of the contract is used up",
     "unknown_model": "no such model",
