Count the crashes under a request at all services of its route together

What callers saw: nothing reported; on a route with several services a request that crashes servers reaches more of them than allowed (BUDGET), as each service counts and tries it again by itself.

Cause: the service was part of the key of a request, though the rule is about the request, and the configuration may move or split a route at any time. The class: an identity that has more in it than what is counted.

--- a/src/foxtailcourse/crashes/_suspicions.py
+++ b/src/foxtailcourse/crashes/_suspicions.py
@@ -81,12 +81,13 @@
     return hashlib.blake2b(name, digest_size=8).hexdigest()
 
 
-def request_key(
-    service: str, account: str, method: str, host: str, target: str, body: bytes
-) -> str:
-    """Return a short key that only the same request of the same caller has."""
+def request_key(account: str, method: str, host: str, target: str, body: bytes) -> str:
+    """Return a short key that only the same request of the same caller has.
+
+    It is the same at all services to which a route sends the request.
+    """
     digest = hashlib.blake2b(body, digest_size=8)
-    for field in (service, account, method, host, target):
+    for field in (account, method, host, target):
         name = field.encode("utf-8", "surrogateescape")
         digest.update(len(name).to_bytes(4, "big") + name)
     return REQUEST_PREFIX + digest.hexdigest()
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -230,7 +230,6 @@
     def _prepare(self, job: Job) -> None:
         """Set what the decisions on a job depend on, and record its size."""
         job.request_key = request_key(
-            job.service,
             job.account_name,
             job.exchange.method,
             job.request.host,
--- a/tests/ingress/test_deadly_requests.py
+++ b/tests/ingress/test_deadly_requests.py
@@ -1,8 +1,11 @@
-from ingress_case import IngressCase
+from ingress_case import IngressCase, route
 from testtools.matchers import Equals
 
 from cluster import wait_until
-from foxtailcourse.standin._backend_server import BackendServerFaults
+from foxtailcourse.standin._backend_server import (
+    BackendServerFaults,
+    BackendServerStandin,
+)
 from support import run_with
 
 DEADLY = ("/look/deadly", "/return/deadly")
@@ -47,6 +50,24 @@
         self.assertThat(response.body, Equals(b"blocked_request"))
         self.assertGreater(float(response.headers["retry-after"]), 1.0)
 
+    @run_with("with_fleet")
+    async def test_request_of_a_route_with_several_services_counts_once(
+        self, fleet, entry
+    ):
+        for name in ("d1", "d2"):
+            await fleet.add_server(BackendServerStandin(name, "coats2"))
+        split = [{"service": name, "weight": 1} for name in ("coats", "coats2")]
+        fleet.configure(version=2, routes=[route("look", trafficSplit=split)])
+        await wait_until(
+            lambda: entry.events("configuration_applied")[-1]["version"] == "2"
+        )
+        for server in fleet.servers.values():
+            server.deadly_targets = DEADLY
+        for _ in range(12):
+            await wait_until(lambda: len(entry.app.status()["servers"]) == 6)
+            await fleet.call(entry, "look", target="deadly")
+        self.assertLessEqual(len(self.deadly_runs(fleet)), CRASHES)
+
     @run_with("with_fleet")
     async def test_caller_that_repeats_at_once_crashes_no_further_server(
         self, fleet, entry
