Give back the retry that was not sent, not the latest one

What callers saw: nothing reported; suspected of repeats beyond the limit (BUDGET).

Cause: when a request stayed at its silent server after all, the latest counted retry was removed in place of its own, so a retry that was sent counted only until the earlier time and its window was short by up to the time between both.

Evidence: test_rate_limits.py::test_retry_that_is_given_back_leaves_later_ones_counted failed before (0 instead of 1 counted). The limit itself was not exceeded in any run of ours, so this is a fault of the count and not shown to be the reported one.

Change: the retry is removed by its time.

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -515,14 +515,14 @@
             self._select(job, tried, now), now
         )
         if not selection.candidates:
-            budget.give_back()
+            budget.give_back(now)
             self._record_kept(job, choice, selection.reason)
             return None
         other = self._place(job, selection.candidates, now, self.rng)
         self.candidates.limits.record_sent(other.candidate.server.run, now)
 
         def on_release(reason: str) -> None:
-            budget.give_back()
+            budget.give_back(now)
             if reason == UNREACHABLE:
                 self._record_kept(job, choice, reason)
 
--- a/src/foxtailcourse/ingress/_retry_budget.py
+++ b/src/foxtailcourse/ingress/_retry_budget.py
@@ -85,10 +85,10 @@
             extra = float(is_known and entries <= few)
         return USED_RATIO_FRACTION * self.ratio * len(self._requests) + extra
 
-    def give_back(self) -> None:
-        """Remove the latest retry, which was not sent."""
-        if self._retries:
-            self._retries.pop()
+    def give_back(self, at: float) -> None:
+        """Remove a retry that was counted at a time and not sent."""
+        if at in self._retries:
+            self._retries.remove(at)
 
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/tests/ingress/test_rate_limits.py
+++ b/tests/ingress/test_rate_limits.py
@@ -93,9 +93,19 @@
         waiting = [budget.try_acquire(1.0, server_is_silent=True) for _ in range(99)]
         broken_off = [budget.try_acquire(1.0) for _ in range(99)]
         self.assertThat((sum(waiting), sum(broken_off)), Equals((12, 4)))
-        budget.give_back()
+        budget.give_back(1.0)
         self.assertTrue(budget.try_acquire(1.0))
 
+    def test_retry_that_is_given_back_leaves_later_ones_counted(self):
+        budget = make_budget("e1", {"e1"})
+        for n in range(100):
+            budget.record_request(n / 100)
+        for at in (1.0, 9.0):
+            self.assertTrue(budget.try_acquire(at))
+        budget.give_back(1.0)
+        budget.allowed(RETRY_WINDOW_S + 5.0)
+        self.assertThat(budget.used, Equals(1))
+
     def test_more_entries_have_smaller_shares(self):
         def granted_retries(entries):
             budget = make_budget("e0", {f"e{n}" for n in range(entries)})
