--- a/tests/ingress/crash_simulation.py
+++ b/tests/ingress/crash_simulation.py
@@ -22,6 +22,7 @@
 # share the parts of their prompts.
 DEADLY_S = 20.0
 SHARED = frozenset({"shared"})
+DEADLY_PART = frozenset({"deadly"})
 RUN_S, STORE_CALL_S, DATAGRAM_S = (0.005, 0.05), 0.02, (0.0005, 0.005)
 RESTART_S, CRASH_SPREAD_S = (0.3, 3.0), 0.1
 # Time from the start of an entry until it knows the store and takes requests, and until
@@ -125,7 +126,9 @@
     ``heads`` is the fraction of prompts that are lost after the head of the response.
     ``crash_s`` is the range of times after which a deadly request crashes its server,
     in addition to that of a sound one. Each deadly request comes for ``deadly_s`` from
-    so many callers. An entry has a share of the limits ``settle_s`` after its start.
+    so many callers. With ``by_part``, all of them are different and have the part that
+    crashes servers in common. An entry has a share of the limits ``settle_s`` after its
+    start.
     """
 
     def __init__(
@@ -139,11 +142,13 @@
         crash_s=(0.0, 0.0),
         deadly_s=DEADLY_S,
         deadly_callers=1,
+        by_part=False,
         settle_s=SETTLE_S,
     ):
         self.rng, self.loss, self.with_faults = random.Random(seed), loss, with_faults
         self.heads, servers = heads, 4
         self.crash_s, self.deadly_s = crash_s, deadly_s
+        self.by_part = by_part
         self.deadly_callers, self.settle_s = deadly_callers, settle_s
         self.names = frozenset(f"e{number}" for number in range(entries))
         self.entries = {
@@ -152,7 +157,8 @@
         self.servers = [SimulatedServer(ServerRun(f"c{n}", 1)) for n in range(servers)]
         self.store, self.store_down = {}, False
         self.outcomes: list[Outcome] = []
-        # Time and entry of each run of the deadly requests, each of which is a crash.
+        # Time and entry of each run of deadly requests, each of which is a crash, by what
+        # they have in common.
         self.deadly_runs: dict[frozenset, list[tuple[float, str]]] = {}
         self.faults: list[tuple[str, float, float]] = []
 
@@ -308,6 +314,8 @@
         end = trio.current_time() + seconds
         while (now := trio.current_time()) < end:
             request = SHARED | {f"r-deadly{now // self.deadly_s:.0f}"}
+            if self.by_part:
+                request = DEADLY_PART | {f"r-deadly{len(self.outcomes)}"}
             await self._send_repeatedly(request, deadly=True)
             await trio.sleep(self.rng.uniform(*PAUSE_S))
 
@@ -365,7 +373,8 @@
         await trio.sleep(run_s)
         is_broken = run != server.run
         if outcome.deadly and not is_broken:
-            runs = self.deadly_runs.setdefault(outcome.request, [])
+            cause = DEADLY_PART if self.by_part else outcome.request
+            runs = self.deadly_runs.setdefault(cause, [])
             runs.append((sent_at, entry.name))
             self._crash(server)
             is_broken = True
--- a/tests/ingress/test_crash_simulation.py
+++ b/tests/ingress/test_crash_simulation.py
@@ -11,6 +11,8 @@
 # Bound of the platform: so many runs of the request later than this after so many
 # crashes, by entries without a fault.
 CRASHES, MAX_LATE_RUNS, DELAY_S = 3, 3, 3.0
+# The same of requests with a part that crashes servers.
+PART_CRASHES = 5
 SEEDS = range(20)
 SECONDS = 60.0
 # Longer than the first two blocks of a request, as many callers repeat it that each
@@ -41,11 +43,11 @@
             trio.run(simulation.run, seconds, clock=clock)
         return simulation
 
-    def late_runs(self, seeds=SEEDS, **options):
+    def late_runs(self, seeds=SEEDS, crashes=CRASHES, **options):
         """Return the seeds on which a request runs too often, with the runs."""
         late = {}
         for seed in seeds:
-            found = self.play(seed, **options).late_deadly_runs(CRASHES, DELAY_S)
+            found = self.play(seed, **options).late_deadly_runs(crashes, DELAY_S)
             if len(found) > MAX_LATE_RUNS:
                 late[seed] = found
         return late
@@ -78,6 +80,18 @@
         late = self.late_runs(seeds=range(6), seconds=LONG_S, **SLOW_CRASHES)
         self.assertThat(late, Equals({}))
 
+    def test_entries_do_not_all_try_a_slow_deadly_part_at_the_end_of_a_block(self):
+        for with_faults, seeds in ((False, range(4)), (True, range(6))):
+            late = self.late_runs(
+                seeds=seeds,
+                crashes=PART_CRASHES,
+                seconds=LONG_S,
+                with_faults=with_faults,
+                by_part=True,
+                **SLOW_CRASHES,
+            )
+            self.assertThat(late, Equals({}), f"faults: {with_faults}")
+
     def check_sound_requests(self, seeds=SEEDS, **options):
         for seed in seeds:
             simulation = self.play(seed, **options)
