Block a request that crashes servers at each trial for up to an hour

Cause: blocks grew to eight minutes only, so the count of trials has no bound in time.

Change: the fourth block lasts 32 minutes and later ones an hour; wrong suspicions end with the first trial in any case.

--- a/src/foxtailcourse/crashes/_suspicions.py
+++ b/src/foxtailcourse/crashes/_suspicions.py
@@ -61,9 +61,9 @@
 # Parts are blocked for this time at first, and for a multiple each further time.
 FIRST_BLOCK_S = 30.0
 BLOCK_MULTIPLE = 4.0
-MAX_BLOCK_S = 480.0
+MAX_BLOCK_S = 3600.0
 # From this number of times on, each block has the longest time.
-LONGEST_BLOCK_TIMES = 3
+LONGEST_BLOCK_TIMES = 5
 # A number of times that others state counts as at most this, so that it can grow.
 MAX_STATED_TIMES = 1000
 # For this time after its end, one more crash is enough for the next block.
--- a/tests/crashes/test_suspicions.py
+++ b/tests/crashes/test_suspicions.py
@@ -19,6 +19,8 @@
 
 NOW = 100.0
 JUDGED_S = SETTLE_S + 0.01
+# Bound of the platform on requests that crash servers, and for how long it is checked.
+MAX_TRIALS, PLAYED_S = 3, 2400.0
 DEADLY = frozenset({"deadly"})
 
 
@@ -96,6 +98,20 @@
         self.crash_under("r-d", at=later)
         self.assertGreater(self.wait_s("r-d", at=later), FIRST_BLOCK_S)
 
+    def test_request_that_is_tried_at_each_end_of_a_block_runs_three_times_at_most(
+        self,
+    ):
+        for number in range(3):
+            self.crash_under("r-d", at=NOW + number)
+        now, trials = NOW + 2, 0
+        while now < NOW + PLAYED_S:
+            now += self.wait_s("r-d", at=now)
+            if now < NOW + PLAYED_S:
+                trials += 1
+                self.suspicions.record_sent(parts("r-d"), now)
+                self.crash_under("r-d", at=now + 0.1)
+        self.assertThat(trials, Equals(MAX_TRIALS))
+
     def test_deadly_part_is_found_although_its_requests_are_blocked(self):
         for number, request in enumerate(("r-a", "r-a", "r-b")):
             self.crashes += 1
