Count the deadline at foxtail-entry from a request's arrival

Cause: the deadline of a contract counted from when the request was parsed, so a wait in the accept queue or behind a busy event loop was given to the agent once more.

Change: the wait that Linux tells is taken off. A slow body is not, as this deadline is the contract's, not the time that the caller waits.

--- a/src/foxtailcourse/entry/_gateway.py
+++ b/src/foxtailcourse/entry/_gateway.py
@@ -212,7 +212,7 @@
             )
 
         request_class = contract.request_class(request.max_tokens)
-        now = trio.current_time()
+        received_at = trio.current_time() - exchange.read_late_s
         return Call(
             request_id=request_id,
             contract=contract,
@@ -223,8 +223,8 @@
             fields={"content-type": "application/json"},
             body=msgspec.json.encode(request.body),
             max_tokens=request.max_tokens,
-            received_at=now,
-            deadline=now + contract.deadline_ms(request_class) / 1000,
+            received_at=received_at,
+            deadline=received_at + contract.deadline_ms(request_class) / 1000,
             answer_timeout_s=self._cfg.answer_timeout_s,
             prompt_for=prompt_for,
         )
@@ -281,7 +281,7 @@
             tokens=0,
             max_tokens=0,
         )
-        now = trio.current_time()
+        received_at = trio.current_time() - exchange.read_late_s
         return Call(
             request_id=request_id,
             contract=contract,
@@ -291,8 +291,8 @@
             target=exchange.target,
             fields=forwarded_fields(exchange.headers),
             body=exchange.body,
-            received_at=now,
-            deadline=now + contract.short_deadline_ms / 1000,
+            received_at=received_at,
+            deadline=received_at + contract.short_deadline_ms / 1000,
             answer_timeout_s=(contract.short_deadline_ms + route.timeout_ms) / 1000,
             prompt_for=lambda version: prompt,
         )
--- a/tests/ingress/crash_simulation.py
+++ b/tests/ingress/crash_simulation.py
@@ -157,8 +157,8 @@
         self.servers = [SimulatedServer(ServerRun(f"c{n}", 1)) for n in range(servers)]
         self.store, self.store_down = {}, False
         self.outcomes: list[Outcome] = []
-        # Time and entry of each run of deadly requests, each of which is a crash, by what
-        # they have in common.
+        # Time and entry of each run of deadly requests, all of which are crashes, by
+        # what they have in common.
         self.deadly_runs: dict[frozenset, list[tuple[float, str]]] = {}
         self.faults: list[tuple[str, float, float]] = []
 
