Announce a trial before its request counts as sent

What callers saw: nothing reported; found on reading the change. A request whose trial was still being told to the other entries when its time or the process ended was answered 502, though it had not been sent, and the wait came between a replacement's connection and its use, which a cancellation there would have left open.

Change: only a trial is announced, and before the attempt counts as begun; a request that was moved is never one.

--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -178,11 +178,11 @@
                     self.quotas.record_sent(job.grant, self.clock())
             else:
                 choice = job.replacement.choice
+            if self.parts.record_sent(job.crash_keys):
+                # Another entry may get the same request at once.
+                await self.parts.announce()
             job.choice, job.attempt_pending = choice, True
             job.attempt = AttemptState()
-            self.parts.record_sent(job.crash_keys)
-            # Another entry may get the same request at once.
-            await self.parts.announce()
             job.queued_tokens = int(choice.candidate.total_load.prefill_tokens)
             job.outdated_s = self.candidates.outdated_s(
                 choice.candidate.server, job.request.model, self.clock()
--- a/src/foxtailcourse/ingress/_part_exchange.py
+++ b/src/foxtailcourse/ingress/_part_exchange.py
@@ -94,10 +94,11 @@
         """Return for how long a request must not be sent, in seconds."""
         return self.suspicions.wait_s(request, self._trial_rank, self.clock())
 
-    def record_sent(self, request: Parts) -> None:
-        """Record a request that is sent to a server, and log a trial."""
+    def record_sent(self, request: Parts) -> bool:
+        """Record a request that is sent to a server; return whether it is a trial."""
         now = self.clock()
-        for parts, block in self.suspicions.record_sent(request, now).items():
+        tried = self.suspicions.record_sent(request, now)
+        for parts, block in tried.items():
             self.events.emit(
                 "parts_tried",
                 parts=",".join(sorted(parts)),
@@ -110,6 +111,7 @@
             self._own_trials[parts] = now
             self._trials_to_tell[parts] = TRIAL_MESSAGES
             self._wakeup.set()
+        return bool(tried)
 
     def record_broken_off(
         self, run: ServerRun, request: Parts, *, begun: bool, sent_at: float
@@ -214,7 +216,6 @@
                 parts, answered_at = frozenset(row), now - age_s
                 if self.suspicions.record_answered_elsewhere(parts, answered_at, now):
                     self._log_cleared(parts, by_entry=sender)
-
             case TriedPartsUpdate(row, age_ms):
                 (age_s,) = decode_ages_s([age_ms])
                 self.suspicions.record_trial(frozenset(row), now - age_s)
--- a/tests/ingress/test_planned_stop.py
+++ b/tests/ingress/test_planned_stop.py
@@ -5,6 +5,7 @@
 from cluster import wait_until
 from foxtailcourse.ingress import _app
 from foxtailcourse.ingress._dispatcher import Dispatcher
+from foxtailcourse.ingress._part_exchange import PartExchange
 from foxtailcourse.standin._backend_server import (
     BackendServerFaults,
     BackendServerStandin,
@@ -73,6 +74,21 @@
         self.assertThat(response.status, Equals(503))
         self.assertThat(float(response.headers["retry-after"]), GreaterThan(0.0))
 
+    @run_with("with_fleet", stop_s=1.0)
+    async def test_request_whose_trial_is_still_announced_is_refused_as_not_run(
+        self, fleet, entry
+    ):
+        reached = trio.Event()
+
+        async def announce(exchange):
+            reached.set()
+            await trio.sleep_forever()
+
+        self.patch(PartExchange, "record_sent", lambda *args: True)
+        self.patch(PartExchange, "announce", announce)
+        response = await self.call_in_stop(fleet, entry, "return", reached.is_set)
+        self.assertThat((response.status, self.runs(fleet)), Equals((503, [])))
+
     @run_with("with_fleet", stop_s=1.0)
     async def test_begun_stream_is_cut_and_not_ended(self, fleet, entry):
         for server in fleet.servers.values():
