--- a/tests/ingress/test_response_ends.py
+++ b/tests/ingress/test_response_ends.py
@@ -36,7 +36,6 @@
         handler.dispatcher = LateDispatcher(handler.dispatcher, error)
         headers = {
             "host": "app.example",
-            "x-foxtailcourse-deadline-ms": "500",
             "x-foxtailcourse-key": "key-1",
             "x-foxtailcourse-model": "guide",
             "x-foxtailcourse-token-counts": "100,2",
@@ -45,8 +44,12 @@
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         stream = await trio.open_tcp_stream("127.0.0.1", entry.app.address.port)
         async with stream:
-            for number in (1, 2):
-                head = f"GET /brief/x HTTP/1.1\r\nx-foxtailcourse-request-id: {number}"
+            # The second one waits until the deadline of the first one.
+            for number, deadline_ms in ((1, 500), (2, 2500)):
+                head = (
+                    f"GET /brief/x HTTP/1.1\r\nx-foxtailcourse-request-id: {number}\r\n"
+                    f"x-foxtailcourse-deadline-ms: {deadline_ms}"
+                )
                 await stream.send_all(f"{head}\r\n{lines}\r\n".encode())
                 received = b""
                 while not received.endswith(b"0\r\n\r\n"):
