Count a retry until it has arrived at its server

What callers saw: nothing; servers got more repeats in a window than the platform allows (rule BUDGET) where links to them were cut or silent for as long as a window, and went on.

Cause: RetryBudget counted a retry when it was allowed, and dropped it a window later. The request that was given up, or the retry itself, may reach its server only when the link goes on, together with those of later windows.

Evidence: of the repeats in one exceeded window, 25 were requests that had been given up 0.5 to 6.8 s earlier and arrived within 0.1 s; no retry was counted in that window at all.

Retries are objects now, so the tests of the budget send them; their bounds are as before.

Change: a retry is reserved when it is allowed, and counts until a window after both the attempt before it and itself are known to have arrived: their server answered them or a request that was sent later, or broke off. A server that never answers counts them for 30 s. A reservation is given back if the request ends without being sent. attempt_failed has retries_unconfirmed.

--- a/src/foxtailcourse/ingress/_attempt.py
+++ b/src/foxtailcourse/ingress/_attempt.py
@@ -18,6 +18,7 @@
     Framing,
     RequestOptions,
 )
+from foxtailcourse.ingress._arrivals import Arrival
 from foxtailcourse.ingress._event_splitter import (
     EVENT_FIELD,
     EventOrderError,
@@ -33,6 +34,7 @@
 from foxtailcourse.ingress._job import AttemptError, Job, ServerResponse
 from foxtailcourse.ingress._placement_types import Choice
 from foxtailcourse.ingress._replacement import Replacement
+from foxtailcourse.ingress._retry_budget import Retry
 from foxtailcourse.ingress._server_loads import HeldRequest, ServerLoads
 from foxtailcourse.ingress._server_memory import ServerMemory, held_request
 from foxtailcourse.ingress._server_speeds import ServerSpeeds
@@ -254,11 +256,15 @@
         return response
 
     def replacement(
-        self, job: Job, choice: Choice, on_release: Callable[[str], None]
+        self,
+        job: Job,
+        choice: Choice,
+        retry: Retry,
+        on_release: Callable[[str], None],
     ) -> Replacement:
         """Take a place for a request whose server is silent."""
         return Replacement(
-            choice, self.pool, self._connect_s(job), self.clock, on_release
+            choice, retry, self.pool, self._connect_s(job), self.clock, on_release
         )
 
     async def _exchange(
@@ -278,7 +284,9 @@
         try:
             conn = conn or await self.pool.connect(address, options)
             # Encoded once it can be sent, as the time left is one of the fields.
-            now = job.attempt_sent_at = self.clock()
+            now = self.clock()
+            arrival = Arrival(choice.candidate.own_load, now)
+            job.record_sent(arrival)
             remaining_s = job.deadline - now
             headers = encode_attempt_headers(
                 job.request,
@@ -298,6 +306,7 @@
                 conn=conn,
             ) as response:
                 watched.record_progress(self.clock())
+                arrival.record_answered(self.clock())
                 job.attempt.framing = response.framing
                 return await self._receive(
                     job, choice, response, watched, on_first_event
@@ -331,6 +340,8 @@
         if isinstance(exc.__cause__, trio.TooSlowError):
             load.record_unreachable(now)
             return AttemptError("silent", Verdict.MAY_HAVE_RUN)
+        if job.attempt.arrival is not None:
+            job.attempt.arrival.record_ended(now)
         load.record_failure(now)
         return AttemptError("broken_off", Verdict.MAY_HAVE_RUN)
 
--- a/src/foxtailcourse/ingress/_dispatcher.py
+++ b/src/foxtailcourse/ingress/_dispatcher.py
@@ -167,7 +167,18 @@
         AttemptError
             If the last attempt failed and the request may have run.
         """
-        self.retry_budget_for(job.service).record_request(self.clock())
+        budget = self.retry_budget_for(job.service)
+        budget.record_request(self.clock())
+        try:
+            return await self._run_attempts(job)
+        finally:
+            if job.replacement is not None:
+                job.replacement.release("ended")
+            if job.retry is not None:
+                budget.give_back(job.retry)
+
+    async def _run_attempts(self, job: Job) -> ServerResponse | None:
+        """Send a request until it needs no retry; the same as ``run``."""
         self._prepare(job)
         while True:
             if job.replacement is None:
@@ -177,7 +188,7 @@
                 if job.grant is not None:
                     self.quotas.record_sent(job.grant, self.clock())
             else:
-                choice = job.replacement.choice
+                choice, job.retry = job.replacement.choice, job.replacement.retry
             if self.parts.record_sent(job.crash_keys):
                 # Another entry may get the same request at once.
                 await self.parts.announce()
@@ -498,35 +509,35 @@
         """
         now = self.clock()
         budget = self.retry_budget_for(job.service)
-        reason = ""
+        reason, retry = "", None
         if not self.stop_window.has_time(job.deadline, now):
             reason = STOPPING
         elif self._lacks_time(job, now):
             reason = "deadline"
         elif self.parts.wait_s(job.crash_keys) > 0:
             reason = "blocked"
-        elif not budget.try_acquire(now, server_is_silent=True):
-            reason = "budget"
-        if reason:
-            self._record_kept(job, choice, reason)
+        else:
+            retry = budget.try_acquire(now, job.attempt.arrival, server_is_silent=True)
+        if retry is None:
+            self._record_kept(job, choice, reason or "budget")
             return None
         tried = {*job.sent_to, *job.unreachable, choice.candidate.server.id}
         selection = self.candidates.select_responsive(
             self._select(job, tried, now), now
         )
         if not selection.candidates:
-            budget.give_back(now)
+            budget.give_back(retry)
             self._record_kept(job, choice, selection.reason)
             return None
         other = self._place(job, selection.candidates, now, self.rng)
         self.candidates.limits.record_sent(other.candidate.server.run, now)
 
         def on_release(reason: str) -> None:
-            budget.give_back(now)
+            budget.give_back(retry)
             if reason == UNREACHABLE:
                 self._record_kept(job, choice, reason)
 
-        return self.attempts.replacement(job, other, on_release)
+        return self.attempts.replacement(job, other, retry, on_release)
 
     def _record_kept(self, job: Job, choice: Choice, reason: str) -> None:
         """Record why a request stays; logged once for an attempt."""
@@ -702,7 +713,10 @@
             attempts -= job.refusals
         if attempts >= job.route.max_attempts:
             return "attempts"
-        return "" if self.retry_budget_for(job.service).try_acquire(now) else "budget"
+        if job.retry is None:
+            budget = self.retry_budget_for(job.service)
+            job.retry = budget.try_acquire(now, job.attempt.arrival)
+        return "" if job.retry is not None else "budget"
 
     def _raise_final_error(self, job: Job, exc: AttemptError) -> None:
         """Raise RefusedError if the request has not run, and the error otherwise."""
@@ -734,6 +748,7 @@
             verdict=exc.verdict.value,
             no_retry=retry_refusal or None,
             retries=budget.used,
+            retries_unconfirmed=budget.unconfirmed,
             retries_allowed=round(budget.allowed(self.clock()), 1),
             attempt=len(job.sent_to),
             age_ms=int((self.clock() - job.started) * 1000),
--- a/src/foxtailcourse/ingress/_job.py
+++ b/src/foxtailcourse/ingress/_job.py
@@ -6,9 +6,11 @@
 from foxtailcourse.fleet import Account, Route
 from foxtailcourse.http import Exchange, Framing
 from foxtailcourse.ingress._account_quotas import Grant
+from foxtailcourse.ingress._arrivals import Arrival
 from foxtailcourse.ingress._held_responses import HeldResponse
 from foxtailcourse.ingress._placement_types import Choice, Prompt
 from foxtailcourse.ingress._replacement import Replacement
+from foxtailcourse.ingress._retry_budget import Retry
 from foxtailcourse.platform import IngressRequest
 from foxtailcourse.protocol import Verdict
 
@@ -76,6 +78,8 @@
         Whether an attempt was started and its outcome is not known.
     replacement : Replacement or None
         Where the next attempt is sent; its retry is already counted.
+    retry : Retry or None
+        The counted retry that the next attempt is.
     response_complete : bool
         Whether the complete response was sent to the caller.
     typical_prompt_tokens : float
@@ -117,6 +121,7 @@
     attempt_sent_at: float = 0.0
     attempt_pending: bool = False
     replacement: Replacement | None = None
+    retry: Retry | None = None
     response_complete: bool = False
     typical_prompt_tokens: float = 0.0
     attempt: "AttemptState" = attrs.field(factory=lambda: AttemptState())
@@ -154,6 +159,13 @@
         """Name of the client account, empty without one."""
         return self.account.name if self.account else ""
 
+    def record_sent(self, arrival: Arrival) -> None:
+        """Record that an attempt is being sent."""
+        self.attempt_sent_at, self.attempt.arrival = arrival.sent_at, arrival
+        if self.retry is not None:
+            self.retry.record_sent(arrival)
+            self.retry = None
+
     def record_response_complete(self) -> None:
         """Record that the complete response was sent to the caller."""
         self.response_complete = True
@@ -183,6 +195,8 @@
         When the first event arrived, in seconds since boot.
     events : int
         Lower bound of the number of events that arrived.
+    arrival : Arrival or None
+        Whether the server has got the request; None if it was not sent.
     kept_reason : str
         Why the request stayed at its silent server when this was last checked; empty
         if the server was not silent.
@@ -195,6 +209,7 @@
     unfinished_bytes: int = 0
     first_event_at: float | None = None
     events: int = 0
+    arrival: Arrival | None = None
     kept_reason: str = ""
     is_answered: bool = False
 
--- a/src/foxtailcourse/ingress/_replacement.py
+++ b/src/foxtailcourse/ingress/_replacement.py
@@ -12,6 +12,7 @@
     RequestOptions,
 )
 from foxtailcourse.ingress._placement_types import Choice
+from foxtailcourse.ingress._retry_budget import Retry
 
 # Reason for which a place is released.
 UNREACHABLE = "unreachable"
@@ -27,6 +28,8 @@
     ----------
     choice : Choice
         The server.
+    retry : Retry
+        The counted retry.
     pool : ConnectionPool
         Makes the connection.
     connect_timeout_s : float
@@ -40,6 +43,7 @@
     """
 
     choice: Choice
+    retry: Retry
     pool: ConnectionPool
     connect_timeout_s: float
     clock: Callable[[], float]
--- a/src/foxtailcourse/ingress/_server_loads.py
+++ b/src/foxtailcourse/ingress/_server_loads.py
@@ -107,6 +107,9 @@
     held_tokens : int
         Tokens of the prompts and expected outputs in progress. A part that several
         requests share counts once.
+    answered_sent_at : float
+        When the latest request that the server has answered was sent, in seconds since
+        boot.
     """
 
     in_flight: int = 0
@@ -116,6 +119,7 @@
     refused_until: float = 0.0
     last_progress_at: float = float("-inf")
     held_tokens: int = 0
+    answered_sent_at: float = float("-inf")
     # Requests in progress with each shared part, and its tokens.
     _held_parts: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     _consecutive_failures: int = 0
@@ -154,6 +158,10 @@
         """Whether the server has requests of this entry and sends nothing."""
         return self.in_flight > 0 and now - self.last_progress_at >= SERVER_ALIVE_S
 
+    def record_answered(self, sent_at: float) -> None:
+        """Record the head of a response to a request that was sent at a time."""
+        self.answered_sent_at = max(self.answered_sent_at, sent_at)
+
     def record_success(self, now: float) -> None:
         """Record a response."""
         self._update_failure_rate(now, 0.0)
--- a/tests/ingress/test_rate_limits.py
+++ b/tests/ingress/test_rate_limits.py
@@ -5,8 +5,10 @@
 from testtools.matchers import Equals
 
 from foxtailcourse.fleet import Freshness
+from foxtailcourse.ingress._arrivals import Arrival
 from foxtailcourse.ingress._limit_shares import LimitShares
 from foxtailcourse.ingress._retry_budget import RetryBudget
+from foxtailcourse.ingress._server_loads import ServerLoad
 from foxtailcourse.ingress._store_rate_limit import RateLimiter
 
 CALLS_PER_S = 400.0
@@ -20,6 +22,16 @@
     return RetryBudget(RATIO, EXTRA, RETRY_WINDOW_S, shares)
 
 
+def sends_retry(budget, now):
+    """Send a retry, which arrives at once, if the budget allows it; return whether."""
+    retry = budget.try_acquire(now)
+    if retry is not None:
+        arrival = Arrival(ServerLoad(), now)
+        arrival.record_ended(now)
+        retry.record_sent(arrival)
+    return retry is not None
+
+
 class TestRetryBudget(testtools.TestCase):
     """Guards the platform's limit on retries, over all entries and in any window."""
 
@@ -49,7 +61,7 @@
                     # The list is read now and then.
                     if rng.random() < 0.3:
                         views[vm] |= registered
-                    retries += budget.try_acquire(now)
+                    retries += sends_retry(budget, now)
             self.assertTrue(0 < retries <= EXTRA, (seed, retries))
 
     def test_retries_of_all_entries_stay_within_the_limit(self):
@@ -64,7 +76,7 @@
                 budget.record_request(now)
                 requests.append(now)
                 # Every request fails and is to be retried.
-                if budget.try_acquire(now):
+                if sends_retry(budget, now):
                     retries.append(now)
             self.check_windows(requests, retries, seed)
 
@@ -83,7 +95,7 @@
             budget = make_budget("e1", registered)
             for n in range(100):
                 budget.record_request(n / 100)
-            granted = sum(budget.try_acquire(1.0) for _ in range(100))
+            granted = sum(sends_retry(budget, 1.0) for _ in range(100))
             self.assertThat(granted, Equals(15 + extra))
 
     def test_requests_at_silent_servers_leave_retries_to_broken_off_ones(self):
@@ -92,25 +104,49 @@
             budget.record_request(n / 100)
         waiting = [budget.try_acquire(1.0, server_is_silent=True) for _ in range(99)]
         broken_off = [budget.try_acquire(1.0) for _ in range(99)]
-        self.assertThat((sum(waiting), sum(broken_off)), Equals((12, 4)))
-        budget.give_back(1.0)
+        self.assertThat(
+            (sum(map(bool, waiting)), sum(map(bool, broken_off))), Equals((12, 4))
+        )
+        budget.give_back(waiting[0])
         self.assertTrue(budget.try_acquire(1.0))
 
     def test_retry_that_is_given_back_leaves_later_ones_counted(self):
         budget = make_budget("e1", {"e1"})
         for n in range(100):
             budget.record_request(n / 100)
-        for at in (1.0, 9.0):
-            self.assertTrue(budget.try_acquire(at))
-        budget.give_back(1.0)
+        unsent = budget.try_acquire(1.0)
+        self.assertTrue(sends_retry(budget, 9.0))
+        budget.give_back(unsent)
         budget.allowed(RETRY_WINDOW_S + 5.0)
         self.assertThat(budget.used, Equals(1))
 
+    def test_retry_at_a_cut_link_counts_until_a_window_after_its_arrival(self):
+        """Guards against retries of several windows that arrive in one of them."""
+        budget, load = make_budget("e1", {"e1"}), ServerLoad()
+        given_up = Arrival(load, 1.0)
+        retry = budget.try_acquire(2.0, given_up)
+        elsewhere = Arrival(ServerLoad(), 2.0)
+        retry.record_sent(elsewhere)
+        elsewhere.record_answered(2.1)
+        budget.allowed(20.0)
+        self.assertThat((budget.used, budget.unconfirmed), Equals((1, 1)))
+        Arrival(load, 19.5).record_answered(21.0)
+        for now, used in ((22.0, 1), (31.0, 1), (33.0, 0)):
+            budget.allowed(now)
+            self.assertThat((budget.used, budget.unconfirmed), Equals((used, 0)))
+
+    def test_server_that_never_answers_does_not_use_up_the_retries(self):
+        budget = make_budget("e1", {"e1"})
+        budget.try_acquire(1.0).record_sent(Arrival(ServerLoad(), 1.0))
+        for now, used in ((30.9, 1), (31.0, 1), (41.1, 0)):
+            budget.allowed(now)
+            self.assertThat(budget.used, Equals(used))
+
     def test_more_entries_have_smaller_shares(self):
         def granted_retries(entries):
             budget = make_budget("e0", {f"e{n}" for n in range(entries)})
-            budget.try_acquire(0.0)
-            return sum(budget.try_acquire(RETRY_WINDOW_S) for _ in range(100))
+            sends_retry(budget, 0.0)
+            return sum(sends_retry(budget, RETRY_WINDOW_S) for _ in range(100))
 
         self.assertTrue(0 < granted_retries(25) < granted_retries(4))
         self.assertTrue(granted_retries(4) < granted_retries(1))
@@ -136,7 +172,7 @@
                 for _ in range(2):
                     entry.budget.record_request(self.now)
                     self.requests.append(self.now)
-                if entry.budget.try_acquire(self.now):
+                if sends_retry(entry.budget, self.now):
                     self.retries.append(self.now)
 
 
--- a/tests/ingress/test_retry_windows.py
+++ b/tests/ingress/test_retry_windows.py
@@ -18,7 +18,7 @@
 
 RATIO, EXTRA, WINDOW_S = 0.2, 12, 3.0
 PLAYED_S, REQUESTS_PER_S = 10.0, 50.0
-SERVERS = 5
+SERVERS, CUT_SERVERS = 5, 3
 MODES = ("delay", "silent", "cut in", "cut out", "pass")
 FAULTS = (
     BackendServerFaults(),
@@ -26,12 +26,14 @@
     BackendServerFaults(refuse=True),
     BackendServerFaults(lose_answer=True),
 )
-# Other than those of the route; a share is used from some seconds after the start on.
+# A share is used from some seconds after the start on.
 SETTINGS = {
     "retry_ratio": RATIO,
     "retry_extra": EXTRA,
     "retry_window_s": WINDOW_S,
 }
+SMALL_RATIO = 0.02
+FEW = SETTINGS | {"retry_ratio": SMALL_RATIO}
 
 
 class NotingServer(BackendServerStandin):
@@ -68,6 +70,17 @@
             server.faults = rng.choice(FAULTS)
             await trio.sleep(rng.uniform(0.1, 0.6))
 
+    async def cut(self, fleet, proxies):
+        """Cut most links for some windows; before they go on, a server refuses."""
+        await trio.sleep(1.0)
+        for proxy in proxies[:CUT_SERVERS]:
+            proxy.mode = "cut in"
+        await trio.sleep(1.5 * WINDOW_S)
+        fleet.servers[f"p{CUT_SERVERS}"].faults = BackendServerFaults(refuse=True)
+        await trio.sleep(0.9 * WINDOW_S)
+        for proxy in proxies:
+            proxy.mode = "pass"
+
     async def send(self, fleet, entries, rng, sent):
         async def call(entry):
             with contextlib.suppress(ClientError):
@@ -80,7 +93,7 @@
                 nursery.start_soon(call, rng.choice(entries))
                 await trio.sleep(rng.expovariate(REQUESTS_PER_S))
 
-    def exceeded(self, sent, arrivals):
+    def exceeded(self, sent, arrivals, ratio=RATIO):
         """Return the windows with too many repeats, with their number and the bound."""
         seen, repeats = set(), []
         for at, request_id in sorted(arrivals):
@@ -95,22 +108,27 @@
         found = []
         for start in repeats:
             starts = (start, start - WINDOW_S / 2, start - WINDOW_S)
-            bound = RATIO * max(count(sent, each) for each in starts) + EXTRA
+            bound = ratio * max(count(sent, each) for each in starts) + EXTRA
             if count(repeats, start) > bound:
                 found.append((count(repeats, start), bound))
         return found
 
-    @run_with("with_fleet", **SETTINGS)
-    async def test_requests_that_arrive_late_do_not_exceed_a_window(self, fleet, entry):
-        rng, sent, arrivals = random.Random(1), [], []
+    async def start(self, fleet, entries, arrivals):
+        """Return the proxies, once all entries have a share of the retries."""
         proxies = await self.add_servers(fleet, arrivals)
         fleet.configure(version=2, routes=[route("late", service="late", attempts=3)])
-        entries = [entry, await fleet.start_entry("e2", listen=LOCAL, **SETTINGS)]
         for each in entries:
             await wait_until(lambda e=each: len(e.app.status()["servers"]) >= SERVERS)
             await wait_until(lambda e=each: e.app.readiness().ready)
             shares = each.app._shares
             await wait_until(lambda s=shares: s.is_settled(boot_seconds()))
+        return proxies
+
+    @run_with("with_fleet", **SETTINGS)
+    async def test_requests_that_arrive_late_do_not_exceed_a_window(self, fleet, entry):
+        rng, sent, arrivals = random.Random(1), [], []
+        entries = [entry, await fleet.start_entry("e2", listen=LOCAL, **SETTINGS)]
+        proxies = await self.start(fleet, entries, arrivals)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.disturb, fleet, proxies, rng)
             await self.send(fleet, entries, rng, sent)
@@ -119,3 +137,15 @@
             proxy.mode = "pass"
         await trio.sleep(1.0)
         self.assertThat(self.exceeded(sent, arrivals), Equals([]))
+
+    @run_with("with_fleet", **FEW)
+    async def test_requests_given_up_at_cut_links_do_not_exceed_a_window(
+        self, fleet, entry
+    ):
+        rng, sent, arrivals = random.Random(1), [], []
+        proxies = await self.start(fleet, [entry], arrivals)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.cut, fleet, proxies)
+            await self.send(fleet, [entry], rng, sent)
+        await trio.sleep(1.0)
+        self.assertThat(self.exceeded(sent, arrivals, SMALL_RATIO), Equals([]))
