Keep an explanation from computing the speeds of servers again

What operators saw: nothing; an explanation changed the state of the entry.

Cause: the copy of the decision's state shared the speeds of the servers, which a decision computes again once they are older than their period.

--- a/src/foxtailcourse/ingress/_explanation.py
+++ b/src/foxtailcourse/ingress/_explanation.py
@@ -290,6 +290,7 @@
             loads=candidates.loads.snapshot(),
             cache_indexes=dict(candidates.cache_indexes),
             limits=limits,
+            speeds=candidates.speeds.snapshot(),
         ),
         parts=attrs.evolve(dispatcher.parts, shares=limits.shares, clock=lambda: now),
         sizes=copy.deepcopy(dispatcher.sizes),
--- a/src/foxtailcourse/ingress/_server_speeds.py
+++ b/src/foxtailcourse/ingress/_server_speeds.py
@@ -6,6 +6,7 @@
 otherwise all servers count as equal, as if nothing had been learned.
 """
 
+import copy
 import math
 import statistics
 from collections.abc import Callable, Mapping, Sequence
@@ -14,6 +15,7 @@
 import attrs
 
 from foxtailcourse.fleet import BackendServer, ServerRun
+from foxtailcourse.ingress._fleet_sums import add_amounts
 from foxtailcourse.ingress._placement_types import (
     FIRST_EVENT_LATENCY_S,
     PREFILL_TOKENS_PER_S,
@@ -98,6 +100,33 @@
         """Return the sums over all entries."""
 
 
+@attrs.frozen
+class _CopiedSums:
+    """Sums on which decisions can be evaluated; the sums themselves do not change."""
+
+    _sums: Sums
+    # Own sums that were replaced in the copy.
+    _own: dict[str, tuple[float, ...]] = attrs.field(factory=dict, init=False)
+
+    def add(self, key: str, amounts: Sequence[float], tau_s: float, now: float) -> None:
+        self._own[key] = add_amounts(self.own(key, now), tuple(amounts))
+
+    def set_own(
+        self, key: str, amounts: Sequence[float], tau_s: float, now: float
+    ) -> None:
+        self._own[key] = tuple(amounts)
+
+    def own(self, key: str, now: float) -> tuple[float, ...]:
+        return self._own[key] if key in self._own else self._sums.own(key, now)
+
+    def total(self, key: str, now: float) -> tuple[float, ...]:
+        total = self._sums.total(key, now)
+        if key not in self._own:
+            return total
+        replaced = tuple(-each for each in self._sums.own(key, now))
+        return add_amounts(add_amounts(total, replaced), self._own[key])
+
+
 @attrs.frozen(kw_only=True)
 class ServerRate:
     """Measured rate of a server.
@@ -393,6 +422,14 @@
         """Forget the runs that are no longer registered and have no requests."""
         self._runs = {k: v for k, v in self._runs.items() if k in registered or v.open}
 
+    def snapshot(self) -> "ServerSpeeds":
+        """Return a copy on which decisions can be evaluated without a request."""
+        result = ServerSpeeds(_CopiedSums(self._sums))
+        result._runs = copy.deepcopy(self._runs)
+        result._services = copy.deepcopy(self._services)
+        result._latency = copy.deepcopy(self._latency)
+        return result
+
     # Decisions
 
     def rate(self, server: BackendServer, now: float) -> ServerRate:
--- a/tests/ingress/test_explanation.py
+++ b/tests/ingress/test_explanation.py
@@ -78,6 +78,9 @@
             prefill_tokens=9e3, in_flight=3, short_prompts=1, received_at=now - 60
         )
         entry.app._loads.update_remote("e9", "m2", load)
+        # They are due, so that a decision would compute them again.
+        for each in entry.app._dispatcher.candidates.speeds._services.values():
+            each.computed_at = now - 60
         # A decision would create it again.
         entry.app._cache_indexes.pop("m2", None)
 
