List a test of sound requests that are lost beside a deadly one

What callers saw: two sound streams that shared a server with a request that crashes servers are cut, and refused for 30 s, when it crashes the next one.

Cause: requests that are lost together go on at the same server, the one that their prompts prefer, so each is suspected of the second crash as well.

--- a/tests/ingress/test_deadly_parts.py
+++ b/tests/ingress/test_deadly_parts.py
@@ -1,11 +1,15 @@
 import trio
-from ingress_case import IngressCase
+from ingress_case import MODEL, IngressCase
 from testtools.matchers import Equals
 
 from cluster import wait_until
 from foxtailcourse.crashes import request_parts
 from foxtailcourse.ingress._part_records import record_key
-from foxtailcourse.standin._backend_server import BackendServerFaults, part_names
+from foxtailcourse.standin._backend_server import (
+    BackendServerFaults,
+    BackendServerStandin,
+    part_names,
+)
 from support import run_with
 
 # Bound of the platform: so many further requests with a part under which so many
@@ -62,6 +66,32 @@
             len(self.deadly_runs(fleet, "dd")), CRASHES + MAX_FURTHER_REQUESTS
         )
 
+    @run_with("with_fleet")
+    async def test_requests_lost_with_a_deadly_one_do_not_go_on_beside_it(
+        self, fleet, entry
+    ):
+        """Guards sound requests against a block for the next crash of a deadly one."""
+        for name in ("m3", "m4"):
+            await fleet.add_server(BackendServerStandin(name, "llm", {MODEL: 1}))
+        await wait_until(lambda: len(entry.app.status()["servers"]) == 6)
+        for server in fleet.servers.values():
+            server.deadly_part, server.event_s = "dd", 0.1
+        responses = {}
+
+        async def call(part):
+            responses[part] = await fleet.call(
+                entry, "ask", stream=3, parts=f"aa:9000,{part}:9,x:5"
+            )
+
+        async with trio.open_nursery() as nursery:
+            for part in ("dd", "bb", "cc"):
+                nursery.start_soon(call, part)
+        for part in ("bb", "cc"):
+            response = responses[part]
+            self.assertThat((response.status, response.complete), Equals((200, True)))
+        first = [fleet.servers[n].runs for n in ("m1", "m2", "m3", "m4")]
+        self.assertThat(max(map(len, first)), Equals(3))
+
     @run_with("with_fleet")
     async def test_streams_that_are_cut_later_block_nothing(self, fleet, entry):
         for name in ("m1", "m2"):
