--- a/src/foxtailcourse/ingress/_arrivals.py
+++ b/src/foxtailcourse/ingress/_arrivals.py
@@ -4,7 +4,7 @@
 
 from foxtailcourse.ingress._server_loads import ServerLoad
 
-# A request that its server has not shown to have for this long will not arrive.
+# A request that its server has not answered for this long is expected to never arrive.
 MAX_DELAY_S = 30.0
 
 
@@ -35,7 +35,7 @@
             self._known_at = now
 
     def known_by(self, now: float) -> float | None:
-        """Return when it was known that the server has it, None if it is not known.
+        """Return when it was known that it has arrived or never will, else None.
 
         A server that answers a request that was sent later has this one, too.
         """
--- a/src/foxtailcourse/ingress/_retry_budget.py
+++ b/src/foxtailcourse/ingress/_retry_budget.py
@@ -30,7 +30,10 @@
 
 @attrs.define(eq=False)
 class Retry:
-    """A retry that was allowed, or the arrival of the attempt before it.
+    """A retry that was allowed.
+
+    It adds one arrival at a server, which is its own or, if that comes later, the one
+    of the attempt before it.
 
     Parameters
     ----------
