--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -35,6 +35,7 @@
 HOST = "app.example"
 KEY = "key-1"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+RANDOM = random.SystemRandom()
 # Ports that the system does not assign to outgoing connections.
 PORTS = range(10_000, 32_000)
 # Values of the settings template, those of the sheet of guardaroba-sicilia.
@@ -73,7 +74,7 @@
 def free_port(kind=socket.SOCK_STREAM, host="127.0.0.1"):
     """Return an unused port."""
     while True:
-        port = random.SystemRandom().choice(PORTS)
+        port = RANDOM.choice(PORTS)
         with socket.socket(type=kind) as probe, suppress(OSError):
             probe.bind((host, port))
             return port
@@ -96,10 +97,12 @@
 class EntryProcess:
     """An entry that runs with the command of the deploy file.
 
-    ``host`` is its machine's address, from the loopback range.
+    It has a loopback address of its own, as its machine has.
     """
 
-    def __init__(self, folder, vm, store, host="127.0.0.1", **values):
+    def __init__(self, folder, vm, store, **values):
+        # Cases that run at the same time do not take each other's ports.
+        host = ".".join(["127", *(str(RANDOM.randint(1, 250)) for _ in range(3))])
         self.vm, self.host, self.process = vm, host, None
         self.listen = Address(host, free_port(host=host))
         self.ready = Address(host, free_port(host=host))
