--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
-"""Streams of servers that start again with other software while the store is down."""
+"""Entries of a service that no configuration names stop the loads of weights."""
 
+import json
 import sys
 from collections import Counter
 from pathlib import Path
@@ -19,6 +20,7 @@
     Record,
     configuration,
     fleet,
+    free_port,
     route,
     run,
     with_trouble,
@@ -27,41 +29,62 @@
 
 from foxtailcourse.http import ClientError, ConnectionPool  # noqa: E402
 
-SERVERS, ENTRIES, CALLERS = 3, 2, 40
-EVENTS, EVENT_S = 60, 0.04
-# The store's outage, and the servers that start again with new software, in seconds
-# from the start of traffic; each is down for DOWN_S.
-OUTAGE_FROM_S, OUTAGE_S = 3.0, 4.5
-RESTARTS = ((3.2, "m0"), (4.7, "m1"), (6.2, "m2"))
-DOWN_S, HEARTBEAT_S = 0.4, 1.2
-WARM_UP_S, END_S = 14.0, 12.0
-MAX_MIXED = 2
+ENTRIES, SERVERS, ODD_RECORDS = 2, 3, 2
+LOAD_S, HEARTBEAT_S = 1.9, 1.2
+# versionMs of guardaroba-sicilia, and after how much of it no server may be left over.
+VERSION_S, LATEST_FACTOR = 15.0, 1.5
+# When versions 2 and 3 are named, and the end of traffic.
+FIRST_NAMED_AT_S, NAMED_AT_S, END_S = 2.0, 8.0, 33.0
+REQUESTS_PER_S, EVENTS = 10, 15
+
+
+class LoadingWorker(Worker):
+    """A server that carries out orders to load weights."""
+
+    busy = False
+
+    async def handle_order(self, exchange):
+        order = json.loads(exchange.body)
+        self.orders.append(order)
+        if self.busy or order.get("precondition") != self.accepted_orders:
+            await exchange.respond(409, b"")
+            return
+        if self.models[order["model"]] == order["version"]:
+            await exchange.respond(200, b"")
+            return
+        self.accepted_orders += 1
+        self.busy = True
+        trio.lowlevel.spawn_system_task(self._load, order["model"], order["version"])
+        await exchange.respond(202, b"")
+
+    async def _load(self, model, version):
+        await trio.sleep(LOAD_S)
+        self.models[model], self.busy = version, False
 
 
 class Case:
-    """Callers, servers and the store of one run."""
+    """Callers and servers of one run."""
 
     def __init__(self, nursery, fleet_, record):
         self.nursery, self.fleet, self.record = nursery, fleet_, record
-        self.pool = ConnectionPool()
-        self.sent, self.started = 0, trio.current_time()
-        self.outcomes = Counter()
-        self.mixed = []
-
-    async def call(self, entry):
-        """Send one request for a stream, and note which software made its events."""
-        self.sent += 1
-        request_id = f"r{self.sent}"
+        self.pool, self.count = ConnectionPool(), 0
+        self.started = trio.current_time()
+        # Outcomes of the requests before and after versionMs.
+        self.before, self.after = Counter(), Counter()
+
+    async def call(self, number):
+        entries = list(self.fleet.entries.values())
+        entry = entries[number % len(entries)]
         fields = {
             "host": HOST,
-            "x-foxtailcourse-request-id": request_id,
+            "x-foxtailcourse-request-id": f"r{number}",
             "x-foxtailcourse-key": KEY,
             "x-foxtailcourse-deadline-ms": "6000",
             "x-foxtailcourse-model": MODEL,
             "x-foxtailcourse-token-counts": f"383,{EVENTS}",
-            "x-foxtailcourse-prompt-prefix": f"aa:92,{self.sent:06x}:291",
+            "x-foxtailcourse-prompt-prefix": f"aa:92,{number:06x}:291",
         }
-        body, whole, status = b"", False, 0
+        at = trio.current_time() - self.started
         try:
             with trio.fail_after(7):
                 async with self.pool.request(
@@ -69,60 +92,49 @@
                     "POST",
                     "/ask/x",
                     headers=fields,
-                    body=f"prompt of {request_id}".encode(),
+                    body=f"prompt {number}".encode(),
                     options=NO_REUSE,
                 ) as response:
-                    status = response.status
-                    async for chunk in response.iter_chunks():
-                        body += chunk
-                    whole = True
+                    data = await response.read()
+                    outcome = str(response.status)
+                    if response.status != 200:
+                        outcome += f" {data.decode()}"
         except (ClientError, trio.TooSlowError) as exc:
-            self.record.write(f"broken {request_id} {exc!r}")
-        parts = {}
-        for line in body.decode().splitlines():
-            if line.startswith("data: "):
-                _, number, software = line.removeprefix("data: ").split()
-                parts.setdefault(software, []).append(int(number))
-        spans = {k: f"{v[0]}-{v[-1]}" for k, v in parts.items()}
-        self.record.write(f"answer {request_id} at {entry.vm} {status} {whole} {spans}")
-        self.outcomes[f"{status} {'whole' if whole else 'broken'}"] += 1
-        if len(parts) > 1:
-            self.mixed.append(request_id)
-
-    async def run_caller(self, entry, pause_s):
-        await trio.sleep(pause_s)
+            outcome = repr(exc)
+        self.record.write(f"r{number} sent at {at:.2f} to {entry.vm}: {outcome}")
+        counts = self.after if at > NAMED_AT_S + VERSION_S else self.before
+        counts[outcome] += 1
+
+    async def callers(self):
         while trio.current_time() < self.started + END_S - 1:
-            await self.call(entry)
-            await trio.sleep(0.05)
-
-    async def restart(self, server):
-        """Start a server again with new software, as a release does in place."""
-        self.record.write(f"server {server.id} ends")
-        server.stop()
-        await trio.sleep(DOWN_S)
-        server.start("v2")
-        self.record.write(f"server {server.id} starts with v2")
-        # It registers at its start, and as soon as the store answers.
-        await self.fleet.platform.wait_available()
-        self.fleet.register(server)
-        self.record.write(f"server {server.id} registers")
-
-    async def outage(self):
-        self.fleet.platform.outage = "silent"
-        self.fleet.platform.wake()
-        self.record.write("store down")
-        await trio.sleep(OUTAGE_S)
-        self.fleet.platform.outage = ""
-        self.fleet.platform.wake()
-        self.record.write("store back")
+            self.count += 1
+            self.nursery.start_soon(self.call, self.count)
+            await trio.sleep(1 / REQUESTS_PER_S)
 
     async def heartbeats(self):
         while True:
             await trio.sleep(HEARTBEAT_S)
-            if not self.fleet.platform.outage:
-                for server in self.fleet.servers.values():
-                    if not server.down:
-                        self.fleet.register(server)
+            for server in self.fleet.servers.values():
+                self.fleet.register(server)
+
+
+def odd_record():
+    """Return an entry of another writer, whose service no configuration names."""
+    return json.dumps(
+        {
+            "service": "registro",
+            "address": f"127.0.0.1:{free_port()}",
+            "zone": "palermo",
+            "version": "v1",
+            "slots": 64,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "stage": "combined",
+            "models": [{"name": MODEL, "version": 1, "adapters": []}],
+            "born": 1,
+        }
+    ).encode()
 
 
 async def main():
@@ -130,38 +142,45 @@
     async with fleet() as running, trio.open_nursery() as nursery:
         for number in range(SERVERS):
             await running.add_server(
-                Worker(f"m{number}", "assistente", {MODEL: 1}, event_s=EVENT_S)
+                LoadingWorker(f"m{number}", "assistente", {MODEL: 1}, event_s=0.03)
             )
         ask = route("ask", "streaming", "assistente", resumable=True, attempts=2)
         running.platform.put("op/config", configuration(1, [ask]))
+        weights = json.dumps({"model": MODEL, "version": 1}).encode()
+        running.platform.put(f"op/version/{MODEL}", weights)
+        if with_trouble():
+            for number in range(ODD_RECORDS):
+                running.platform.put(f"servers/odd-{number}", odd_record())
         entries = [running.add_entry(f"e{n}") for n in range(ENTRIES)]
         for entry in entries:
             await entry.wait_ready()
-        # By then the entries know each other, and share the retry budget.
-        await trio.sleep(WARM_UP_S)
+        # An entry leads and may give orders by then.
+        await trio.sleep(6)
         case = Case(nursery, running, record)
         nursery.start_soon(case.heartbeats)
-        for number in range(CALLERS):
-            pause_s = number * EVENTS * EVENT_S / CALLERS
-            nursery.start_soon(case.run_caller, entries[number % ENTRIES], pause_s)
-        await trio.sleep(OUTAGE_FROM_S)
-        if with_trouble():
-            nursery.start_soon(case.outage)
-        for at, name in RESTARTS:
+        nursery.start_soon(case.callers)
+        for version, at in ((2, FIRST_NAMED_AT_S), (3, NAMED_AT_S)):
             await trio.sleep_until(case.started + at)
-            nursery.start_soon(case.restart, running.servers[name])
-        await trio.sleep_until(case.started + END_S + 6)
+            weights = json.dumps({"model": MODEL, "version": version}).encode()
+            running.platform.put(f"op/version/{MODEL}", weights)
+            record.write(f"version {version} named")
+        await trio.sleep(END_S - NAMED_AT_S + 7)
         nursery.cancel_scope.cancel()
-    for server in running.servers.values():
-        for each in server.runs:
-            last = each["headers"].get("last-event-id", "")
-            record.write(f"run {each['id']} at {server.id} {each['software']} {last}")
-    record.write(f"outcomes {dict(case.outcomes)}")
-    record.write(f"streams with events of two versions: {case.mixed}")
-    print(f"sent {case.sent}, {dict(case.outcomes)}, mixed {len(case.mixed)}")
-    if case.outcomes["200 whole"] < 50:
+    servers = running.servers.values()
+    outdated = [server.id for server in servers if server.models[MODEL] < 3]
+    for server in servers:
+        record.write(f"{server.id}: {server.models}, orders {server.orders}")
+    record.write(f"requests before versionMs: {dict(case.before)}")
+    record.write(f"requests after versionMs: {dict(case.after)}")
+    print(
+        f"with older weights at the end: {outdated}; "
+        f"before versionMs {dict(case.before)}, after it {dict(case.after)}"
+    )
+    if not case.before["200"]:
         return NOT_RUN
-    return BROKEN if len(case.mixed) > MAX_MIXED else HELD
+    assert END_S - NAMED_AT_S > LATEST_FACTOR * VERSION_S
+    is_broken = len(outdated) > 1 and len(outdated) > 0.1 * SERVERS
+    return BROKEN if is_broken else HELD
 
 
 if __name__ == "__main__":
